--- a/src/bin/granitepass-benchlink/main.rs
+++ b/src/bin/lupinrack-benchlink/main.rs
@@ -1,10 +1,10 @@
-//! Adapter between the bench's wire and the library: one [`granitepass::Brain`] for each instance. It frames,
+//! Adapter between the bench's wire and the library: one [`lupinrack::Brain`] for each instance. It frames,
 //! names and converts; it decides nothing.
 
 mod settings;
 mod wire;
 
-use granitepass::Brain;
+use lupinrack::Brain;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use wire::{Incoming, Reply};
@@ -15,7 +15,7 @@
 fn main() {
     let (stdin, stdout) = (io::stdin().lock(), io::stdout().lock());
     if let Err(what) = serve(io::BufReader::with_capacity(1 << 16, stdin), io::BufWriter::new(stdout)) {
-        eprintln!("granitepass-benchlink: {what}");
+        eprintln!("lupinrack-benchlink: {what}");
         std::process::exit(1);
     }
 }
--- a/src/bin/granitepass-benchlink/settings.rs
+++ b/src/bin/lupinrack-benchlink/settings.rs
@@ -2,7 +2,7 @@
 //! missing or does not parse is named.
 
 use crate::wire::micros;
-use granitepass::*;
+use lupinrack::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
--- a/src/bin/granitepass-benchlink/wire.rs
+++ b/src/bin/lupinrack-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! Frames and records of the wire, to and from the library's words.
 
-use granitepass::*;
+use lupinrack::*;
 
 /// What a record asks of the adapter.
 pub enum Incoming {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! granitepass makes the decisions of a host-side scheduler for a shared disk pool.
+//! lupinrack makes the decisions of a host-side scheduler for a shared disk pool.
 //!
 //! Each host (gateway) owns one [`Brain`]. It tells the brain what it sees ([`Event`]) and carries out what the
 //! brain answers ([`Action`]). The brain does no I/O, reads no clock and keeps no threads: time and the seed of
 //! its random numbers come in from outside, and the same input gives the same output.
 //!
 //! ```
-//! use granitepass::*;
+//! use lupinrack::*;
 //!
 //! let class = Class {
 //!     aim: 300_000, aim_stretch: 0.0, deadline: 2_000_000, effect: Effect::Safe, in_order: false,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Settings, lists and requests that the tests share.
 #![allow(dead_code)]
 
-use granitepass::*;
+use lupinrack::*;
 
 /// A host with one safe class and one plan; tests change what they need.
 pub fn settings() -> Settings {
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use granitepass::*;
+use lupinrack::*;
 use std::collections::BTreeMap;
 
 struct Seen {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use granitepass::*;
+use lupinrack::*;
 
 fn keyed(group: Group) -> Settings {
     let mut s = settings();
