--- a/src/bin/lupinrack-benchlink/main.rs
+++ b/src/bin/lupinrack-benchlink/main.rs
@@ -1,10 +1,9 @@
 //! Adapter between the bench's wire and the library: one [`lupinrack::Brain`] for each instance. It frames,
 //! names and converts; it decides nothing.
 
-mod settings;
 mod wire;
 
-use lupinrack::Brain;
+use lupinrack::{settings, Brain};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use wire::{Incoming, Reply};
@@ -32,8 +31,8 @@
             let (instance, incoming) = wire::record(record?, columns)?;
             match incoming {
                 Incoming::Start { seed, info } => match settings::parse(&info) {
-                    Ok((settings, columns)) => {
-                        brains.insert(instance, (Brain::new(settings, seed), columns));
+                    Ok(told) => {
+                        brains.insert(instance, (Brain::new(told.module, seed), told.columns));
                     }
                     Err(what) => reply.crash(instance, &what),
                 },
--- a/src/bin/lupinrack-benchlink/wire.rs
+++ b/src/bin/lupinrack-benchlink/wire.rs
@@ -1,5 +1,6 @@
 //! Frames and records of the wire, to and from the library's words.
 
+use lupinrack::settings::micros;
 use lupinrack::*;
 
 /// What a record asks of the adapter.
@@ -62,11 +63,6 @@
     }
 }
 
-/// Milliseconds of the wire as microseconds.
-pub fn micros(ms: f64) -> Micros {
-    (ms * 1000.0).round() as Micros
-}
-
 fn millis(t: Micros) -> f64 {
     t as f64 / 1000.0
 }
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,340 @@
+//! The core: one [`Brain`], the open requests, the node table and the timers. It knows no wire. Fronts hand it
+//! requests and reports through a [`Handle`] and carry out the [`Order`]s it gives them.
+
+mod clock;
+mod nodes;
+
+pub use clock::Clock;
+pub use nodes::{Listing, Target};
+
+use crate::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Events that may wait for the core's next turn; who would add more waits.
+const INBOX: usize = 4096;
+/// Probes that may wait for the prober.
+const PROBES: usize = 64;
+
+/// What reaches the core.
+#[derive(Debug)]
+enum Input {
+    Open(Request, mpsc::Sender<Order>),
+    Ended { request: RequestId, attempt: u16, outcome: Outcome, load: Option<Load> },
+    ClientGone(RequestId),
+    Dropped(RequestId),
+    List(ListKind, Vec<Listing>),
+    Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
+}
+
+/// What the core has a request's owner do.
+#[derive(Debug)]
+pub enum Order {
+    /// Start this attempt, and report its end exactly once.
+    Send(Attempt),
+    /// Stop waiting for an attempt.
+    Cancel(u16),
+    /// Final: refused; the client may come back after the time given.
+    Refuse(Option<Duration>),
+    /// Final: failed.
+    Fail,
+}
+
+/// An attempt to be made.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Its number among the request's attempts.
+    pub number: u16,
+    /// Where to.
+    pub to: Target,
+    /// When to stop waiting.
+    pub until: Micros,
+}
+
+/// A front's end of the core.
+#[derive(Clone)]
+pub struct Handle {
+    inbox: mpsc::Sender<Input>,
+    numbers: Arc<AtomicU32>,
+    orders: usize,
+    /// The clock that all readings are on.
+    pub clock: Clock,
+}
+
+/// One open request, held by the task that owns it. Dropped early, its attempts count as broken.
+pub struct Ticket {
+    id: RequestId,
+    inbox: mpsc::Sender<Input>,
+    orders: mpsc::Receiver<Order>,
+    settled: bool,
+}
+
+impl Handle {
+    /// Opens a request; the core numbers it.
+    pub async fn open(&self, mut request: Request) -> Ticket {
+        request.id = RequestId(self.numbers.fetch_add(1, Ordering::Relaxed));
+        let (to, orders) = mpsc::channel(self.orders);
+        let _ = self.inbox.send(Input::Open(request, to)).await;
+        Ticket { id: request.id, inbox: self.inbox.clone(), orders, settled: false }
+    }
+
+    /// Hands on news of the node list.
+    pub async fn list(&self, kind: ListKind, nodes: Vec<Listing>) {
+        let _ = self.inbox.send(Input::List(kind, nodes)).await;
+    }
+
+    /// Reports the end of a probe.
+    pub async fn probed(&self, node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load>) {
+        let _ = self.inbox.send(Input::Probed { node, outcome, waited, load }).await;
+    }
+}
+
+impl Ticket {
+    /// The next order; none once the request is over and nothing of it is out.
+    pub async fn order(&mut self) -> Option<Order> {
+        let order = self.orders.recv().await;
+        self.settled |= order.is_none();
+        order
+    }
+
+    /// Reports how an attempt ended.
+    pub async fn ended(&self, attempt: u16, outcome: Outcome, load: Option<Load>) {
+        let _ = self.inbox.send(Input::Ended { request: self.id, attempt, outcome, load }).await;
+    }
+
+    /// Reports that the client left; nothing is owed any more.
+    pub async fn client_gone(&self) {
+        let _ = self.inbox.send(Input::ClientGone(self.id)).await;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        // An owner that ends early (its connection's task was dropped) must not leave the module waiting.
+        // Should the inbox be full, the closed channel of orders tells the core at its next order.
+        if !self.settled {
+            let _ = self.inbox.try_send(Input::Dropped(self.id));
+        }
+    }
+}
+
+/// An open request as the core sees it.
+struct Open {
+    orders: mpsc::Sender<Order>,
+    give_up: Micros,
+    ended: bool,
+    tries: u16,
+    out: Vec<(u16, NodeId, Micros)>,
+}
+
+/// The loop round the [`Brain`].
+pub struct Core {
+    brain: Brain,
+    grace: Micros,
+    clock: Clock,
+    inbox: mpsc::Receiver<Input>,
+    probes: mpsc::Sender<Target>,
+    nodes: Nodes,
+    open: BTreeMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Micros, u32)>>,
+    actions: Vec<Action>,
+}
+
+use nodes::Nodes;
+
+impl Core {
+    /// A core, the handle for its fronts, and the queue of nodes to probe.
+    pub fn new(settings: Settings, seed: u64, clock: Clock) -> (Core, Handle, mpsc::Receiver<Target>) {
+        let (inbox, input) = mpsc::channel(INBOX);
+        let (probes, to_probe) = mpsc::channel(PROBES);
+        // A Send and a Cancel for each attempt, and one final answer: the queue of orders never overflows.
+        let orders = 2 * settings.most_tries.clamp(1, 1024) as usize + 2;
+        let core = Core {
+            grace: settings.drain_grace,
+            brain: Brain::new(settings, seed),
+            clock,
+            inbox: input,
+            probes,
+            nodes: Nodes::default(),
+            open: BTreeMap::new(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+        };
+        (core, Handle { inbox, numbers: Arc::new(AtomicU32::new(1)), orders, clock }, to_probe)
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self) {
+        let mut batch = Vec::new();
+        loop {
+            let due = self.timers.peek().map(|t| self.clock.instant(t.0 .0));
+            let sleep = async {
+                match due {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                n = self.inbox.recv_many(&mut batch, INBOX) => if n == 0 { return },
+                () = sleep => {}
+            }
+            // One reading a turn: all that is drained now happened at this moment.
+            let now = self.clock.now();
+            for input in batch.drain(..) {
+                self.take(now, input);
+            }
+            while self.timers.peek().is_some_and(|t| t.0 .0 <= now) {
+                if let Some(Reverse((_, token))) = self.timers.pop() {
+                    self.tell(now, Event::Timer(token));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Micros, input: Input) {
+        match input {
+            Input::Open(request, orders) => {
+                let give_up = request.give_up;
+                let open = Open { orders, give_up, ended: false, tries: 0, out: Vec::new() };
+                self.open.insert(request.id, open);
+                self.tell(now, Event::Request(request));
+            }
+            Input::Ended { request, attempt, outcome, load } => {
+                self.ended(now, request, attempt, outcome, load)
+            }
+            Input::ClientGone(id) => self.client_gone(now, id),
+            Input::Dropped(id) => {
+                self.client_gone(now, id);
+                let out = self.open.get(&id).map_or(Vec::new(), |o| o.out.clone());
+                for (attempt, ..) in out {
+                    self.ended(now, id, attempt, Outcome::Reset, None);
+                }
+            }
+            Input::List(kind, list) => {
+                let entries = self.nodes.apply(now, self.grace, kind, list);
+                self.tell(now, Event::Nodes { kind, entries });
+            }
+            Input::Probed { node, outcome, waited, load } => {
+                self.tell(now, Event::Probed { node, outcome, waited, load });
+            }
+        }
+    }
+
+    fn client_gone(&mut self, now: Micros, id: RequestId) {
+        // The module may have ended it a moment ago: then the news is of no use to it.
+        if let Some(o) = self.open.get_mut(&id).filter(|o| !o.ended) {
+            o.ended = true;
+            self.tell(now, Event::ClientGone(id));
+            self.settle(id);
+        }
+    }
+
+    fn ended(&mut self, now: Micros, id: RequestId, attempt: u16, outcome: Outcome, load: Option<Load>) {
+        let Some(o) = self.open.get_mut(&id) else { return };
+        // Exactly one outcome for each Send: a second report finds nothing out.
+        let Some(at) = o.out.iter().position(|a| a.0 == attempt) else { return };
+        let (_, node, sent) = o.out.swap_remove(at);
+        o.ended |= outcome == Outcome::Ok;
+        let answer = Answer {
+            request: id,
+            attempt,
+            node,
+            outcome,
+            waited: now - sent,
+            finished: o.ended,
+            volume_use: None,
+            served_elsewhere: 0.0,
+            load,
+        };
+        self.tell(now, Event::Answer(answer));
+        self.settle(id);
+    }
+
+    /// Lets go of a request that is over with nothing out; its owner then sees the end of its orders.
+    fn settle(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.ended && o.out.is_empty()) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Tells the module and carries out what it answers, and what comes of that at once.
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.brain.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.act(now, action));
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Micros, action: Action) -> Option<Event> {
+        match action {
+            Action::Send { request, node, timeout } => return self.send(now, request, node, timeout),
+            Action::Cancel { request, attempt } => {
+                if let Some(o) = self.open.get(&request) {
+                    let _ = o.orders.try_send(Order::Cancel(attempt));
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                let after = retry_after.map(|t| Duration::from_micros(t.max(0) as u64));
+                self.finish(request, Order::Refuse(after));
+            }
+            Action::Fail { request } => self.finish(request, Order::Fail),
+            Action::Wake { at, token } => self.timers.push(Reverse((at, token))),
+            Action::Probe(node) => {
+                // Dropped where the prober is behind: a probe is a look, not a duty.
+                if let Some(target) = self.nodes.target(node) {
+                    let _ = self.probes.try_send(target);
+                }
+            }
+            // The watch of the list runs from the start to the end; there is nothing to ask for.
+            Action::Subscribe | Action::FetchList => {}
+            Action::Log(line) => tracing::info!("{line}"),
+        }
+        None
+    }
+
+    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) -> Option<Event> {
+        let o = self.open.get_mut(&id)?;
+        let number = o.tries;
+        o.tries += 1;
+        let until = timeout.map_or(o.give_up, |t| o.give_up.min(now + t));
+        let sent = self
+            .nodes
+            .target(node)
+            .filter(|_| !o.ended)
+            .is_some_and(|to| o.orders.try_send(Order::Send(Attempt { number, to, until })).is_ok());
+        if sent {
+            o.out.push((number, node, now));
+            return None;
+        }
+        // Nobody is there to carry it out. It was never sent, and the module hears so.
+        Some(Event::Answer(Answer {
+            request: id,
+            attempt: number,
+            node,
+            outcome: Outcome::Moot,
+            waited: 0,
+            finished: o.ended,
+            volume_use: None,
+            served_elsewhere: 0.0,
+            load: None,
+        }))
+    }
+
+    fn finish(&mut self, id: RequestId, order: Order) {
+        if let Some(o) = self.open.get_mut(&id).filter(|o| !o.ended) {
+            o.ended = true;
+            let _ = o.orders.try_send(order);
+            self.settle(id);
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,7 +37,10 @@
 #![warn(missing_docs)]
 
 mod brain;
+pub mod core;
 mod interface;
+pub mod net;
+pub mod settings;
 
 pub use brain::Brain;
 pub use interface::*;
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,95 @@
+//! What the platform tells a front: the file that `LB_CONFIG` names.
+
+use crate::net::discovery::List;
+use crate::settings::{self, Told};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why a configuration cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The file cannot be read.
+    #[error("{0}: {1}")]
+    Read(String, std::io::Error),
+    /// It is not the JSON expected.
+    #[error("configuration: {0}")]
+    Form(#[from] serde_json::Error),
+    /// Its settings cannot be used.
+    #[error("configuration: {0}")]
+    Settings(String),
+}
+
+#[derive(Deserialize)]
+struct Raw {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(default)]
+    known: Option<List>,
+    settings: serde_json::Value,
+}
+
+/// The limits that the platform holds this front to.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Memory, in MB.
+    pub memory_mb: u64,
+    /// File descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// A front's configuration.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery's address.
+    pub discovery: SocketAddr,
+    /// The seed of the module's random numbers.
+    pub seed: u64,
+    /// The platform's limits.
+    pub limits: Limits,
+    /// The list of nodes as this front last had it.
+    pub known: Option<List>,
+    /// The settings.
+    pub told: Told,
+}
+
+impl Config {
+    /// Reads the file.
+    pub fn load(path: &Path) -> Result<Config, ConfigError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|e| ConfigError::Read(path.display().to_string(), e))?;
+        Config::parse(&text)
+    }
+
+    /// Reads the text of such a file.
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
+        let raw: Raw = serde_json::from_str(text)?;
+        let told = settings::parse_json(&raw.settings).map_err(ConfigError::Settings)?;
+        let seed = u64::from_str_radix(&raw.seed, 16)
+            .map_err(|_| ConfigError::Settings(format!("seed '{}' is not hexadecimal", raw.seed)))?;
+        Ok(Config {
+            name: raw.name,
+            listen: raw.listen,
+            discovery: raw.discovery,
+            seed,
+            limits: raw.limits,
+            known: raw.known,
+            told,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,154 @@
+//! The node list: its form on the wire, and the loop that watches it.
+
+use crate::core::{Handle, Listing};
+use crate::net::clock::Epoch;
+use crate::*;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::{connect::HttpConnector, Client};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a watch may be held. Long, so that little is told while no watch is out.
+const HOLD: Duration = Duration::from_secs(20);
+/// How much longer than that an answer may take before the call is given up.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// The wait before the next call after one that failed; under the 200 ms within which a watch goes on.
+const PAUSE: Duration = Duration::from_millis(100);
+/// The longest list taken.
+const LONGEST: usize = 4 << 20;
+
+/// A list, or the changes to one.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    #[serde(default)]
+    instances: Vec<Instance>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Instance {
+    instance_id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: Lifecycle,
+    #[serde(default = "one")]
+    weight: f64,
+    #[serde(default)]
+    started_at_ms: i64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum Lifecycle {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Why a call to discovery brought nothing.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    #[error("call: {0}")]
+    Call(#[from] hyper_util::client::legacy::Error),
+    #[error("answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("answer: {0}")]
+    Form(#[from] serde_json::Error),
+    #[error("status {0}")]
+    Status(http::StatusCode),
+    #[error("no answer in time")]
+    Late,
+    #[error("address: {0}")]
+    Address(#[from] http::Error),
+}
+
+/// Words a list for the core.
+fn listings(list: &List, zones: &[String], epoch: &Epoch) -> Vec<Listing> {
+    let zone = |name: &str| Zone(zones.iter().position(|z| z == name).unwrap_or(0) as u8);
+    let one = |i: &Instance| Listing {
+        name: i.instance_id.clone(),
+        address: i.host_port,
+        state: match i.lifecycle {
+            Lifecycle::Serving => NodeState::Ready,
+            Lifecycle::Draining => NodeState::Draining,
+            Lifecycle::Deleted => NodeState::Gone,
+        },
+        zone: zone(&i.zone),
+        shard: Shard(i.cell),
+        started: epoch.reading(i.started_at_ms),
+        size: i.weight,
+    };
+    list.instances.iter().map(one).collect()
+}
+
+/// Watches the list and hands all news to the core.
+pub struct Watch {
+    /// Discovery's address.
+    pub address: SocketAddr,
+    /// The names of the zones.
+    pub zones: Vec<String>,
+    /// How Unix time maps to the clock.
+    pub epoch: Epoch,
+}
+
+impl Watch {
+    /// Hands over the list this front last had, then watches for as long as the program runs.
+    pub async fn run(self, core: Handle, known: Option<List>) {
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .retry_canceled_requests(false)
+            .build(HttpConnector::new());
+        let mut from = known.as_ref().map(|l| l.generation);
+        if let Some(list) = known {
+            core.list(ListKind::Cached, listings(&list, &self.zones, &self.epoch)).await;
+        }
+        loop {
+            match self.call(&client, from).await {
+                Ok(list) => {
+                    // Without a version to go on from, what comes is the whole list whatever its mark says.
+                    let kind = if list.reset || from.is_none() { ListKind::Full } else { ListKind::Delta };
+                    if kind == ListKind::Full || !list.instances.is_empty() {
+                        core.list(kind, listings(&list, &self.zones, &self.epoch)).await;
+                    }
+                    from = Some(list.generation);
+                }
+                Err(why) => {
+                    tracing::warn!("discovery: {why}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        client: &Client<HttpConnector, Empty<Bytes>>,
+        from: Option<u64>,
+    ) -> Result<List, CallError> {
+        let query = from.map_or(String::new(), |g| format!("?from={g}&hold_ms={}", HOLD.as_millis()));
+        let uri = format!("http://{}/registry/instances{query}", self.address);
+        let request = http::Request::get(uri).body(Empty::new())?;
+        let exchange = async {
+            let answer = client.request(request).await?;
+            if answer.status() != http::StatusCode::OK {
+                return Err(CallError::Status(answer.status()));
+            }
+            let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(CallError::Body)?;
+            Ok(serde_json::from_slice(&body.to_bytes())?)
+        };
+        tokio::time::timeout(HOLD + PATIENCE, exchange).await.unwrap_or(Err(CallError::Late))
+    }
+}
--- /dev/null
+++ b/src/net/intake.rs
@@ -0,0 +1,200 @@
+//! Takes from a client's request the fields that the decisions need; all else stays as the bytes that came.
+
+use crate::settings::Told;
+use crate::*;
+use axum::body::Body;
+use bytes::Bytes;
+use http::header::HeaderName;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use std::time::Duration;
+
+/// The longest body either way.
+pub const LONGEST_BODY: usize = 64 << 10;
+
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+pub(super) const DEADLINE: HeaderName = HeaderName::from_static("x-deadline");
+const PLAN: HeaderName = HeaderName::from_static("x-plan");
+const IO: HeaderName = HeaderName::from_static("x-io");
+const RETRY: HeaderName = HeaderName::from_static("x-retry");
+
+/// Why a request is turned down before the decisions see it.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum IntakeError {
+    /// A header is missing.
+    #[error("{0} is missing")]
+    Missing(&'static str),
+    /// A header stands there twice, or cannot be read.
+    #[error("{0} cannot be read")]
+    Unreadable(&'static str),
+    /// The path names no class of the settings.
+    #[error("the path names no known class")]
+    Class,
+    /// The path's last part is not a piece of data.
+    #[error("the path's last part is not 16 hexadecimal digits")]
+    Key,
+    /// The plan is not one of the settings'.
+    #[error("x-plan names no known plan")]
+    Plan,
+    /// The class is not used with this method.
+    #[error("the class is not used with this method")]
+    Method,
+    /// The body is longer than allowed.
+    #[error("the body is longer than 65536 bytes")]
+    TooLong,
+    /// The body broke off.
+    #[error("the body broke off")]
+    Body,
+    /// The body did not come within the client's own deadline.
+    #[error("the body did not come in time")]
+    Slow,
+}
+
+impl IntakeError {
+    /// The status that says so.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            IntakeError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            IntakeError::Slow => StatusCode::REQUEST_TIMEOUT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// What passes on to a node unchanged.
+#[derive(Clone, Debug)]
+pub struct Parcel {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub target: http::uri::PathAndQuery,
+    /// The request's id.
+    pub id: HeaderValue,
+    /// The idempotency key, where there is one.
+    pub key: Option<HeaderValue>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Reads the head: what the decisions need, with the client's patience in place of the time it ends.
+pub fn head(told: &Told, parts: &http::request::Parts) -> Result<(Request, Duration), IntakeError> {
+    let path = parts.uri.path();
+    let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
+    let class = told.classes.iter().position(|c| c == first).ok_or(IntakeError::Class)?;
+    let last = path.rsplit('/').next().unwrap_or("");
+    let key = hex16(last).ok_or(IntakeError::Key)?;
+    let plan = text(&parts.headers, &PLAN)?.ok_or(IntakeError::Missing("x-plan"))?;
+    let plan = told.plans.iter().position(|p| p == plan).ok_or(IntakeError::Plan)?;
+    let deadline = text(&parts.headers, &DEADLINE)?.ok_or(IntakeError::Missing("x-deadline"))?;
+    let patience = span(deadline).ok_or(IntakeError::Unreadable("x-deadline"))?;
+    let io = text(&parts.headers, &IO)?.ok_or(IntakeError::Missing("x-io"))?;
+    let io = extras(io, told.module.max_units).ok_or(IntakeError::Unreadable("x-io"))?;
+    let repeat = text(&parts.headers, &RETRY)?.is_some_and(|v| v.trim() == "1");
+    text(&parts.headers, &REQUEST_ID)?
+        .filter(|v| !v.is_empty())
+        .ok_or(IntakeError::Missing("x-request-id"))?;
+    let keyed = text(&parts.headers, &IDEMPOTENCY_KEY)?.is_some();
+    let rules = &told.module.classes[class];
+    if matches!(rules.effect, Effect::Keyed { .. }) && !keyed {
+        return Err(IntakeError::Missing("idempotency-key"));
+    }
+    if parts.method != (if rules.writes { Method::PUT } else { Method::GET }) {
+        return Err(IntakeError::Method);
+    }
+    let request = Request {
+        id: RequestId(0),
+        class: class as u16,
+        plan: plan as u32,
+        volume: io.volume,
+        hosts: io.hosts,
+        units: io.units,
+        key: (key != 0).then_some(Key(key)),
+        shard: io.shard,
+        give_up: 0,
+        repeat,
+    };
+    Ok((request, patience))
+}
+
+/// Collects the body and puts together what passes on.
+pub async fn parcel(parts: http::request::Parts, body: Body) -> Result<Parcel, IntakeError> {
+    let body = Limited::new(body, LONGEST_BODY).collect().await.map_err(|e| {
+        let long = e.downcast_ref::<http_body_util::LengthLimitError>().is_some();
+        if long {
+            IntakeError::TooLong
+        } else {
+            IntakeError::Body
+        }
+    })?;
+    let id = parts.headers.get(&REQUEST_ID).cloned().ok_or(IntakeError::Missing("x-request-id"))?;
+    Ok(Parcel {
+        method: parts.method,
+        target: parts.uri.path_and_query().cloned().ok_or(IntakeError::Class)?,
+        id,
+        key: parts.headers.get(&IDEMPOTENCY_KEY).cloned(),
+        body: body.to_bytes(),
+    })
+}
+
+/// A header's one value. Twice is an error: which of the two a node would take is not known.
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, IntakeError> {
+    let named = || match name.as_str() {
+        "x-plan" => "x-plan",
+        "x-deadline" => "x-deadline",
+        "x-io" => "x-io",
+        "x-retry" => "x-retry",
+        "idempotency-key" => "idempotency-key",
+        _ => "x-request-id",
+    };
+    let mut values = headers.get_all(name).iter();
+    let Some(first) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(IntakeError::Unreadable(named()));
+    }
+    first.to_str().map(Some).map_err(|_| IntakeError::Unreadable(named()))
+}
+
+struct Extras {
+    volume: VolumeId,
+    units: f64,
+    shard: Option<Shard>,
+    hosts: f64,
+}
+
+fn extras(value: &str, most: f64) -> Option<Extras> {
+    let (mut volume, mut units, mut shard, mut hosts) = (None, None, None, None);
+    for field in value.split(',') {
+        let (name, v) = field.split_once('=')?;
+        let v = v.trim();
+        match name.trim() {
+            "volume" => volume = Some(VolumeId(hex16(v)?)),
+            "units" => units = v.parse::<f64>().ok().filter(|u| u.is_finite() && *u > 0.0),
+            "shard" => shard = v.parse::<i64>().ok().filter(|s| *s >= -1 && *s <= i64::from(u32::MAX)),
+            "hosts" => hosts = v.parse::<f64>().ok().filter(|h| h.is_finite() && *h >= 1.0),
+            _ => {}
+        }
+    }
+    let units = units.filter(|u| most <= 0.0 || *u <= most)?;
+    let shard = u32::try_from(shard?).ok().map(Shard);
+    Some(Extras { volume: volume?, units, shard, hosts: hosts? })
+}
+
+/// Exactly 16 hexadecimal digits.
+fn hex16(text: &str) -> Option<u64> {
+    let plain = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    plain.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+/// A span with its unit, `480m` or `480000u`; at most a day.
+pub fn span(text: &str) -> Option<Duration> {
+    let text = text.trim();
+    let unit = match text.chars().last()? {
+        'm' => 1_000,
+        'u' => 1,
+        _ => return None,
+    };
+    let digits = &text[..text.len() - 1];
+    let number: u64 = Some(digits).filter(|d| d.bytes().all(|b| b.is_ascii_digit()))?.parse().ok()?;
+    number.checked_mul(unit).filter(|us| *us <= 86_400_000_000).map(Duration::from_micros)
+}
--- /dev/null
+++ b/src/net/probe.rs
@@ -0,0 +1,27 @@
+//! The prober: looks at a node when the module asks for it.
+
+use crate::core::{Handle, Target};
+use crate::net::upstream::Upstream;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, Semaphore};
+
+/// How long a probe may take.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Probes out at once; further ones wait in the core's bounded queue.
+const OUT_MOST: usize = 16;
+
+/// Runs until the core is gone.
+pub async fn run(core: Handle, upstream: Upstream, mut targets: mpsc::Receiver<Target>) {
+    let room = Arc::new(Semaphore::new(OUT_MOST));
+    while let Some(target) = targets.recv().await {
+        let Ok(permit) = room.clone().acquire_owned().await else { return };
+        let (core, upstream) = (core.clone(), upstream.clone());
+        tokio::spawn(async move {
+            let began = core.clock.now();
+            let ended = upstream.probe(target.address, PATIENCE).await;
+            core.probed(target.node, ended.outcome, core.clock.now() - began, ended.load).await;
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/src/net/request.rs
@@ -0,0 +1,99 @@
+//! The life of one request, from its arrival to its one final answer and the end of its last attempt.
+
+use crate::core::{Handle, Order};
+use crate::net::intake::Parcel;
+use crate::net::upstream::{Ended, Upstream};
+use crate::*;
+use axum::body::Body;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http::{header, HeaderValue, Response, StatusCode};
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Serves one request. `client` takes its one final answer; closed, the client has gone.
+pub async fn serve(
+    core: Handle,
+    upstream: Upstream,
+    request: Request,
+    parcel: Parcel,
+    client: oneshot::Sender<Response<Body>>,
+) {
+    // Taken: the module hears of it, and every order it gives comes back here.
+    let mut ticket = core.open(request).await;
+    let mut client = Some(client);
+    let mut attempts = FuturesUnordered::new();
+    let mut cancels: Vec<(u16, oneshot::Sender<()>)> = Vec::new();
+    loop {
+        tokio::select! {
+            biased;
+            order = ticket.order() => match order {
+                // The module sends it out.
+                Some(Order::Send(attempt)) => {
+                    let (number, (cancel, cancelled)) = (attempt.number, oneshot::channel::<()>());
+                    cancels.push((number, cancel));
+                    let exchange = upstream.attempt(parcel.clone(), attempt);
+                    attempts.push(async move {
+                        tokio::select! {
+                            ended = exchange => (number, ended),
+                            Ok(()) = cancelled => (number, Outcome::Cancelled.into()),
+                        }
+                    });
+                }
+                Some(Order::Cancel(number)) => {
+                    if let Some(at) = cancels.iter().position(|c| c.0 == number) {
+                        let _ = cancels.swap_remove(at).1.send(());
+                    }
+                }
+                // The module has given up: the client hears at once.
+                Some(Order::Refuse(after)) => answer(&mut client, refused(after)),
+                Some(Order::Fail) => answer(&mut client, failed()),
+                // Over, with nothing out.
+                None => return,
+            },
+            Some((number, ended)) = attempts.next() => {
+                let Ended { outcome, body, load } = ended;
+                if outcome == Outcome::Ok {
+                    answer(&mut client, Response::new(Body::from(body)));
+                }
+                ticket.ended(number, outcome, load).await;
+            }
+            // The client left before its answer. What is out still ends properly.
+            () = closed(&mut client) => {
+                client = None;
+                ticket.client_gone().await;
+            }
+        }
+    }
+}
+
+/// Hands over the final answer; of several only the first.
+fn answer(client: &mut Option<oneshot::Sender<Response<Body>>>, response: Response<Body>) {
+    if let Some(client) = client.take() {
+        let _ = client.send(response);
+    }
+}
+
+async fn closed(client: &mut Option<oneshot::Sender<Response<Body>>>) {
+    match client {
+        Some(client) => client.closed().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Refused: asking again is harmless, after the time given.
+fn refused(after: Option<Duration>) -> Response<Body> {
+    let mut response = Response::new(Body::from("refused\n"));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let hint = after.and_then(|t| HeaderValue::try_from(format!("{:.3}", t.as_secs_f64())).ok());
+    if let Some(hint) = hint {
+        response.headers_mut().insert(header::RETRY_AFTER, hint);
+    }
+    response
+}
+
+/// Failed: nothing is promised.
+fn failed() -> Response<Body> {
+    let mut response = Response::new(Body::from("failed\n"));
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
--- a/src/bin/lupinrack-benchlink/settings.rs
+++ b/src/settings.rs
@@ -1,17 +1,41 @@
 //! The settings of an instance, from `path=value` lines. Unknown keys are passed over; a required key that is
 //! missing or does not parse is named.
 
-use crate::wire::micros;
-use lupinrack::*;
+use crate::*;
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-struct Keys<'a>(BTreeMap<&'a str, &'a str>);
+/// What the settings say: to the module, and to the programs round it.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// The module's part.
+    pub module: Settings,
+    /// The names of the values in load reports, in order.
+    pub columns: Vec<String>,
+    /// The names of the classes, by index.
+    pub classes: Vec<String>,
+    /// The names of the plans, by index.
+    pub plans: Vec<String>,
+    /// The names of the zones, by index.
+    pub zones: Vec<String>,
+    /// An idle connection is closed by a node after this, at the latest.
+    pub conn_idle: Micros,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Micros,
+}
+
+/// Milliseconds of the settings as microseconds.
+pub fn micros(ms: f64) -> Micros {
+    (ms * 1000.0).round() as Micros
+}
 
-impl Keys<'_> {
+struct Keys(BTreeMap<String, String>);
+
+impl Keys {
     fn opt<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
         match self.0.get(key) {
-            None | Some(&"") => Ok(None),
+            None => Ok(None),
+            Some(v) if v.is_empty() => Ok(None),
             Some(v) => v.parse().map(Some).map_err(|_| format!("setting {key}: cannot read '{v}'")),
         }
     }
@@ -38,19 +62,62 @@
     }
 }
 
-/// Reads the settings of one instance, and the names of the values in its load reports, in order.
-pub fn parse(info: &str) -> Result<(Settings, Vec<String>), String> {
-    let k = Keys(info.lines().filter_map(|l| l.split_once('=')).map(|(a, b)| (a.trim(), b.trim())).collect());
-    let columns =
-        k.0.get("report.columns").map_or(Vec::new(), |c| c.split(',').map(str::to_string).collect());
-    let writes: Vec<bool> =
-        k.0.get("domain.changesData").map_or(Vec::new(), |v| v.split(',').map(|x| x == "true").collect());
+/// Reads the settings from `path=value` lines, as the simulator gives them.
+pub fn parse(info: &str) -> Result<Told, String> {
+    let pair = |l: &str| l.split_once('=').map(|(a, b)| (a.trim().to_string(), b.trim().to_string()));
+    read(&Keys(info.lines().filter_map(pair).collect()))
+}
+
+/// Reads the settings from nested JSON, as a real front gets them.
+pub fn parse_json(value: &serde_json::Value) -> Result<Told, String> {
+    let mut keys = BTreeMap::new();
+    flatten("", value, &mut keys);
+    read(&Keys(keys))
+}
+
+/// Words nested JSON as the lines do: lists of plain values joined by commas, lists of objects counted.
+fn flatten(path: &str, value: &serde_json::Value, keys: &mut BTreeMap<String, String>) {
+    use serde_json::Value;
+    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&under(name), v, keys)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            keys.insert(under("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, v)| flatten(&under(&i.to_string()), v, keys));
+        }
+        Value::Array(items) => {
+            let words: Vec<String> = items.iter().map(plain).collect();
+            keys.insert(path.to_string(), words.join(","));
+        }
+        _ => drop(keys.insert(path.to_string(), plain(value))),
+    }
+}
+
+fn plain(value: &serde_json::Value) -> String {
+    match value {
+        serde_json::Value::String(s) => s.clone(),
+        serde_json::Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+fn read(k: &Keys) -> Result<Told, String> {
+    let list = |key: &str| -> Vec<String> {
+        k.0.get(key)
+            .filter(|v| !v.is_empty())
+            .map_or(Vec::new(), |v| v.split(',').map(String::from).collect())
+    };
+    let writes = list("domain.changesData");
     let classes = (0..k.must("classes.count")?)
-        .map(|i| class(&k, i, writes.get(i).copied().unwrap_or(false)))
+        .map(|i| class(k, i, writes.get(i).is_some_and(|w| w == "true")))
         .collect::<Result<Vec<_>, _>>()?;
-    let plans =
-        (0..k.opt("grades.count")?.unwrap_or(0)).map(|i| plan(&k, i)).collect::<Result<Vec<_>, _>>()?;
-    let discovery = match k.0.get("registryMode").copied() {
+    let count = k.opt("grades.count")?.unwrap_or(0);
+    let plans = (0..count).map(|i| plan(k, i)).collect::<Result<Vec<_>, _>>()?;
+    let names = |of: &str, n: usize| -> Vec<String> {
+        (0..n).map(|i| k.0.get(&format!("{of}.{i}.name")).cloned().unwrap_or_default()).collect()
+    };
+    let (class_names, plan_names) = (names("classes", classes.len()), names("grades", plans.len()));
+    let discovery = match k.0.get("registryMode").map(String::as_str) {
         Some("ask") => Discovery::Ask { within: k.span("safety.askWithin", 10_000.0)? },
         Some("push") | None => Discovery::Push,
         Some(other) => return Err(format!("setting registryMode: cannot read '{other}'")),
@@ -72,7 +139,7 @@
             window: k.must_span("safety.lookBack")?,
         }),
     };
-    let settings = Settings {
+    let module = Settings {
         hosts: k.opt("peersTotal")?.unwrap_or(1),
         zone: Zone(k.opt("zone")?.unwrap_or(0)),
         classes,
@@ -96,7 +163,15 @@
         spare_worth: k.real("domain.idleWorth", 1.0)?,
         meter: k.span("domain.metering", 0.0)?,
     };
-    Ok((settings, columns))
+    Ok(Told {
+        module,
+        columns: list("report.columns"),
+        classes: class_names,
+        plans: plan_names,
+        zones: list("areas"),
+        conn_idle: k.span("policyLimits.connIdle", 15_000.0)?,
+        connect_timeout: k.span("policyLimits.connectTimeout", 250.0)?,
+    })
 }
 
 fn class(k: &Keys, i: usize, writes: bool) -> Result<Class, String> {
