Add the rsync front: daemon side, pulls, units of work through the same core

A transfer in hand asks the module for further units (More/Grant), so that its bytes count against the volume's limit without being new work that a drain would stop.

--- a/src/bin/lupinrack-benchlink/wire.rs
+++ b/src/bin/lupinrack-benchlink/wire.rs
@@ -285,6 +285,8 @@
                 self.put(40, instance, &[&millis(*at).to_be_bytes(), &token.to_be_bytes()]);
             }
             Action::Probe(node) => self.put(120, instance, &[&node.0.to_be_bytes()]),
+            // Nothing on this wire asks for more units: no transfer is ever in hand.
+            Action::Grant { .. } => {}
             Action::Subscribe => self.put(100, instance, &[&[1]]),
             Action::FetchList => self.put(60, instance, &[]),
             Action::Log(line) => self.text(20, instance, line),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -137,6 +137,7 @@
     tries: u16,
     live: u16,
     began: bool,
+    more: Option<f64>,
     maybe_ran: bool,
     anchor: Option<Anchor>,
     drawn: bool,
@@ -169,6 +170,7 @@
     attempts: Attempts,
     lines: BTreeMap<Key, Line>,
     homeless: BTreeSet<RequestId>,
+    growing: BTreeSet<RequestId>,
     ends: BTreeSet<(Micros, RequestId)>,
     longest_try: Vec<Micros>,
     taken: VecDeque<Micros>,
@@ -211,8 +213,12 @@
         match event {
             Event::Nodes { kind, entries } => self.on_nodes(now, kind, entries),
             Event::Request(req) => self.on_request(now, req, out),
-            Event::Began { request, .. } => {
-                self.open.entry(request).and_modify(|o| o.began = true);
+            Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
+            Event::More { request, units } => {
+                if let Some(o) = self.open.get_mut(&request) {
+                    o.more = Some(units.max(0.0));
+                    self.growing.insert(request);
+                }
             }
             Event::Answer(a) => self.on_answer(now, a, out),
             Event::ClientGone(id) => self.close(id),
@@ -235,6 +241,9 @@
         if now - self.swept > IDLE_AGE {
             self.sweep(now);
         }
+        for id in self.growing.iter().copied().collect::<Vec<_>>() {
+            self.grow(now, id, out);
+        }
         for id in self.nodes.keys().copied().collect::<Vec<_>>() {
             self.adapt(now, id);
             self.release(now, id, out);
@@ -246,7 +255,7 @@
         let mut next = self.ends.first().map(|e| e.0);
         let mut sooner = |t: Micros| next = Some(next.map_or(t, |n| n.min(t)));
         self.ask_at.into_iter().for_each(&mut sooner);
-        if self.nodes.values().any(|n| !n.queue.is_empty()) {
+        if !self.growing.is_empty() || self.nodes.values().any(|n| !n.queue.is_empty()) {
             sooner(now + POLL);
         } else if self.nodes.values().any(|n| !n.out.is_empty()) {
             sooner(now + DEPTH_EVERY);
@@ -744,7 +753,11 @@
                 line.rest_until = line.rest_until.max(now + self.cfg.settle);
             }
         }
-        self.learn(now, &a, out);
+        // A transfer lasts as long as its bytes and its client's pace: only a break tells of the node.
+        let begun = self.open.get(&a.request).is_some_and(|o| o.began);
+        if !begun || !matches!(a.outcome, Outcome::Ok | Outcome::Timeout) {
+            self.learn(now, &a, out);
+        }
         let Some(o) = self.open.get_mut(&a.request) else { return };
         o.live = o.live.saturating_sub(1);
         match a.outcome {
@@ -761,6 +774,47 @@
         }
     }
 
+    /// A transfer has begun: the time to its first bytes is the node's latency, and it holds no slot of D.
+    fn on_began(&mut self, now: Micros, request: RequestId, attempt: u16, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&request) else { return };
+        o.began = true;
+        let Some((node, _)) = self.attempts.get(&(request, attempt)).copied() else { return };
+        let sent = self.nodes.get_mut(&node).and_then(|n| n.out.remove(&(request, attempt)));
+        let Some(waited) = sent.map(|s| now - s) else { return };
+        let (outcome, finished, volume_use, served_elsewhere, load) = (Outcome::Ok, false, None, 0.0, None);
+        let a =
+            Answer { request, attempt, node, outcome, waited, finished, volume_use, served_elsewhere, load };
+        self.learn(now, &a, out);
+    }
+
+    /// Lets a transfer in hand move on once its volume's limit allows: that is no new work, and a drain does
+    /// not stop it. It counts like what is sent: in the volume's tag, its delay elsewhere, a cold budget.
+    fn grow(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        let asked = self.open.get(&id).and_then(|o| Some((o.req, o.home, o.more?)));
+        let Some((req, home, units)) = asked else {
+            self.growing.remove(&id);
+            return;
+        };
+        if self.tokens(now, &req).is_some_and(|(have, _)| have < units) {
+            return;
+        }
+        let (phi, volume) = (self.phi(req.plan), req.volume);
+        if let Some(v) = self.volumes.get_mut(&volume) {
+            (v.tokens, v.sent, v.last) = (v.tokens - units, v.sent + units, now);
+        }
+        let cold = home.and_then(|h| self.cold_tokens(now, self.nodes.get(&h)?));
+        if let Some(n) = home.and_then(|h| self.nodes.get_mut(&h)) {
+            (n.cold_tokens, n.cold_at) = (cold.map_or(n.cold_tokens, |c| c - units), now);
+            if let Some(f) = n.flows.get_mut(&volume) {
+                (f.sent_here, f.last) = (f.sent_here + units, now);
+                f.finish += (units / phi * TAG_SCALE).round() as i64;
+            }
+        }
+        self.open.entry(id).and_modify(|o| o.more = None);
+        self.growing.remove(&id);
+        out.push(Action::Grant { request: id });
+    }
+
     /// After an attempt that did not serve the request: back to its place in the queue, or the end.
     fn again(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
@@ -847,6 +901,7 @@
     /// Forgets a request that has its final answer. Attempts still out are kept until they end.
     fn close(&mut self, id: RequestId) {
         self.unhold(id, true);
+        self.growing.remove(&id);
         let Some(o) = self.open.remove(&id) else { return };
         self.ends.remove(&(o.req.give_up - END_TICKS * self.cfg.tick, id));
         if let Some(v) = self.volumes.get_mut(&o.req.volume).filter(|_| !o.drawn) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -25,6 +25,8 @@
 enum Input {
     Open(Request, mpsc::Sender<Order>),
     Ended { request: RequestId, attempt: u16, outcome: Outcome, load: Option<Load> },
+    Began(RequestId, u16),
+    More(RequestId, f64),
     ClientGone(RequestId),
     Dropped(RequestId),
     List(ListKind, Vec<Listing>),
@@ -38,6 +40,8 @@
     Send(Attempt),
     /// Stop waiting for an attempt.
     Cancel(u16),
+    /// Move the units that were asked for.
+    Grant,
     /// Final: refused; the client may come back after the time given.
     Refuse(Option<Duration>),
     /// Final: failed.
@@ -67,19 +71,26 @@
 
 /// One open request, held by the task that owns it. Dropped early, its attempts count as broken.
 pub struct Ticket {
-    id: RequestId,
-    inbox: mpsc::Sender<Input>,
+    teller: Teller,
     orders: mpsc::Receiver<Order>,
     settled: bool,
 }
 
+/// The way back from a request to the core.
+#[derive(Clone)]
+pub struct Teller {
+    id: RequestId,
+    inbox: mpsc::Sender<Input>,
+}
+
 impl Handle {
     /// Opens a request; the core numbers it.
     pub async fn open(&self, mut request: Request) -> Ticket {
         request.id = RequestId(self.numbers.fetch_add(1, Ordering::Relaxed));
         let (to, orders) = mpsc::channel(self.orders);
         let _ = self.inbox.send(Input::Open(request, to)).await;
-        Ticket { id: request.id, inbox: self.inbox.clone(), orders, settled: false }
+        let teller = Teller { id: request.id, inbox: self.inbox.clone() };
+        Ticket { teller, orders, settled: false }
     }
 
     /// Hands on news of the node list.
@@ -101,6 +112,23 @@
         order
     }
 
+    /// The way back to the core, for whoever makes the attempts.
+    pub fn teller(&self) -> Teller {
+        self.teller.clone()
+    }
+}
+
+impl Teller {
+    /// Reports that the answer of an attempt has begun to pass on: from here on it belongs to the client.
+    pub async fn began(&self, attempt: u16) {
+        let _ = self.inbox.send(Input::Began(self.id, attempt)).await;
+    }
+
+    /// Asks to move more units of a transfer in hand; [`Order::Grant`] answers.
+    pub async fn more(&self, units: f64) {
+        let _ = self.inbox.send(Input::More(self.id, units)).await;
+    }
+
     /// Reports how an attempt ended.
     pub async fn ended(&self, attempt: u16, outcome: Outcome, load: Option<Load>) {
         let _ = self.inbox.send(Input::Ended { request: self.id, attempt, outcome, load }).await;
@@ -117,7 +145,7 @@
         // An owner that ends early (its connection's task was dropped) must not leave the module waiting.
         // Should the inbox be full, the closed channel of orders tells the core at its next order.
         if !self.settled {
-            let _ = self.inbox.try_send(Input::Dropped(self.id));
+            let _ = self.teller.inbox.try_send(Input::Dropped(self.teller.id));
         }
     }
 }
@@ -151,8 +179,8 @@
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> (Core, Handle, mpsc::Receiver<Target>) {
         let (inbox, input) = mpsc::channel(INBOX);
         let (probes, to_probe) = mpsc::channel(PROBES);
-        // A Send and a Cancel for each attempt, and one final answer: the queue of orders never overflows.
-        let orders = 2 * settings.most_tries.clamp(1, 1024) as usize + 2;
+        // A Send and a Cancel for each attempt, one Grant at a time, and one final answer: the queue of orders never overflows.
+        let orders = 2 * settings.most_tries.clamp(1, 1024) as usize + 3;
         let core = Core {
             grace: settings.drain_grace,
             brain: Brain::new(settings, seed),
@@ -207,6 +235,8 @@
             Input::Ended { request, attempt, outcome, load } => {
                 self.ended(now, request, attempt, outcome, load)
             }
+            Input::Began(request, attempt) => self.tell(now, Event::Began { request, attempt }),
+            Input::More(request, units) => self.tell(now, Event::More { request, units }),
             Input::ClientGone(id) => self.client_gone(now, id),
             Input::Dropped(id) => {
                 self.client_gone(now, id);
@@ -283,6 +313,11 @@
                     let _ = o.orders.try_send(Order::Cancel(attempt));
                 }
             }
+            Action::Grant { request } => {
+                if let Some(o) = self.open.get(&request) {
+                    let _ = o.orders.try_send(Order::Grant);
+                }
+            }
             Action::Refuse { request, retry_after } => {
                 let after = retry_after.map(|t| Duration::from_micros(t.max(0) as u64));
                 self.finish(request, Order::Refuse(after));
--- a/src/core/nodes.rs
+++ b/src/core/nodes.rs
@@ -1,5 +1,6 @@
 //! The node table: one [`NodeId`] for each instance name, its address, and when sends to it must stop.
 
+use super::Clock;
 use crate::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -42,6 +43,20 @@
     pub stop_at: watch::Receiver<Micros>,
 }
 
+impl Target {
+    /// Ends once the node may be sent nothing new.
+    pub async fn stopped(&self, clock: Clock) {
+        let mut stop_at = self.stop_at.clone();
+        loop {
+            let at = *stop_at.borrow_and_update();
+            tokio::select! {
+                () = tokio::time::sleep_until(clock.instant(at)), if at != Micros::MAX => return,
+                changed = stop_at.changed() => if changed.is_err() { return std::future::pending().await },
+            }
+        }
+    }
+}
+
 struct Known {
     target: Target,
     stop: watch::Sender<Micros>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -332,6 +332,13 @@
         /// The attempt.
         attempt: u16,
     },
+    /// A transfer in hand is to move this many more units; [`Action::Grant`] lets it.
+    More {
+        /// The request.
+        request: RequestId,
+        /// The units, at most the most units of one request.
+        units: f64,
+    },
     /// An attempt ended.
     Answer(Answer),
     /// The client left, or the answer is overdue; nothing is owed any more.
@@ -384,6 +391,11 @@
         /// The request.
         request: RequestId,
     },
+    /// Let a transfer in hand move the units it asked for.
+    Grant {
+        /// The request.
+        request: RequestId,
+    },
     /// Ask for a [`Event::Timer`].
     Wake {
         /// When.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod core;
 mod interface;
 pub mod net;
+pub mod rsync;
 pub mod settings;
 
 pub use brain::Brain;
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -20,6 +20,7 @@
 ) {
     // Taken: the module hears of it, and every order it gives comes back here.
     let mut ticket = core.open(request).await;
+    let teller = ticket.teller();
     let mut client = Some(client);
     let mut attempts = FuturesUnordered::new();
     let mut cancels: Vec<(u16, oneshot::Sender<()>)> = Vec::new();
@@ -44,6 +45,8 @@
                         let _ = cancels.swap_remove(at).1.send(());
                     }
                 }
+                // Answers are collected whole: no transfer here asks for more.
+                Some(Order::Grant) => {}
                 // The module has given up: the client hears at once.
                 Some(Order::Refuse(after)) => answer(&mut client, refused(after)),
                 Some(Order::Fail) => answer(&mut client, failed()),
@@ -55,12 +58,12 @@
                 if outcome == Outcome::Ok {
                     answer(&mut client, Response::new(Body::from(body)));
                 }
-                ticket.ended(number, outcome, load).await;
+                teller.ended(number, outcome, load).await;
             }
             // The client left before its answer. What is out still ends properly.
             () = closed(&mut client) => {
                 client = None;
-                ticket.client_gone().await;
+                teller.client_gone().await;
             }
         }
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -84,7 +84,7 @@
         let exchange = self.exchange(request);
         tokio::pin!(exchange);
         let late = tokio::time::sleep_until(self.clock.instant(attempt.until));
-        let drained = drained(self.clock, attempt.to.stop_at);
+        let drained = attempt.to.stopped(self.clock);
         tokio::pin!(drained);
         let mut told = false;
         let ended = async {
@@ -150,17 +150,6 @@
     }
 }
 
-/// Ends once the node may be sent nothing new.
-async fn drained(clock: Clock, mut stop_at: tokio::sync::watch::Receiver<Micros>) {
-    loop {
-        let at = *stop_at.borrow_and_update();
-        tokio::select! {
-            () = tokio::time::sleep_until(clock.instant(at)), if at != Micros::MAX => return,
-            changed = stop_at.changed() => if changed.is_err() { return std::future::pending().await },
-        }
-    }
-}
-
 /// What a failed exchange proves. Only where no byte can have been written did it never run; a request handed
 /// back unsent is marked as canceled by the library.
 fn failed(error: &Error, written: bool) -> Outcome {
