Prove the rsync front against stand-ins on loopback

Drain halfway through a transfer, a basic volume surging through both fronts, refusals, deadlines, dead servers, slow readers, garbage and oversize frames.

--- /dev/null
+++ b/tests/common/front.rs
@@ -0,0 +1,139 @@
+//! The fronts on loopback, with one core, as the program starts them.
+
+use super::rsync::RsyncServer;
+use lupinrack::core::{Clock, Core, Handle, Listing};
+use lupinrack::net::shutdown::Phase;
+use lupinrack::net::{accept, upstream::Upstream};
+use lupinrack::rsync::{config::RsyncConfig, daemon};
+use lupinrack::settings::{self, Told};
+use lupinrack::*;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Settings in the platform's form: three classes, and a plan with and one without a limit.
+pub const SETTINGS: &str = r#"{
+  "areas": ["salt-lake"], "peersTotal": 1, "registryMode": "push", "resolution": 2.0, "zone": 0,
+  "classes": [
+    {"name": "read", "aim": 300.0, "deadline": 2000.0, "group": "all", "repeat": "free", "worth": 3.0},
+    {"name": "new-write", "aim": 600.0, "deadline": 4000.0, "group": "cell", "repeat": "guarded", "window": 4000.0, "worth": 2.0},
+    {"name": "bulk-read", "aim": 1200.0, "deadline": 4000.0, "group": "all", "repeat": "free", "worth": 1.0}],
+  "domain": {"changesData": [false, true, false], "maxUnits": 8, "unitMean": 2.0, "fairWorth": 0.3, "idleWorth": 0.05},
+  "grades": [
+    {"name": "basic", "shares": 1.0, "guaranteed": 1.0, "nominal": 3.0, "worthFactor": 0.8, "limit": 16.0, "limitBurst": 32.0, "limitSlack": 8.0},
+    {"name": "tiny", "shares": 1.0, "guaranteed": 0.1, "nominal": 0.1, "worthFactor": 0.8, "limit": 0.2, "limitBurst": 16.0, "limitSlack": 8.0},
+    {"name": "priority", "shares": 3.0, "guaranteed": 5.0, "nominal": 4.0, "worthFactor": 0.9}],
+  "policyLimits": {"cancel": true, "connIdle": 15000.0, "connectTimeout": 250.0, "maxRetryAfter": 1000.0, "mostTries": 3, "parallelTries": true, "retryAfter": true},
+  "report": {"columns": [], "how": "none"},
+  "safety": {"stopSendingWithin": 1000.0}
+}"#;
+
+pub fn told() -> Told {
+    settings::parse_json(&serde_json::from_str(SETTINGS).unwrap()).unwrap()
+}
+
+pub struct Fronts {
+    pub core: Handle,
+    pub http: SocketAddr,
+    pub rsync: SocketAddr,
+    pub phase: watch::Sender<Phase>,
+    pub ended: tokio::task::JoinHandle<()>,
+}
+
+/// Starts both fronts: node `n0` on shard 0 is the HTTP node and the rsync server given.
+pub async fn start(node: SocketAddr, server: SocketAddr, plan: &str, deadline_ms: u64) -> Fronts {
+    let told = told();
+    let clock = Clock::start();
+    let (core, handle, _targets) = Core::new(told.module.clone(), 7, clock);
+    let text = format!(
+        "enabled = true\nlisten = '127.0.0.1:0'\n[[module]]\nname = 'trips'\ncomment = 'Trip exports'\n\
+         plan = '{plan}'\nvolume = 'a1'\nclass = 'bulk-read'\nshard = 0\nbytes_per_unit = 16384\n\
+         deadline_ms = {deadline_ms}\n[[server]]\nnode = 'n0'\naddress = '{server}'\n"
+    );
+    let config = RsyncConfig::parse(&text, &told).unwrap().unwrap();
+    let (phase, seen) = watch::channel(Phase::Ready);
+    let (a, b) =
+        (TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
+    let (http, rsync) = (a.local_addr().unwrap(), b.local_addr().unwrap());
+    tokio::spawn(core.run());
+    let upstream = Upstream::new(&told, clock);
+    let front = accept::Front { core: handle.clone(), upstream, told: Arc::new(told), phase: seen.clone() };
+    let connect = Duration::from_millis(500);
+    let second = daemon::Front { core: handle.clone(), config: Arc::new(config), connect, phase: seen };
+    let ended = tokio::spawn(async move {
+        tokio::join!(accept::run(a, front, 64), daemon::run(b, second));
+    });
+    let fronts = Fronts { core: handle, http, rsync, phase, ended };
+    fronts.node(ListKind::Cached, node, NodeState::Ready).await;
+    fronts
+}
+
+/// Fronts with an rsync server and no HTTP node.
+pub async fn with_rsync(server: &RsyncServer, plan: &str, deadline_ms: u64) -> Fronts {
+    start(server.address, server.address, plan, deadline_ms).await
+}
+
+impl Fronts {
+    /// Tells the core of node `n0`.
+    pub async fn node(&self, kind: ListKind, address: SocketAddr, state: NodeState) {
+        let (name, zone, shard) = ("n0".to_string(), Zone(0), Shard(0));
+        let entry = Listing { name, address, state, zone, shard, started: None, size: 1.0 };
+        self.core.list(kind, vec![entry]).await;
+    }
+}
+
+/// A read of the `units` given, as a client sends it.
+pub fn get(id: u32, plan: &str, units: u32, deadline_ms: u64) -> String {
+    format!(
+        "GET /read/7f3a9c21e0b4d655?a=%20b HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: {id:016x}\r\n\
+         X-Plan: {plan}\r\nX-Deadline: {deadline_ms}m\r\n\
+         X-IO: volume=00000000000000a1,units={units},shard=0,hosts=1\r\n\r\n"
+    )
+}
+
+/// Sends a request on a connection of its own and reads the answer to its end.
+pub async fn ask(front: SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(front).await.unwrap();
+    let request = request.replacen("\r\n", "\r\nConnection: close\r\n", 1);
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Heads of the requests that a stand-in node took, and when.
+pub type Heads = Arc<Mutex<Vec<(tokio::time::Instant, String)>>>;
+
+/// A stand-in node: answers each request (without a body) with these bytes, then closes the connection where
+/// the answer is not whole.
+pub async fn node(answer: &'static str) -> (SocketAddr, Heads) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, heads) = (listener.local_addr().unwrap(), Heads::default());
+    let seen = heads.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let seen = seen.clone();
+            tokio::spawn(async move {
+                let mut text = Vec::new();
+                while let Ok(b) = stream.read_u8().await {
+                    text.push(b);
+                    if !text.ends_with(b"\r\n\r\n") {
+                        continue;
+                    }
+                    let head = String::from_utf8_lossy(&std::mem::take(&mut text)).into_owned();
+                    seen.lock().unwrap().push((tokio::time::Instant::now(), head));
+                    if answer.is_empty() {
+                        return std::future::pending().await;
+                    }
+                    if stream.write_all(answer.as_bytes()).await.is_err() || answer.contains("close") {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, heads)
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,9 @@
 //! Settings, lists and requests that the tests share.
 #![allow(dead_code)]
 
+pub mod front;
+pub mod rsync;
+
 use lupinrack::*;
 
 /// A host with one safe class and one plan; tests change what they need.
