--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -27,12 +27,45 @@
     Ended { request: RequestId, attempt: u16, outcome: Outcome, load: Option<Load> },
     Began(RequestId, u16),
     More(RequestId, f64),
+    Moved(RequestId, u64),
     ClientGone(RequestId),
     Dropped(RequestId),
     List(ListKind, Vec<Listing>),
     Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
 }
 
+/// How a request ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlowEnd {
+    /// Served whole.
+    Served,
+    /// Refused.
+    Refused,
+    /// Failed.
+    Failed,
+    /// The client left first.
+    ClientGone,
+}
+
+/// A finished request or transfer.
+#[derive(Clone, Debug)]
+pub struct Flow {
+    /// The request as it was opened.
+    pub request: Request,
+    /// When it was opened.
+    pub opened: Micros,
+    /// When it ended for its client.
+    pub ended: Micros,
+    /// All units that it was let to move.
+    pub units: f64,
+    /// Bytes passed on to the client.
+    pub bytes: u64,
+    /// Attempts sent.
+    pub attempts: u16,
+    /// How it ended.
+    pub end: FlowEnd,
+}
+
 /// What the core has a request's owner do.
 #[derive(Debug)]
 pub enum Order {
@@ -129,6 +162,11 @@
         let _ = self.inbox.send(Input::More(self.id, units)).await;
     }
 
+    /// Reports bytes passed on to the client.
+    pub async fn moved(&self, bytes: u64) {
+        let _ = self.inbox.send(Input::Moved(self.id, bytes)).await;
+    }
+
     /// Reports how an attempt ended.
     pub async fn ended(&self, attempt: u16, outcome: Outcome, load: Option<Load>) {
         let _ = self.inbox.send(Input::Ended { request: self.id, attempt, outcome, load }).await;
@@ -143,9 +181,13 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         // An owner that ends early (its connection's task was dropped) must not leave the module waiting.
-        // Should the inbox be full, the closed channel of orders tells the core at its next order.
         if !self.settled {
-            let _ = self.teller.inbox.try_send(Input::Dropped(self.teller.id));
+            let (inbox, id) = (self.teller.inbox.clone(), self.teller.id);
+            if inbox.try_send(Input::Dropped(id)).is_err() {
+                if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+                    runtime.spawn(async move { inbox.send(Input::Dropped(id)).await.is_ok() });
+                }
+            }
         }
     }
 }
@@ -153,8 +195,12 @@
 /// An open request as the core sees it.
 struct Open {
     orders: mpsc::Sender<Order>,
-    give_up: Micros,
-    ended: bool,
+    request: Request,
+    opened: Micros,
+    end: Option<(FlowEnd, Micros)>,
+    units: f64,
+    asked: f64,
+    bytes: u64,
     tries: u16,
     out: Vec<(u16, NodeId, Micros)>,
 }
@@ -168,6 +214,7 @@
     probes: mpsc::Sender<Target>,
     nodes: Nodes,
     open: BTreeMap<RequestId, Open>,
+    flows: Option<mpsc::Sender<Flow>>,
     timers: BinaryHeap<Reverse<(Micros, u32)>>,
     actions: Vec<Action>,
 }
@@ -189,12 +236,19 @@
             probes,
             nodes: Nodes::default(),
             open: BTreeMap::new(),
+            flows: None,
             timers: BinaryHeap::new(),
             actions: Vec::new(),
         };
         (core, Handle { inbox, numbers: Arc::new(AtomicU32::new(1)), orders, clock }, to_probe)
     }
 
+    /// Has each finished request told here; where the queue is full, it is dropped.
+    pub fn tell_flows(mut self, to: mpsc::Sender<Flow>) -> Core {
+        self.flows = Some(to);
+        self
+    }
+
     /// Runs until every handle is gone.
     pub async fn run(mut self) {
         let mut batch = Vec::new();
@@ -227,8 +281,8 @@
     fn take(&mut self, now: Micros, input: Input) {
         match input {
             Input::Open(request, orders) => {
-                let give_up = request.give_up;
-                let open = Open { orders, give_up, ended: false, tries: 0, out: Vec::new() };
+                let (units, asked, bytes, tries, out) = (request.units, 0.0, 0, 0, Vec::new());
+                let open = Open { orders, request, opened: now, end: None, units, asked, bytes, tries, out };
                 self.open.insert(request.id, open);
                 self.tell(now, Event::Request(request));
             }
@@ -236,7 +290,13 @@
                 self.ended(now, request, attempt, outcome, load)
             }
             Input::Began(request, attempt) => self.tell(now, Event::Began { request, attempt }),
-            Input::More(request, units) => self.tell(now, Event::More { request, units }),
+            Input::More(request, units) => {
+                self.open.entry(request).and_modify(|o| o.asked = units);
+                self.tell(now, Event::More { request, units });
+            }
+            Input::Moved(id, bytes) => {
+                self.open.entry(id).and_modify(|o| o.bytes += bytes);
+            }
             Input::ClientGone(id) => self.client_gone(now, id),
             Input::Dropped(id) => {
                 self.client_gone(now, id);
@@ -257,8 +317,8 @@
 
     fn client_gone(&mut self, now: Micros, id: RequestId) {
         // The module may have ended it a moment ago: then the news is of no use to it.
-        if let Some(o) = self.open.get_mut(&id).filter(|o| !o.ended) {
-            o.ended = true;
+        if let Some(o) = self.open.get_mut(&id).filter(|o| o.end.is_none()) {
+            o.end = Some((FlowEnd::ClientGone, now));
             self.tell(now, Event::ClientGone(id));
             self.settle(id);
         }
@@ -269,14 +329,16 @@
         // Exactly one outcome for each Send: a second report finds nothing out.
         let Some(at) = o.out.iter().position(|a| a.0 == attempt) else { return };
         let (_, node, sent) = o.out.swap_remove(at);
-        o.ended |= outcome == Outcome::Ok;
+        if outcome == Outcome::Ok {
+            o.end = o.end.or(Some((FlowEnd::Served, now)));
+        }
         let answer = Answer {
             request: id,
             attempt,
             node,
             outcome,
             waited: now - sent,
-            finished: o.ended,
+            finished: o.end.is_some(),
             volume_use: None,
             served_elsewhere: 0.0,
             load,
@@ -287,8 +349,13 @@
 
     /// Lets go of a request that is over with nothing out; its owner then sees the end of its orders.
     fn settle(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|o| o.ended && o.out.is_empty()) {
-            self.open.remove(&id);
+        let Some((end, ended)) = self.open.get(&id).filter(|o| o.out.is_empty()).and_then(|o| o.end) else {
+            return;
+        };
+        let Some(o) = self.open.remove(&id) else { return };
+        if let Some(flows) = &self.flows {
+            let (request, opened, units, bytes, attempts) = (o.request, o.opened, o.units, o.bytes, o.tries);
+            let _ = flows.try_send(Flow { request, opened, ended, units, bytes, attempts, end });
         }
     }
 
@@ -314,15 +381,16 @@
                 }
             }
             Action::Grant { request } => {
-                if let Some(o) = self.open.get(&request) {
+                if let Some(o) = self.open.get_mut(&request) {
+                    o.units += std::mem::take(&mut o.asked);
                     let _ = o.orders.try_send(Order::Grant);
                 }
             }
             Action::Refuse { request, retry_after } => {
                 let after = retry_after.map(|t| Duration::from_micros(t.max(0) as u64));
-                self.finish(request, Order::Refuse(after));
+                self.finish(now, request, FlowEnd::Refused, Order::Refuse(after));
             }
-            Action::Fail { request } => self.finish(request, Order::Fail),
+            Action::Fail { request } => self.finish(now, request, FlowEnd::Failed, Order::Fail),
             Action::Wake { at, token } => self.timers.push(Reverse((at, token))),
             Action::Probe(node) => {
                 // Dropped where the prober is behind: a probe is a look, not a duty.
@@ -341,11 +409,11 @@
         let o = self.open.get_mut(&id)?;
         let number = o.tries;
         o.tries += 1;
-        let until = timeout.map_or(o.give_up, |t| o.give_up.min(now + t));
+        let until = timeout.map_or(o.request.give_up, |t| o.request.give_up.min(now + t));
         let sent = self
             .nodes
             .target(node)
-            .filter(|_| !o.ended)
+            .filter(|_| o.end.is_none())
             .is_some_and(|to| o.orders.try_send(Order::Send(Attempt { number, to, until })).is_ok());
         if sent {
             o.out.push((number, node, now));
@@ -358,16 +426,16 @@
             node,
             outcome: Outcome::Moot,
             waited: 0,
-            finished: o.ended,
+            finished: o.end.is_some(),
             volume_use: None,
             served_elsewhere: 0.0,
             load: None,
         }))
     }
 
-    fn finish(&mut self, id: RequestId, order: Order) {
-        if let Some(o) = self.open.get_mut(&id).filter(|o| !o.ended) {
-            o.ended = true;
+    fn finish(&mut self, now: Micros, id: RequestId, end: FlowEnd, order: Order) {
+        if let Some(o) = self.open.get_mut(&id).filter(|o| o.end.is_none()) {
+            o.end = Some((end, now));
             let _ = o.orders.try_send(order);
             self.settle(id);
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 mod brain;
 pub mod core;
 mod interface;
+pub mod ipfix;
 pub mod net;
 pub mod rsync;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,10 +1,21 @@
-//! lupinrack: reads its configuration and starts the fronts.
+//! lupinrack: reads its configuration and starts the fronts on one core.
 #![forbid(unsafe_code)]
 
-use lupinrack::net::{self, config::Config};
-use lupinrack::rsync::config::RsyncConfig;
+use lupinrack::core::{Clock, Core};
+use lupinrack::ipfix::{self, config::IpfixConfig};
+use lupinrack::net::upstream::Upstream;
+use lupinrack::net::{accept, clock::Epoch, config::Config, discovery::Watch, probe, shutdown};
+use lupinrack::rsync::{config::RsyncConfig, daemon};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+/// Descriptors for everything but clients: connections to nodes (at most 24 to each of 14), those of attempts
+/// that outlived their slot, discovery, the runtime's own.
+const KEPT_BACK: usize = 544;
 
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
@@ -18,11 +29,60 @@
 }
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
-    let path = std::env::var_os("LB_CONFIG").map(PathBuf::from).ok_or("LB_CONFIG names no configuration")?;
-    let config = Config::load(&path)?;
-    let rsync = std::env::var_os("LUPINRACK_RSYNC").unwrap_or_else(|| "deploy/rsync.toml".into());
-    let rsync = RsyncConfig::load(&PathBuf::from(rsync), &config.told)?;
+    let named = |variable: &str| std::env::var_os(variable).map(PathBuf::from);
+    let config = Config::load(&named("LB_CONFIG").ok_or("LB_CONFIG names no configuration")?)?;
+    let rsync = named("LUPINRACK_RSYNC").unwrap_or_else(|| "deploy/rsync.toml".into());
+    let rsync = RsyncConfig::load(&rsync, &config.told)?;
+    let ipfix = named("LUPINRACK_IPFIX").unwrap_or_else(|| "deploy/ipfix.toml".into());
+    let ipfix = IpfixConfig::load(&ipfix)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(net::run(config, rsync))?;
+    Ok(runtime.block_on(run(config, rsync, ipfix))?)
+}
+
+/// Runs the fronts until they are told to end and all that they took is answered.
+async fn run(config: Config, rsync: Option<RsyncConfig>, ipfix: Option<IpfixConfig>) -> std::io::Result<()> {
+    let clock = Clock::start();
+    let epoch = Epoch::fix(&clock);
+    let phase = shutdown::watch()?;
+    let told = Arc::new(config.told);
+    let (mut core, handle, targets) = Core::new(told.module.clone(), config.seed, clock);
+    if let Some(config) = ipfix {
+        let (to, flows) = mpsc::channel(ipfix::WAITING_MOST);
+        core = core.tell_flows(to);
+        tracing::info!("flows go to {}", config.collector);
+        tokio::spawn(async move {
+            if let Err(why) = ipfix::run(config, epoch.unix_offset(), flows).await {
+                tracing::error!("ipfix: {why}");
+            }
+        });
+    }
+    let upstream = Upstream::new(&told, clock);
+    tokio::spawn(core.run());
+    let watch = Watch { address: config.discovery, zones: told.zones.clone(), epoch };
+    tokio::spawn(watch.run(handle.clone(), config.known));
+    tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
+
+    let sockets = config.limits.sockets;
+    // A client of the rsync front holds two descriptors, its own and one to a server.
+    let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
+    let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 4).saturating_sub(second).max(1);
+    let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
+    let second = match rsync {
+        Some(config) => {
+            let listener = TcpListener::bind(config.listen).await?;
+            tracing::info!("rsync on {}", config.listen);
+            let (core, config, phase) = (handle.clone(), Arc::new(config), phase.clone());
+            Some(daemon::run(listener, daemon::Front { core, config, connect, phase }))
+        }
+        None => None,
+    };
+    let listener = TcpListener::bind(config.listen).await?;
+    tracing::info!("{} listens on {}", config.name, config.listen);
+    let first = accept::run(listener, accept::Front { core: handle, upstream, told, phase }, most);
+    tokio::join!(first, async {
+        if let Some(second) = second {
+            second.await;
+        }
+    });
     Ok(())
 }
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -18,6 +18,11 @@
         Epoch { offset: clock.now() - Micros::try_from(unix).unwrap_or(0) }
     }
 
+    /// What leads from a reading to Unix time.
+    pub fn unix_offset(&self) -> Micros {
+        -self.offset
+    }
+
     /// The reading at a Unix time in milliseconds; 0 means long ago.
     pub fn reading(&self, unix_ms: i64) -> Option<Micros> {
         (unix_ms > 0).then(|| unix_ms.saturating_mul(1000).saturating_add(self.offset))
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -56,6 +56,9 @@
             Some((number, ended)) = attempts.next() => {
                 let Ended { outcome, body, load } = ended;
                 if outcome == Outcome::Ok {
+                    if client.is_some() {
+                        teller.moved(body.len() as u64).await;
+                    }
                     answer(&mut client, Response::new(Body::from(body)));
                 }
                 teller.ended(number, outcome, load).await;
--- a/src/rsync/pull.rs
+++ b/src/rsync/pull.rs
@@ -240,7 +240,9 @@
             sum.add(part);
         }
         client.data(&(part.len() as i32).to_le_bytes()).await?;
-        client.data(part).await
+        client.data(part).await?;
+        line.moved(part.len() as u64).await;
+        Ok(())
     }
 
     async fn end(&mut self, line: &mut Line) -> Result<(), WireError> {
--- a/src/rsync/unit.rs
+++ b/src/rsync/unit.rs
@@ -67,6 +67,11 @@
         first
     }
 
+    /// Tells of bytes passed on to the client.
+    pub async fn moved(&self, bytes: u64) {
+        self.teller.moved(bytes).await;
+    }
+
     /// Waits until this many bytes in all are paid for.
     pub async fn pay(&mut self, moved: u64) {
         while moved > self.paid {
