Test discovery, configuration and the program's own start and end

A list entry with an unknown lifecycle counts as draining and no longer costs the whole list; the program ends with an error should the core end; an idle rsync client no longer holds up SIGTERM.

--- a/src/main.rs
+++ b/src/main.rs
@@ -57,7 +57,7 @@
         });
     }
     let upstream = Upstream::new(&told, clock);
-    tokio::spawn(core.run());
+    let core = tokio::spawn(core.run());
     let watch = Watch { address: config.discovery, zones: told.zones.clone(), epoch };
     tokio::spawn(watch.run(handle.clone(), config.known));
     tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
@@ -70,19 +70,25 @@
     let second = match rsync {
         Some(config) => {
             let listener = TcpListener::bind(config.listen).await?;
-            tracing::info!("rsync on {}", config.listen);
+            tracing::info!("rsync on {}", listener.local_addr()?);
             let (core, config, phase) = (handle.clone(), Arc::new(config), phase.clone());
             Some(daemon::run(listener, daemon::Front { core, config, connect, phase }))
         }
         None => None,
     };
     let listener = TcpListener::bind(config.listen).await?;
-    tracing::info!("{} listens on {}", config.name, config.listen);
+    tracing::info!("{} listens on {}", config.name, listener.local_addr()?);
     let first = accept::run(listener, accept::Front { core: handle, upstream, told, phase }, most);
-    tokio::join!(first, async {
-        if let Some(second) = second {
-            second.await;
-        }
-    });
-    Ok(())
+    let fronts = async {
+        tokio::join!(first, async {
+            if let Some(second) = second {
+                second.await;
+            }
+        })
+    };
+    tokio::select! {
+        _ = fronts => Ok(()),
+        // Without the core nothing would ever be answered: better a crash that the platform sees.
+        _ = core => Err(std::io::Error::other("the core ended")),
+    }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -38,15 +38,13 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
 pub struct Limits {
-    /// Memory, in MB.
-    pub memory_mb: u64,
     /// File descriptors.
     pub sockets: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { memory_mb: 192, sockets: 1024 }
+        Limits { sockets: 1024 }
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -34,7 +34,8 @@
 #[serde(rename_all = "camelCase")]
 struct Instance {
     instance_id: String,
-    host_port: SocketAddr,
+    #[serde(default)]
+    host_port: Option<SocketAddr>,
     #[serde(default)]
     zone: String,
     #[serde(default)]
@@ -52,6 +53,9 @@
     Serving,
     Draining,
     Deleted,
+    /// A word that this version does not know: one such entry must not cost the whole list.
+    #[serde(other)]
+    Unknown,
 }
 
 fn one() -> f64 {
@@ -78,13 +82,15 @@
 /// Words a list for the core.
 fn listings(list: &List, zones: &[String], epoch: &Epoch) -> Vec<Listing> {
     let zone = |name: &str| Zone(zones.iter().position(|z| z == name).unwrap_or(0) as u8);
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
     let one = |i: &Instance| Listing {
         name: i.instance_id.clone(),
-        address: i.host_port,
-        state: match i.lifecycle {
-            Lifecycle::Serving => NodeState::Ready,
-            Lifecycle::Draining => NodeState::Draining,
-            Lifecycle::Deleted => NodeState::Gone,
+        address: i.host_port.unwrap_or(nowhere),
+        state: match (i.lifecycle, i.host_port) {
+            (Lifecycle::Serving, Some(_)) => NodeState::Ready,
+            // Known to be there, but not that it takes anything new.
+            (Lifecycle::Serving | Lifecycle::Draining | Lifecycle::Unknown, _) => NodeState::Draining,
+            (Lifecycle::Deleted, _) => NodeState::Gone,
         },
         zone: zone(&i.zone),
         shard: Shard(i.cell),
--- a/src/rsync/daemon.rs
+++ b/src/rsync/daemon.rs
@@ -132,8 +132,14 @@
 
     // Each file asked for is new work.
     let (mut phases, mut bytes) = (0, 0);
+    let mut phase = front.phase.clone();
     while phases < 2 {
-        let index = tokio::time::timeout(IDLE, from.int()).await.map_err(late)??;
+        let index = tokio::select! {
+            biased;
+            // Nothing is in hand here: a client that idles must not hold up the program's end.
+            _ = phase.wait_for(|p| *p == Phase::Closing) => return Err(told("this front is ending; come back")),
+            index = tokio::time::timeout(IDLE, from.int()) => index.map_err(late)??,
+        };
         if index == -1 {
             phases += 1;
             to.lock().await.data(&(-1i32).to_le_bytes()).await?;
@@ -142,9 +148,6 @@
         let entry = usize::try_from(index).ok().and_then(|i| list.get(i)).filter(|e| e.is_file());
         let entry = entry.ok_or(WireError::Garbage("no such file in the list"))?;
         let sums = tokio::time::timeout(IDLE, from.sums()).await.map_err(late)??;
-        if *front.phase.borrow() == Phase::Closing {
-            return Err(told("this front is ending; come back"));
-        }
         let name = String::from_utf8_lossy(&entry.name).into_owned();
         let path = path_of(&asked, entry)?;
         let head = [index, sums[0], sums[1], sums[2], sums[3]];
--- a/tests/common/front.rs
+++ b/tests/common/front.rs
@@ -35,6 +35,16 @@
     settings::parse_json(&serde_json::from_str(SETTINGS).unwrap()).unwrap()
 }
 
+/// Node `n0` on shard 0, as discovery lists it.
+pub fn listing(address: SocketAddr, state: NodeState) -> Listing {
+    Listing { name: "n0".into(), address, state, zone: Zone(0), shard: Shard(0), started: None, size: 1.0 }
+}
+
+/// The same at an address where nothing is ever sent.
+pub fn unreached(state: NodeState) -> Listing {
+    listing(SocketAddr::from(([127, 0, 0, 1], 9)), state)
+}
+
 pub struct Fronts {
     pub core: Handle,
     pub http: SocketAddr,
@@ -79,9 +89,7 @@
 impl Fronts {
     /// Tells the core of node `n0`.
     pub async fn node(&self, kind: ListKind, address: SocketAddr, state: NodeState) {
-        let (name, zone, shard) = ("n0".to_string(), Zone(0), Shard(0));
-        let entry = Listing { name, address, state, zone, shard, started: None, size: 1.0 };
-        self.core.list(kind, vec![entry]).await;
+        self.core.list(kind, vec![listing(address, state)]).await;
     }
 }
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::front::told;
-use lupinrack::core::{Clock, Core, Listing, Order, Ticket};
+use common::front::{told, unreached};
+use lupinrack::core::{Clock, Core, Order, Ticket};
 use lupinrack::*;
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use std::collections::BTreeSet;
@@ -89,16 +89,7 @@
     let clock = Clock::start();
     let (core, handle, _targets) = Core::new(told().module, 3, clock);
     tokio::spawn(core.run());
-    let node = |state| Listing {
-        name: "n0".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        state,
-        zone: Zone(0),
-        shard: Shard(0),
-        started: None,
-        size: 1.0,
-    };
-    handle.list(ListKind::Cached, vec![node(NodeState::Ready)]).await;
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
     let mut owners: Vec<Owner> = Vec::new();
     for step in steps {
         let count = owners.len().max(1);
@@ -141,7 +132,7 @@
             Step::Drop(_) => {}
             Step::Drain(drain) => {
                 let state = if drain { NodeState::Draining } else { NodeState::Ready };
-                handle.list(ListKind::Delta, vec![node(state)]).await;
+                handle.list(ListKind::Delta, vec![unreached(state)]).await;
             }
             Step::Pass(ms) => tokio::time::sleep(Duration::from_millis(u64::from(ms))).await,
         }
@@ -183,16 +174,7 @@
         let clock = Clock::start();
         let (core, handle, _targets) = Core::new(told().module, 3, clock);
         tokio::spawn(core.run());
-        let node = |state| Listing {
-            name: "n0".into(),
-            address: "127.0.0.1:9".parse().unwrap(),
-            state,
-            zone: Zone(0),
-            shard: Shard(0),
-            started: None,
-            size: 1.0,
-        };
-        handle.list(ListKind::Cached, vec![node(NodeState::Ready)]).await;
+        handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
         let give_up = clock.now() + 60_000_000;
         let request = Request { plan: 2, units: 1.0, hosts: 1.0, give_up, ..Request::default() };
         let mut ticket = handle.open(request).await;
@@ -201,7 +183,7 @@
         let stopped = attempt.to.stopped(clock);
         tokio::pin!(stopped);
         assert!(tokio::time::timeout(Duration::from_secs(30), &mut stopped).await.is_err(), "it serves");
-        handle.list(ListKind::Delta, vec![node(NodeState::Draining)]).await;
+        handle.list(ListKind::Delta, vec![unreached(NodeState::Draining)]).await;
         stopped.await;
         let waited = began.elapsed() - Duration::from_secs(30);
         assert!(waited >= Duration::from_millis(500) && waited < Duration::from_secs(1), "{waited:?}");
--- a/tests/ipfix.rs
+++ b/tests/ipfix.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::front::told;
+use common::front::{told, unreached};
 use lupinrack::core::{Clock, Core, Order};
 use lupinrack::ipfix::{self, config::IpfixConfig, ENTERPRISE_NUMBER};
 use lupinrack::*;
@@ -70,8 +70,7 @@
     tokio::spawn(core.tell_flows(to).run());
     // A clock that reads a known Unix time: the records' times are whole milliseconds from there.
     tokio::spawn(ipfix::run(config, 1_700_000_000_000_000 - clock.now(), flows));
-    let node = core_node();
-    handle.list(ListKind::Cached, vec![node]).await;
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
     let request = |units| Request {
         class: 2,
         plan: 2,
@@ -121,18 +120,6 @@
     }
 }
 
-fn core_node() -> lupinrack::core::Listing {
-    lupinrack::core::Listing {
-        name: "n0".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        state: NodeState::Ready,
-        zone: Zone(0),
-        shard: Shard(0),
-        started: None,
-        size: 1.0,
-    }
-}
-
 #[tokio::test]
 async fn a_full_queue_costs_records_and_never_time() {
     let clock = Clock::start();
--- /dev/null
+++ b/tests/program.rs
@@ -0,0 +1,172 @@
+//! What stands round the fronts: configuration, discovery, and the program itself from start to end.
+
+mod common;
+
+use common::front::{ask, get, node, start, told, Fronts, SETTINGS};
+use common::rsync::until;
+use lupinrack::net::clock::Epoch;
+use lupinrack::net::config::Config;
+use lupinrack::net::discovery::Watch;
+use lupinrack::settings;
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+#[test]
+fn nested_settings_say_the_same_as_lines() {
+    let lines = "areas=salt-lake\npeersTotal=3\nresolution=2.0\nclasses.count=1\nclasses.0.name=read\n\
+                 classes.0.aim=300.0\nclasses.0.deadline=2000.0\nclasses.0.repeat=free\n\
+                 domain.changesData=true\nreport.columns=recent_ms,backlog\nsafety.stopSendingWithin=1000.0\n";
+    let nested = serde_json::json!({
+        "areas": ["salt-lake"], "peersTotal": 3, "resolution": 2.0, "unknown": {"to": ["this", 1, null]},
+        "classes": [{"name": "read", "aim": 300.0, "deadline": 2000.0, "repeat": "free"}],
+        "domain": {"changesData": [true]}, "report": {"columns": ["recent_ms", "backlog"]},
+        "safety": {"stopSendingWithin": 1000.0}});
+    let (a, b) = (settings::parse(lines).unwrap(), settings::parse_json(&nested).unwrap());
+    assert_eq!(format!("{a:?}"), format!("{b:?}"));
+    assert_eq!((b.module.hosts, b.module.classes[0].writes, b.columns.len()), (3, true, 2));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_says_why() {
+    let good = configuration("127.0.0.1:1".parse().unwrap());
+    assert!(Config::parse(&good).is_ok());
+    for (bad, why) in [
+        (good.replace("\"seed\":\"8c\"", "\"seed\":\"xyz\""), "seed"),
+        (good.replace("\"stopSendingWithin\"", "\"other\""), "safety.stopSendingWithin is missing"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "invalid socket address"),
+    ] {
+        let said = Config::parse(&bad).err().expect("it is not usable").to_string();
+        assert!(said.contains(why), "{said}");
+    }
+}
+
+fn configuration(discovery: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "known":{{"generation":41,"reset":true,"instances":[]}},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// A stand-in discovery: tells of each call's target, and answers with what it is given next.
+async fn discovery() -> (SocketAddr, Arc<Mutex<Vec<String>>>, mpsc::UnboundedSender<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, calls) = (listener.local_addr().unwrap(), Arc::new(Mutex::new(Vec::new())));
+    let (tell, mut answers) = mpsc::unbounded_channel::<String>();
+    let seen = calls.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = Vec::new();
+            while let Ok(b) = stream.read_u8().await {
+                head.push(b);
+                if !head.ends_with(b"\r\n\r\n") {
+                    continue;
+                }
+                let line = String::from_utf8_lossy(&std::mem::take(&mut head)).into_owned();
+                seen.lock().unwrap().push(line.split(' ').nth(1).unwrap().to_string());
+                let Some(answer) = answers.recv().await else { return };
+                let answer = match answer.as_str() {
+                    "break" => break,
+                    body => format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()),
+                };
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        }
+    });
+    (address, calls, tell)
+}
+
+fn list(generation: u32, reset: bool, entries: &str) -> String {
+    format!(r#"{{"generation":{generation},"reset":{reset},"instances":[{entries}]}}"#)
+}
+
+fn entry(name: &str, address: SocketAddr, lifecycle: &str) -> String {
+    format!(
+        r#"{{"instanceId":"{name}","hostPort":"{address}","zone":"salt-lake","machineType":"m2","cell":0,
+            "lifecycle":"{lifecycle}","weight":1.0,"startedAtMs":0}}"#
+    )
+}
+
+async fn status(fronts: &Fronts) -> String {
+    let answer = ask(fronts.http, &get(1, "priority", 1, 400)).await;
+    answer.split(' ').nth(1).unwrap().to_string()
+}
+
+#[tokio::test]
+async fn the_watch_goes_on_from_each_version_and_its_news_reach_the_decisions() {
+    let (address, heads) = node(OK).await;
+    let (at, calls, tell) = discovery().await;
+    let fronts = start(address, address, "priority", 1_000).await;
+    let epoch = Epoch::fix(&fronts.core.clock);
+    let watch = Watch { address: at, zones: told().zones, epoch };
+    // The cached list is empty: the node known so far is not in it.
+    let known = serde_json::from_str(&list(41, true, "")).unwrap();
+    tokio::spawn(watch.run(fronts.core.clone(), Some(known)));
+    until(|| calls.lock().unwrap().len() == 1).await;
+    assert_eq!(status(&fronts).await, "503");
+    // A new node, told as a change.
+    tell.send(list(43, false, &entry("s-1", address, "SERVING"))).unwrap();
+    until(|| calls.lock().unwrap().len() == 2).await;
+    assert_eq!(status(&fronts).await, "200");
+    // A call that breaks and one that brings nothing new change nothing; the watch goes on.
+    tell.send("break".into()).unwrap();
+    until(|| calls.lock().unwrap().len() == 3).await;
+    tell.send("nonsense".into()).unwrap();
+    until(|| calls.lock().unwrap().len() == 4).await;
+    tell.send(list(43, false, "")).unwrap();
+    until(|| calls.lock().unwrap().len() == 5).await;
+    assert_eq!(status(&fronts).await, "200");
+    // A whole list without it: it is gone. A lifecycle never heard of takes nothing new either.
+    tell.send(list(50, true, &entry("s-2", address, "RESTING"))).unwrap();
+    until(|| calls.lock().unwrap().len() == 6).await;
+    let before = heads.lock().unwrap().len();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(status(&fronts).await, "503");
+    assert_eq!(heads.lock().unwrap().len(), before, "nothing new once its grace is over");
+    let watch = |from| format!("/registry/instances?from={from}&hold_ms=20000");
+    assert_eq!(*calls.lock().unwrap(), [41, 43, 43, 43, 43, 50].map(watch));
+}
+
+#[tokio::test]
+async fn the_program_starts_serves_and_ends_in_order() {
+    let (address, _) = node(OK).await;
+    let (at, _, tell) = discovery().await;
+    tell.send(list(42, true, &entry("s-1", address, "SERVING"))).unwrap();
+    let config = std::env::temp_dir().join(format!("lupinrack-{}.json", std::process::id()));
+    std::fs::write(&config, configuration(at)).unwrap();
+    let mut program = tokio::process::Command::new(env!("CARGO_BIN_EXE_lupinrack"))
+        .env("LB_CONFIG", &config)
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(program.stderr.take().unwrap()).lines();
+    let listen: SocketAddr = loop {
+        let line = log.next_line().await.unwrap().expect("it says where it listens");
+        if let Some((_, at)) = line.split_once("n1 listens on ") {
+            break at.parse().unwrap();
+        }
+    };
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+    assert!(ask(listen, ready).await.starts_with("HTTP/1.1 200"));
+    let mut answer = String::new();
+    for _ in 0..200 {
+        answer = ask(listen, &get(1, "priority", 1, 2_000)).await;
+        if answer.starts_with("HTTP/1.1 200") {
+            break;
+        }
+    }
+    assert!(answer.ends_with("hello"), "{answer}");
+    let id = program.id().unwrap().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let ended = tokio::time::timeout(Duration::from_secs(30), program.wait()).await.unwrap().unwrap();
+    assert!(ended.success(), "{ended}");
+    std::fs::remove_file(&config).unwrap();
+}
