--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,7 +54,7 @@
 /// Ticks before the client's end at which an open request is ended.
 const END_TICKS: Micros = 2;
 /// One that was never sent is given up sooner, after this part of its time, or its aim if that is later: the
-/// client can still do something with the rest. Could do harm where a late answer is worth nearly a timely one.
+/// client can still do something with the rest. Could do harm where a late answer is worth nearly as much.
 const UNSENT_PART: f64 = 0.45;
 /// Spacing of calls to discovery that failed, first and last, and how long an answer may take.
 const ASK_FIRST: Micros = 700_000;
