--- a/src/rsync/pull.rs
+++ b/src/rsync/pull.rs
@@ -76,6 +76,7 @@
         let mut s = open(&want, address, &attempt, clock).await?;
         let list = s.from.list().await?;
         line.pay(s.from.read).await;
+        line.moved(s.from.read).await;
         goodbye(&mut s).await;
         Ok(list)
     };
