--- a/src/core/nodes.rs
+++ b/src/core/nodes.rs
@@ -101,7 +101,7 @@
                 size: l.size,
             });
         }
-        if kind == ListKind::Full {
+        if kind != ListKind::Delta {
             for (known, _) in self.known.iter().zip(named).filter(|(_, named)| !named) {
                 known.stop.send_if_modified(|stop| std::mem::replace(stop, until.min(*stop)) > until);
             }
--- a/tests/common/front.rs
+++ b/tests/common/front.rs
@@ -55,14 +55,27 @@
 
 /// Starts both fronts: node `n0` on shard 0 is the HTTP node and the rsync server given.
 pub async fn start(node: SocketAddr, server: SocketAddr, plan: &str, deadline_ms: u64) -> Fronts {
+    start_with(node, &[("n0", server)], plan, deadline_ms).await
+}
+
+/// The same with several rsync servers, by the names of their nodes.
+pub async fn start_with(
+    node: SocketAddr,
+    servers: &[(&str, SocketAddr)],
+    plan: &str,
+    deadline_ms: u64,
+) -> Fronts {
     let told = told();
     let clock = Clock::start();
     let (core, handle, _targets) = Core::new(told.module.clone(), 7, clock);
-    let text = format!(
+    let mut text = format!(
         "enabled = true\nlisten = '127.0.0.1:0'\n[[module]]\nname = 'trips'\ncomment = 'Trip exports'\n\
          plan = '{plan}'\nvolume = 'a1'\nclass = 'bulk-read'\nshard = 0\nbytes_per_unit = 16384\n\
-         deadline_ms = {deadline_ms}\n[[server]]\nnode = 'n0'\naddress = '{server}'\n"
+         deadline_ms = {deadline_ms}\n"
     );
+    for (name, address) in servers {
+        text += &format!("[[server]]\nnode = '{name}'\naddress = '{address}'\n");
+    }
     let config = RsyncConfig::parse(&text, &told).unwrap().unwrap();
     let (phase, seen) = watch::channel(Phase::Ready);
     let (a, b) =
--- a/tests/rsync.rs
+++ b/tests/rsync.rs
@@ -2,8 +2,9 @@
 
 mod common;
 
-use common::front::{ask, get, node, start, with_rsync};
+use common::front::{ask, get, listing, node, start, start_with, with_rsync};
 use common::rsync::*;
+use lupinrack::core::Listing;
 use lupinrack::*;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -89,6 +90,29 @@
     assert_eq!(asked.len(), 2, "the list and one file");
 }
 
+#[tokio::test]
+async fn a_successor_takes_the_next_file_of_a_node_that_drained_halfway() {
+    let (old, new) = (server(two_files(), Server::Sound).await, server(two_files(), Server::Sound).await);
+    old.hold.send_replace(true);
+    let servers = [("n0", old.address), ("n1", new.address)];
+    let fronts = start_with(old.address, &servers, "priority", 20_000).await;
+    let pull = tokio::spawn(RsyncClient::pull(fronts.rsync, "trips/a/"));
+    until(|| sent(&old) >= 150_000 - 16_384).await;
+    let successor = Listing { name: "n1".into(), ..listing(new.address, NodeState::Ready) };
+    let news = vec![listing(old.address, NodeState::Draining), successor];
+    fronts.core.list(ListKind::Delta, news).await;
+    sleep(Duration::from_millis(1_200)).await;
+    old.hold.send_replace(false);
+    let got = timeout(Duration::from_secs(60), pull).await.unwrap().unwrap();
+    assert!(got.complete && got.errors.is_empty() && got.whole.len() == 2, "{got:?}");
+    let asked =
+        |s: &RsyncServer| s.seen.lock().unwrap().asked.iter().map(|a| a.1.clone()).collect::<Vec<_>>();
+    assert_eq!(
+        (asked(&old), asked(&new)),
+        (vec!["a/".into(), "a/one.csv".into()], vec!["a/two.csv".to_string()])
+    );
+}
+
 #[tokio::test]
 async fn a_basic_volume_keeps_its_limit_over_both_fronts_together() {
     let (http, heads) = node(OK).await;
