Close idle client connections after 2 s and size client places by the limit

Checked: no crash, no broken rule, log empty, memory flat, attempts in time where one was sent; so not the module.

Test: clients_that_ask_once_and_stay_give_up_their_places (fails before: times out).

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,10 +13,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-/// Descriptors for everything but clients: connections to nodes (at most 24 to each of 14), those of attempts
-/// that outlived their slot, discovery, the runtime's own.
-const KEPT_BACK: usize = 544;
-
 fn main() -> ExitCode {
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
     match start() {
@@ -62,10 +58,9 @@
     tokio::spawn(watch.run(handle.clone(), config.known));
     tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
 
-    let sockets = config.limits.sockets;
     // A client of the rsync front holds two descriptors, its own and one to a server.
     let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
-    let most = sockets.saturating_sub(KEPT_BACK).max(sockets / 4).saturating_sub(second).max(1);
+    let most = config.limits.clients(second);
     let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
     let second = match rsync {
         Some(config) => {
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -20,8 +20,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch, Semaphore};
 
-/// How long a client may take for the head of a request, its idle time before included.
-const HEAD_PATIENCE: Duration = Duration::from_secs(30);
+/// How long a connection may be without a whole head, idle time included. Clients that ask once and keep their
+/// connection for good, or connect and say nothing, must not hold the places of those that have something to ask.
+const HEAD_PATIENCE: Duration = Duration::from_secs(2);
 /// The most read ahead from one connection.
 const READ_MOST: usize = 128 << 10;
 /// The wait after an accept that failed, as it does when descriptors run out.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -42,6 +42,18 @@
     pub sockets: usize,
 }
 
+/// Descriptors of the program's own: standard streams, listeners, the runtime's, signals, discovery.
+const OWN: usize = 24;
+
+impl Limits {
+    /// How many descriptors clients of the platform's front may hold, with `second` promised to the rsync front.
+    /// Two thirds of what is left: they keep idle connections by the dozen, and a third of all is what their open
+    /// requests hold at most. The rest is for connections to nodes.
+    pub fn clients(&self, second: usize) -> usize {
+        (self.sockets.saturating_sub(OWN + second) * 2 / 3).max(1)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Limits { sockets: 1024 }
--- a/tests/common/front.rs
+++ b/tests/common/front.rs
@@ -31,6 +31,9 @@
   "safety": {"stopSendingWithin": 1000.0}
 }"#;
 
+/// Clients of the HTTP front at once.
+pub const PLACES: usize = 64;
+
 pub fn told() -> Told {
     settings::parse_json(&serde_json::from_str(SETTINGS).unwrap()).unwrap()
 }
@@ -87,7 +90,7 @@
     let connect = Duration::from_millis(500);
     let second = daemon::Front { core: handle.clone(), config: Arc::new(config), connect, phase: seen };
     let ended = tokio::spawn(async move {
-        tokio::join!(accept::run(a, front, 64), daemon::run(b, second));
+        tokio::join!(accept::run(a, front, PLACES), daemon::run(b, second));
     });
     let fronts = Fronts { core: handle, http, rsync, phase, ended };
     fronts.node(ListKind::Cached, node, NodeState::Ready).await;
--- a/tests/http.rs
+++ b/tests/http.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::front::{ask, get, node, start, Fronts, Heads};
+use common::front::{ask, get, node, start, Fronts, Heads, PLACES};
 use common::rsync::until;
 use lupinrack::net::shutdown::Phase;
 use std::time::Duration;
@@ -191,3 +191,20 @@
     timeout(Duration::from_secs(20), fronts.ended).await.unwrap().unwrap();
     assert!(TcpStream::connect(http).await.is_err(), "nobody listens any more");
 }
+
+#[tokio::test]
+async fn clients_that_ask_once_and_stay_give_up_their_places() {
+    let (fronts, _) = front(OK).await;
+    let mut staying = Vec::new();
+    // One more than there are places: the last is served once the first have idled for long enough.
+    for i in 0..=PLACES as u32 {
+        let mut stream = TcpStream::connect(fronts.http).await.unwrap();
+        stream.write_all(get(i, "priority", 1, 60_000).as_bytes()).await.unwrap();
+        staying.push(stream);
+    }
+    for mut stream in staying {
+        let mut all = String::new();
+        timeout(Duration::from_secs(15), stream.read_to_string(&mut all)).await.unwrap().unwrap();
+        assert_eq!(status(&all), "200", "{all}");
+    }
+}
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -5,7 +5,7 @@
 use common::front::{ask, get, node, start, told, Fronts, SETTINGS};
 use common::rsync::until;
 use lupinrack::net::clock::Epoch;
-use lupinrack::net::config::Config;
+use lupinrack::net::config::{Config, Limits};
 use lupinrack::net::discovery::Watch;
 use lupinrack::settings;
 use std::net::SocketAddr;
@@ -47,6 +47,17 @@
     }
 }
 
+#[test]
+fn the_places_for_clients_follow_the_descriptors() {
+    // A third of the descriptors for open requests alone, and as much again for what idles; never all of them.
+    for sockets in [256, 384, 512, 1024] {
+        let most = Limits { sockets }.clients(0);
+        assert!(most > sockets / 2 && most < sockets * 3 / 4, "{most} of {sockets}");
+        assert_eq!(Limits { sockets }.clients(60), most - 40);
+    }
+    assert_eq!(Limits { sockets: 10 }.clients(0), 1);
+}
+
 fn configuration(discovery: SocketAddr) -> String {
     format!(
         r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c",
