Reread the configuration on SIGHUP and move the watch to the new discovery

Checked: the log is empty up to the signal; no memory or descriptor limit was near. At fault: nothing handled SIGHUP, and net::discovery kept the address of the start (src/main.rs, Watch.address).

Tests: the program test sends SIGHUP with an unusable file, a moved discovery, and SIGTERM right behind; the watch test moves discovery while a call is out.

--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use lupinrack::core::{Clock, Core};
 use lupinrack::ipfix::{self, config::IpfixConfig};
 use lupinrack::net::upstream::Upstream;
-use lupinrack::net::{accept, clock::Epoch, config::Config, discovery::Watch, probe, shutdown};
+use lupinrack::net::{accept, clock::Epoch, config::Config, discovery::Watch, probe, reload, shutdown};
 use lupinrack::rsync::{config::RsyncConfig, daemon};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,20 +26,27 @@
 
 fn start() -> Result<(), Box<dyn std::error::Error>> {
     let named = |variable: &str| std::env::var_os(variable).map(PathBuf::from);
-    let config = Config::load(&named("LB_CONFIG").ok_or("LB_CONFIG names no configuration")?)?;
+    let path = named("LB_CONFIG").ok_or("LB_CONFIG names no configuration")?;
+    let config = Config::load(&path)?;
     let rsync = named("LUPINRACK_RSYNC").unwrap_or_else(|| "deploy/rsync.toml".into());
     let rsync = RsyncConfig::load(&rsync, &config.told)?;
     let ipfix = named("LUPINRACK_IPFIX").unwrap_or_else(|| "deploy/ipfix.toml".into());
     let ipfix = IpfixConfig::load(&ipfix)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    Ok(runtime.block_on(run(config, rsync, ipfix))?)
+    Ok(runtime.block_on(run(path, config, rsync, ipfix))?)
 }
 
 /// Runs the fronts until they are told to end and all that they took is answered.
-async fn run(config: Config, rsync: Option<RsyncConfig>, ipfix: Option<IpfixConfig>) -> std::io::Result<()> {
+async fn run(
+    path: PathBuf,
+    config: Config,
+    rsync: Option<RsyncConfig>,
+    ipfix: Option<IpfixConfig>,
+) -> std::io::Result<()> {
     let clock = Clock::start();
     let epoch = Epoch::fix(&clock);
     let phase = shutdown::watch()?;
+    let discovery = reload::watch(path, config.discovery)?;
     let told = Arc::new(config.told);
     let (mut core, handle, targets) = Core::new(told.module.clone(), config.seed, clock);
     if let Some(config) = ipfix {
@@ -54,7 +61,7 @@
     }
     let upstream = Upstream::new(&told, clock);
     let core = tokio::spawn(core.run());
-    let watch = Watch { address: config.discovery, zones: told.zones.clone(), epoch };
+    let watch = Watch { address: discovery, zones: told.zones.clone(), epoch };
     tokio::spawn(watch.run(handle.clone(), config.known));
     tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,11 +10,14 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// How long a watch may be held. Long, so that little is told while no watch is out.
 const HOLD: Duration = Duration::from_secs(20);
 /// How much longer than that an answer may take before the call is given up.
 const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a connection may take to come up: the agent is on the front's own machine.
+const CONNECT: Duration = Duration::from_secs(1);
 /// The wait before the next call after one that failed; under the 200 ms within which a watch goes on.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest list taken.
@@ -102,8 +105,8 @@
 
 /// Watches the list and hands all news to the core.
 pub struct Watch {
-    /// Discovery's address.
-    pub address: SocketAddr,
+    /// Discovery's address, which a new configuration may move.
+    pub address: watch::Receiver<SocketAddr>,
     /// The names of the zones.
     pub zones: Vec<String>,
     /// How Unix time maps to the clock.
@@ -112,17 +115,28 @@
 
 impl Watch {
     /// Hands over the list this front last had, then watches for as long as the program runs.
-    pub async fn run(self, core: Handle, known: Option<List>) {
+    pub async fn run(mut self, core: Handle, known: Option<List>) {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
-            .build(HttpConnector::new());
+            .build(connector);
         let mut from = known.as_ref().map(|l| l.generation);
         if let Some(list) = known {
             core.list(ListKind::Cached, listings(&list, &self.zones, &self.epoch)).await;
         }
         loop {
-            match self.call(&client, from).await {
+            let address = *self.address.borrow_and_update();
+            let mut moved = self.address.clone();
+            let answer = tokio::select! {
+                biased;
+                answer = self.call(&client, address, from) => answer,
+                // Moved while a call is out: the watch goes on at the new address from the version in hand, so
+                // that no node is lost and nothing told twice. The old call ends with its connection.
+                Ok(()) = moved.changed() => continue,
+            };
+            match answer {
                 Ok(list) => {
                     // Without a version to go on from, what comes is the whole list whatever its mark says.
                     let kind = if list.reset || from.is_none() { ListKind::Full } else { ListKind::Delta };
@@ -142,10 +156,11 @@
     async fn call(
         &self,
         client: &Client<HttpConnector, Empty<Bytes>>,
+        address: SocketAddr,
         from: Option<u64>,
     ) -> Result<List, CallError> {
         let query = from.map_or(String::new(), |g| format!("?from={g}&hold_ms={}", HOLD.as_millis()));
-        let uri = format!("http://{}/registry/instances{query}", self.address);
+        let uri = format!("http://{address}/registry/instances{query}");
         let request = http::Request::get(uri).body(Empty::new())?;
         let exchange = async {
             let answer = client.request(request).await?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod intake;
 pub mod probe;
+pub mod reload;
 pub mod request;
 pub mod shutdown;
 pub mod upstream;
--- a/tests/program.rs
+++ b/tests/program.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
 
@@ -116,6 +116,7 @@
     let (at, calls, tell) = discovery().await;
     let fronts = start(address, address, "priority", 1_000).await;
     let epoch = Epoch::fix(&fronts.core.clock);
+    let (move_to, at) = watch::channel(at);
     let watch = Watch { address: at, zones: told().zones, epoch };
     // The cached list is empty: the node known so far is not in it.
     let known = serde_json::from_str(&list(41, true, "")).unwrap();
@@ -143,6 +144,14 @@
     assert_eq!(heads.lock().unwrap().len(), before, "nothing new once its grace is over");
     let watch = |from| format!("/registry/instances?from={from}&hold_ms=20000");
     assert_eq!(*calls.lock().unwrap(), [41, 43, 43, 43, 43, 50].map(watch));
+    // Discovery moves while a call is out: the watch goes on there, from the same version, nothing forgotten.
+    let (at, calls, tell) = discovery().await;
+    move_to.send_replace(at);
+    until(|| calls.lock().unwrap().len() == 1).await;
+    tell.send(list(51, false, &entry("s-1", address, "SERVING"))).unwrap();
+    until(|| calls.lock().unwrap().len() == 2).await;
+    assert_eq!(status(&fronts).await, "200");
+    assert_eq!(*calls.lock().unwrap(), [50, 51].map(watch));
 }
 
 #[tokio::test]
@@ -176,7 +185,23 @@
     }
     assert!(answer.ends_with("hello"), "{answer}");
     let id = program.id().unwrap().to_string();
-    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let signal = |name: &str| {
+        assert!(std::process::Command::new("kill").args([name, &id]).status().unwrap().success());
+    };
+    // A file that cannot be read changes nothing; one that names another discovery moves the watch there.
+    std::fs::write(&config, "{").unwrap();
+    signal("-HUP");
+    while !log.next_line().await.unwrap().expect("it goes on").contains("stays as it was") {}
+    let (at, calls, tell) = discovery().await;
+    std::fs::write(&config, configuration(at)).unwrap();
+    signal("-HUP");
+    until(|| calls.lock().unwrap().len() == 1).await;
+    assert_eq!(calls.lock().unwrap()[0], "/registry/instances?from=42&hold_ms=20000");
+    tell.send(list(43, false, "")).unwrap();
+    let answer = ask(listen, &get(2, "priority", 1, 2_000)).await;
+    assert!(answer.ends_with("hello"), "the nodes known before serve on: {answer}");
+    signal("-HUP");
+    signal("-TERM");
     let ended = tokio::time::timeout(Duration::from_secs(30), program.wait()).await.unwrap().unwrap();
     assert!(ended.success(), "{ended}");
     std::fs::remove_file(&config).unwrap();
