Put a gate on client connections: one request at a time, silent ones make way

Checked: descriptors stood at the bound (710 of 1024, all clients), CPU at a quarter, memory flat, no attempt late; so the places, not the work. Probes on raw sockets: hyper takes Content-Length beside Transfer-Encoding in either order and equal lengths twice (it drops the header, so no handler can see it), answers an early 413 and then resets, and waits for half a body for as long as the client's own deadline says. At fault: net::accept (places held for 2 s whoever waits, no drain), net::intake (lengths, ids in use, body time).

--- a/src/main.rs
+++ b/src/main.rs
@@ -80,7 +80,11 @@
     };
     let listener = TcpListener::bind(config.listen).await?;
     tracing::info!("{} listens on {}", config.name, listener.local_addr()?);
-    let first = accept::run(listener, accept::Front { core: handle, upstream, told, phase }, most);
+    let first = accept::run(
+        listener,
+        accept::Front { core: handle, upstream, told, phase, ids: Default::default() },
+        most,
+    );
     let fronts = async {
         tokio::join!(first, async {
             if let Some(second) = second {
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -1,30 +1,33 @@
 //! The listening end: connections, the readiness check, and the way of each request to its own task.
 
 use crate::core::Handle;
-use crate::net::intake::{self, IntakeError};
+use crate::net::gate::{self, Gate, Visit};
+use crate::net::intake::{self, IntakeError, OpenIds};
+use crate::net::places::Places;
 use crate::net::request;
 use crate::net::shutdown::Phase;
 use crate::net::upstream::Upstream;
 use crate::settings::Told;
 use axum::body::Body;
-use axum::extract::{Request, State};
+use axum::extract::{Request as AxumRequest, State};
 use axum::routing::get;
 use axum::Router;
-use http::{header, HeaderValue, Response, StatusCode};
+use http::{header, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::service::Service;
+use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{oneshot, watch, Semaphore};
+use tokio::sync::{oneshot, watch};
+use tokio::time::{timeout_at, Instant};
 
-/// How long a connection may be without a whole head, idle time included. Clients that ask once and keep their
-/// connection for good, or connect and say nothing, must not hold the places of those that have something to ask.
-const HEAD_PATIENCE: Duration = Duration::from_secs(2);
-/// The most read ahead from one connection.
-const READ_MOST: usize = 128 << 10;
 /// The wait after an accept that failed, as it does when descriptors run out.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -39,6 +42,8 @@
     pub told: Arc<Told>,
     /// Whether the front is ending.
     pub phase: watch::Receiver<Phase>,
+    /// The ids of all open requests.
+    pub ids: OpenIds,
 }
 
 /// Takes connections, at most `most` at once, until the front is closing; then finishes what was taken.
@@ -46,41 +51,67 @@
     let mut phase = front.phase.clone();
     let app = Router::new().route("/health/ready", get(ready)).fallback(take).with_state(front);
     let connections = GracefulShutdown::new();
-    let room = Arc::new(Semaphore::new(most));
-    loop {
+    let places = Places::new(most);
+    for number in 0.. {
         let next = async {
-            // A connection beyond the limit waits in the listen queue.
-            let permit = room.clone().acquire_owned().await;
-            (permit, listener.accept().await)
+            let (stream, _) = listener.accept().await?;
+            let _ = stream.set_nodelay(true);
+            let (gate, visit) = Gate::new(stream);
+            let place = places.take(number, &visit).await;
+            Ok::<_, std::io::Error>((gate, visit, place))
         };
-        let (permit, stream) = tokio::select! {
+        let next = tokio::select! {
             biased;
             next = next => next,
             _ = phase.wait_for(|p| *p == Phase::Closing) => break,
         };
-        let Ok((stream, _)) = stream else {
+        let Ok((gate, visit, place)) = next else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        let _ = stream.set_nodelay(true);
-        let service = TowerToHyperService::new(app.clone());
+        let service = Visited { app: TowerToHyperService::new(app.clone()), visit };
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_PATIENCE)
-            .max_buf_size(READ_MOST)
-            .serve_connection(TokioIo::new(stream), service);
+            .header_read_timeout(None)
+            .max_buf_size(gate::HEAD_MOST)
+            .serve_connection(TokioIo::new(gate), service);
         let connection = connections.watch(connection);
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 tracing::debug!("connection: {e}");
             }
-            drop(permit);
+            drop(place);
         });
     }
     drop(listener);
     connections.shutdown().await;
 }
 
+/// The application, as one connection's clients see it.
+struct Visited {
+    app: TowerToHyperService<Router>,
+    visit: Visit,
+}
+
+impl Service<Request<Incoming>> for Visited {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Response<Body>, Infallible>> + Send>>;
+
+    fn call(&self, mut request: Request<Incoming>) -> Self::Future {
+        request.extensions_mut().insert(self.visit.clone());
+        let (answer, visit) = (self.app.call(request), self.visit.clone());
+        Box::pin(async move {
+            let mut response = answer.await?;
+            // Answered before its request had come whole, or to an end that cannot be told: nothing that follows
+            // on this connection may be taken for a request.
+            if !visit.answered() {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok(response)
+        })
+    }
+}
+
 async fn ready(State(front): State<Front>) -> StatusCode {
     match *front.phase.borrow() {
         Phase::Ready => StatusCode::OK,
@@ -89,7 +120,7 @@
 }
 
 /// Takes one request from a client and waits for its final answer.
-async fn take(State(front): State<Front>, request: Request) -> Response<Body> {
+async fn take(State(front): State<Front>, request: AxumRequest) -> Response<Body> {
     let mut response = match admit(&front, request).await {
         Ok(answer) => answer.await.unwrap_or_else(|_| lost()),
         Err(why) => malformed(&why),
@@ -101,17 +132,27 @@
 }
 
 /// Reads a request and gives it a task of its own, which outlives this connection where it must.
-async fn admit(front: &Front, request: Request) -> Result<oneshot::Receiver<Response<Body>>, IntakeError> {
-    let clock = front.core.clock;
-    let came = clock.now();
+async fn admit(
+    front: &Front,
+    request: AxumRequest,
+) -> Result<oneshot::Receiver<Response<Body>>, IntakeError> {
     let (parts, body) = request.into_parts();
+    let visit = parts.extensions.get::<Visit>().cloned();
+    if visit.as_ref().is_some_and(Visit::doubtful) {
+        return Err(IntakeError::Framing);
+    }
     let (mut wanted, patience) = intake::head(&front.told, &parts)?;
-    wanted.give_up = came + patience.as_micros() as i64;
-    let parcel = tokio::time::timeout(patience, intake::parcel(parts, body))
-        .await
-        .unwrap_or(Err(IntakeError::Slow))?;
+    let due = visit.map_or_else(Instant::now, |v| v.due());
+    let parcel = timeout_at(due, intake::parcel(parts, body)).await.unwrap_or(Err(IntakeError::Slow))?;
+    // A request's time runs from its last byte, however slowly it came.
+    wanted.give_up = front.core.clock.now() + patience.as_micros() as i64;
+    let one = front.ids.take(&parcel.id).ok_or(IntakeError::Open)?;
     let (client, answer) = oneshot::channel();
-    tokio::spawn(request::serve(front.core.clone(), front.upstream.clone(), wanted, parcel, client));
+    let life = request::serve(front.core.clone(), front.upstream.clone(), wanted, parcel, client);
+    tokio::spawn(async move {
+        life.await;
+        drop(one);
+    });
     Ok(answer)
 }
 
--- /dev/null
+++ b/src/net/gate.rs
@@ -0,0 +1,346 @@
+//! The gate on a client's connection, between the socket and the HTTP library.
+//!
+//! It hands on one request at a time: a head only once it is whole, no more body than the head promises, and the
+//! next head only after the answer. So a connection is always in one known [`Stage`], its times run from bytes that
+//! really came, and one that holds no request can be closed for another client. It also looks at what the library
+//! passes over in silence: it drops a `Content-Length` beside a `Transfer-Encoding`, and takes equal lengths twice.
+
+use bytes::BytesMut;
+use std::future::Future;
+use std::io::{Error, ErrorKind, Result};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{ready, Context, Poll, Waker};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Instant, Sleep};
+
+/// The longest head.
+pub const HEAD_MOST: usize = 16 << 10;
+/// The most header fields; the library's own bound.
+const FIELDS_MOST: usize = 100;
+/// How long a connection may be without a request. Clients that ask once and keep their connection for good, or
+/// connect and say nothing, must not hold the places of those that have something to ask.
+const IDLE: Duration = Duration::from_secs(2);
+/// How long a request may take to come whole, from its first byte; a connection's first one, from the connect.
+const WHOLE: Duration = Duration::from_millis(2_800);
+/// How long an answer may take to leave.
+const LEAVE: Duration = Duration::from_secs(10);
+/// How long, and for how many bytes, a client that is still sending is heard out after its answer: closed with
+/// input unread, the connection would be reset, and the answer lost on its way.
+const LINGER: Duration = Duration::from_secs(2);
+const LINGER_MOST: usize = 64 << 20;
+/// Bytes read at once, and reads in one turn: a client at full speed must not keep the thread from the others.
+const PIECE: usize = 16 << 10;
+const PIECES: usize = 16;
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Between requests, or within a head.
+    Head,
+    /// Within a body; this much of it is to come.
+    Body(u64),
+    /// The request is whole; its answer is awaited.
+    Answer,
+    /// Whatever comes belongs to the last request of this connection: its end is for the library to find, or it
+    /// cannot be told.
+    Last,
+}
+
+/// How a head frames its body.
+enum Framed {
+    Length(u64),
+    Chunked,
+    /// Lengths that contradict each other, so that the body may hide another request.
+    Doubtful,
+}
+
+/// The bytes of one connection on their way to the library.
+#[derive(Debug)]
+pub struct Framing {
+    stage: Stage,
+    held: BytesMut,
+    /// How much of what is held may be handed on.
+    passing: usize,
+    doubtful: bool,
+    /// No answer has gone out on this connection yet.
+    first: bool,
+    /// When the connection came up, its last answer went out, or the first byte after that came.
+    since: Instant,
+    /// Its place is wanted for another client.
+    closing: bool,
+    reader: Option<Waker>,
+}
+
+impl Framing {
+    /// A connection that came up now.
+    pub fn new(now: Instant) -> Self {
+        Framing {
+            stage: Stage::Head,
+            held: BytesMut::new(),
+            passing: 0,
+            doubtful: false,
+            first: true,
+            since: now,
+            closing: false,
+            reader: None,
+        }
+    }
+
+    /// Where the connection stands.
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Takes bytes that came.
+    pub fn feed(&mut self, now: Instant, bytes: &[u8]) {
+        if self.stage == Stage::Head && self.held.is_empty() && !self.first {
+            self.since = now;
+        }
+        self.held.extend_from_slice(bytes);
+        self.advance(bytes.contains(&b'\n'));
+    }
+
+    /// Takes what may be handed on, at most this much.
+    pub fn hand_on(&mut self, most: usize) -> BytesMut {
+        let n = self.passing.min(most);
+        self.passing -= n;
+        self.held.split_to(n)
+    }
+
+    /// The answer is on its way. True: the request had come whole, and the next may follow.
+    pub fn answered(&mut self, now: Instant) -> bool {
+        let whole = self.stage == Stage::Answer;
+        if whole {
+            (self.stage, self.since, self.first) = (Stage::Head, now, false);
+            self.advance(true);
+        }
+        whole
+    }
+
+    /// Whether a request is open here, in part or whole.
+    fn idle(&self) -> bool {
+        self.stage == Stage::Head && self.held.is_empty()
+    }
+
+    /// When the patience with this stage is over.
+    fn due(&self) -> Instant {
+        self.since + if self.idle() { IDLE } else { WHOLE }
+    }
+
+    fn advance(&mut self, line: bool) {
+        if self.stage == Stage::Head && line {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MOST];
+            let mut head = httparse::Request::new(&mut fields);
+            match head.parse(&self.held) {
+                Ok(httparse::Status::Partial) => {}
+                Ok(httparse::Status::Complete(length)) => {
+                    self.stage = match framed(head.headers) {
+                        Framed::Length(0) => Stage::Answer,
+                        Framed::Length(body) => Stage::Body(body),
+                        Framed::Chunked => Stage::Last,
+                        Framed::Doubtful => {
+                            self.doubtful = true;
+                            Stage::Last
+                        }
+                    };
+                    self.passing = length;
+                }
+                // The library says what is wrong with it, and that ends the connection.
+                Err(_) => self.stage = Stage::Last,
+            }
+        }
+        let rest = self.held.len() - self.passing;
+        match &mut self.stage {
+            Stage::Head if rest >= HEAD_MOST => (self.stage, self.passing) = (Stage::Last, self.held.len()),
+            Stage::Body(left) => {
+                let more = usize::try_from(*left).unwrap_or(usize::MAX).min(rest);
+                self.passing += more;
+                *left -= more as u64;
+                if *left == 0 {
+                    self.stage = Stage::Answer;
+                }
+            }
+            Stage::Last => self.passing = self.held.len(),
+            _ => {}
+        }
+    }
+}
+
+/// How the head frames its body, where nothing speaks against it.
+fn framed(fields: &[httparse::Header]) -> Framed {
+    let all = |name: &str| -> Vec<&[u8]> {
+        fields.iter().filter(|f| f.name.eq_ignore_ascii_case(name)).map(|f| f.value.trim_ascii()).collect()
+    };
+    match (all("content-length").as_slice(), all("transfer-encoding").as_slice()) {
+        ([], []) => Framed::Length(0),
+        ([length], []) => {
+            let plain = std::str::from_utf8(length).ok().filter(|l| l.bytes().all(|b| b.is_ascii_digit()));
+            plain.and_then(|l| l.parse().ok()).map_or(Framed::Doubtful, Framed::Length)
+        }
+        ([], [coding]) if coding.eq_ignore_ascii_case(b"chunked") => Framed::Chunked,
+        _ => Framed::Doubtful,
+    }
+}
+
+/// One client's connection, as those see it who do not own its socket.
+#[derive(Clone, Debug)]
+pub struct Visit(Arc<Mutex<Framing>>);
+
+impl Visit {
+    fn framing(&self) -> MutexGuard<'_, Framing> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the lengths of the request in hand contradict each other.
+    pub fn doubtful(&self) -> bool {
+        self.framing().doubtful
+    }
+
+    /// When the request in hand must have come whole.
+    pub fn due(&self) -> Instant {
+        self.framing().due()
+    }
+
+    /// The answer is on its way; false: the connection cannot serve another request.
+    pub fn answered(&self) -> bool {
+        let mut f = self.framing();
+        // The library does not look for the next request by itself: it waits for a wake-up from the last look.
+        if let Some(reader) = f.reader.take() {
+            reader.wake();
+        }
+        f.answered(Instant::now())
+    }
+
+    /// Since when the connection has no whole head in hand, if so; true: and nothing of one.
+    pub fn waiting(&self) -> Option<(bool, Instant)> {
+        let f = self.framing();
+        (f.stage == Stage::Head && !f.closing).then(|| (f.idle(), f.since))
+    }
+
+    /// Closes the connection unless a whole request comes first.
+    pub fn close(&self) {
+        let mut f = self.framing();
+        f.closing = true;
+        if let Some(reader) = f.reader.take() {
+            reader.wake();
+        }
+    }
+}
+
+/// The connection's socket, as the library sees it.
+pub struct Gate {
+    stream: TcpStream,
+    visit: Visit,
+    patience: Pin<Box<Sleep>>,
+    /// Nothing more comes from the client, or nothing more is wanted.
+    ended: bool,
+    /// Our side is closed.
+    finished: bool,
+    heard_out: usize,
+}
+
+impl Gate {
+    /// A gate on a connection that came up now.
+    pub fn new(stream: TcpStream) -> (Gate, Visit) {
+        let framing = Framing::new(Instant::now());
+        let patience = Box::pin(sleep_until(framing.due()));
+        let visit = Visit(Arc::new(Mutex::new(framing)));
+        let gate =
+            Gate { stream, visit: visit.clone(), patience, ended: false, finished: false, heard_out: 0 };
+        (gate, visit)
+    }
+
+    fn patience_over(&mut self, cx: &mut Context<'_>, due: Instant) -> bool {
+        if self.patience.deadline() != due {
+            self.patience.as_mut().reset(due);
+        }
+        self.patience.as_mut().poll(cx).is_ready()
+    }
+}
+
+impl AsyncRead for Gate {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<Result<()>> {
+        let this = &mut *self;
+        let visit = this.visit.clone();
+        loop {
+            let mut framing = visit.framing();
+            if framing.passing > 0 {
+                out.put_slice(&framing.hand_on(out.remaining()));
+                return Poll::Ready(Ok(()));
+            }
+            framing.reader = Some(cx.waker().clone());
+            // What was sent ahead waits for its turn; the library looks again after its answer.
+            if framing.stage == Stage::Answer && framing.held.len() >= HEAD_MOST {
+                return Poll::Pending;
+            }
+            let mut piece = [0; PIECE];
+            let mut piece = ReadBuf::new(&mut piece);
+            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
+                Poll::Ready(Ok(())) if !piece.filled().is_empty() => {
+                    framing.feed(Instant::now(), piece.filled());
+                    continue;
+                }
+                Poll::Ready(end) => {
+                    this.ended = true;
+                    return Poll::Ready(end);
+                }
+                Poll::Pending => {}
+            }
+            let (due, closing) = (framing.due(), framing.closing);
+            if framing.stage == Stage::Head && (closing || this.patience_over(cx, due)) {
+                // To the library this is a client that closed between two requests. Nothing is owed to it.
+                this.ended = true;
+                return Poll::Ready(Ok(()));
+            }
+            return Poll::Pending;
+        }
+    }
+}
+
+impl AsyncWrite for Gate {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        if let done @ Poll::Ready(_) = Pin::new(&mut self.stream).poll_write(cx, bytes) {
+            return done;
+        }
+        // A client that takes no answer must not hold its place for good.
+        let due = self.visit.framing().since + LEAVE;
+        if self.patience_over(cx, due) {
+            return Poll::Ready(Err(Error::new(ErrorKind::TimedOut, "the client takes no answer")));
+        }
+        Poll::Pending
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        let this = &mut *self;
+        if !this.finished {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.finished = true;
+            this.patience.as_mut().reset(Instant::now() + LINGER);
+        }
+        if this.ended || this.visit.framing().idle() {
+            return Poll::Ready(Ok(()));
+        }
+        for _ in 0..PIECES {
+            let mut piece = [0; PIECE];
+            let mut piece = ReadBuf::new(&mut piece);
+            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
+                Poll::Ready(Ok(())) if !piece.filled().is_empty() => this.heard_out += piece.filled().len(),
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending if this.patience.as_mut().poll(cx).is_ready() => return Poll::Ready(Ok(())),
+                Poll::Pending => return Poll::Pending,
+            }
+            if this.heard_out > LINGER_MOST {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -7,6 +7,8 @@
 use http::header::HeaderName;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use http_body_util::{BodyExt, Limited};
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// The longest body either way.
@@ -46,7 +48,13 @@
     /// The body broke off.
     #[error("the body broke off")]
     Body,
-    /// The body did not come within the client's own deadline.
+    /// Its lengths contradict each other: a body may hide another request.
+    #[error("content-length and transfer-encoding contradict each other")]
+    Framing,
+    /// Another request with this id is open. A node could not tell one from the other.
+    #[error("a request with this x-request-id is open")]
+    Open,
+    /// The body did not come in time.
     #[error("the body did not come in time")]
     Slow,
 }
@@ -57,11 +65,33 @@
         match self {
             IntakeError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             IntakeError::Slow => StatusCode::REQUEST_TIMEOUT,
+            IntakeError::Open => StatusCode::CONFLICT,
             _ => StatusCode::BAD_REQUEST,
         }
     }
 }
 
+/// The ids of all open requests of this front.
+#[derive(Clone, Default)]
+pub struct OpenIds(Arc<Mutex<HashSet<HeaderValue>>>);
+
+/// An id in use, until it is dropped.
+pub struct OpenId(OpenIds, HeaderValue);
+
+impl OpenIds {
+    /// Marks an id as in use; none where it is already.
+    pub fn take(&self, id: &HeaderValue) -> Option<OpenId> {
+        let new = self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        new.then(|| OpenId(self.clone(), id.clone()))
+    }
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.0 .0.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.1);
+    }
+}
+
 /// What passes on to a node unchanged.
 #[derive(Clone, Debug)]
 pub struct Parcel {
@@ -79,6 +109,10 @@
 
 /// Reads the head: what the decisions need, with the client's patience in place of the time it ends.
 pub fn head(told: &Told, parts: &http::request::Parts) -> Result<(Request, Duration), IntakeError> {
+    let length = parts.headers.get(http::header::CONTENT_LENGTH).and_then(|l| l.to_str().ok()?.parse().ok());
+    if length.is_some_and(|l: u64| l > LONGEST_BODY as u64) {
+        return Err(IntakeError::TooLong);
+    }
     let path = parts.uri.path();
     let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
     let class = told.classes.iter().position(|c| c == first).ok_or(IntakeError::Class)?;
--- a/src/rsync/daemon.rs
+++ b/src/rsync/daemon.rs
@@ -13,8 +13,9 @@
 use tokio::sync::{watch, Mutex, Semaphore};
 use tokio::task::JoinSet;
 
-/// How long a client may take for its handshake and arguments.
-const HANDSHAKE: Duration = Duration::from_secs(10);
+/// How long a client may take for its handshake and arguments: one that connects and says nothing must not hold
+/// its place for long.
+const HANDSHAKE: Duration = Duration::from_secs(3);
 /// How long it may take to ask for the next file.
 const IDLE: Duration = Duration::from_secs(60);
 /// The most arguments.
--- a/tests/common/front.rs
+++ b/tests/common/front.rs
@@ -86,7 +86,13 @@
     let (http, rsync) = (a.local_addr().unwrap(), b.local_addr().unwrap());
     tokio::spawn(core.run());
     let upstream = Upstream::new(&told, clock);
-    let front = accept::Front { core: handle.clone(), upstream, told: Arc::new(told), phase: seen.clone() };
+    let front = accept::Front {
+        core: handle.clone(),
+        upstream,
+        told: Arc::new(told),
+        phase: seen.clone(),
+        ids: Default::default(),
+    };
     let connect = Duration::from_millis(500);
     let second = daemon::Front { core: handle.clone(), config: Arc::new(config), connect, phase: seen };
     let ended = tokio::spawn(async move {
