Keep connections to nodes in the front's own hands, so that no leftover is served

Ruled out: a setting of the library (hyper-util's pool hands a connection on when the body has ended and cannot be asked to wait or look). At fault: Upstream.client.

--- a/src/main.rs
+++ b/src/main.rs
@@ -59,14 +59,14 @@
             }
         });
     }
-    let upstream = Upstream::new(&told, clock);
+    // A client of the rsync front holds two descriptors, its own and one to a server.
+    let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
+    let upstream = Upstream::new(&told, clock, config.limits.nodes(second));
     let core = tokio::spawn(core.run());
     let watch = Watch { address: discovery, zones: told.zones.clone(), epoch };
     tokio::spawn(watch.run(handle.clone(), config.known));
     tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
 
-    // A client of the rsync front holds two descriptors, its own and one to a server.
-    let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
     let most = config.limits.clients(second);
     let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
     let second = match rsync {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -52,6 +52,11 @@
     pub fn clients(&self, second: usize) -> usize {
         (self.sockets.saturating_sub(OWN + second) * 2 / 3).max(1)
     }
+
+    /// How many descriptors connections to nodes may hold: what clients, the rsync front and the program leave.
+    pub fn nodes(&self, second: usize) -> usize {
+        self.sockets.saturating_sub(OWN + second + self.clients(second)).max(1)
+    }
 }
 
 impl Default for Limits {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod gate;
 pub mod intake;
+pub mod line;
 pub mod places;
 pub mod probe;
 pub mod reload;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,19 +2,15 @@
 
 use crate::core::{Attempt, Clock};
 use crate::net::intake::{Parcel, DEADLINE, IDEMPOTENCY_KEY, LONGEST_BODY, REQUEST_ID};
+use crate::net::line::{Line, LineError, Lines, Spoilt};
 use crate::settings::{micros, Told};
 use crate::*;
 use bytes::Bytes;
-use http::{HeaderMap, StatusCode};
+use http::{header, HeaderMap, Request as HttpRequest, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::connect::{capture_connection, HttpConnector};
-use hyper_util::client::legacy::{Client, Error};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Idle connections kept for each node; the module's own bound on requests out there is below this.
-const IDLE_MOST: usize = 24;
 /// Part of a node's idle time (in tenths) that a connection is kept here: any request written to one that the
 /// node has just closed would end as a reset.
 const IDLE_TENTHS: Micros = 6;
@@ -22,7 +18,7 @@
 /// The way to the nodes.
 #[derive(Clone)]
 pub struct Upstream {
-    client: Client<HttpConnector, Full<Bytes>>,
+    lines: Lines,
     clock: Clock,
     columns: std::sync::Arc<[String]>,
 }
@@ -45,85 +41,81 @@
 }
 
 impl Upstream {
-    /// Connections as the settings want them.
-    pub fn new(told: &Told, clock: Clock) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_micros(told.connect_timeout.max(1) as u64)));
-        let idle = Duration::from_micros((told.conn_idle * IDLE_TENTHS / 10).max(0) as u64);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(idle)
-            .pool_max_idle_per_host(IDLE_MOST)
-            // A resend that the module did not decide would be an attempt that nobody counts.
-            .retry_canceled_requests(false)
-            .build(connector);
-        Upstream { client, clock, columns: told.columns.clone().into() }
+    /// Connections as the settings want them, at most this many.
+    pub fn new(told: &Told, clock: Clock, most: usize) -> Self {
+        let span = |us: Micros| Duration::from_micros(us.max(1) as u64);
+        let lines = Lines::new(most, span(told.connect_timeout), span(told.conn_idle * IDLE_TENTHS / 10));
+        Upstream { lines, clock, columns: told.columns.clone().into() }
     }
 
     /// Makes one attempt. Dropped, it closes the attempt's connection.
     pub async fn attempt(&self, parcel: Parcel, attempt: Attempt) -> Ended {
-        let left = (attempt.until - self.clock.now()).max(0);
-        let uri = http::Uri::builder()
-            .scheme("http")
-            .authority(attempt.to.address.to_string())
-            .path_and_query(parcel.target)
-            .build();
-        let request = uri.and_then(|uri| {
-            let mut request =
-                http::Request::builder().method(parcel.method).uri(uri).header(&REQUEST_ID, parcel.id);
-            if let Some(key) = parcel.key {
-                request = request.header(&IDEMPOTENCY_KEY, key);
-            }
-            request.header(&DEADLINE, format!("{left}u")).body(Full::new(parcel.body))
-        });
-        let Ok(mut request) = request else { return Outcome::Moot.into() };
-        // The connection is chosen and the request handed to it in one step: while none is, nothing was written.
-        let connection = capture_connection(&mut request);
-        let written = || connection.connection_metadata().is_some();
-        let exchange = self.exchange(request);
-        tokio::pin!(exchange);
         let late = tokio::time::sleep_until(self.clock.instant(attempt.until));
-        let drained = attempt.to.stopped(self.clock);
-        tokio::pin!(drained);
-        let mut told = false;
-        let ended = async {
-            tokio::pin!(late);
-            loop {
-                tokio::select! {
-                    biased;
-                    // Told to drain while the connection was still coming up: this send must not go out any more.
-                    () = &mut drained, if !told => {
-                        if !written() {
-                            return Outcome::ConnectFailed.into();
-                        }
-                        told = true;
-                    }
-                    end = &mut exchange => return end.unwrap_or_else(|e| failed(&e, written()).into()),
-                    () = &mut late => {
-                        return if written() { Outcome::Timeout } else { Outcome::ConnectFailed }.into();
-                    }
-                }
-            }
+        tokio::pin!(late);
+        let line = tokio::select! {
+            biased;
+            // Told to drain while the connection was still coming up: this send must not go out any more.
+            () = attempt.to.stopped(self.clock) => return Outcome::ConnectFailed.into(),
+            line = self.lines.line(attempt.to.address) => line,
+            () = &mut late => return Outcome::ConnectFailed.into(),
         };
-        ended.await
-    }
-
-    async fn exchange(&self, request: http::Request<Full<Bytes>>) -> Result<Ended, Error> {
-        let answer = self.client.request(request).await?;
-        let (head, body) = answer.into_parts();
-        let load = self.load(&head.headers);
-        // The whole answer first: one that breaks off must not have begun at the client.
-        let Ok(body) = Limited::new(body, LONGEST_BODY).collect().await else {
-            return Ok(Outcome::Reset.into());
+        let mut line = match line {
+            Ok(line) => line,
+            Err(why) => return unconnected(&why).into(),
         };
-        let not_run = head.headers.get("x-not-run").is_some_and(|v| v.as_bytes() == b"1");
-        let outcome = match head.status {
-            StatusCode::OK => Outcome::Ok,
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
-            _ => Outcome::Error,
+        let left = (attempt.until - self.clock.now()).max(0);
+        let mut request = HttpRequest::builder()
+            .method(parcel.method)
+            .uri(http::Uri::from(parcel.target))
+            .header(header::HOST, attempt.to.address.to_string())
+            .header(&REQUEST_ID, parcel.id);
+        if let Some(key) = parcel.key {
+            request = request.header(&IDEMPOTENCY_KEY, key);
+        }
+        let request = request.header(&DEADLINE, format!("{left}u")).body(Full::new(parcel.body));
+        let Ok(request) = request else { return Outcome::Moot.into() };
+        let exchange = tokio::select! {
+            biased;
+            end = self.exchange(&mut line, request) => end,
+            () = &mut late => return if line.written() { Outcome::Timeout } else { Outcome::ConnectFailed }.into(),
         };
-        Ok(Ended { outcome, body: body.to_bytes(), load })
+        self.settle(line, exchange).await
+    }
+
+    async fn exchange(&self, line: &mut Line, request: HttpRequest<Full<Bytes>>) -> Result<Ended, Spoilt> {
+        line.exchange(request, |answer| async {
+            let (head, body) = answer.into_parts();
+            if head.headers.contains_key(header::TRANSFER_ENCODING)
+                && head.headers.contains_key(header::CONTENT_LENGTH)
+            {
+                return Err(Spoilt::Lengths);
+            }
+            // The whole answer first: one that breaks off must not have begun at the client.
+            let body = Limited::new(body, LONGEST_BODY).collect().await.map_err(Spoilt::Body)?;
+            let not_run = head.headers.get("x-not-run").is_some_and(|v| v.as_bytes() == b"1");
+            let outcome = match head.status {
+                StatusCode::OK => Outcome::Ok,
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
+                _ => Outcome::Error,
+            };
+            Ok(Ended { outcome, body: body.to_bytes(), load: self.load(&head.headers) })
+        })
+        .await
+    }
+
+    /// What the end of an exchange proves; its connection is kept where the answer was whole.
+    async fn settle(&self, line: Line, exchange: Result<Ended, Spoilt>) -> Ended {
+        match exchange {
+            Ok(ended) => {
+                self.lines.keep(line).await;
+                ended
+            }
+            Err(why) => {
+                tracing::debug!("attempt: {why}");
+                // Only where its last byte was never written did it provably not run.
+                if line.written() { Outcome::Reset } else { Outcome::ConnectFailed }.into()
+            }
+        }
     }
 
     fn load(&self, headers: &HeaderMap) -> Option<Load> {
@@ -133,33 +125,35 @@
     /// Looks at a node once: whether it answers, how long that took, and its load report.
     pub async fn probe(&self, address: SocketAddr, patience: Duration) -> Ended {
         let path = if self.columns.is_empty() { "/health/live" } else { "/stats" };
-        let request = http::Request::get(format!("http://{address}{path}")).body(Full::default());
-        let Ok(mut request) = request else { return Outcome::Moot.into() };
-        let connection = capture_connection(&mut request);
-        let written = || connection.connection_metadata().is_some();
-        match tokio::time::timeout(patience, self.exchange(request)).await {
-            Ok(Ok(mut ended)) => {
-                let text = std::str::from_utf8(&ended.body).unwrap_or("");
-                ended.load = ended.load.or_else(|| report(text, &self.columns));
-                ended
-            }
-            Ok(Err(e)) => failed(&e, written()).into(),
-            Err(_) if written() => Outcome::Timeout.into(),
-            Err(_) => Outcome::ConnectFailed.into(),
-        }
+        let request = HttpRequest::get(path).header(header::HOST, address.to_string()).body(Full::default());
+        let Ok(request) = request else { return Outcome::Moot.into() };
+        let late = tokio::time::sleep(patience);
+        tokio::pin!(late);
+        let line = tokio::select! {
+            line = self.lines.line(address) => line,
+            () = &mut late => return Outcome::ConnectFailed.into(),
+        };
+        let mut line = match line {
+            Ok(line) => line,
+            Err(why) => return unconnected(&why).into(),
+        };
+        let exchange = tokio::select! {
+            end = self.exchange(&mut line, request) => end,
+            () = &mut late => return Outcome::Timeout.into(),
+        };
+        let mut ended = self.settle(line, exchange).await;
+        let text = std::str::from_utf8(&ended.body).unwrap_or("");
+        ended.load = ended.load.or_else(|| report(text, &self.columns));
+        ended
     }
 }
 
-/// What a failed exchange proves. Only where no byte can have been written did it never run; a request handed
-/// back unsent is marked as canceled by the library.
-fn failed(error: &Error, written: bool) -> Outcome {
-    use std::error::Error as _;
-    let unsent =
-        error.source().and_then(|e| e.downcast_ref::<hyper::Error>()).is_some_and(|e| e.is_canceled());
-    if error.is_connect() || !written || unsent {
-        Outcome::ConnectFailed
-    } else {
-        Outcome::Reset
+/// Without a connection nothing was sent; where only our own descriptors are short, that tells nothing of the node.
+fn unconnected(why: &LineError) -> Outcome {
+    tracing::debug!("attempt: {why}");
+    match why {
+        LineError::NoRoom => Outcome::Moot,
+        _ => Outcome::ConnectFailed,
     }
 }
 
--- a/tests/common/front.rs
+++ b/tests/common/front.rs
@@ -85,7 +85,7 @@
         (TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
     let (http, rsync) = (a.local_addr().unwrap(), b.local_addr().unwrap());
     tokio::spawn(core.run());
-    let upstream = Upstream::new(&told, clock);
+    let upstream = Upstream::new(&told, clock, 64);
     let front = accept::Front {
         core: handle.clone(),
         upstream,
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -116,7 +116,7 @@
     let (core, handle, _targets) = Core::new(told().module, 3, clock);
     tokio::spawn(core.run());
     handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
-    let upstream = Upstream::new(&told(), clock);
+    let upstream = Upstream::new(&told(), clock, 64);
     let mut closed = BTreeSet::new();
     for step in steps {
         let exchange = upstream.attempt(parcel(), attempt(&handle, address).await);
@@ -156,3 +156,25 @@
     }
     QuickCheck::new().tests(60).quickcheck(holds as fn(Vec<Step>) -> bool);
 }
+
+#[tokio::test]
+async fn where_no_descriptor_is_left_an_attempt_was_never_sent() {
+    let (address, mut came) = scripted(vec![Step::Silent, Step::Silent]).await;
+    let clock = Clock::start();
+    let (core, handle, _targets) = Core::new(told().module, 3, clock);
+    tokio::spawn(core.run());
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
+    let upstream = Upstream::new(&told(), clock, 2);
+    let mut out = Vec::new();
+    for _ in 0..2 {
+        let (upstream, attempt) = (upstream.clone(), attempt(&handle, address).await);
+        out.push(tokio::spawn(async move { upstream.attempt(parcel(), attempt).await }));
+        came.recv().await.expect("the node has it");
+    }
+    let third = upstream.attempt(parcel(), attempt(&handle, address).await).await;
+    assert_eq!(third.outcome, Outcome::Moot, "it tells nothing of the node");
+    // Given up, an attempt leaves its descriptor to others.
+    out.remove(0).abort();
+    let fourth = upstream.attempt(parcel(), attempt(&handle, address).await).await;
+    assert_eq!(fourth.outcome, Outcome::Reset);
+}
