Forget nodes that are gone and volumes whose limit has refilled

Ruled out: request, attempt and flow tables, the pool and the places, which empty themselves. A forgotten volume starts with a full bucket once its limit has refilled, so nothing is given away before that.

Tests in core::nodes and tests/tags.rs, which fail without it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -87,6 +87,7 @@
     sent: f64,
     tokens: f64,
     filled: Micros,
+    refill: Micros,
     hosts: f64,
     waiting: f64,
     reserve: f64,
@@ -204,6 +205,13 @@
         Brain { cfg, seed, weight_sum, least, target, crowd, best, longest_try, ..Brain::default() }
     }
 
+    /// How much is remembered of volumes, nodes, requests and attempts.
+    pub fn remembers(&self) -> usize {
+        let at = |n: &Node| 1 + n.flows.len() + n.queue.len() + n.out.len();
+        let nodes: usize = self.nodes.values().map(at).sum();
+        nodes + self.volumes.len() + self.open.len() + self.attempts.len() + self.ends.len()
+    }
+
     /// A random number in 0..1, from the seed alone.
     fn random(&mut self) -> f64 {
         self.seed = self.seed.wrapping_add(1);
@@ -284,8 +292,8 @@
             n.flows.retain(|_, f| now - f.last < IDLE_AGE);
         }
         let (open, attempts) = (&self.open, &self.attempts);
-        // A volume with a limit stays: its bucket must not be forgotten.
-        self.volumes.retain(|_, v| now - v.last < IDLE_AGE || v.hosts > 0.0);
+        // A volume with a limit stays until its bucket is full: forgotten sooner, it would be filled.
+        self.volumes.retain(|_, v| now - v.last < v.refill.max(IDLE_AGE));
         self.lines.retain(|_, l| {
             while l.ids.front().is_some_and(|id| !open.contains_key(id) && !still_out(attempts, *id)) {
                 l.ids.pop_front();
@@ -652,7 +660,7 @@
         let rate = limit.rate / v.hosts * PART_USED;
         let most = (limit.burst + limit.slack) / v.hosts * PART_USED;
         v.tokens = (v.tokens + rate * (now - v.filled).max(0) as f64 / 1e6).min(most);
-        v.filled = now;
+        (v.filled, v.refill) = (now, (most / rate * 1e6) as Micros);
         Some((v.tokens, rate))
     }
 
--- a/src/core/nodes.rs
+++ b/src/core/nodes.rs
@@ -2,7 +2,7 @@
 
 use super::Clock;
 use crate::*;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -11,6 +11,9 @@
 /// the way to the node and a late turn.
 const GRACE_TENTHS: Micros = 9;
 
+/// How long a node that is gone is remembered; longer than any attempt to it lasts.
+const FORGET: Micros = 60_000_000;
+
 /// A node as discovery lists it, by name and address.
 #[derive(Clone, Debug)]
 pub struct Listing {
@@ -51,7 +54,13 @@
             let at = *stop_at.borrow_and_update();
             tokio::select! {
                 () = tokio::time::sleep_until(clock.instant(at)), if at != Micros::MAX => return,
-                changed = stop_at.changed() => if changed.is_err() { return std::future::pending().await },
+                // Forgotten: what was told last holds.
+                changed = stop_at.changed() => if changed.is_err() {
+                    match at {
+                        Micros::MAX => return std::future::pending().await,
+                        at => return tokio::time::sleep_until(clock.instant(at)).await,
+                    }
+                },
             }
         }
     }
@@ -60,13 +69,16 @@
 struct Known {
     target: Target,
     stop: watch::Sender<Micros>,
+    /// When it was told to be gone.
+    gone: Option<Micros>,
 }
 
-/// All nodes ever named to this front.
+/// The nodes named to this front, until they have been gone for a while.
 #[derive(Default)]
 pub(super) struct Nodes {
-    ids: HashMap<Arc<str>, usize>,
-    known: Vec<Known>,
+    ids: HashMap<Arc<str>, NodeId>,
+    known: BTreeMap<NodeId, Known>,
+    named: u32,
 }
 
 impl Nodes {
@@ -78,50 +90,85 @@
         kind: ListKind,
         list: Vec<Listing>,
     ) -> Vec<NodeEntry> {
-        let mut named = vec![false; self.known.len()];
-        let mut entries = Vec::with_capacity(list.len());
         let until = now + grace * GRACE_TENTHS / 10;
+        let mut listed = BTreeSet::new();
+        let mut entries = Vec::with_capacity(list.len());
         for l in list {
-            let at = self.place(&l);
-            if let Some(n) = named.get_mut(at) {
-                *n = true;
-            }
-            let known = &mut self.known[at];
+            let node = self.place(&l);
+            let Some(known) = self.known.get_mut(&node) else { continue };
+            listed.insert(node);
             known.target.address = l.address;
-            known.stop.send_if_modified(|stop| match l.state {
-                NodeState::Ready => std::mem::replace(stop, Micros::MAX) != Micros::MAX,
-                _ => std::mem::replace(stop, until.min(*stop)) > until,
-            });
-            entries.push(NodeEntry {
-                node: known.target.node,
-                state: l.state,
-                zone: l.zone,
-                shard: l.shard,
-                started: l.started,
-                size: l.size,
-            });
+            match l.state {
+                NodeState::Ready => known.stop(|_| Micros::MAX),
+                _ => known.stop(|at| until.min(at)),
+            }
+            known.gone = (l.state == NodeState::Gone).then(|| known.gone.unwrap_or(now));
+            let (state, zone, shard, started, size) = (l.state, l.zone, l.shard, l.started, l.size);
+            entries.push(NodeEntry { node, state, zone, shard, started, size });
         }
         if kind != ListKind::Delta {
-            for (known, _) in self.known.iter().zip(named).filter(|(_, named)| !named) {
-                known.stop.send_if_modified(|stop| std::mem::replace(stop, until.min(*stop)) > until);
+            for (_, known) in self.known.iter_mut().filter(|(node, _)| !listed.contains(node)) {
+                known.stop(|at| until.min(at));
+                known.gone = known.gone.or(Some(now));
             }
         }
+        // Nodes come and go all day under ever new names.
+        self.known.retain(|_, known| known.gone.is_none_or(|at| now - at < FORGET));
+        self.ids.retain(|_, node| self.known.contains_key(node));
         entries
     }
 
-    fn place(&mut self, l: &Listing) -> usize {
-        if let Some(at) = self.ids.get(l.name.as_str()) {
-            return *at;
+    fn place(&mut self, l: &Listing) -> NodeId {
+        if let Some(node) = self.ids.get(l.name.as_str()) {
+            return *node;
         }
-        let (at, name): (usize, Arc<str>) = (self.known.len(), l.name.as_str().into());
+        let (node, name): (NodeId, Arc<str>) = (NodeId(self.named), l.name.as_str().into());
+        self.named += 1;
         let (stop, stop_at) = watch::channel(Micros::MAX);
-        let node = NodeId(at as u32);
-        self.ids.insert(name.clone(), at);
-        self.known.push(Known { target: Target { node, name, address: l.address, stop_at }, stop });
-        at
+        self.ids.insert(name.clone(), node);
+        let target = Target { node, name, address: l.address, stop_at };
+        self.known.insert(node, Known { target, stop, gone: None });
+        node
     }
 
     pub(super) fn target(&self, node: NodeId) -> Option<Target> {
-        self.known.get(node.0 as usize).map(|k| k.target.clone())
+        self.known.get(&node).map(|k| k.target.clone())
+    }
+}
+
+impl Known {
+    fn stop(&self, when: impl FnOnce(Micros) -> Micros) {
+        self.stop.send_if_modified(|stop| {
+            let at = when(*stop);
+            std::mem::replace(stop, at) != at
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listing(name: String, state: NodeState) -> Listing {
+        let address = SocketAddr::from(([127, 0, 0, 1], 9));
+        Listing { name, address, state, zone: Zone(0), shard: Shard(0), started: None, size: 1.0 }
+    }
+
+    #[test]
+    fn a_day_of_replaced_nodes_leaves_no_names_behind() {
+        let mut nodes = Nodes::default();
+        let mut last = None;
+        for day in 0..10_000 {
+            let now = 1_000_000 * i64::from(day);
+            let mut list = vec![listing(format!("s-{day}"), NodeState::Ready)];
+            if day > 0 && day % 3 > 0 {
+                list.push(listing(format!("s-{}", day - 1), NodeState::Gone));
+            }
+            let kind = if day % 3 == 0 { ListKind::Full } else { ListKind::Delta };
+            let entries = nodes.apply(now, 1_000_000, kind, list);
+            assert!(last.replace(entries[0].node) < Some(entries[0].node), "a number is never used again");
+            assert!(nodes.known.len() <= 64 && nodes.ids.len() == nodes.known.len());
+        }
+        assert!(nodes.target(last.unwrap()).is_some() && nodes.target(NodeId(0)).is_none());
     }
 }
--- a/tests/tags.rs
+++ b/tests/tags.rs
@@ -117,3 +117,28 @@
     ask(&mut h, 42, 1, 0, 3.0, 0); // its finish tag of 12 is forgotten: 0, by arrival before 41
     assert_eq!(drain(h)[4..], [40, 42, 41]);
 }
+
+#[test]
+fn a_day_of_new_volumes_and_nodes_leaves_nothing_behind() {
+    let mut s = settings();
+    s.plans = vec![Plan { limit: Some(Limit { rate: 16.0, burst: 32.0, slack: 8.0 }), ..plan(1.0) }];
+    let mut h = Host::new(s, Vec::new());
+    let mut most = 0;
+    for day in 0..600 {
+        // Each node is replaced after a second by one under a new number.
+        let mut list = vec![entry(day, 0)];
+        if day > 0 {
+            list.push(NodeEntry { state: NodeState::Gone, ..entry(day - 1, 0) });
+        }
+        h.list(ListKind::Delta, list);
+        for i in 0..10 {
+            let id = day * 10 + i;
+            h.request_with(id, |r| r.volume = VolumeId(u64::from(id)));
+            h.answer(id, 0, day, Outcome::Ok);
+        }
+        h.pass(1_000_000);
+        h.said.clear();
+        most = most.max(h.brain.remembers());
+    }
+    assert!(most < 1_000, "{most} things remembered of 6000 volumes and 600 nodes");
+}
