Add the command line, one checked operators' file, structured logs and a demo

Need: a new user had no way to try the front or to check a file before a start; logs could not be read by machines; each subsystem to come would have brought a file of its own.

Change: clap commands serve, check, schema, demo with exit codes 0, 1, 2; deploy/lupinrack.toml with schema from the types (schemars), checked by jsonschema, all faults at once with line and path; logs as text or JSON with a span for each request; stand-in nodes, discovery and clients in their own package. The two old files became sections.

A file with ten faults is answered with ten lines (crates/config/tests/faults.rs).

--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,201 @@
+//! The operators' file, `deploy/lupinrack.toml`: a section for each subsystem, its JSON Schema made from the types, and
+//! a check that names every fault at once, each with its path and line.
+//!
+//! A file is checked in three steps: it must be TOML; it must fit the schema (unknown keys are faults); and what it
+//! says must not contradict itself. The first step ends at its first fault, since nothing can be told of the rest.
+#![warn(missing_docs)]
+
+mod lines;
+
+use lines::Lines;
+use schemars::JsonSchema;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The whole file. A section that is missing is off.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+#[schemars(title = "The operators' file of lupinrack")]
+pub struct Operator {
+    /// What the program says of itself.
+    #[serde(default)]
+    pub log: Log,
+    /// The rsync front.
+    #[serde(default)]
+    #[schemars(with = "lupinrack_rsync::config::Section")]
+    pub rsync: Option<lupinrack_rsync::config::Section>,
+    /// Flow export.
+    #[serde(default)]
+    #[schemars(with = "lupinrack_flows::config::Section")]
+    pub ipfix: Option<lupinrack_flows::config::Section>,
+}
+
+/// What the program says of itself, on standard error.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Log {
+    /// Lines of text, or one JSON object a line. `--log-format` goes before it.
+    #[serde(default)]
+    pub format: Format,
+    /// Levels by target, as `info,lupinrack_core=debug`; `info` where it is not given. `LUPINRACK_LOG` goes before it.
+    pub filter: Option<String>,
+}
+
+/// The form of a line of the log: for people, or one JSON object a line.
+#[derive(Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+#[allow(missing_docs, reason = "a text on each word would make the schema's list of words a tree")]
+pub enum Format {
+    #[default]
+    Text,
+    Json,
+}
+
+/// One fault of a file.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fault {
+    /// The line, from 1 on, where it is known.
+    pub line: Option<usize>,
+    /// Where in the file's tree, as `rsync.module[0].volume`; empty: the file itself.
+    pub path: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "{line}: ")?,
+            None => write!(f, " ")?,
+        }
+        match self.path.as_str() {
+            "" => write!(f, "{}", self.reason),
+            path => write!(f, "{path}: {}", self.reason),
+        }
+    }
+}
+
+/// All faults of a file, never none.
+#[derive(Debug, thiserror::Error)]
+#[error("{}", .faults.iter().map(|fault| format!("{}:{fault}", .file)).collect::<Vec<_>>().join("\n"))]
+pub struct Faults {
+    /// The file.
+    pub file: String,
+    /// Its faults, by line.
+    pub faults: Vec<Fault>,
+}
+
+impl Operator {
+    /// Reads the file; where there is none, everything is off.
+    pub fn load(path: &Path) -> Result<Operator, Faults> {
+        match std::fs::read_to_string(path) {
+            Ok(text) => {
+                Operator::parse(&text).map_err(|faults| Faults { file: path.display().to_string(), faults })
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Operator::default()),
+            Err(e) => {
+                let faults = vec![Fault { line: None, path: String::new(), reason: e.to_string() }];
+                Err(Faults { file: path.display().to_string(), faults })
+            }
+        }
+    }
+
+    /// Reads the text of such a file and names every fault in it.
+    pub fn parse(text: &str) -> Result<Operator, Vec<Fault>> {
+        let lines = Lines::of(text)?;
+        let value: Value = match toml::from_str(text) {
+            Ok(value) => value,
+            Err(e) => return Err(vec![lines.fault(String::new(), e.message().to_string())]),
+        };
+        let mut faults = misfits::<Operator>(&value);
+        faults.extend(section(&value, "rsync", lupinrack_rsync::config::Section::faults));
+        if let Some(filter) = value.pointer("/log/filter").and_then(Value::as_str) {
+            if let Err(e) = filter.parse::<tracing_subscriber::filter::Targets>() {
+                faults.push(("log.filter".into(), e.to_string()));
+            }
+        }
+        let mut named: Vec<Fault> = Vec::new();
+        for (path, reason) in faults {
+            // One word on each place: what the schema says goes first.
+            if !named.iter().any(|f| f.path == path) {
+                named.push(lines.fault(path, reason));
+            }
+        }
+        if named.is_empty() {
+            match serde_json::from_value(value) {
+                Ok(operator) => return Ok(operator),
+                Err(e) => named.push(lines.fault(String::new(), e.to_string())),
+            }
+        }
+        named.sort();
+        Err(named)
+    }
+}
+
+/// The JSON Schema of the operators' file.
+pub fn schema() -> Value {
+    schema_of::<Operator>()
+}
+
+/// The JSON Schema of a checked file.
+pub fn schema_of<T: JsonSchema>() -> Value {
+    schemars::schema_for!(T).to_value()
+}
+
+/// A section's own faults, where it can be read at all.
+fn section<T: DeserializeOwned>(
+    value: &Value,
+    name: &str,
+    faults: impl Fn(&T) -> Vec<(String, String)>,
+) -> Vec<(String, String)> {
+    let section = value.get(name).and_then(|v| serde_json::from_value(v.clone()).ok());
+    let found = section.map_or(Vec::new(), |s: T| faults(&s));
+    found.into_iter().map(|(path, why)| (format!("{name}.{path}"), why)).collect()
+}
+
+/// Where a value does not fit the schema of `T`: each place with its reason.
+pub fn misfits<T: JsonSchema>(value: &Value) -> Vec<(String, String)> {
+    let address = |text: &str| text.parse::<SocketAddr>().is_ok();
+    let validator = jsonschema::options()
+        .with_format("socket-address", address)
+        .should_validate_formats(true)
+        .build(&schema_of::<T>());
+    let validator = match validator {
+        Ok(validator) => validator,
+        Err(e) => return vec![(String::new(), format!("the schema itself: {e}"))],
+    };
+    let mut faults = Vec::new();
+    for error in validator.iter_errors(value) {
+        let place = dotted(error.instance_path().as_str());
+        match error.kind() {
+            jsonschema::error::ValidationErrorKind::AdditionalProperties { unexpected } => {
+                for key in unexpected {
+                    let path = if place.is_empty() { key.clone() } else { format!("{place}.{key}") };
+                    faults.push((path, "unknown key".to_string()));
+                }
+            }
+            jsonschema::error::ValidationErrorKind::Format { format } if *format == "socket-address" => {
+                faults.push((place, format!("{} is not an address with a port", error.instance())));
+            }
+            _ => faults.push((place, error.to_string())),
+        }
+    }
+    faults
+}
+
+/// `/rsync/module/0/volume` as `rsync.module[0].volume`.
+fn dotted(pointer: &str) -> String {
+    let mut path = String::new();
+    for part in pointer.split('/').skip(1) {
+        match part.parse::<usize>() {
+            Ok(index) => path += &format!("[{index}]"),
+            Err(_) if path.is_empty() => path += part,
+            Err(_) => path += &format!(".{part}"),
+        }
+    }
+    path
+}
--- /dev/null
+++ b/crates/config/tests/faults.rs
@@ -0,0 +1,69 @@
+//! Every fault of a file is named at once, with its path and line.
+
+use lupinrack_config::{schema, Fault, Operator};
+
+fn faults(text: &str) -> Vec<(usize, String)> {
+    let faults: Vec<Fault> = Operator::parse(text).expect_err("it is faulty");
+    faults.into_iter().map(|f| (f.line.unwrap_or(0), format!("{}: {}", f.path, f.reason))).collect()
+}
+
+#[test]
+fn the_file_in_the_repository_is_good_and_all_off() {
+    let operator = Operator::parse(include_str!("../../../deploy/lupinrack.toml")).unwrap();
+    assert!(!operator.rsync.unwrap().enabled && !operator.ipfix.unwrap().enabled);
+    assert!(Operator::parse("").unwrap().rsync.is_none(), "what is missing is off");
+}
+
+#[test]
+fn all_faults_are_named_at_once_each_with_its_line() {
+    let text = "[log]\nformat = 'xml'\nfilter = 'info,=[x'\ntypo = 1\n[ipfix]\nenabled = 'yes'\n\
+                collector = 'localhost'\n[rsync]\nlisten = '127.0.0.1:1'\nmax_clients = 0\n[[rsync.module]]\n\
+                name = 'a/b'\nplan = 'basic'\nvolume = 'zz'\nclass = 'bulk-read'\nshard = -1\n\
+                bytes_per_unit = 0\n";
+    let found = faults(text);
+    let expected = [
+        (2, "log.format: "),
+        (3, "log.filter: "),
+        (4, "log.typo: unknown key"),
+        (6, "ipfix.enabled: "),
+        (7, "ipfix.collector: \"localhost\" is not an address with a port"),
+        (10, "rsync.max_clients: 0 is less than the minimum of 1"),
+        (11, "rsync.module[0]: \"deadline_ms\" is a required property"),
+        (14, "rsync.module[0].volume: "),
+        (16, "rsync.module[0].shard: -1 is less than the minimum of 0"),
+        (17, "rsync.module[0].bytes_per_unit: 0 is less than the minimum of 1"),
+    ];
+    assert_eq!(found.len(), expected.len(), "{found:#?}");
+    for ((line, said), (at, start)) in found.iter().zip(expected) {
+        assert!(*line == at && said.starts_with(start), "line {line}: {said}, not {start} at {at}");
+    }
+}
+
+#[test]
+fn what_the_schema_cannot_say_is_checked_too() {
+    let module = "[[rsync.module]]\nname = 'trips'\nplan = 'basic'\nvolume = 'a1'\nclass = 'bulk-read'\n\
+                  shard = 0\nbytes_per_unit = 1\ndeadline_ms = 1\n";
+    let found = faults(&format!("[rsync]\nlisten = '127.0.0.1:1'\n{module}{module}"));
+    assert_eq!(found, [(12, "rsync.module[1].name: a module of this name stands above".to_string())]);
+}
+
+#[test]
+fn text_that_is_no_toml_is_one_fault_with_its_line() {
+    let found = faults("[log]\nformat = 'text'\n[a\n");
+    assert!(found.len() == 1 && found[0].0 == 3, "{found:?}");
+}
+
+#[test]
+fn the_schema_allows_no_unknown_keys_anywhere() {
+    fn objects(value: &serde_json::Value, open: &mut Vec<String>) {
+        if let Some(map) = value.as_object() {
+            if map.contains_key("properties") && map.get("additionalProperties") != Some(&false.into()) {
+                open.push(value.to_string());
+            }
+            map.values().for_each(|v| objects(v, open));
+        }
+    }
+    let mut open = Vec::new();
+    objects(&schema(), &mut open);
+    assert!(open.is_empty(), "{open:?}");
+}
--- a/crates/flows/src/config.rs
+++ b/crates/flows/src/config.rs
@@ -1,5 +1,6 @@
-//! What `deploy/ipfix.toml` says.
+//! The section `[ipfix]` of the operators' file.
 
+use schemars::JsonSchema;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -16,16 +17,24 @@
     Form(#[from] toml::de::Error),
 }
 
-#[derive(Deserialize)]
+/// The section as it is written.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
-struct Raw {
+#[schemars(title = "ipfix")]
+pub struct Section {
+    /// Whether records are exported at all.
     #[serde(default)]
-    enabled: bool,
-    collector: SocketAddr,
+    pub enabled: bool,
+    /// Where the records go, over UDP.
+    #[schemars(with = "String", extend("format" = "socket-address"))]
+    pub collector: SocketAddr,
+    /// The observation domain that they name.
     #[serde(default = "domain")]
-    observation_domain: u32,
+    pub observation_domain: u32,
+    /// The template goes out with the first message and again after this, in milliseconds.
     #[serde(default = "often")]
-    template_every_ms: u64,
+    #[schemars(range(min = 100))]
+    pub template_every_ms: u64,
 }
 
 fn domain() -> u32 {
@@ -59,9 +68,13 @@
 
     /// Reads the text of such a file.
     pub fn parse(text: &str) -> Result<Option<Self>, ConfigError> {
-        let raw: Raw = toml::from_str(text)?;
-        let template_every = Duration::from_millis(raw.template_every_ms.max(100));
-        let config = IpfixConfig { collector: raw.collector, domain: raw.observation_domain, template_every };
-        Ok(raw.enabled.then_some(config))
+        Ok(Self::new(toml::from_str(text)?))
+    }
+
+    /// Takes the section over; none where the export is off.
+    pub fn new(section: Section) -> Option<Self> {
+        let template_every = Duration::from_millis(section.template_every_ms.max(100));
+        let domain = section.observation_domain;
+        section.enabled.then_some(IpfixConfig { collector: section.collector, domain, template_every })
     }
 }
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -27,6 +27,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
 use tokio::time::{timeout_at, Instant};
+use tracing::Instrument;
 
 /// The wait after an accept that failed, as it does when descriptors run out.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -149,7 +150,10 @@
     let one = front.ids.take(&parcel.id).ok_or(IntakeError::Open)?;
     let (client, answer) = oneshot::channel();
     let (core, upstream, phase) = (front.core.clone(), front.upstream.clone(), front.phase.clone());
-    let life = request::serve(core, upstream, phase, wanted, parcel, client);
+    let class = front.told.classes.get(usize::from(wanted.class)).map_or("", String::as_str);
+    let (id, volume) = (parcel.id.to_str().unwrap_or(""), wanted.volume.0);
+    let span = tracing::debug_span!("request", id, class, volume = %format_args!("{volume:016x}"), attempt = tracing::field::Empty);
+    let life = request::serve(core, upstream, phase, wanted, parcel, client).instrument(span);
     tokio::spawn(async move {
         life.await;
         drop(one);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -21,6 +21,7 @@
     client: oneshot::Sender<Response<Body>>,
 ) {
     // Taken: the module hears of it, and every order it gives comes back here.
+    let span = tracing::Span::current();
     let mut ticket = core.open(request).await;
     let teller = ticket.teller();
     let mut client = Some(client);
@@ -34,6 +35,8 @@
                 Some(Order::Send(attempt)) => {
                     let (number, (cancel, cancelled)) = (attempt.number, oneshot::channel::<()>());
                     cancels.push((number, cancel));
+                    span.record("attempt", number);
+                    tracing::debug!(node = &*attempt.to.name, "sent");
                     let exchange = upstream.attempt(parcel.clone(), attempt);
                     attempts.push(async move {
                         tokio::select! {
@@ -57,6 +60,7 @@
             },
             Some((number, ended)) = attempts.next() => {
                 let Ended { outcome, body, load } = ended;
+                tracing::debug!(attempt = number, ?outcome, "attempt ended");
                 if outcome == Outcome::Ok {
                     if client.is_some() {
                         teller.moved(body.len() as u64).await;
@@ -82,6 +86,7 @@
 /// Hands over the final answer; of several only the first.
 fn answer(client: &mut Option<oneshot::Sender<Response<Body>>>, response: Response<Body>) {
     if let Some(client) = client.take() {
+        tracing::debug!(status = response.status().as_u16(), "answered");
         let _ = client.send(response);
     }
 }
--- /dev/null
+++ b/crates/lupinrack/src/cli.rs
@@ -0,0 +1,142 @@
+//! The command line: its words, its log, and the way to each command.
+//!
+//! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
+
+use crate::commands::{check, demo};
+use crate::serve;
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use lupinrack_config::{Format, Log, Operator};
+use std::fmt::Display;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use tracing_subscriber::EnvFilter;
+
+/// The variable that sets the log's levels by target.
+pub const LOG_VARIABLE: &str = "LUPINRACK_LOG";
+
+/// External processor for storage requests: decides where each goes and whether it goes.
+#[derive(Debug, Parser)]
+#[command(
+    name = "lupinrack",
+    version,
+    about,
+    after_help = "Exit codes: 0 good, 1 failed while running, 2 wrong input."
+)]
+pub struct Cli {
+    /// The form of the log's lines; the operators' file says it otherwise.
+    #[arg(long, global = true, value_enum)]
+    log_format: Option<LogFormat>,
+    #[command(flatten)]
+    serve: ServeArgs,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a front until SIGTERM; the same as no command.
+    Serve(ServeArgs),
+    /// Check operators' files (TOML) and platform configurations (JSON); every fault is named.
+    Check {
+        /// The files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Print the JSON Schema of the operators' file.
+    Schema,
+    /// Play a short mixed load against a front with stand-ins on loopback and show what came of it.
+    Demo(demo::Demo),
+}
+
+/// What a front reads at its start.
+#[derive(Clone, Debug, Default, Args)]
+pub struct ServeArgs {
+    /// The platform's configuration (JSON); LB_CONFIG names it otherwise.
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The operators' file (TOML); LUPINRACK_CONFIG names it otherwise, and without either it is
+    /// deploy/lupinrack.toml.
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+}
+
+/// How a command ended, where it did not end well.
+#[derive(Debug)]
+pub enum Ended {
+    /// It failed while running.
+    Failed(String),
+    /// What it was given cannot be used.
+    Wrong(String),
+}
+
+impl Ended {
+    /// Wrong input, with its reason.
+    pub fn wrong(why: impl Display) -> Ended {
+        Ended::Wrong(why.to_string())
+    }
+
+    /// A failure while running, with its reason.
+    pub fn failed(why: impl Display) -> Ended {
+        Ended::Failed(why.to_string())
+    }
+}
+
+/// Runs a command to its exit code.
+pub fn run(cli: Cli) -> ExitCode {
+    let format = cli.log_format.map(|f| match f {
+        LogFormat::Text => Format::Text,
+        LogFormat::Json => Format::Json,
+    });
+    let ended = match cli.command {
+        None => start(cli.serve, format),
+        Some(Command::Serve(args)) => start(args, format),
+        Some(Command::Check { files }) => check::run(&files),
+        Some(Command::Schema) => check::schema(),
+        Some(Command::Demo(demo)) => log(&Log { filter: Some("warn".into()), ..Log::default() }, format)
+            .and_then(|()| demo::run(&demo)),
+    };
+    let (code, why) = match ended {
+        Ok(()) => return ExitCode::SUCCESS,
+        Err(Ended::Failed(why)) => (1, why),
+        Err(Ended::Wrong(why)) => (2, why),
+    };
+    if !why.is_empty() {
+        eprintln!("lupinrack: {why}");
+    }
+    ExitCode::from(code)
+}
+
+/// Reads what a front needs and serves until it is told to end.
+fn start(args: ServeArgs, format: Option<Format>) -> Result<(), Ended> {
+    let named = |given: Option<PathBuf>, variable: &str| {
+        given.or_else(|| std::env::var_os(variable).map(PathBuf::from))
+    };
+    let operator = named(args.operator, "LUPINRACK_CONFIG").unwrap_or_else(|| "deploy/lupinrack.toml".into());
+    let operator = Operator::load(&operator).map_err(Ended::wrong)?;
+    log(&operator.log, format)?;
+    let config = named(args.config, "LB_CONFIG")
+        .ok_or_else(|| Ended::wrong("no configuration: --config or LB_CONFIG names it"))?;
+    let plan = serve::Plan::read(&config, operator).map_err(Ended::wrong)?;
+    serve::until_told(config, plan).map_err(Ended::failed)
+}
+
+/// Starts the log on standard error.
+fn log(log: &Log, format: Option<Format>) -> Result<(), Ended> {
+    let filter = match std::env::var(LOG_VARIABLE) {
+        Ok(text) => EnvFilter::try_new(&text).map_err(|e| Ended::wrong(format!("{LOG_VARIABLE}: {e}")))?,
+        Err(_) => EnvFilter::try_new(log.filter.as_deref().unwrap_or("info")).map_err(Ended::wrong)?,
+    };
+    let lines =
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
+    match format.unwrap_or(log.format) {
+        Format::Text => lines.init(),
+        Format::Json => lines.json().with_current_span(true).with_span_list(true).init(),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -0,0 +1,4 @@
+//! The commands beside `serve`.
+
+pub mod check;
+pub mod demo;
--- a/crates/lupinrack/src/lib.rs
+++ b/crates/lupinrack/src/lib.rs
@@ -1,4 +1,9 @@
-//! The program's parts under one roof: the decision module's words, the core, the fronts.
+//! The program's parts under one roof: the decision module's words, the core, the fronts, and the command line that
+//! puts them together.
+
+pub mod cli;
+pub mod commands;
+pub mod serve;
 
 pub use lupinrack_core as core;
 pub use lupinrack_flows as ipfix;
--- /dev/null
+++ b/crates/lupinrack/src/serve.rs
@@ -0,0 +1,159 @@
+//! Puts a front together from its parts and runs it: one core, the fronts that are on, the watch of the node list.
+
+use lupinrack_config::Operator;
+use lupinrack_core::{Clock, Core, Handle};
+use lupinrack_flows::config::IpfixConfig;
+use lupinrack_http::upstream::Upstream;
+use lupinrack_http::{accept, probe};
+use lupinrack_lifecycle as lifecycle;
+use lupinrack_lifecycle::Phase;
+use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, reload};
+use lupinrack_rsync::{config::RsyncConfig, daemon};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+
+/// All that a front is started from, checked.
+pub struct Plan {
+    config: Config,
+    rsync: Option<RsyncConfig>,
+    ipfix: Option<IpfixConfig>,
+}
+
+/// Why a front cannot be started from what it was given.
+#[derive(Debug, thiserror::Error)]
+pub enum PlanError {
+    /// The platform's configuration.
+    #[error("{0}")]
+    Config(#[from] lupinrack_platform::config::ConfigError),
+    /// The rsync front's section.
+    #[error("{0}")]
+    Rsync(#[from] lupinrack_rsync::config::ConfigError),
+    /// The flow export's section.
+    #[error("{0}")]
+    Ipfix(#[from] lupinrack_flows::config::ConfigError),
+}
+
+impl Plan {
+    /// Reads the platform's configuration and joins it with the operators' file. `LUPINRACK_RSYNC` and
+    /// `LUPINRACK_IPFIX` name files of their own that stand in for the sections, as they always did.
+    pub fn read(config: &Path, operator: Operator) -> Result<Plan, PlanError> {
+        let plan = Plan::new(Config::load(config)?, operator)?;
+        let named = |variable: &str| std::env::var_os(variable).map(PathBuf::from);
+        Ok(Plan {
+            rsync: match named("LUPINRACK_RSYNC") {
+                Some(file) => RsyncConfig::load(&file, &plan.config.told)?,
+                None => plan.rsync,
+            },
+            ipfix: match named("LUPINRACK_IPFIX") {
+                Some(file) => IpfixConfig::load(&file)?,
+                None => plan.ipfix,
+            },
+            config: plan.config,
+        })
+    }
+
+    /// The same from what is in hand.
+    pub fn new(config: Config, operator: Operator) -> Result<Plan, PlanError> {
+        let rsync = match operator.rsync {
+            Some(section) => RsyncConfig::new(section, &config.told)?,
+            None => None,
+        };
+        Ok(Plan { rsync, ipfix: operator.ipfix.and_then(IpfixConfig::new), config })
+    }
+}
+
+/// A front that serves.
+pub struct Front {
+    /// Where its clients connect.
+    pub listen: SocketAddr,
+    /// Its core.
+    pub core: Handle,
+    /// Ends with the front: well when it was told to end and all is answered.
+    pub ended: JoinHandle<std::io::Result<()>>,
+}
+
+/// Runs a front until it is told to end by a signal and all that it took is answered.
+pub fn until_told(path: PathBuf, plan: Plan) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let phase = lifecycle::watch(lifecycle::Plan::new(&plan.config.told.module))?;
+        let discovery = reload::watch(path, plan.config.discovery)?;
+        let front = start(plan, phase, discovery).await?;
+        front.ended.await.unwrap_or_else(|e| Err(std::io::Error::other(e)))
+    })
+}
+
+/// Starts a front; it follows `phase` to its end, and the node list at `discovery`.
+pub async fn start(
+    plan: Plan,
+    phase: watch::Receiver<Phase>,
+    discovery: watch::Receiver<SocketAddr>,
+) -> std::io::Result<Front> {
+    let Plan { config, rsync, ipfix } = plan;
+    let clock = Clock::start();
+    let epoch = Epoch::fix(&clock);
+    let told = Arc::new(config.told);
+    let (mut core, handle, targets) = Core::new(told.module.clone(), config.seed, clock);
+    if let Some(config) = ipfix {
+        let (to, flows) = mpsc::channel(lupinrack_flows::WAITING_MOST);
+        core = core.tell_flows(to);
+        tracing::info!("flows go to {}", config.collector);
+        tokio::spawn(async move {
+            if let Err(why) = lupinrack_flows::run(config, epoch.unix_offset(), flows).await {
+                tracing::error!("ipfix: {why}");
+            }
+        });
+    }
+    // A client of the rsync front holds two descriptors, its own and one to a server.
+    let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
+    let upstream = Upstream::new(&told, clock, config.limits.nodes(second));
+    let core = tokio::spawn(core.run());
+    let watch = Watch { address: discovery, zones: told.zones.clone(), epoch };
+    let watch = tokio::spawn(watch.run(handle.clone(), config.known));
+    let prober = tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
+
+    let most = config.limits.clients(second);
+    let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
+    let second = second_front(rsync, &handle, connect, &phase).await?;
+    let listener = TcpListener::bind(config.listen).await?;
+    let listen = listener.local_addr()?;
+    tracing::info!("{} listens on {listen}", config.name);
+    let front = accept::Front { core: handle.clone(), upstream, told, phase, ids: Default::default() };
+    let ended = tokio::spawn(async move {
+        let fronts = async {
+            tokio::join!(accept::run(listener, front, most), async {
+                if let Some(second) = second {
+                    second.await;
+                }
+            })
+        };
+        let ended = tokio::select! {
+            _ = fronts => Ok(()),
+            // Without the core nothing would ever be answered: better a crash that the platform sees.
+            _ = core => Err(std::io::Error::other("the core ended")),
+        };
+        watch.abort();
+        prober.abort();
+        ended
+    });
+    Ok(Front { listen, core: handle, ended })
+}
+
+async fn second_front(
+    config: Option<RsyncConfig>,
+    core: &Handle,
+    connect: Duration,
+    phase: &watch::Receiver<Phase>,
+) -> std::io::Result<Option<impl Future<Output = ()>>> {
+    let Some(config) = config else { return Ok(None) };
+    let listener = TcpListener::bind(config.listen).await?;
+    tracing::info!("rsync on {}", listener.local_addr()?);
+    let (core, config, phase) = (core.clone(), Arc::new(config), phase.clone());
+    Ok(Some(daemon::run(listener, daemon::Front { core, config, connect, phase })))
+}
--- /dev/null
+++ b/crates/lupinrack/tests/cli.rs
@@ -0,0 +1,82 @@
+//! The command line: exit codes, what it says of wrong input, and the demo.
+
+use std::process::{Command, Output};
+
+fn lupinrack(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lupinrack"));
+    command.args(args).env_remove("LB_CONFIG").env_remove("LUPINRACK_CONFIG").output().unwrap()
+}
+
+fn said(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn wrong_input_ends_with_2_and_good_input_with_0() {
+    let deployed = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/lupinrack.toml");
+    for (args, code) in [
+        (&["--version"][..], 0),
+        (&["--help"], 0),
+        (&["schema"], 0),
+        (&["check", deployed], 0),
+        (&["check", "/nowhere.toml"], 2),
+        (&["serve"], 2),
+        (&[], 2),
+        (&["frob"], 2),
+        (&["serve", "--config", "/nowhere.json"], 2),
+        (&["demo", "--seconds", "0"], 2),
+    ] {
+        let output = lupinrack(args);
+        assert_eq!(output.status.code(), Some(code), "{args:?}: {}", said(&output));
+    }
+    let schema: serde_json::Value = serde_json::from_slice(&lupinrack(&["schema"]).stdout).unwrap();
+    assert!(schema.pointer("/properties/rsync").is_some());
+}
+
+#[test]
+fn a_file_with_faults_stops_the_start_and_names_them_all() {
+    let file = std::env::temp_dir().join(format!("lupinrack-faults-{}.toml", std::process::id()));
+    std::fs::write(&file, "[ipfix]\ncollector = 'x'\n[rsync]\nlisten = 'y'\nmore = 1\n").unwrap();
+    let name = file.display().to_string();
+    for args in [&["check", &name][..], &["serve", "--operator", &name]] {
+        let output = lupinrack(args);
+        assert_eq!(output.status.code(), Some(2));
+        for fault in [":2: ipfix.collector: ", ":4: rsync.listen: ", ":5: rsync.more: unknown key"] {
+            assert!(said(&output).contains(&format!("{name}{fault}")), "{fault} in {}", said(&output));
+        }
+    }
+    std::fs::remove_file(&file).unwrap();
+}
+
+#[test]
+fn the_demo_loses_and_doubles_nothing() {
+    let output = lupinrack(&["demo", "--seconds", "2", "--seed", "7", "--json"]);
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    let figures: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    let count = |name: &str| figures[name].as_u64().unwrap();
+    assert_eq!((count("lost"), count("duplicates")), (0, 0), "{figures}");
+    assert_eq!(count("served") + count("refused") + count("failed"), count("requests"), "{figures}");
+    // The greedy volume is over its limit, whatever the machine's speed.
+    assert!(count("served") > 0 && count("refused") > 0, "{figures}");
+    assert!(figures["p50_ms"].as_f64().unwrap() <= figures["p99_ms"].as_f64().unwrap());
+}
+
+#[test]
+fn a_log_in_json_carries_the_span_of_each_request() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lupinrack"));
+    let output = command
+        .args(["--log-format", "json", "demo", "--seconds", "1", "--seed", "3"])
+        .env("LUPINRACK_LOG", "warn,lupinrack_http=debug")
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", said(&output));
+    let lines: Vec<serde_json::Value> =
+        said(&output).lines().map(|l| serde_json::from_str(l).expect("each line is JSON")).collect();
+    let spans: Vec<_> = lines.iter().filter_map(|l| l.get("span")).collect();
+    assert!(!spans.is_empty());
+    for span in spans {
+        let named = ["id", "class", "volume"].iter().all(|n| span.get(*n).is_some_and(|v| v.is_string()));
+        assert!(named, "{span}");
+    }
+    assert!(lines.iter().any(|l| l.pointer("/span/attempt").is_some()), "attempts are numbered");
+}
--- a/crates/rsync/src/unit.rs
+++ b/crates/rsync/src/unit.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tracing::Instrument;
 
 /// How a unit of work ended.
 #[derive(Debug)]
@@ -93,6 +94,24 @@
     meter: Meter,
     gone: impl Future<Output = ()>,
     pull: impl Fn(Attempt, Line) -> F,
+) -> End<T> {
+    let span = spanned(&request);
+    follow(core, request, meter, gone, pull, span.clone()).instrument(span).await
+}
+
+fn spanned(request: &Request) -> tracing::Span {
+    let (class, volume) = (request.class, format_args!("{:016x}", request.volume.0));
+    tracing::debug_span!("request", class, volume, attempt = tracing::field::Empty)
+}
+
+/// Follows the core's orders to the unit's end.
+async fn follow<T, F: Future<Output = (Outcome, T)>>(
+    core: &Handle,
+    request: Request,
+    meter: Meter,
+    gone: impl Future<Output = ()>,
+    pull: impl Fn(Attempt, Line) -> F,
+    span: tracing::Span,
 ) -> End<T> {
     let mut ticket = core.open(Request { units: meter.first(), ..request }).await;
     let teller = ticket.teller();
@@ -113,6 +132,7 @@
                 }
                 Some(Order::Send(attempt)) => {
                     let (number, (grant, grants)) = (attempt.number, mpsc::channel(1));
+                    span.record("attempt", number);
                     let paid = meter.first() as u64 * meter.bytes_per_unit;
                     let (began, teller) = (began.clone(), teller.clone());
                     let line = Line { clock: core.clock, teller, number, began, meter, paid, grants };
