Route requests by a cached, versioned map of extents, with a drill over sockets

Need: a volume's data lies on several nodes and moves; the front knew the client's word only, so a request followed a stale place until it failed.

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -190,7 +190,19 @@
     let (volume, class) = (VolumeId(f.u64()?), f.u16()?);
     let key = (key != 0).then_some(Key(key));
     let shard = (shard >= 0.0).then_some(Shard(shard as u32));
-    Ok(Request { id, class, plan, volume, hosts, units, key, shard, give_up, repeat: marks & 2 != 0 })
+    Ok(Request {
+        id,
+        class,
+        plan,
+        volume,
+        hosts,
+        units,
+        key,
+        shard,
+        give_up,
+        repeat: marks & 2 != 0,
+        astray: false,
+    })
 }
 
 fn response(f: &mut Fields, columns: &[String]) -> Result<Answer, String> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod clock;
 mod nodes;
+mod places;
 
 pub use clock::Clock;
 pub use nodes::{Listing, Target};
 
+use lupinrack_extents::{self as extents, Version};
 use lupinrack_policy::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
@@ -25,6 +27,8 @@
 enum Input {
     Open(Request, mpsc::Sender<Order>),
     Ended { request: RequestId, attempt: u16, outcome: Outcome, load: Option<Load> },
+    TurnedAway { request: RequestId, attempt: u16, hint: Option<Version> },
+    Extents(extents::Input),
     Began(RequestId, u16),
     More(RequestId, f64),
     Moved(RequestId, u64),
@@ -131,6 +135,11 @@
         let _ = self.inbox.send(Input::List(kind, nodes)).await;
     }
 
+    /// Hands on what the extent authority or a peer said.
+    pub async fn extents(&self, input: extents::Input) {
+        let _ = self.inbox.send(Input::Extents(input)).await;
+    }
+
     /// Reports the end of a probe.
     pub async fn probed(&self, node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load>) {
         let _ = self.inbox.send(Input::Probed { node, outcome, waited, load }).await;
@@ -172,6 +181,11 @@
         let _ = self.inbox.send(Input::Ended { request: self.id, attempt, outcome, load }).await;
     }
 
+    /// Reports that a node turned an attempt away unrun because the data lies elsewhere, as of `hint`.
+    pub async fn turned_away(&self, attempt: u16, hint: Option<Version>) {
+        let _ = self.inbox.send(Input::TurnedAway { request: self.id, attempt, hint }).await;
+    }
+
     /// Reports that the client left; nothing is owed any more.
     pub async fn client_gone(&self) {
         let _ = self.inbox.send(Input::ClientGone(self.id)).await;
@@ -202,7 +216,10 @@
     asked: f64,
     bytes: u64,
     tries: u16,
-    out: Vec<(u16, NodeId, Micros)>,
+    /// The attempts out: number, node, when it was sent, and the shard that it was sent for.
+    out: Vec<(u16, NodeId, Micros, Option<Shard>)>,
+    /// The shard that its client named.
+    said: Option<Shard>,
 }
 
 /// The loop round the [`Brain`].
@@ -217,9 +234,11 @@
     flows: Option<mpsc::Sender<Flow>>,
     timers: BinaryHeap<Reverse<(Micros, u32)>>,
     actions: Vec<Action>,
+    places: Option<Places>,
 }
 
 use nodes::Nodes;
+use places::Places;
 
 impl Core {
     /// A core, the handle for its fronts, and the queue of nodes to probe.
@@ -239,6 +258,7 @@
             flows: None,
             timers: BinaryHeap::new(),
             actions: Vec::new(),
+            places: None,
         };
         (core, Handle { inbox, numbers: Arc::new(AtomicU32::new(1)), orders, clock }, to_probe)
     }
@@ -253,7 +273,9 @@
     pub async fn run(mut self) {
         let mut batch = Vec::new();
         loop {
-            let due = self.timers.peek().map(|t| self.clock.instant(t.0 .0));
+            let places = self.places.as_ref().and_then(|p| p.wake);
+            let due = self.timers.peek().map(|t| t.0 .0).into_iter().chain(places).min();
+            let due = due.map(|at| self.clock.instant(at));
             let sleep = async {
                 match due {
                     Some(at) => tokio::time::sleep_until(at).await,
@@ -275,6 +297,7 @@
                     self.tell(now, Event::Timer(token));
                 }
             }
+            self.settle_places(now);
         }
     }
 
@@ -282,13 +305,17 @@
         match input {
             Input::Open(request, orders) => {
                 let (units, asked, bytes, tries, out) = (request.units, 0.0, 0, 0, Vec::new());
-                let open = Open { orders, request, opened: now, end: None, units, asked, bytes, tries, out };
+                let (said, request) = (request.shard, self.placed(now, request));
+                let open =
+                    Open { orders, request, opened: now, end: None, units, asked, bytes, tries, out, said };
                 self.open.insert(request.id, open);
                 self.tell(now, Event::Request(request));
             }
             Input::Ended { request, attempt, outcome, load } => {
                 self.ended(now, request, attempt, outcome, load)
             }
+            Input::TurnedAway { request, attempt, hint } => self.turned_away(now, request, attempt, hint),
+            Input::Extents(input) => self.on_extents(now, input),
             Input::Began(request, attempt) => self.tell(now, Event::Began { request, attempt }),
             Input::More(request, units) => {
                 self.open.entry(request).and_modify(|o| o.asked = units);
@@ -328,7 +355,7 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         // Exactly one outcome for each Send: a second report finds nothing out.
         let Some(at) = o.out.iter().position(|a| a.0 == attempt) else { return };
-        let (_, node, sent) = o.out.swap_remove(at);
+        let (_, node, sent, _) = o.out.swap_remove(at);
         if outcome == Outcome::Ok {
             o.end = o.end.or(Some((FlowEnd::Served, now)));
         }
@@ -372,7 +399,7 @@
         }
     }
 
-    fn act(&mut self, now: Micros, action: Action) -> Option<Event> {
+    fn act(&mut self, now: Micros, action: Action) -> Vec<Event> {
         match action {
             Action::Send { request, node, timeout } => return self.send(now, request, node, timeout),
             Action::Cancel { request, attempt } => {
@@ -402,35 +429,40 @@
             Action::Subscribe | Action::FetchList => {}
             Action::Log(line) => tracing::info!("{line}"),
         }
-        None
+        Vec::new()
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) -> Option<Event> {
-        let o = self.open.get_mut(&id)?;
+    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) -> Vec<Event> {
+        let Some(request) = self.open.get(&id).map(|o| o.request) else { return Vec::new() };
+        let moved = self.moved(now, &request);
+        let Some(o) = self.open.get_mut(&id) else { return Vec::new() };
         let number = o.tries;
         o.tries += 1;
         let until = timeout.map_or(o.request.give_up, |t| o.request.give_up.min(now + t));
         let sent = self
             .nodes
             .target(node)
-            .filter(|_| o.end.is_none())
+            .filter(|_| o.end.is_none() && moved.is_none())
             .is_some_and(|to| o.orders.try_send(Order::Send(Attempt { number, to, until })).is_ok());
         if sent {
-            o.out.push((number, node, now));
-            return None;
+            o.out.push((number, node, now, o.request.shard));
+            return Vec::new();
         }
-        // Nobody is there to carry it out. It was never sent, and the module hears so.
-        Some(Event::Answer(Answer {
+        // Nobody is there to carry it out, or its data lies elsewhere by now. It was never sent, and the module hears so.
+        let never = Event::Answer(Answer {
             request: id,
             attempt: number,
             node,
-            outcome: Outcome::Moot,
+            outcome: if moved.is_some() { Outcome::Moved } else { Outcome::Moot },
             waited: 0,
             finished: o.end.is_some(),
             volume_use: None,
             served_elsewhere: 0.0,
             load: None,
-        }))
+        });
+        let Some(shard) = moved else { return vec![never] };
+        (o.request.shard, o.request.astray) = (Some(shard), false);
+        vec![never, Event::Moved { request: id, shard: Some(shard) }]
     }
 
     fn finish(&mut self, now: Micros, id: RequestId, end: FlowEnd, order: Order) {
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -147,6 +147,7 @@
         shard: io.shard,
         give_up: 0,
         repeat,
+        astray: false,
     };
     Ok((request, patience))
 }
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -59,7 +59,7 @@
                 None => return,
             },
             Some((number, ended)) = attempts.next() => {
-                let Ended { outcome, body, load } = ended;
+                let Ended { outcome, body, load, hint } = ended;
                 tracing::debug!(attempt = number, ?outcome, "attempt ended");
                 if outcome == Outcome::Ok {
                     if client.is_some() {
@@ -67,7 +67,10 @@
                     }
                     answer(&mut client, Response::new(Body::from(body)));
                 }
-                teller.ended(number, outcome, load).await;
+                match outcome {
+                    Outcome::Moved => teller.turned_away(number, hint).await,
+                    _ => teller.ended(number, outcome, load).await,
+                }
             }
             // The program must be out in a moment: whatever this waits for, its client hears now.
             () = reached(&mut phase, Phase::Over), if client.is_some() => {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -6,6 +6,7 @@
 use http::{header, HeaderMap, Request as HttpRequest, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use lupinrack_core::{Attempt, Clock};
+use lupinrack_extents::Version;
 use lupinrack_policy::*;
 use lupinrack_settings::{micros, Told};
 use std::net::SocketAddr;
@@ -32,11 +33,13 @@
     pub body: Bytes,
     /// The load report that came along.
     pub load: Option<Load>,
+    /// Where the outcome is that the data lies elsewhere: the version of the map by which it does.
+    pub hint: Option<Version>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, body: Bytes::new(), load: None }
+        Ended { outcome, body: Bytes::new(), load: None, hint: None }
     }
 }
 
@@ -93,12 +96,15 @@
             // The whole answer first: one that breaks off must not have begun at the client.
             let body = Limited::new(body, LONGEST_BODY).collect().await.map_err(Spoilt::Body)?;
             let not_run = head.headers.get("x-not-run").is_some_and(|v| v.as_bytes() == b"1");
+            let moved = head.headers.get("x-extent-epoch");
+            let hint = moved.and_then(|v| v.to_str().ok()?.parse().ok());
             let outcome = match head.status {
                 StatusCode::OK => Outcome::Ok,
+                StatusCode::SERVICE_UNAVAILABLE if not_run && moved.is_some() => Outcome::Moved,
                 StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_run => Outcome::Full,
                 _ => Outcome::Error,
             };
-            Ok(Ended { outcome, body: body.to_bytes(), load: self.load(&head.headers) })
+            Ok(Ended { outcome, body: body.to_bytes(), load: self.load(&head.headers), hint })
         })
         .await
     }
--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
-use crate::commands::{check, demo};
+use crate::commands::{check, demo, extents};
 use crate::serve;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use lupinrack_config::{Format, Log, Operator};
@@ -52,6 +52,9 @@
     Schema,
     /// Play a short mixed load against a front with stand-ins on loopback and show what came of it.
     Demo(demo::Demo),
+    /// The map of extents: its drill, its model, its measurement.
+    #[command(subcommand)]
+    Extents(extents::Extents),
 }
 
 /// What a front reads at its start.
@@ -98,8 +101,8 @@
         Some(Command::Serve(args)) => start(args, format),
         Some(Command::Check { files }) => check::run(&files),
         Some(Command::Schema) => check::schema(),
-        Some(Command::Demo(demo)) => log(&Log { filter: Some("warn".into()), ..Log::default() }, format)
-            .and_then(|()| demo::run(&demo)),
+        Some(Command::Demo(demo)) => quiet(format).and_then(|()| demo::run(&demo)),
+        Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
     let (code, why) = match ended {
         Ok(()) => return ExitCode::SUCCESS,
@@ -126,6 +129,11 @@
     serve::until_told(config, plan).map_err(Ended::failed)
 }
 
+/// A log for commands whose output is what they print.
+fn quiet(format: Option<Format>) -> Result<(), Ended> {
+    log(&Log { filter: Some("error".into()), ..Log::default() }, format)
+}
+
 /// Starts the log on standard error.
 fn log(log: &Log, format: Option<Format>) -> Result<(), Ended> {
     let filter = match std::env::var(LOG_VARIABLE) {
--- a/crates/lupinrack/src/commands/mod.rs
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod check;
 pub mod demo;
+pub mod extents;
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -2,6 +2,8 @@
 
 use lupinrack_config::Operator;
 use lupinrack_core::{Clock, Core, Handle};
+use lupinrack_extents::{self as extents, Cache, Counters};
+use lupinrack_extents_net::Driver;
 use lupinrack_flows::config::IpfixConfig;
 use lupinrack_http::upstream::Upstream;
 use lupinrack_http::{accept, probe};
@@ -23,6 +25,7 @@
     config: Config,
     rsync: Option<RsyncConfig>,
     ipfix: Option<IpfixConfig>,
+    extents: Option<extents::config::Section>,
 }
 
 /// Why a front cannot be started from what it was given.
@@ -43,19 +46,15 @@
     /// Reads the platform's configuration and joins it with the operators' file. `LUPINRACK_RSYNC` and
     /// `LUPINRACK_IPFIX` name files of their own that stand in for the sections, as they always did.
     pub fn read(config: &Path, operator: Operator) -> Result<Plan, PlanError> {
-        let plan = Plan::new(Config::load(config)?, operator)?;
+        let mut plan = Plan::new(Config::load(config)?, operator)?;
         let named = |variable: &str| std::env::var_os(variable).map(PathBuf::from);
-        Ok(Plan {
-            rsync: match named("LUPINRACK_RSYNC") {
-                Some(file) => RsyncConfig::load(&file, &plan.config.told)?,
-                None => plan.rsync,
-            },
-            ipfix: match named("LUPINRACK_IPFIX") {
-                Some(file) => IpfixConfig::load(&file)?,
-                None => plan.ipfix,
-            },
-            config: plan.config,
-        })
+        if let Some(file) = named("LUPINRACK_RSYNC") {
+            plan.rsync = RsyncConfig::load(&file, &plan.config.told)?;
+        }
+        if let Some(file) = named("LUPINRACK_IPFIX") {
+            plan.ipfix = IpfixConfig::load(&file)?;
+        }
+        Ok(plan)
     }
 
     /// The same from what is in hand.
@@ -64,7 +63,8 @@
             Some(section) => RsyncConfig::new(section, &config.told)?,
             None => None,
         };
-        Ok(Plan { rsync, ipfix: operator.ipfix.and_then(IpfixConfig::new), config })
+        let extents = operator.extents.filter(|section| section.enabled);
+        Ok(Plan { rsync, ipfix: operator.ipfix.and_then(IpfixConfig::new), extents, config })
     }
 }
 
@@ -74,6 +74,8 @@
     pub listen: SocketAddr,
     /// Its core.
     pub core: Handle,
+    /// What its map of extents did so far.
+    pub extents: watch::Receiver<Counters>,
     /// Ends with the front: well when it was told to end and all is answered.
     pub ended: JoinHandle<std::io::Result<()>>,
 }
@@ -95,7 +97,7 @@
     phase: watch::Receiver<Phase>,
     discovery: watch::Receiver<SocketAddr>,
 ) -> std::io::Result<Front> {
-    let Plan { config, rsync, ipfix } = plan;
+    let Plan { config, rsync, ipfix, extents } = plan;
     let clock = Clock::start();
     let epoch = Epoch::fix(&clock);
     let told = Arc::new(config.told);
@@ -110,6 +112,15 @@
             }
         });
     }
+    let mut counters = watch::channel(Counters::default()).1;
+    let mut driver = None;
+    if let Some(section) = extents {
+        let cache = cache(&section, clock.now());
+        let (with, actions, seen) = core.with_extents(cache);
+        (core, counters) = (with, seen.clone());
+        tracing::info!("extents from {}", section.authority);
+        driver = Some(tokio::spawn(Driver::new(&section, handle.clone()).await?.run(actions, seen)));
+    }
     // A client of the rsync front holds two descriptors, its own and one to a server.
     let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
     let upstream = Upstream::new(&told, clock, config.limits.nodes(second));
@@ -139,10 +150,28 @@
             _ = core => Err(std::io::Error::other("the core ended")),
         };
         watch.abort();
+        driver.inspect(JoinHandle::abort);
         prober.abort();
         ended
     });
-    Ok(Front { listen, core: handle, ended })
+    Ok(Front { listen, core: handle, extents: counters, ended })
+}
+
+/// The map as its file has it; one that cannot be used costs a fetch of what is needed, nothing more.
+fn cache(section: &extents::config::Section, now: lupinrack_policy::Micros) -> Cache {
+    let mut cache = Cache::new(section.clone(), now);
+    if let Some(file) = &section.snapshot {
+        let restored = match lupinrack_extents_net::load(file) {
+            Ok(Some(bytes)) => cache.restore(now, &bytes).map_err(|e| e.to_string()),
+            Ok(None) => Ok(()),
+            Err(e) => Err(e.to_string()),
+        };
+        match restored {
+            Ok(()) => tracing::info!("extents: {} volumes from {}", cache.map().volumes(), file.display()),
+            Err(why) => tracing::warn!("extents: {} is left aside: {why}", file.display()),
+        }
+    }
+    cache
 }
 
 async fn second_front(
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -222,13 +222,12 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.begun.is_none() {
             (self.begun, self.swept) = (Some(now), now);
-            if self.cfg.discovery != Discovery::Push {
-                self.ask_at = Some(now);
-            }
+            self.ask_at = (self.cfg.discovery != Discovery::Push).then_some(now);
         }
         match event {
             Event::Nodes { kind, entries } => self.on_nodes(now, kind, entries),
             Event::Request(req) => self.on_request(now, req, out),
+            Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
             Event::More { request, units } => {
                 if let Some(o) = self.open.get_mut(&request) {
@@ -410,29 +409,29 @@
     /// Takes what an attempt tells of its node. Connections that break or do not come up, and time-outs in a
     /// row open the breaker; errors do not: the node is there. Silence needs none: the eldest attempt out
     /// counts as latency. Could do harm where a node drops single requests and serves the rest.
-    fn learn(&mut self, now: Micros, a: &Answer, out: &mut Vec<Action>) {
-        if matches!(a.outcome, Outcome::Ok | Outcome::Timeout) {
-            self.fleet += FLEET_GAIN * (a.waited as f64 - self.fleet);
+    fn learn(&mut self, now: Micros, node: NodeId, outcome: Outcome, waited: Micros, out: &mut Vec<Action>) {
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
+            self.fleet += FLEET_GAIN * (waited as f64 - self.fleet);
         }
         let (floor, least, wait) = (1.0 / self.crowd, self.least, 0.5 + self.random());
-        let Some(n) = self.nodes.get_mut(&a.node) else { return };
-        let heard = matches!(a.outcome, Outcome::Ok | Outcome::Error | Outcome::Full);
+        let Some(n) = self.nodes.get_mut(&node) else { return };
+        let heard = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Moved);
         let half = KNOWN_HALF as f64 * (KNOWN_FEW / self.crowd).max(1.0);
         let known = if n.latency > 0.0 { 0.5_f64.powf((now - n.heard) as f64 / half) } else { 0.0 };
-        let overtaken = now - a.waited + OVERTAKEN < n.answered;
+        let overtaken = now - waited + OVERTAKEN < n.answered;
         if heard {
             n.heard = now;
-            n.answered = n.answered.max(now - a.waited);
+            n.answered = n.answered.max(now - waited);
             n.fails = 0;
             if n.open {
                 n.open = false;
                 n.depth = n.depth.min(1.0);
-                out.push(Action::Log(format!("node {} answers again", a.node.0)));
+                out.push(Action::Log(format!("node {} answers again", node.0)));
             }
         }
-        match a.outcome {
+        match outcome {
             Outcome::Ok => {
-                n.take_latency(a.waited as f64, known);
+                n.take_latency(waited as f64, known);
                 n.errors -= SMOOTH * n.errors;
             }
             Outcome::Error => n.errors += SMOOTH * (1.0 - n.errors),
@@ -442,10 +441,10 @@
             }
             Outcome::ConnectFailed | Outcome::Reset => n.fails += 1,
             Outcome::Timeout => {
-                n.fails += u32::from(!overtaken && a.waited as f64 > FULL_AS * least);
-                let short = (a.waited as f64) < least;
+                n.fails += u32::from(!overtaken && waited as f64 > FULL_AS * least);
+                let short = (waited as f64) < least;
                 if !overtaken && (n.fails > 1 || short) {
-                    n.take_latency(n.latency.max(a.waited as f64 * if short { 2.0 } else { 1.0 }), known);
+                    n.take_latency(n.latency.max(waited as f64 * if short { 2.0 } else { 1.0 }), known);
                 }
             }
             _ => {}
@@ -454,7 +453,7 @@
             return;
         }
         (n.open, n.backoff, n.trial_at) = (true, TRIAL_FIRST, now + (TRIAL_FIRST as f64 * wait) as Micros);
-        out.push(Action::Log(format!("node {} does not answer", a.node.0)));
+        out.push(Action::Log(format!("node {} does not answer", node.0)));
         for r in n.queue.values().copied().collect::<Vec<_>>() {
             if self.open.get(&r).is_some_and(|o| o.req.shard.is_none() && o.anchor.is_none()) {
                 self.place(now, r);
@@ -489,11 +488,8 @@
                 n.cold_tokens = self.cfg.mean_units * (0.5 - 2.0 * dice.f64());
             }
             (n.shard, n.zone) = (e.shard, e.zone);
-            match e.state {
-                NodeState::Ready => (n.told_stop, n.gone) = (None, false),
-                NodeState::Draining => n.told_stop = n.told_stop.or(Some(now)),
-                NodeState::Gone => (n.told_stop, n.gone) = (n.told_stop.or(Some(now)), true),
-            }
+            n.told_stop = n.told_stop.or(Some(now)).filter(|_| e.state != NodeState::Ready);
+            n.gone = e.state == NodeState::Gone;
         }
         if kind != ListKind::Delta {
             for (_, n) in self.nodes.iter_mut().filter(|(id, _)| !listed.contains(id)) {
@@ -520,6 +516,7 @@
     fn place(&mut self, now: Micros, id: RequestId) {
         let Some(o) = self.open.get(&id) else { return };
         let (shard, home, anchor, effect) = (o.req.shard, o.home, o.anchor, self.effect(o));
+        let astray = o.req.astray;
         let mut known: Vec<f64> = self.nodes.values().map(|n| n.latency).filter(|l| *l > 0.0).collect();
         known.sort_by(f64::total_cmp);
         let usual = known.get(known.len() / 2).copied().unwrap_or(50_000.0);
@@ -527,7 +524,7 @@
         let mut best: Option<(f64, NodeId)> = None;
         for (nid, n) in &self.nodes {
             let stops = n.told_stop.is_some() && (shard.is_none() || now >= self.drain_end(n));
-            let elsewhere = shard.is_some_and(|s| s != n.shard);
+            let elsewhere = astray || shard.is_some_and(|s| s != n.shard);
             if n.gone || stops || elsewhere || anchor.is_some_and(|a| !same_group(effect, a, n)) {
                 continue;
             }
@@ -557,6 +554,25 @@
         }
     }
 
+    /// Where the data of a request lies now. What waits is placed anew, its time and attempts kept.
+    fn on_moved(&mut self, now: Micros, id: RequestId, shard: Option<Shard>, out: &mut Vec<Action>) {
+        let Some(o) = self.open.get_mut(&id) else { return };
+        (o.req.shard, o.req.astray) = (shard, false);
+        if o.live == 0 {
+            self.place_or_fail(now, id, out);
+        }
+    }
+
+    /// What may have run on the old shard goes to the new one only where both are of one group.
+    fn place_or_fail(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
+        self.place(now, id);
+        let Some(o) = self.open.get(&id).filter(|_| self.homeless.contains(&id)) else { return };
+        let moved = o.anchor.zip(o.req.shard).is_some_and(|(a, shard)| a.shard != shard && !o.req.astray);
+        if moved && self.effect(o) != Effect::Safe {
+            self.finish(id, None, out);
+        }
+    }
+
     // ---- rule guards -----------------------------------------------------------------------------------
 
     fn effect(&self, o: &Open) -> Effect {
@@ -637,12 +653,8 @@
     fn budget_allows(&mut self, now: Micros) -> bool {
         let Some(b) = self.cfg.budget else { return true };
         let slack = self.cfg.tick;
-        while self.extra.front().is_some_and(|t| now - t > b.window + slack) {
-            self.extra.pop_front();
-        }
-        while self.taken.front().is_some_and(|t| now - t >= b.window - slack) {
-            self.taken.pop_front();
-        }
+        self.extra.retain(|t| now - t <= b.window + slack);
+        self.taken.retain(|t| now - t < b.window - slack);
         (self.extra.len() + 1) as f64 <= b.spare + b.ratio * self.taken.len() as f64
     }
 
@@ -736,9 +748,7 @@
         (o.tries, o.live, o.home) = (o.tries + 1, o.live + 1, Some(to));
         o.anchor = o.anchor.or(Some(Anchor { sent: now, shard: n.shard, zone: n.zone }));
         let first_draw = !std::mem::replace(&mut o.drawn, true);
-        if number > 0 && self.cfg.budget.is_some() {
-            self.extra.push_back(now);
-        }
+        self.extra.extend(self.cfg.budget.filter(|_| number > 0).map(|_| now));
         n.out.insert((id, number), now);
         (n.sent_at, n.jitter) = (now, jitter);
         if n.open {
@@ -777,11 +787,12 @@
         // A transfer lasts as long as its bytes and its client's pace: only a break tells of the node.
         let begun = self.open.get(&a.request).is_some_and(|o| o.began);
         if !begun || !matches!(a.outcome, Outcome::Ok | Outcome::Timeout) {
-            self.learn(now, &a, out);
+            self.learn(now, a.node, a.outcome, a.waited, out);
         }
         let Some(o) = self.open.get_mut(&a.request) else { return };
         o.live = o.live.saturating_sub(1);
         match a.outcome {
+            Outcome::Moved => o.req.astray = true,
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => {}
             _ => o.maybe_ran = true,
         }
@@ -802,20 +813,14 @@
         let Some((node, _)) = self.attempts.get(&(request, attempt)).copied() else { return };
         let sent = self.nodes.get_mut(&node).and_then(|n| n.out.remove(&(request, attempt)));
         let Some(waited) = sent.map(|s| now - s) else { return };
-        let (outcome, finished, volume_use, served_elsewhere, load) = (Outcome::Ok, false, None, 0.0, None);
-        let a =
-            Answer { request, attempt, node, outcome, waited, finished, volume_use, served_elsewhere, load };
-        self.learn(now, &a, out);
+        self.learn(now, node, Outcome::Ok, waited, out);
     }
 
     /// Lets a transfer in hand move on once its volume's limit allows: that is no new work, and a drain does
     /// not stop it. It counts like what is sent: in the volume's tag, its delay elsewhere, a cold budget.
     fn grow(&mut self, now: Micros, id: RequestId, out: &mut Vec<Action>) {
         let asked = self.open.get(&id).and_then(|o| Some((o.req, o.home, o.more?)));
-        let Some((req, home, units)) = asked else {
-            self.growing.remove(&id);
-            return;
-        };
+        let Some((req, home, units)) = asked else { return self.growing.retain(|g| *g != id) };
         if self.tokens(now, &req).is_some_and(|(have, _)| have < units) {
             return;
         }
@@ -847,11 +852,12 @@
             return self.finish(id, None, out);
         }
         let home = o.home;
-        let keep = home.and_then(|h| self.nodes.get(&h)).is_some_and(|n| !n.gone && n.told_stop.is_none());
+        let here = |n: &Node| !o.req.astray && o.req.shard.is_none_or(|s| s == n.shard);
+        let keep = at.is_some_and(|n| !n.gone && n.told_stop.is_none() && here(n));
         let stay = keep && (anchored || !keyless) && outcome != Outcome::Moot;
         let (finish, seq) = (o.finish, o.seq);
         let Some(n) = home.filter(|_| stay).and_then(|h| self.nodes.get_mut(&h)) else {
-            return self.place(now, id);
+            return self.place_or_fail(now, id, out);
         };
         let slot = (n.vtime.min(finish), seq);
         n.queue.insert(slot, id);
@@ -862,9 +868,7 @@
 
     fn on_request(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
         let id = req.id;
-        if self.cfg.budget.is_some() {
-            self.taken.push_back(now);
-        }
+        self.taken.extend(self.cfg.budget.map(|_| now));
         if self.open.contains_key(&id) {
             return;
         }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -6,19 +6,19 @@
 pub type Micros = i64;
 
 /// A request, as the embedder numbers it; never reused.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u32);
 /// A storage node; the same before and after a restart of its process.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub u32);
 /// A volume: the stream that reserve, limit and share are counted for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct VolumeId(pub u64);
 /// A piece of data.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Key(pub u64);
 /// The part of the data that a node (or the node that succeeds it) holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Shard(pub u32);
 /// A place: nodes of one zone share their links to the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -250,6 +250,8 @@
     pub give_up: Micros,
     /// Marked as a client's repeat.
     pub repeat: bool,
+    /// Where its data lies is not known yet: it waits until [`Event::Moved`] tells the shard.
+    pub astray: bool,
 }
 
 /// How an attempt or a probe ended.
@@ -261,6 +263,8 @@
     Error,
     /// Turned away unseen; it did not run.
     Full,
+    /// Turned away because the data lies elsewhere; it did not run. Its request waits for [`Event::Moved`].
+    Moved,
     /// Nothing came in time; it may have run or be running.
     Timeout,
     /// No connection came up; it did not run.
@@ -339,6 +343,13 @@
         /// The units, at most the most units of one request.
         units: f64,
     },
+    /// Where the data of a request lies now.
+    Moved {
+        /// The request.
+        request: RequestId,
+        /// The shard; none: any node may take it.
+        shard: Option<Shard>,
+    },
     /// An attempt ended.
     Answer(Answer),
     /// The client left, or the answer is overdue; nothing is owed any more.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,7 +28,7 @@
 //! // A request lands; the node has room, so it goes out at once.
 //! let request = Request {
 //!     id: RequestId(1), class: 0, plan: 0, volume: VolumeId(9), hosts: 1.0, units: 2.0, key: None,
-//!     shard: Some(Shard(0)), give_up: 2_001_000, repeat: false,
+//!     shard: Some(Shard(0)), give_up: 2_001_000, repeat: false, astray: false,
 //! };
 //! brain.handle(1_000, Event::Request(request), &mut actions);
 //! assert!(actions.contains(&Action::Send { request: RequestId(1), node: NodeId(7), timeout: None }));
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -103,6 +103,7 @@
             shard: Some(Shard(0)),
             give_up: self.now + 2_000_000,
             repeat: false,
+            astray: false,
         };
         change(&mut r);
         self.event(Event::Request(r));
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -414,3 +414,85 @@
     h.request(2);
     assert_eq!(h.sent(2), 1, "five seconds of bytes do not make the node slow");
 }
+
+// ---- data that moves ---------------------------------------------------------------------------------------
+
+#[test]
+fn what_is_held_while_its_data_moves_goes_to_the_new_shard_alone() {
+    let mut h = Host::new(settings(), vec![entry(0, 0), entry(1, 1)]);
+    // Fill node 0 until something is held there.
+    for id in 0..12 {
+        h.request(id);
+    }
+    let sent = h.sends().len();
+    assert!(sent < 12);
+    for id in 0..12 {
+        h.event(Event::Moved { request: RequestId(id), shard: Some(Shard(1)) });
+    }
+    h.pass(100_000);
+    let sends = h.sends();
+    for id in 0..12 {
+        let places: Vec<_> = sends.iter().filter(|s| s.0 == id).map(|s| s.1).collect();
+        assert!(places.len() <= 1, "request {id} went to {places:?}");
+        assert!((id as usize) < sent || places.iter().all(|p| *p == 1), "request {id} went to {places:?}");
+    }
+    assert!(sends.len() > sent, "what moved is sent");
+}
+
+#[test]
+fn a_request_turned_away_as_moved_waits_until_told_where_its_data_lies() {
+    let mut h = Host::new(settings(), vec![entry(0, 0), entry(1, 1)]);
+    h.request(1);
+    h.answer(1, 0, 0, Outcome::Moved);
+    h.pass(100_000);
+    // News of the list must not send it to the old place again.
+    h.list(ListKind::Delta, vec![entry(0, 0)]);
+    assert_eq!(h.sends(), [(1, 0)]);
+    h.event(Event::Moved { request: RequestId(1), shard: Some(Shard(1)) });
+    assert_eq!(h.sends(), [(1, 0), (1, 1)]);
+    // A node that only lost an extent is as well as before.
+    h.request(2);
+    assert!(h.sends().contains(&(2, 0)));
+}
+
+#[test]
+fn a_request_whose_place_is_unknown_is_refused_in_time_if_nobody_tells() {
+    let mut h = Host::new(settings(), vec![entry(0, 0)]);
+    h.request_with(1, |r| (r.astray, r.shard) = (true, None));
+    assert!(h.sends().is_empty());
+    h.pass(1_100_000);
+    assert!(h.refused(1) && h.sends().is_empty(), "well before its two seconds are over");
+}
+
+#[test]
+fn a_keyed_write_that_may_have_run_never_follows_its_data_out_of_its_group() {
+    let write = |group| {
+        let mut s = settings();
+        s.classes = vec![class(Effect::Keyed { group, window: 4_000_000 })];
+        let mut h = Host::new(s, vec![entry(0, 0), entry(1, 1)]);
+        h.request_with(1, |r| r.give_up += 2_000_000);
+        h
+    };
+    // Moved while it is out, then its connection breaks: it may have run on shard 0.
+    let mut h = write(Group::Cell);
+    h.event(Event::Moved { request: RequestId(1), shard: Some(Shard(1)) });
+    h.answer(1, 0, 0, Outcome::Reset);
+    assert!(h.failed(1) && h.sends() == [(1, 0)], "it fails plainly and at once");
+    // Moved while it waits for its next attempt.
+    let mut h = write(Group::Cell);
+    h.list(ListKind::Delta, vec![NodeEntry { state: NodeState::Draining, ..entry(0, 0) }]);
+    h.pass(1_000_000);
+    h.answer(1, 0, 0, Outcome::Reset);
+    assert!(!h.failed(1), "a successor on its shard may still come");
+    h.event(Event::Moved { request: RequestId(1), shard: Some(Shard(1)) });
+    assert!(h.failed(1) && h.sends() == [(1, 0)]);
+    // Where every node drops the repeat it goes on; and so does what provably never ran.
+    let mut h = write(Group::All);
+    h.event(Event::Moved { request: RequestId(1), shard: Some(Shard(1)) });
+    h.answer(1, 0, 0, Outcome::Reset);
+    assert_eq!(h.sends(), [(1, 0), (1, 1)]);
+    let mut h = write(Group::Cell);
+    h.event(Event::Moved { request: RequestId(1), shard: Some(Shard(1)) });
+    h.answer(1, 0, 0, Outcome::ConnectFailed);
+    assert_eq!(h.sends(), [(1, 0), (1, 1)]);
+}
