--- a/crates/extents-net/src/file.rs
+++ b/crates/extents-net/src/file.rs
@@ -29,3 +29,7 @@
         None => Ok(()),
     }
 }
+
+#[cfg(test)]
+#[path = "file_tests.rs"]
+mod tests;
--- a/crates/extents/src/cache.rs
+++ b/crates/extents/src/cache.rs
@@ -26,7 +26,7 @@
 /// The first and the longest wait after a poll or fetch that failed.
 const AGAIN_FIRST: Micros = 100_000;
 const AGAIN_LAST: Micros = 2_000_000;
-/// Where the authority has just confirmed a place, a hint against it counts for nothing for this long.
+/// Where the authority has just confirmed a place, hints against it are followed only in part for this long.
 const CONFIRMED: Micros = 500_000;
 /// Confirmed places that are remembered.
 const CONFIRMED_MOST: usize = 64;
@@ -172,6 +172,15 @@
     more: bool,
 }
 
+/// A place that the authority confirmed lately.
+struct Confirmed {
+    until: Micros,
+    volume: VolumeId,
+    first: u64,
+    last: u64,
+    version: Version,
+}
+
 /// A front's view of where data lies.
 pub struct Cache {
     cfg: Section,
@@ -182,14 +191,14 @@
     poll_at: Micros,
     poll_again: Micros,
     polls: Budget,
-    fetches: Budget,
+    loads: Budget,
+    refreshes: Budget,
     budgets: HashMap<VolumeId, Budget>,
     flights: BTreeMap<VolumeId, Flight>,
     /// Volumes to be fetched once a budget allows: when at the soonest, whether whole, and whether by a wrong turn.
     wanted: BTreeMap<VolumeId, (Micros, Option<Key>, bool)>,
     fetch_again: Micros,
-    /// Places that the authority confirmed lately: until when, and the range.
-    confirmed: Vec<(Micros, VolumeId, u64, u64)>,
+    confirmed: Vec<Confirmed>,
     outbox: Outbox,
     provisional: Provisional,
     save_at: Option<Micros>,
@@ -210,7 +219,8 @@
             poll_at: now,
             poll_again: 0,
             polls: Budget::new(now, cfg.polls_per_s, f64::from(cfg.poll_burst)),
-            fetches: Budget::new(now, cfg.fetches_per_s, f64::from(cfg.fetch_burst)),
+            loads: Budget::new(now, cfg.loads_per_s, f64::from(cfg.load_burst)),
+            refreshes: Budget::new(now, cfg.refreshes_per_s, f64::from(cfg.refresh_burst)),
             budgets: HashMap::new(),
             flights: BTreeMap::new(),
             wanted: BTreeMap::new(),
@@ -291,11 +301,17 @@
             _ => {}
         }
         let known = self.known(volume);
-        let lately = self
-            .confirmed
-            .iter()
-            .any(|(until, v, first, last)| *until > now && *v == volume && (*first..=*last).contains(&key.0));
-        if lately || hint.is_none_or(|h| known.is_some_and(|k| h <= k)) {
+        // Where the authority has just said otherwise, a newer hint is followed only as far as the volume's own budget
+        // goes: data may have moved since, but a request must not wait on a node that lies.
+        let spent = self.budgets.get_mut(&volume).is_some_and(|b| b.next(now) > now);
+        let unfounded = |h: Version| {
+            let lately = self.confirmed.iter().any(|c| {
+                let here = c.volume == volume && (c.first..=c.last).contains(&key.0);
+                here && c.until > now && (spent || h <= c.version)
+            });
+            lately || known.is_some_and(|k| h <= k)
+        };
+        if hint.is_none_or(unfounded) {
             self.counters.unfounded_hints += 1;
             let said = hint.map_or("no version".into(), |h| h.to_string());
             self.complain(now, Party::Node(asked), format!("turned away what is here, with {said}"), out);
@@ -480,30 +496,46 @@
             if self.flights.len() >= FLIGHTS_MOST {
                 return;
             }
-            let rate = self.cfg.volume_fetches_per_s;
-            if self.budgets.len() >= BUDGETS_MOST {
-                self.budgets.retain(|_, b| !b.full(now));
-            }
-            let own = self.budgets.entry(volume).or_insert_with(|| Budget::new(now, rate, 2.0));
-            let next = if own.next(now) > now { own.next(now) } else { self.fetches.next(now) };
+            let held = self.map.get(volume).is_some_and(|v| v.whole && !v.doubt);
+            // Requests cannot do without what is not held. What a wrong turn asks for is another matter: nodes may
+            // be behind, or lie.
+            let next = match held && self.wanted.get(&volume).is_some_and(|w| w.2) {
+                true => self.refresh_at(now, volume),
+                false if self.loads.take(now) => now,
+                false => self.loads.next(now),
+            };
             if next > now {
                 self.counters.put_off += 1;
                 self.wanted.entry(volume).and_modify(|w| w.0 = next);
                 continue;
             }
-            let (Some((_, key, turn)), true, true) =
-                (self.wanted.remove(&volume), own.take(now), self.fetches.take(now))
-            else {
-                continue;
-            };
+            let Some((_, key, turn)) = self.wanted.remove(&volume) else { continue };
             // Only a volume known in full has ranges to refresh.
-            let key = key.filter(|_| self.map.get(volume).is_some_and(|v| v.whole && !v.doubt));
+            let key = key.filter(|_| held);
             self.flights.insert(volume, Flight { key, turn, more: false });
             self.counters.fetches += 1;
             out.push(Action::Fetch { volume, key });
         }
     }
 
+    /// Takes from the budgets of refreshes, where both have one left; else when to come back.
+    fn refresh_at(&mut self, now: Micros, volume: VolumeId) -> Micros {
+        if self.budgets.len() >= BUDGETS_MOST {
+            self.budgets.retain(|_, b| !b.full(now));
+            if self.budgets.len() >= BUDGETS_MOST {
+                return now + AGAIN_LAST;
+            }
+        }
+        let rate = self.cfg.volume_refreshes_per_s;
+        let own = self.budgets.entry(volume).or_insert_with(|| Budget::new(now, rate, 2.0));
+        let next = own.next(now).max(self.refreshes.next(now));
+        if next <= now {
+            own.take(now);
+            self.refreshes.take(now);
+        }
+        next
+    }
+
     fn on_fetched(
         &mut self,
         now: Micros,
@@ -566,9 +598,10 @@
             }
         }
         self.provisional.confirmed(now, volume, cover.version);
-        self.confirmed.retain(|c| c.0 > now);
+        self.confirmed.retain(|c| c.until > now);
         if self.confirmed.len() < CONFIRMED_MOST {
-            self.confirmed.push((now + CONFIRMED, volume, cover.first, cover.last));
+            let (first, last, version) = (cover.first, cover.last, cover.version);
+            self.confirmed.push(Confirmed { until: now + CONFIRMED, volume, first, last, version });
         }
         out.push(Action::Changed { volume, first: cover.first, last: cover.last });
         self.counters.left += self.map.shrink(|id| id == volume || self.flights.contains_key(&id)) as u64;
--- a/crates/extents/src/config.rs
+++ b/crates/extents/src/config.rs
@@ -60,15 +60,21 @@
     /// Polls at once.
     #[schemars(range(min = 1, max = 1000))]
     pub poll_burst: u32,
-    /// Fetches of single volumes a second, in the mean, for all volumes.
+    /// Fetches a second, in the mean, of volumes that are not held or may have missed changes: requests wait for them.
+    #[schemars(range(min = 0.1, max = 100_000.0))]
+    pub loads_per_s: f64,
+    /// Such fetches at once.
+    #[schemars(range(min = 1, max = 100_000))]
+    pub load_burst: u32,
+    /// Fetches a second, in the mean, that wrong turns cause, for all volumes.
     #[schemars(range(min = 0.1, max = 10_000.0))]
-    pub fetches_per_s: f64,
-    /// Fetches at once, for all volumes.
+    pub refreshes_per_s: f64,
+    /// Such fetches at once.
     #[schemars(range(min = 1, max = 10_000))]
-    pub fetch_burst: u32,
-    /// Fetches of one volume a second, in the mean: what a node that lies can cause.
+    pub refresh_burst: u32,
+    /// Such fetches a second, in the mean, for one volume: what a node that lies can cause.
     #[schemars(range(min = 0.01, max = 1000.0))]
-    pub volume_fetches_per_s: f64,
+    pub volume_refreshes_per_s: f64,
     /// The most extents held; beyond it the volumes that were not asked for the longest leave.
     #[schemars(range(min = 1))]
     pub most_extents: usize,
@@ -101,9 +107,11 @@
             hold_ms: 2_000,
             polls_per_s: 5.0,
             poll_burst: 4,
-            fetches_per_s: 3.0,
-            fetch_burst: 16,
-            volume_fetches_per_s: 1.0,
+            loads_per_s: 200.0,
+            load_burst: 200,
+            refreshes_per_s: 3.0,
+            refresh_burst: 16,
+            volume_refreshes_per_s: 1.0,
             most_extents: 1_000_000,
             most_volumes: 100_000,
             snapshot: None,
--- a/crates/extents/src/map.rs
+++ b/crates/extents/src/map.rs
@@ -131,9 +131,9 @@
         }
     }
 
-    /// The same for all.
+    /// The same for all, but for those that were fetched as of that epoch or later.
     pub fn doubt_all(&mut self, since: u64) {
-        for v in self.volumes.values_mut() {
+        for v in self.volumes.values_mut().filter(|v| !v.whole || v.ranges.base() < since) {
             (v.doubt, v.since) = (true, v.since.max(since));
         }
     }
--- a/crates/extents/src/ranges.rs
+++ b/crates/extents/src/ranges.rs
@@ -193,8 +193,13 @@
         }
         self.heads[c0] = self.chunks[c0].firsts[0];
         while self.chunks[c0].firsts.len() > CHUNK {
-            let len = self.chunks[c0].firsts.len();
-            let upper = self.chunks[c0].split_off((len / 2).max(len.saturating_sub(CHUNK)));
+            let chunk = &mut self.chunks[c0];
+            let len = chunk.firsts.len();
+            let upper = chunk.split_off((len / 2).max(len.saturating_sub(CHUNK)));
+            // The lower half may never grow again: what it had room for is given back.
+            chunk.firsts.shrink_to_fit();
+            chunk.shards.shrink_to_fit();
+            chunk.beyond.shrink_to_fit();
             self.heads.insert(c0 + 1, upper.firsts[0]);
             self.chunks.insert(c0 + 1, upper);
         }
--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -52,7 +52,7 @@
     Schema,
     /// Play a short mixed load against a front with stand-ins on loopback and show what came of it.
     Demo(demo::Demo),
-    /// The map of extents: its drill, its model, its measurement.
+    /// The map of extents: its drill and its model.
     #[command(subcommand)]
     Extents(extents::Extents),
 }
--- a/crates/lupinrack/src/commands/extents/mod.rs
+++ b/crates/lupinrack/src/commands/extents/mod.rs
@@ -1,6 +1,5 @@
-//! `lupinrack extents`: the drill, the model without sockets, and the measurement of the table.
+//! `lupinrack extents`: the drill, and the model without sockets.
 
-pub mod bench;
 pub mod drill;
 pub mod sim;
 
@@ -14,8 +13,6 @@
     Drill(drill::Drill),
     /// The same state machines without sockets, in simulated time: bytes and calls against the number of fronts.
     Sim(sim::Sim),
-    /// The table of extents against plainer ones: look-ups, updates, bytes.
-    Bench(bench::Bench),
 }
 
 /// Runs one of them.
@@ -23,6 +20,5 @@
     match what {
         Extents::Drill(drill) => drill::run(drill),
         Extents::Sim(sim) => sim::run(sim),
-        Extents::Bench(bench) => bench::run(bench),
     }
 }
