--- a/crates/lupinrack/src/commands/extents/drill.rs
+++ b/crates/lupinrack/src/commands/extents/drill.rs
@@ -147,6 +147,8 @@
 const LOTS: u64 = 8;
 /// A drain begins this often, while the run lasts.
 const DRAIN_EVERY: Duration = Duration::from_secs(3);
+/// The successor of every other drained node comes only after this: in between nobody holds the shard.
+const SUCCESSOR_LATE: Duration = Duration::from_millis(1_300);
 /// A drained node is gone after this.
 const DRAIN_LASTS: Duration = Duration::from_millis(1_800);
 /// Extents of a drained node that move elsewhere while it drains.
@@ -281,11 +283,14 @@
         self.discovery.set(Entry { name: format!("s-{at}"), address: node.address, shard: *shard, lifecycle })
     }
 
-    /// A node drains; its successor takes the shard over, and some of its extents move elsewhere meanwhile.
-    async fn drain(&mut self, dice: &mut fastrand::Rng) -> Result<usize, Failure> {
+    /// A node drains, and some of its extents move elsewhere meanwhile; its successor takes the shard over now, or is
+    /// still to come.
+    async fn drain(&mut self, late: bool, dice: &mut fastrand::Rng) -> Result<usize, Failure> {
         let shard = dice.u32(0..self.holders.len() as u32);
         let old = self.holders[shard as usize];
-        self.holders[shard as usize] = self.add(shard, dice).await?;
+        if !late {
+            self.holders[shard as usize] = self.add(shard, dice).await?;
+        }
         let version = self.list(old, "DRAINING");
         self.nodes[old].2 = Some(version);
         let mine: Vec<Lot> =
@@ -345,7 +350,7 @@
     let total = drill.rate * drill.seconds * u64::from(drill.fronts);
     let mut script = Script::new(drill, span, &mut dice);
     let mut asked: JoinSet<(Came, Duration)> = JoinSet::new();
-    let mut gone: Vec<(Duration, usize)> = Vec::new();
+    let mut gone: Vec<(Duration, Later)> = Vec::new();
     let (mut burst, mut burst_from): (Option<Duration>, Vec<Counters>) = (None, Vec::new());
     for n in 0..total {
         let due = span.mul_f64((n as f64 + dice.f64()) / total as f64);
@@ -359,7 +364,12 @@
                 Scene::Drain => {
                     figures.drains += 1;
                     figures.moves += DRAIN_MOVES;
-                    gone.push((at + DRAIN_LASTS, room.drain(&mut dice).await?));
+                    let late = figures.drains % 2 == 0;
+                    let old = room.drain(late, &mut dice).await?;
+                    if late {
+                        gone.push((at + SUCCESSOR_LATE, Later::Successor(room.nodes[old].1)));
+                    }
+                    gone.push((at + DRAIN_LASTS, Later::Gone(old)));
                 }
                 Scene::BurstBegins => burst_from = told(&fronts),
                 Scene::BurstEnds => burst = Some(at),
@@ -373,12 +383,14 @@
                     .unwrap_or(0);
             }
         }
-        gone.retain(|(at, node)| {
-            if *at <= due {
-                room.list(*node, "DELETED");
+        while let Some(i) = gone.iter().position(|(at, _)| *at <= due) {
+            match gone.swap_remove(i).1 {
+                Later::Successor(shard) => room.holders[shard as usize] = room.add(shard, &mut dice).await?,
+                Later::Gone(node) => {
+                    room.list(node, "DELETED");
+                }
             }
-            *at > due
-        });
+        }
         sleep_until(began + due).await;
         let at = fronts[dice.usize(0..fronts.len())].listen;
         let (clients, ask) = (clients.clone(), next(&mut dice, None));
@@ -469,6 +481,15 @@
     BurstEnds,
 }
 
+/// What comes of a drain a little later.
+#[derive(Clone, Copy, Debug)]
+enum Later {
+    /// The shard's new node is there.
+    Successor(u32),
+    /// The drained node is gone.
+    Gone(usize),
+}
+
 /// What happens when, and the moves that may be undone.
 struct Script {
     scenes: Vec<(Duration, Scene)>,
