Look at a closed write-back log: lupinrack buffer ls, verify, in-doubt, export

Need: operators must see what a log holds, and which writes are in doubt, before and without a start of the front.

--- /dev/null
+++ b/crates/lupinrack/src/commands/buffer.rs
@@ -0,0 +1,197 @@
+//! `lupinrack buffer`: looks at the log of a write-back buffer that is closed. It changes nothing: a torn end is told of
+//! and left for the front's own start to cut.
+
+use crate::cli::Ended;
+use clap::{Args, Subcommand};
+use lupinrack_write_back::file::{Folder, FolderError};
+use lupinrack_write_back::log::{inspect, Recovered};
+use lupinrack_write_back::moment;
+use lupinrack_write_back::record::{Moment, Record};
+use lupinrack_write_back::state::{Book, Pending, Standing};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::{Path, PathBuf};
+
+/// What can be done with a closed log.
+#[derive(Debug, Subcommand)]
+pub enum Buffer {
+    /// List the writes that are not settled, with what may be done with each.
+    Ls(Place),
+    /// Read every record; exit 1 where the log is damaged.
+    Verify(Place),
+    /// List the writes that may have run and whose nodes must be asked first; exit 1 where there are any.
+    InDoubt(Place),
+    /// Write the bodies of all writes that are not settled into a folder, a file each.
+    Export {
+        #[command(flatten)]
+        place: Place,
+        /// The folder; it is made, and must not be there yet.
+        #[arg(long)]
+        to: PathBuf,
+    },
+}
+
+/// Where the log is, and how to print.
+#[derive(Clone, Debug, Args)]
+pub struct Place {
+    /// The log's folder.
+    dir: PathBuf,
+    /// The repeat window of keyed writes, in milliseconds.
+    #[arg(long, default_value_t = 4_000)]
+    window_ms: u32,
+    /// Print one JSON object a write.
+    #[arg(long)]
+    json: bool,
+}
+
+/// A write as it is printed.
+#[derive(Serialize)]
+struct Row {
+    write: u64,
+    volume: String,
+    plan: String,
+    bytes: usize,
+    key: String,
+    target: String,
+    attempts: usize,
+    state: &'static str,
+    nodes: Vec<String>,
+    left_ms: Option<i64>,
+}
+
+/// Runs one of them.
+pub fn run(what: &Buffer) -> Result<(), Ended> {
+    match what {
+        Buffer::Ls(place) => list(place, |_| true).map(drop),
+        Buffer::InDoubt(place) => match list(place, |s| matches!(s, Standing::PastWindow { .. }))? {
+            0 => Ok(()),
+            n => Err(Ended::failed(format!("{n} writes may have run; their nodes must be asked first"))),
+        },
+        Buffer::Verify(place) => verify(place),
+        Buffer::Export { place, to } => export(place, to),
+    }
+}
+
+/// Reads a log without changing it. One that a front has open is refused.
+fn read(place: &Place) -> Result<(Recovered, Book), Ended> {
+    if !place.dir.is_dir() {
+        return Err(Ended::wrong(format!("{}: no such folder", place.dir.display())));
+    }
+    let mut folder = Folder::open(&place.dir).map_err(|e| match e {
+        FolderError::InUse(_) => Ended::wrong(format!("{e}; its figures are in that program's log")),
+        e => Ended::wrong(e),
+    })?;
+    let found = inspect(&mut folder).map_err(|e| Ended::failed(format!("{}: {e}", place.dir.display())))?;
+    let mut book = Book::default();
+    found.records.iter().for_each(|(sequence, record)| book.apply(*sequence, record));
+    Ok((found, book))
+}
+
+fn now() -> Result<Moment, Ended> {
+    moment::now().map_err(|e| Ended::failed(format!("the time since boot: {e}")))
+}
+
+fn row(p: &Pending, standing: &Standing) -> Row {
+    let (state, nodes, left) = match standing {
+        Standing::NeverSent => ("never sent", Vec::new(), None),
+        Standing::Answered => ("answered", Vec::new(), None),
+        Standing::InWindow { shard, left } => ("in window", vec![format!("shard {shard}")], Some(*left)),
+        Standing::PastWindow { nodes } => ("past window", nodes.clone(), None),
+    };
+    Row {
+        write: p.taken.write.0,
+        volume: format!("{:016x}", p.taken.volume),
+        plan: p.taken.plan.clone(),
+        bytes: p.taken.body.len(),
+        key: String::from_utf8_lossy(&p.taken.key).into_owned(),
+        target: String::from_utf8_lossy(&p.taken.target).into_owned(),
+        attempts: p.tried.len(),
+        state,
+        nodes,
+        left_ms: left.map(|l| l / 1000),
+    }
+}
+
+fn list(place: &Place, wanted: impl Fn(&Standing) -> bool) -> Result<usize, Ended> {
+    let ((_, book), now) = (read(place)?, now()?);
+    let window = i64::from(place.window_ms) * 1000;
+    let mut count = 0;
+    for p in book.pending() {
+        let standing = p.standing(now, window);
+        if !wanted(&standing) {
+            continue;
+        }
+        if count == 0 && !place.json {
+            println!(
+                "{:>8}  {:<16}  {:<10}{:>7}{:>9}  {:<12}{:<24}  key",
+                "write", "volume", "plan", "bytes", "attempts", "state", "where"
+            );
+        }
+        count += 1;
+        let row = row(p, &standing);
+        if place.json {
+            println!("{}", serde_json::to_string(&row).map_err(Ended::failed)?);
+            continue;
+        }
+        println!(
+            "{:>8}  {:<16}  {:<10}{:>7}{:>9}  {:<12}{:<24}  {}",
+            row.write,
+            row.volume,
+            row.plan,
+            row.bytes,
+            row.attempts,
+            row.state,
+            row.nodes.join(","),
+            row.key
+        );
+    }
+    Ok(count)
+}
+
+fn verify(place: &Place) -> Result<(), Ended> {
+    let (found, book) = read(place)?;
+    let mut kinds: BTreeMap<&str, usize> = BTreeMap::new();
+    for (_, record) in &found.records {
+        let kind = match record {
+            Record::Taken(_) => "taken",
+            Record::Attempt { .. } => "attempt",
+            Record::Ended { .. } => "ended",
+            Record::Settled(_) => "settled",
+            Record::Barrier { .. } => "barrier",
+            Record::Flush { .. } => "flush",
+        };
+        *kinds.entry(kind).or_default() += 1;
+    }
+    let pending = book.pending().count();
+    if place.json {
+        let (records, torn) = (found.records.len(), found.torn);
+        let line =
+            serde_json::json!({"records": records, "kinds": kinds, "pending": pending, "torn_bytes": torn});
+        println!("{line}");
+        return Ok(());
+    }
+    let mut text = format!("{} records, {pending} writes not settled", found.records.len());
+    for (kind, count) in kinds {
+        let _ = write!(text, "\n{kind:<10}{count:>8}");
+    }
+    if found.torn > 0 {
+        let _ = write!(text, "\na torn end of {} bytes; the next start cuts it off", found.torn);
+    }
+    println!("{text}");
+    Ok(())
+}
+
+fn export(place: &Place, to: &Path) -> Result<(), Ended> {
+    let (_, book) = read(place)?;
+    std::fs::create_dir(to).map_err(|e| Ended::wrong(format!("{}: {e}", to.display())))?;
+    let mut count = 0;
+    for p in book.pending() {
+        let file = to.join(format!("{:016x}-{:08}.body", p.taken.volume, p.taken.write.0));
+        std::fs::write(&file, &p.taken.body)
+            .map_err(|e| Ended::failed(format!("{}: {e}", file.display())))?;
+        count += 1;
+    }
+    println!("{count} bodies in {}", to.display());
+    Ok(())
+}
--- a/crates/lupinrack/tests/cli.rs
+++ b/crates/lupinrack/tests/cli.rs
@@ -80,3 +80,49 @@
     }
     assert!(lines.iter().any(|l| l.pointer("/span/attempt").is_some()), "attempts are numbered");
 }
+
+#[test]
+fn a_closed_log_is_listed_verified_and_exported_and_an_open_one_is_refused() {
+    use lupinrack_write_back::file::Folder;
+    use lupinrack_write_back::log::Log;
+    use lupinrack_write_back::moment;
+    use lupinrack_write_back::record::{Record, Taken, WriteId};
+    let dir = std::env::temp_dir().join(format!("lupinrack-buffer-{}", std::process::id()));
+    let (name, out) = (dir.display().to_string(), dir.join("out").display().to_string());
+    let (mut log, _) = Log::open(Folder::open(&dir).unwrap(), 1 << 20).unwrap();
+    for n in 1..=3 {
+        let (plan, key, body) = ("basic".into(), format!("k-{n}").into_bytes(), vec![7; 5]);
+        let taken = Taken {
+            write: WriteId(n),
+            volume: 9,
+            plan,
+            milliunits: 1,
+            key,
+            target: vec![],
+            body,
+            give_up: 0,
+        };
+        log.append(&Record::Taken(taken)).unwrap();
+    }
+    let mut at = moment::now().unwrap();
+    at.since_boot -= 60_000_000;
+    let (write, node) = (WriteId(2), "s-1".to_string());
+    log.append(&Record::Attempt { write, attempt: 0, node, shard: 0, at }).unwrap();
+    log.append(&Record::Settled(WriteId(3))).unwrap();
+    log.sync().unwrap();
+    let code = |args: &[&str]| lupinrack(args).status.code();
+    assert_eq!(code(&["buffer", "ls", &name]), Some(2), "a front has it open");
+    drop(log);
+    let ls = String::from_utf8(lupinrack(&["buffer", "ls", &name, "--json"]).stdout).unwrap();
+    let states: Vec<_> =
+        ls.lines().map(|l| serde_json::from_str::<serde_json::Value>(l).unwrap()["state"].clone()).collect();
+    assert_eq!(states, ["never sent", "past window"]);
+    assert_eq!(
+        (code(&["buffer", "verify", &name]), code(&["buffer", "in-doubt", &name])),
+        (Some(0), Some(1))
+    );
+    assert_eq!(code(&["buffer", "export", &name, "--to", &out]), Some(0));
+    assert_eq!(std::fs::read_dir(&out).unwrap().count(), 2);
+    assert_eq!(code(&["buffer", "verify", "/nowhere"]), Some(2));
+    std::fs::remove_dir_all(&dir).unwrap();
+}
--- a/crates/write-back/src/lib.rs
+++ b/crates/write-back/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod disk;
 pub mod file;
 pub mod log;
+pub mod moment;
 pub mod record;
 pub mod sim;
 pub mod state;
--- a/crates/write-back/src/log.rs
+++ b/crates/write-back/src/log.rs
@@ -68,38 +68,48 @@
     pub torn: u64,
 }
 
+/// Reads a log and changes nothing.
+pub fn inspect(disk: &mut impl Disk) -> Result<Recovered, OpenError> {
+    scan(disk).map(|(found, ..)| found)
+}
+
+/// Reads all segments: the records, the segments up to their last good byte, and the next sequence.
+fn scan(disk: &mut impl Disk) -> Result<(Recovered, VecDeque<Segment>, u64), OpenError> {
+    let ids = disk.list()?;
+    let mut found = Recovered::default();
+    let mut segments = VecDeque::new();
+    let mut next = ids.first().map_or(1, |id| id.0);
+    for (i, id) in ids.iter().enumerate() {
+        let last = i + 1 == ids.len();
+        if id.0 != next {
+            return Err(OpenError::Damaged { segment: id.0, offset: 0, why: Unreadable::Sequence });
+        }
+        let bytes = disk.read(*id)?;
+        let mut at = 0;
+        while at < bytes.len() {
+            match decode(&bytes[at..], next) {
+                Ok((record, length)) => {
+                    found.records.push((next, record));
+                    (at, next) = (at + length, next + 1);
+                }
+                Err(why) if !last => return Err(OpenError::Damaged { segment: id.0, offset: at, why }),
+                Err(_) => {
+                    found.torn = (bytes.len() - at) as u64;
+                    break;
+                }
+            }
+        }
+        segments.push_back(Segment { id: *id, bytes: at as u64 });
+    }
+    Ok((found, segments, next))
+}
+
 impl<D: Disk> Log<D> {
     /// Opens a log and tells what stands in it.
     pub fn open(mut disk: D, segment_bytes: u64) -> Result<(Log<D>, Recovered), OpenError> {
-        let ids = disk.list()?;
-        let mut found = Recovered::default();
-        let mut segments = VecDeque::new();
-        let mut next = ids.first().map_or(1, |id| id.0);
-        for (i, id) in ids.iter().enumerate() {
-            let last = i + 1 == ids.len();
-            if id.0 != next {
-                let why = Unreadable::Sequence;
-                return Err(OpenError::Damaged { segment: id.0, offset: 0, why });
-            }
-            let bytes = disk.read(*id)?;
-            let mut at = 0;
-            while at < bytes.len() {
-                match decode(&bytes[at..], next) {
-                    Ok((record, length)) => {
-                        found.records.push((next, record));
-                        (at, next) = (at + length, next + 1);
-                    }
-                    Err(why) if !last => {
-                        return Err(OpenError::Damaged { segment: id.0, offset: at, why });
-                    }
-                    Err(_) => {
-                        found.torn = (bytes.len() - at) as u64;
-                        disk.truncate(*id, at as u64)?;
-                        break;
-                    }
-                }
-            }
-            segments.push_back(Segment { id: *id, bytes: at as u64 });
+        let (found, segments, next) = scan(&mut disk)?;
+        if let Some(last) = segments.back().filter(|_| found.torn > 0) {
+            disk.truncate(last.id, last.bytes)?;
         }
         let log = Log { disk, segments, next, lasting: next, segment_bytes, closed: false };
         Ok((log, found))
