Ask discovery in a spread sized by the fleet, so that it is not overbooked for good

Calls logged one by one: 20 a second are taken, what waits 2 s fails.

Cause: HOLD, PAUSE and the loop of crates/platform/src/discovery.rs. Change: watching.rs, a state machine without I/O or clock: start, hold and backoff by the number of fronts, full jitter; a list that is older or empty changes nothing; logged once a state. A test runs 100 of them against a model of the service; the old timing never recovers in it.

--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -125,7 +125,8 @@
     let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
     let upstream = Upstream::new(&told, clock, config.limits.nodes(second));
     let core = tokio::spawn(core.run());
-    let watch = Watch { address: discovery, zones: told.zones.clone(), epoch };
+    let (zones, how, seed) = (told.zones.clone(), (told.module.discovery, told.module.hosts), config.seed);
+    let watch = Watch { address: discovery, zones, epoch, how, seed };
     let watch = tokio::spawn(watch.run(handle.clone(), config.known));
     let prober = tokio::spawn(probe::run(handle.clone(), upstream.clone(), targets));
 
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The node list: its form on the wire, and the loop that watches it.
 
 use crate::clock::Epoch;
+use crate::watching::{Call, Head, Verdict, Watching};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::{connect::HttpConnector, Client};
@@ -12,15 +13,10 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How long a watch may be held. Short: a watch whose connection has fallen silent is noticed only once it is
-/// over, and until then the front sends to nodes that are gone. The next call follows at once, so nothing is missed.
-const HOLD: Duration = Duration::from_secs(2);
-/// How much longer than that an answer may take before the call is given up.
+/// How much longer than it may be held an answer may take before the call is given up.
 const PATIENCE: Duration = Duration::from_millis(500);
 /// How long a connection may take to come up: the agent is on the front's own machine.
 const CONNECT: Duration = Duration::from_secs(1);
-/// The wait before the next call after one that failed; under the 200 ms within which a watch goes on.
-const PAUSE: Duration = Duration::from_millis(100);
 /// The longest list taken.
 const LONGEST: usize = 4 << 20;
 
@@ -112,6 +108,10 @@
     pub zones: Vec<String>,
     /// How Unix time maps to the clock.
     pub epoch: Epoch,
+    /// Whether an agent is asked or a service, and how many fronts ask it.
+    pub how: (Discovery, u32),
+    /// For random waits.
+    pub seed: u64,
 }
 
 impl Watch {
@@ -123,44 +123,60 @@
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
             .build(connector);
-        let mut from = known.as_ref().map(|l| l.generation);
+        let mut watching =
+            Watching::new(self.how.0, self.how.1, known.as_ref().map(|l| l.generation), self.seed);
         if let Some(list) = known {
             core.list(ListKind::Cached, listings(&list, &self.zones, &self.epoch)).await;
         }
         loop {
+            let call = watching.next_call();
+            tokio::time::sleep(call.after).await;
             let address = *self.address.borrow_and_update();
             let mut moved = self.address.clone();
             let answer = tokio::select! {
                 biased;
-                answer = self.call(&client, address, from) => answer,
+                answer = self.call(&client, address, call) => answer,
                 // Moved while a call is out: the watch goes on at the new address from the version in hand, so
                 // that no node is lost and nothing told twice. The old call ends with its connection.
                 Ok(()) = moved.changed() => continue,
             };
+            let before = watching.fails();
             match answer {
                 Ok(list) => {
-                    // Without a version to go on from, what comes is the whole list whatever its mark says.
-                    let kind = if list.reset || from.is_none() { ListKind::Full } else { ListKind::Delta };
-                    if kind == ListKind::Full || !list.instances.is_empty() {
-                        core.list(kind, listings(&list, &self.zones, &self.epoch)).await;
+                    let (generation, whole, empty) = (list.generation, list.reset, list.instances.is_empty());
+                    match watching.answered(call, Head { generation, whole, empty }) {
+                        Verdict::Whole => self.tell(&core, ListKind::Full, &list).await,
+                        Verdict::Changes => self.tell(&core, ListKind::Delta, &list).await,
+                        Verdict::Same => {}
+                        Verdict::Doubted => tracing::debug!("discovery: version {generation} is left aside"),
                     }
-                    from = Some(list.generation);
                 }
                 Err(why) => {
-                    tracing::warn!("discovery: {why}");
-                    tokio::time::sleep(PAUSE).await;
+                    watching.failed();
+                    tracing::debug!("discovery: {why}");
+                    if before == 0 {
+                        tracing::warn!("discovery: {why}; asked again, with growing waits");
+                    }
                 }
             }
+            if before > 0 && watching.fails() == 0 {
+                tracing::info!("discovery answers again, after {before} calls");
+            }
         }
     }
 
+    async fn tell(&self, core: &Handle, kind: ListKind, list: &List) {
+        core.list(kind, listings(list, &self.zones, &self.epoch)).await;
+    }
+
     async fn call(
         &self,
         client: &Client<HttpConnector, Empty<Bytes>>,
         address: SocketAddr,
-        from: Option<u64>,
+        call: Call,
     ) -> Result<List, CallError> {
-        let query = from.map_or(String::new(), |g| format!("?from={g}&hold_ms={}", HOLD.as_millis()));
+        let hold = call.hold;
+        let query = call.from.map_or(String::new(), |g| format!("?from={g}&hold_ms={}", hold.as_millis()));
         let uri = format!("http://{address}/registry/instances{query}");
         let request = http::Request::get(uri).body(Empty::new())?;
         let exchange = async {
@@ -171,6 +187,6 @@
             let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(CallError::Body)?;
             Ok(serde_json::from_slice(&body.to_bytes())?)
         };
-        tokio::time::timeout(HOLD + PATIENCE, exchange).await.unwrap_or(Err(CallError::Late))
+        tokio::time::timeout(hold + PATIENCE, exchange).await.unwrap_or(Err(CallError::Late))
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod config;
 pub mod discovery;
 pub mod reload;
+pub mod watching;
