Take clients from an inherited socket and open the operators' door with its figures

Cause: a second process bound the clients' address anew and ended with 1 (serve.rs, TcpListener::bind); nothing answered at the second address. Seen in the log of the crash; ruled out: descriptors, memory, the configuration (it was read).

Change: LB_INHERITED_FD is checked (number, listening TCP socket, expected address) and used; told to end, a process with such a socket takes no further connection at once, since the other takes from the same queue, says Connection: close, and ends when its connections have. The door and the ledger are packages of their own. An attempt is counted where its last byte is handed over.

Test: two real processes, eight clients, no connection refused or cut.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 /// Events that may wait for the core's next turn; who would add more waits.
 const INBOX: usize = 4096;
@@ -36,6 +36,7 @@
     Dropped(RequestId),
     List(ListKind, Vec<Listing>),
     Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
+    Targets(oneshot::Sender<(usize, usize)>),
 }
 
 /// How a request ended for its client.
@@ -140,6 +141,13 @@
         let _ = self.inbox.send(Input::Extents(input)).await;
     }
 
+    /// How many nodes are listed, and how many of them the module avoids now; none once the core is gone.
+    pub async fn targets(&self) -> Option<(usize, usize)> {
+        let (tell, told) = oneshot::channel();
+        self.inbox.send(Input::Targets(tell)).await.ok()?;
+        told.await.ok()
+    }
+
     /// Reports the end of a probe.
     pub async fn probed(&self, node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load>) {
         let _ = self.inbox.send(Input::Probed { node, outcome, waited, load }).await;
@@ -336,6 +344,7 @@
                 let entries = self.nodes.apply(now, self.grace, kind, list);
                 self.tell(now, Event::Nodes { kind, entries });
             }
+            Input::Targets(tell) => drop(tell.send(self.brain.targets())),
             Input::Probed { node, outcome, waited, load } => {
                 self.tell(now, Event::Probed { node, outcome, waited, load });
             }
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -17,6 +17,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use hyper_util::service::TowerToHyperService;
 use lupinrack_core::Handle;
+use lupinrack_figures::{End, Figures, Life};
 use lupinrack_lifecycle::{reached, Phase};
 use lupinrack_settings::Told;
 use std::convert::Infallible;
@@ -45,31 +46,33 @@
     pub phase: watch::Receiver<Phase>,
     /// The ids of all open requests.
     pub ids: OpenIds,
+    /// What is counted of requests.
+    pub figures: Figures,
+    /// From this phase on no connection is taken and each answer is the last on its own.
+    pub last: Phase,
 }
 
 /// Takes connections, at most `most` at once, until the front is closing; then finishes what was taken.
 pub async fn run(listener: TcpListener, front: Front, most: usize) {
-    let (mut phase, ending) = (front.phase.clone(), front.phase.clone());
+    let (mut phase, ending, last) = (front.phase.clone(), front.phase.clone(), front.last);
     let app = Router::new().route("/health/ready", get(ready)).fallback(take).with_state(front);
     let connections = GracefulShutdown::new();
     let places = Places::new(most);
     for number in 0.. {
-        let next = async {
-            let (stream, _) = listener.accept().await?;
-            let _ = stream.set_nodelay(true);
-            let (gate, visit) = Gate::new(stream, ending.clone());
-            let place = places.take(number, &visit).await;
-            Ok::<_, std::io::Error>((gate, visit, place))
-        };
         let next = tokio::select! {
             biased;
-            next = next => next,
-            () = reached(&mut phase, Phase::Closing) => break,
+            // Where another process takes from the same queue, what is left in it is left to that one.
+            () = reached(&mut phase, last) => break,
+            next = listener.accept() => next,
         };
-        let Ok((gate, visit, place)) = next else {
+        let Ok((stream, _)) = next else {
             tokio::time::sleep(PAUSE).await;
             continue;
         };
+        // A connection that was taken is served, also where the end comes while it waits for its place.
+        let _ = stream.set_nodelay(true);
+        let (gate, visit) = Gate::new(stream, ending.clone());
+        let place = places.take(number, &visit).await;
         let service = Visited { app: TowerToHyperService::new(app.clone()), visit };
         let connection = http1::Builder::new()
             .header_read_timeout(None)
@@ -84,6 +87,10 @@
         });
     }
     drop(listener);
+    tokio::select! {
+        () = reached(&mut phase, Phase::Closing) => {}
+        () = places.empty() => {}
+    }
     connections.shutdown().await;
 }
 
@@ -122,11 +129,19 @@
 
 /// Takes one request from a client and waits for its final answer.
 async fn take(State(front): State<Front>, request: AxumRequest) -> Response<Body> {
-    let mut response = match admit(&front, request).await {
+    let mut life = None;
+    let mut response = match admit(&front, request, &mut life).await {
         Ok(answer) => answer.await.unwrap_or_else(|_| lost()),
         Err(why) => malformed(&why),
     };
-    if *front.phase.borrow() >= Phase::Closing {
+    if let Some(life) = life {
+        life.end(match response.status() {
+            StatusCode::OK => End::Success,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => End::Overload,
+            _ => End::Error,
+        });
+    }
+    if *front.phase.borrow() >= front.last {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -136,6 +151,7 @@
 async fn admit(
     front: &Front,
     request: AxumRequest,
+    life: &mut Option<Life>,
 ) -> Result<oneshot::Receiver<Response<Body>>, IntakeError> {
     let (parts, body) = request.into_parts();
     let visit = parts.extensions.get::<Visit>().cloned();
@@ -143,14 +159,16 @@
         return Err(IntakeError::Framing);
     }
     let (mut wanted, patience) = intake::head(&front.told, &parts)?;
+    let class = front.told.classes.get(usize::from(wanted.class)).map_or("", String::as_str);
+    let life = life.insert(front.figures.life(class));
     let due = visit.map_or_else(Instant::now, |v| v.due());
     let parcel = timeout_at(due, intake::parcel(parts, body)).await.unwrap_or(Err(IntakeError::Slow))?;
     // A request's time runs from its last byte, however slowly it came.
+    life.taken();
     wanted.give_up = front.core.clock.now() + patience.as_micros() as i64;
     let one = front.ids.take(&parcel.id).ok_or(IntakeError::Open)?;
     let (client, answer) = oneshot::channel();
     let (core, upstream, phase) = (front.core.clone(), front.upstream.clone(), front.phase.clone());
-    let class = front.told.classes.get(usize::from(wanted.class)).map_or("", String::as_str);
     let (id, volume) = (parcel.id.to_str().unwrap_or(""), wanted.volume.0);
     let span = tracing::debug_span!("request", id, class, volume = %format_args!("{volume:016x}"), attempt = tracing::field::Empty);
     let life = request::serve(core, upstream, phase, wanted, parcel, client).instrument(span);
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use lupinrack_figures::Figures;
 use std::collections::HashMap;
 use std::future::Future;
 use std::io;
@@ -59,6 +60,8 @@
     written: usize,
     /// The request was handed to the system whole.
     flushed: bool,
+    /// To be counted once that is so.
+    count: Option<Figures>,
     read: usize,
     /// The bytes read end where a head ends, so that nothing has begun or only what is said ahead of an answer.
     between: bool,
@@ -68,7 +71,15 @@
 
 impl Passed {
     fn nothing() -> Self {
-        Passed { written: 0, flushed: false, read: 0, between: true, tail: [0; 4], last: Instant::now() }
+        Passed {
+            written: 0,
+            flushed: false,
+            count: None,
+            read: 0,
+            between: true,
+            tail: [0; 4],
+            last: Instant::now(),
+        }
     }
 
     fn read(&mut self, bytes: &[u8]) {
@@ -163,6 +174,11 @@
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut passed = self.0.passed();
         passed.flushed = passed.written > 0;
+        if passed.flushed {
+            if let Some(figures) = passed.count.take() {
+                figures.dispatched();
+            }
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -211,9 +227,10 @@
     pub async fn exchange<T, F: Future<Output = Result<T, Spoilt>>>(
         &mut self,
         request: http::Request<Full<Bytes>>,
+        count: Option<Figures>,
         read: impl FnOnce(http::Response<hyper::body::Incoming>) -> F,
     ) -> Result<T, Spoilt> {
-        *self.wire.passed() = Passed::nothing();
+        *self.wire.passed() = Passed { count, ..Passed::nothing() };
         let (sender, connection, over) = (&mut self.sender, &mut self.connection, &mut self.over);
         let begun = Mutex::new(false);
         let answer = async {
--- a/crates/http/src/places.rs
+++ b/crates/http/src/places.rs
@@ -16,6 +16,7 @@
 #[derive(Clone)]
 pub struct Places {
     room: Arc<Semaphore>,
+    most: u32,
     taken: Arc<Mutex<HashMap<u64, Visit>>>,
 }
 
@@ -29,7 +30,8 @@
 impl Places {
     /// So many places.
     pub fn new(most: usize) -> Self {
-        Places { room: Arc::new(Semaphore::new(most)), taken: Arc::default() }
+        let most = u32::try_from(most).unwrap_or(u32::MAX);
+        Places { room: Arc::new(Semaphore::new(most as usize)), most, taken: Arc::default() }
     }
 
     /// Takes a place for a connection. Where none is free, the one that has been without a whole request for the
@@ -48,6 +50,11 @@
         Place { places: self.clone(), number, _permit }
     }
 
+    /// Ends once no connection is left.
+    pub async fn empty(&self) {
+        let _ = self.room.acquire_many(self.most).await;
+    }
+
     fn make_way(&self) {
         let now = Instant::now();
         let taken = self.taken();
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use lupinrack_core::{Attempt, Clock};
 use lupinrack_extents::Version;
+use lupinrack_figures::Figures;
 use lupinrack_policy::*;
 use lupinrack_settings::{micros, Told};
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
     lines: Lines,
     clock: Clock,
     columns: std::sync::Arc<[String]>,
+    figures: Figures,
 }
 
 /// How an attempt ended.
@@ -45,10 +47,10 @@
 
 impl Upstream {
     /// Connections as the settings want them, at most this many.
-    pub fn new(told: &Told, clock: Clock, most: usize) -> Self {
+    pub fn new(told: &Told, clock: Clock, most: usize, figures: Figures) -> Self {
         let span = |us: Micros| Duration::from_micros(us.max(1) as u64);
         let lines = Lines::new(most, span(told.connect_timeout), span(told.conn_idle * IDLE_TENTHS / 10));
-        Upstream { lines, clock, columns: told.columns.clone().into() }
+        Upstream { lines, clock, columns: told.columns.clone().into(), figures }
     }
 
     /// Makes one attempt. Dropped, it closes the attempt's connection.
@@ -79,14 +81,19 @@
         let Ok(request) = request else { return Outcome::Moot.into() };
         let exchange = tokio::select! {
             biased;
-            end = self.exchange(&mut line, request) => end,
+            end = self.exchange(&mut line, request, Some(self.figures.clone())) => end,
             () = &mut late => return if line.written() { Outcome::Timeout } else { Outcome::ConnectFailed }.into(),
         };
         self.settle(line, exchange).await
     }
 
-    async fn exchange(&self, line: &mut Line, request: HttpRequest<Full<Bytes>>) -> Result<Ended, Spoilt> {
-        line.exchange(request, |answer| async {
+    async fn exchange(
+        &self,
+        line: &mut Line,
+        request: HttpRequest<Full<Bytes>>,
+        count: Option<Figures>,
+    ) -> Result<Ended, Spoilt> {
+        line.exchange(request, count, |answer| async {
             let (head, body) = answer.into_parts();
             if head.headers.contains_key(header::TRANSFER_ENCODING)
                 && head.headers.contains_key(header::CONTENT_LENGTH)
@@ -144,7 +151,7 @@
             Err(why) => return unconnected(&why).into(),
         };
         let exchange = tokio::select! {
-            end = self.exchange(&mut line, request) => end,
+            end = self.exchange(&mut line, request, None) => end,
             () = &mut late => return Outcome::Timeout.into(),
         };
         let mut ended = self.settle(line, exchange).await;
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -2,14 +2,16 @@
 
 use lupinrack_config::Operator;
 use lupinrack_core::{Clock, Core, Handle};
+use lupinrack_door::{call::Call, Answer};
 use lupinrack_extents::{self as extents, Cache, Counters};
 use lupinrack_extents_net::Driver;
+use lupinrack_figures::{Figures, Targets};
 use lupinrack_flows::config::IpfixConfig;
 use lupinrack_http::upstream::Upstream;
 use lupinrack_http::{accept, probe};
 use lupinrack_lifecycle as lifecycle;
 use lupinrack_lifecycle::Phase;
-use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, reload};
+use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, inherited, reload};
 use lupinrack_rsync::{config::RsyncConfig, daemon};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -26,6 +28,7 @@
     rsync: Option<RsyncConfig>,
     ipfix: Option<IpfixConfig>,
     extents: Option<extents::config::Section>,
+    inherited: Option<std::net::TcpListener>,
 }
 
 /// Why a front cannot be started from what it was given.
@@ -40,13 +43,17 @@
     /// The flow export's section.
     #[error("{0}")]
     Ipfix(#[from] lupinrack_flows::config::ConfigError),
+    /// The inherited socket.
+    #[error("{0}")]
+    Inherited(#[from] inherited::InheritError),
 }
 
 impl Plan {
     /// Reads the platform's configuration and joins it with the operators' file. `LUPINRACK_RSYNC` and
     /// `LUPINRACK_IPFIX` name files of their own that stand in for the sections, as they always did.
     pub fn read(config: &Path, operator: Operator) -> Result<Plan, PlanError> {
-        let mut plan = Plan::new(Config::load(config)?, operator)?;
+        let mut plan = Plan::new(Config::load(config)?.with_environment()?, operator)?;
+        plan.inherited = inherited::listener(plan.config.listen)?;
         let named = |variable: &str| std::env::var_os(variable).map(PathBuf::from);
         if let Some(file) = named("LUPINRACK_RSYNC") {
             plan.rsync = RsyncConfig::load(&file, &plan.config.told)?;
@@ -64,7 +71,8 @@
             None => None,
         };
         let extents = operator.extents.filter(|section| section.enabled);
-        Ok(Plan { rsync, ipfix: operator.ipfix.and_then(IpfixConfig::new), extents, config })
+        let ipfix = operator.ipfix.and_then(IpfixConfig::new);
+        Ok(Plan { rsync, ipfix, extents, config, inherited: None })
     }
 }
 
@@ -97,10 +105,12 @@
     phase: watch::Receiver<Phase>,
     discovery: watch::Receiver<SocketAddr>,
 ) -> std::io::Result<Front> {
-    let Plan { config, rsync, ipfix, extents } = plan;
+    let Plan { config, rsync, ipfix, extents, inherited } = plan;
     let clock = Clock::start();
     let epoch = Epoch::fix(&clock);
     let told = Arc::new(config.told);
+    let figures = Figures::default();
+    figures.classes(told.classes.iter().map(String::as_str));
     let (mut core, handle, targets) = Core::new(told.module.clone(), config.seed, clock);
     if let Some(config) = ipfix {
         let (to, flows) = mpsc::channel(lupinrack_flows::WAITING_MOST);
@@ -123,7 +133,7 @@
     }
     // A client of the rsync front holds two descriptors, its own and one to a server.
     let second = rsync.as_ref().map_or(0, |r| 2 * r.max_clients);
-    let upstream = Upstream::new(&told, clock, config.limits.nodes(second));
+    let upstream = Upstream::new(&told, clock, config.limits.nodes(second), figures.clone());
     let core = tokio::spawn(core.run());
     let (zones, how, seed) = (told.zones.clone(), (told.module.discovery, told.module.hosts), config.seed);
     let watch = Watch { address: discovery, zones, epoch, how, seed };
@@ -133,10 +143,21 @@
     let most = config.limits.clients(second);
     let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
     let second = second_front(rsync, &handle, connect, &phase).await?;
-    let listener = TcpListener::bind(config.listen).await?;
+    let shared = inherited.is_some();
+    let listener = match inherited {
+        Some(socket) => TcpListener::from_std(socket)?,
+        None => TcpListener::bind(config.listen).await?,
+    };
     let listen = listener.local_addr()?;
-    tracing::info!("{} listens on {listen}", config.name);
-    let front = accept::Front { core: handle.clone(), upstream, told, phase, ids: Default::default() };
+    let door = match config.management {
+        Some(address) => Some(door(address, handle.clone(), figures.clone(), phase.clone()).await?),
+        None => None,
+    };
+    tracing::info!("{} listens on {listen}{}", config.name, if shared { ", inherited" } else { "" });
+    // Another process takes from an inherited socket: this one stops at once, not when it must.
+    let last = if shared { Phase::Ending } else { Phase::Closing };
+    let front =
+        accept::Front { core: handle.clone(), upstream, told, phase, ids: Default::default(), figures, last };
     let ended = tokio::spawn(async move {
         let fronts = async {
             tokio::join!(accept::run(listener, front, most), async {
@@ -153,11 +174,37 @@
         watch.abort();
         driver.inspect(JoinHandle::abort);
         prober.abort();
+        door.inspect(JoinHandle::abort);
         ended
     });
     Ok(Front { listen, core: handle, extents: counters, ended })
 }
 
+/// Opens the operators' door. An address that cannot be had stops the start.
+async fn door(
+    address: SocketAddr,
+    core: Handle,
+    figures: Figures,
+    phase: watch::Receiver<Phase>,
+) -> std::io::Result<JoinHandle<()>> {
+    let why = |e: std::io::Error| std::io::Error::new(e.kind(), format!("management on {address}: {e}"));
+    let listener = TcpListener::bind(address).await.map_err(why)?;
+    tracing::info!("management on {}", listener.local_addr()?);
+    Ok(tokio::spawn(lupinrack_door::run(listener, move |call| {
+        let (core, figures, phase) = (core.clone(), figures.clone(), *phase.borrow());
+        async move {
+            match (call, phase) {
+                (Call::Status, Phase::Ready) => Answer::Yes("ready"),
+                (Call::Status, _) => Answer::No("ending".into()),
+                (Call::Stats, _) => match core.targets().await {
+                    Some((listed, disabled)) => Answer::Lines(figures.text(Targets { listed, disabled })),
+                    None => Answer::No("the core has ended".into()),
+                },
+            }
+        }
+    })))
+}
+
 /// The map as its file has it; one that cannot be used costs a fetch of what is needed, nothing more.
 fn cache(section: &extents::config::Section, now: lupinrack_policy::Micros) -> Cache {
     let mut cache = Cache::new(section.clone(), now);
--- a/crates/lupinrack/tests/common/front.rs
+++ b/crates/lupinrack/tests/common/front.rs
@@ -85,13 +85,15 @@
         (TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
     let (http, rsync) = (a.local_addr().unwrap(), b.local_addr().unwrap());
     tokio::spawn(core.run());
-    let upstream = Upstream::new(&told, clock, 64);
+    let upstream = Upstream::new(&told, clock, 64, Default::default());
     let front = accept::Front {
         core: handle.clone(),
         upstream,
         told: Arc::new(told),
         phase: seen.clone(),
         ids: Default::default(),
+        figures: Default::default(),
+        last: Phase::Closing,
     };
     let connect = Duration::from_millis(500);
     let second = daemon::Front { core: handle.clone(), config: Arc::new(config), connect, phase: seen };
--- /dev/null
+++ b/crates/lupinrack/tests/upgrade.rs
@@ -0,0 +1,171 @@
+//! The program started again beside itself, on one listening socket that neither owns, under load.
+
+mod common;
+
+use common::front::SETTINGS;
+use stand_ins::http1::Reader;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::process::{Child, ChildStderr, Command};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_lupinrack");
+
+/// A folder of this test's own, removed with it.
+struct Folder(std::path::PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("lupinrack-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn configuration(listen: SocketAddr, node: SocketAddr) -> String {
+    format!(
+        r#"{{"name":"n1","listen":"{listen}","discovery":"127.0.0.1:9","seed":"8c","management":"127.0.0.1:0",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+            "known":{{"generation":41,"reset":true,"instances":[{{"instanceId":"s-1","hostPort":"{node}",
+            "zone":"salt-lake","cell":0,"lifecycle":"SERVING"}}]}},"settings":{SETTINGS}}}"#
+    )
+}
+
+/// The program with the socket as its descriptor 7.
+fn program(folder: &Folder, socket: &TcpListener, variable: &str) -> Child {
+    let socket: OwnedFd = socket.try_clone().unwrap().into();
+    Command::new("/bin/sh")
+        .args(["-c", "exec \"$0\" 7<&0 </dev/null", PROGRAM])
+        .stdin(Stdio::from(socket))
+        .env("LB_CONFIG", folder.0.join("config.json"))
+        .env("LB_INHERITED_FD", variable)
+        .env("TMPDIR", &folder.0)
+        .stderr(Stdio::piped())
+        .kill_on_drop(true)
+        .spawn()
+        .unwrap()
+}
+
+/// Its log, read up to the address of its door.
+async fn door(program: &mut Child) -> (SocketAddr, Lines<BufReader<ChildStderr>>) {
+    let mut log = BufReader::new(program.stderr.take().unwrap()).lines();
+    let mut at = None;
+    loop {
+        let line = log.next_line().await.unwrap().expect("it says where it listens");
+        at = line.split_once("management on ").map(|(_, a)| a.parse().unwrap()).or(at);
+        if line.contains("inherited") {
+            return (at.expect("the door opens first"), log);
+        }
+    }
+}
+
+async fn call(door: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(door).await.unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
+
+/// A client that asks one request after another, and opens a connection where it was told to.
+async fn client(at: SocketAddr, number: u32, stop: Arc<AtomicBool>, served: Arc<AtomicU32>) {
+    let (mut stream, mut asked) = (None, 0);
+    while !stop.load(Relaxed) {
+        asked += 1;
+        let mut open: TcpStream = match stream.take() {
+            Some(open) => open,
+            None => TcpStream::connect(at).await.expect("no connection is refused"),
+        };
+        let head = format!(
+            "GET /read/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Request-Id: c{number}-{asked}\r\nX-Plan: priority\r\n\
+             X-Deadline: 2000m\r\nX-IO: volume=00000000000000b{number},units=1,shard=0,hosts=1\r\n\r\n"
+        );
+        open.write_all(head.as_bytes()).await.expect("no connection closes under a request");
+        let answer = Reader::default().next(&mut open).await.expect("an answer").expect("a whole one");
+        assert!([200, 503].contains(&answer.status()), "{}", answer.status());
+        served.fetch_add(u32::from(answer.status() == 200), Relaxed);
+        if answer.field("connection") != Some("close") {
+            stream = Some(open);
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn signal(program: &Child, name: &str) {
+    let id = program.id().unwrap().to_string();
+    assert!(std::process::Command::new("kill").args([name, &id]).status().unwrap().success());
+}
+
+#[tokio::test]
+async fn an_upgrade_under_load_turns_nobody_back_and_the_old_process_ends_by_itself() {
+    let folder = Folder::new("upgrade");
+    let (node, _) = common::front::node("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello").await;
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = socket.local_addr().unwrap();
+    std::fs::write(folder.0.join("config.json"), configuration(at, node)).unwrap();
+    let mut old = program(&folder, &socket, "7");
+    let (old_door, _log) = door(&mut old).await;
+    assert_eq!(call(old_door, "status").await, "200 ready\n");
+
+    let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
+    let clients: Vec<_> = (0..8).map(|n| tokio::spawn(client(at, n, stop.clone(), served.clone()))).collect();
+    let enough = |more: u32| {
+        let (served, from) = (served.clone(), served.load(Relaxed));
+        async move {
+            while served.load(Relaxed) < from + more {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+    };
+    enough(50).await;
+    let mut new = program(&folder, &socket, "7");
+    let (new_door, _new_log) = door(&mut new).await;
+    assert_eq!(call(new_door, "status").await, "200 ready\n");
+    enough(50).await;
+    signal(&old, "-TERM");
+    let ended = tokio::time::timeout(Duration::from_secs(20), old.wait()).await.expect("it ends").unwrap();
+    assert!(ended.success(), "{ended}");
+    enough(50).await;
+    stop.store(true, Relaxed);
+    for client in clients {
+        client.await.unwrap();
+    }
+    let figures = call(new_door, "stats").await;
+    let success = figures.lines().find(|l| l.starts_with("lb_success{type=\"read\"}")).expect("a row");
+    assert!(success.rsplit(' ').next().unwrap().parse::<u32>().unwrap() >= 50, "{figures}");
+    assert!(figures.starts_with("200") && figures.ends_with("\nEOF\n"));
+    assert!(figures.contains("\nlb_concurrent 0\n") && figures.contains("\nlb_targets 1\n"), "{figures}");
+    signal(&new, "-TERM");
+    assert!(tokio::time::timeout(Duration::from_secs(20), new.wait()).await.unwrap().unwrap().success());
+}
+
+#[tokio::test]
+async fn a_descriptor_that_cannot_be_used_stops_the_start_with_the_reason() {
+    let folder = Folder::new("inherit");
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = socket.local_addr().unwrap();
+    for (listen, variable, why) in [
+        (at, "seven", "'seven' is not the number of a descriptor"),
+        (at, "1", "'1' is not the number"),
+        (at, "93", "LB_INHERITED_FD"),
+        ("127.0.0.1:9".parse().unwrap(), "7", "not on 127.0.0.1:9"),
+    ] {
+        std::fs::write(folder.0.join("config.json"), configuration(listen, at)).unwrap();
+        let mut program = program(&folder, &socket, variable);
+        let mut log = String::new();
+        program.stderr.take().unwrap().read_to_string(&mut log).await.unwrap();
+        assert!(log.contains(why), "{variable}: {log}");
+        assert_eq!(program.wait().await.unwrap().code(), Some(2));
+    }
+}
--- a/crates/lupinrack/tests/upstream.rs
+++ b/crates/lupinrack/tests/upstream.rs
@@ -116,7 +116,7 @@
     let (core, handle, _targets) = Core::new(told().module, 3, clock);
     tokio::spawn(core.run());
     handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
-    let upstream = Upstream::new(&told(), clock, 64);
+    let upstream = Upstream::new(&told(), clock, 64, Default::default());
     let mut closed = BTreeSet::new();
     for step in steps {
         let exchange = upstream.attempt(parcel(), attempt(&handle, address).await);
@@ -164,7 +164,7 @@
     let (core, handle, _targets) = Core::new(told().module, 3, clock);
     tokio::spawn(core.run());
     handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
-    let upstream = Upstream::new(&told(), clock, 2);
+    let upstream = Upstream::new(&told(), clock, 2, Default::default());
     let mut out = Vec::new();
     for _ in 0..2 {
         let (upstream, attempt) = (upstream.clone(), attempt(&handle, address).await);
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -15,6 +15,9 @@
     /// It is not the JSON expected.
     #[error("configuration: {0}")]
     Form(#[from] serde_json::Error),
+    /// An address in the environment cannot be read.
+    #[error("{0}: '{1}' is not an address")]
+    Address(&'static str, String),
     /// Its settings cannot be used.
     #[error("configuration: {0}")]
     Settings(String),
@@ -31,6 +34,8 @@
     limits: Limits,
     #[serde(default)]
     known: Option<List>,
+    #[serde(default)]
+    management: Option<SocketAddr>,
     settings: serde_json::Value,
 }
 
@@ -79,6 +84,8 @@
     pub limits: Limits,
     /// The list of nodes as this front last had it.
     pub known: Option<List>,
+    /// Where operators ask; without it there is no door.
+    pub management: Option<SocketAddr>,
     /// The settings.
     pub told: Told,
 }
@@ -91,6 +98,17 @@
         Config::parse(&text)
     }
 
+    /// Takes the address of the door from `LB_MANAGEMENT`, where it is set: the environment belongs to this process
+    /// alone, the file may be shared with the one before it.
+    pub fn with_environment(mut self) -> Result<Config, ConfigError> {
+        if let Some(said) = std::env::var_os("LB_MANAGEMENT").filter(|v| !v.is_empty()) {
+            let said = said.to_string_lossy();
+            let address = said.parse().map_err(|_| ConfigError::Address("LB_MANAGEMENT", said.into()))?;
+            self.management = Some(address);
+        }
+        Ok(self)
+    }
+
     /// Reads the text of such a file.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
         let raw: Raw = serde_json::from_str(text)?;
@@ -104,6 +122,7 @@
             seed,
             limits: raw.limits,
             known: raw.known,
+            management: raw.management,
             told,
         })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod clock;
 pub mod config;
 pub mod discovery;
+pub mod inherited;
 pub mod reload;
 pub mod watching;
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -34,10 +34,9 @@
 /// What is known of a latency halves in value and weight over this; in weight slower where hosts are few.
 const KNOWN_HALF: Micros = 700_000;
 const KNOWN_FEW: f64 = 4.0;
-/// A node works in turn of arrival: an attempt is overtaken once one sent this much later was answered.
+/// An attempt is overtaken once one sent this much later was answered.
 const OVERTAKEN: Micros = 250_000;
-/// All that is out may be lost after this, and this many usual latencies, and nothing sent later can tell:
-/// one more goes, to find out.
+/// All that is out may be lost after this, and this many usual latencies: one more goes, to find out.
 const STUCK: Micros = 400_000;
 const STUCK_USUAL: f64 = 8.0;
 /// A full queue, or a time-out that counts, says: a wait of this many times the shortest aim.
@@ -217,6 +216,12 @@
         nodes + self.volumes.len() + self.open.len() + self.attempts.len() + self.ends.len()
     }
 
+    /// The listed nodes, and how many of them are avoided now.
+    pub fn targets(&self) -> (usize, usize) {
+        let listed = || self.nodes.values().filter(|n| !n.gone);
+        (listed().count(), listed().filter(|n| n.open || n.told_stop.is_some()).count())
+    }
+
     /// A random number in 0..1, from the seed alone.
     fn random(&mut self) -> f64 {
         self.seed = self.seed.wrapping_add(1);
@@ -376,7 +381,7 @@
         let rate = plan.reserve / req.hosts.max(1.0);
         let v = self.volumes.entry(req.volume).or_default();
         v.reserve = (v.reserve + rate * (now - v.reserve_at) as f64 / 1e6).min(rate + self.cfg.max_units);
-        v.reserve_at = now;
+        (v.reserve_at, v.last) = (now, now);
         let due = rate > 0.0 && v.reserve >= req.units;
         v.reserve -= if due { req.units } else { 0.0 };
         worth * if due { 1.0 } else { self.cfg.fair_worth }
@@ -478,9 +483,9 @@
         }
         let mut dice = fastrand::Rng::with_seed((self.random() * 1e15) as u64);
         let listed: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
-        let start = (DEPTH_START / self.crowd).max(1.0);
+        let depth = (DEPTH_START / self.crowd).max(1.0);
         for e in entries {
-            let fresh = || Node { depth: start, depth_at: now, heard: now, ..Node::default() };
+            let fresh = || Node { depth, depth_at: now, heard: now, ..Node::default() };
             let n = self.nodes.entry(e.node).or_insert_with(fresh);
             if n.started != e.started && e.started.is_some() {
                 n.started = e.started;
@@ -501,7 +506,7 @@
         self.rehome(now);
     }
 
-    /// Moves what waits at nodes that take nothing more; a successor on the shard takes over.
+    /// Moves what waits at nodes that take nothing more.
     fn rehome(&mut self, now: Micros) {
         let mut moving: Vec<RequestId> = self.homeless.iter().copied().collect();
         for n in self.nodes.values().filter(|n| n.told_stop.is_some()) {
@@ -644,8 +649,7 @@
     }
 
     fn ordered_key(&self, req: &Request) -> Option<Key> {
-        let class = self.cfg.classes.get(req.class as usize)?;
-        req.key.filter(|_| class.in_order)
+        req.key.filter(|_| self.cfg.classes.get(req.class as usize).is_some_and(|c| c.in_order))
     }
 
     /// Rule 6: room for one more attempt past a request's first?
@@ -660,13 +664,12 @@
     /// Rule 7: fills this host's part of the volume's bucket. Empty at first: a restart forgets.
     fn tokens(&mut self, now: Micros, req: &Request) -> Option<(f64, f64)> {
         let limit = self.cfg.plans.get(req.plan as usize)?.limit?;
-        let hosts = self.cfg.hosts.max(1);
         let begun = self.begun.unwrap_or(now);
         let v = self.volumes.entry(req.volume).or_default();
         if v.hosts <= 0.0 {
             (v.tokens, v.filled) = (0.0, begun);
         }
-        let told = if req.hosts >= 1.0 { req.hosts } else { f64::from(hosts) };
+        let told = if req.hosts >= 1.0 { req.hosts } else { f64::from(self.cfg.hosts.max(1)) };
         v.hosts = v.hosts.max(told);
         let rate = limit.rate / v.hosts * PART_USED;
         let most = (limit.burst + limit.slack) / v.hosts * PART_USED;
@@ -733,7 +736,6 @@
     /// The only place that starts an attempt. `may_send` has been asked.
     fn send(&mut self, now: Micros, id: RequestId, to: NodeId, out: &mut Vec<Action>) {
         let (jitter, crowd) = (0.75 + 0.5 * self.random(), self.crowd);
-        let cold = self.nodes.get(&to).and_then(|n| self.cold_tokens(now, n)).unwrap_or(0.0);
         let start = self.open.get(&id).and_then(|o| o.slot).map_or(i64::MIN, |s| s.0);
         self.unhold(id, false);
         let last = self.open.get(&id).map_or(now, |o| self.last_end(&o.req));
@@ -754,23 +756,29 @@
             n.trial_at = now + (n.backoff as f64 * jitter) as Micros;
             n.backoff = (n.backoff * 2).min((TRIAL_LAST as f64 * crowd) as Micros);
         }
-        n.cold_tokens = cold - units;
-        n.cold_at = now;
-        if let Some(f) = n.flows.get_mut(&volume) {
-            (f.sent_here, f.last) = (f.sent_here + units, now);
-        }
-        if let Some(v) = self.volumes.get_mut(&volume) {
-            (v.sent, v.last) = (v.sent + units, now);
-            if first_draw {
-                v.tokens -= units;
-                v.waiting = (v.waiting - units).max(0.0);
-            }
+        if let Some(v) = self.volumes.get_mut(&volume).filter(|_| first_draw) {
+            v.tokens -= units;
+            v.waiting = (v.waiting - units).max(0.0);
         }
+        self.book(now, to, volume, units);
         let key = self.ordered_key(&self.open[&id].req);
         self.attempts.insert((id, number), (to, key));
         out.push(Action::Send { request: id, node: to, timeout: None });
     }
 
+    /// Counts units sent: in a cold node's budget, and in the volume's delay elsewhere.
+    fn book(&mut self, now: Micros, to: NodeId, volume: VolumeId, units: f64) {
+        let cold = self.nodes.get(&to).and_then(|n| self.cold_tokens(now, n)).unwrap_or(0.0);
+        if let Some(v) = self.volumes.get_mut(&volume) {
+            (v.sent, v.last) = (v.sent + units, now);
+        }
+        let Some(n) = self.nodes.get_mut(&to) else { return };
+        (n.cold_tokens, n.cold_at) = (cold - units, now);
+        if let Some(f) = n.flows.get_mut(&volume) {
+            (f.sent_here, f.last) = (f.sent_here + units, now);
+        }
+    }
+
     // ---- attempts --------------------------------------------------------------------------------------
 
     fn on_answer(&mut self, now: Micros, a: Answer, out: &mut Vec<Action>) {
@@ -778,8 +786,8 @@
         if let Some(n) = self.nodes.get_mut(&node) {
             n.out.remove(&(a.request, a.attempt));
         }
-        let doubt = matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if let Some(line) = key.filter(|_| doubt).and_then(|k| self.lines.get_mut(&k)) {
+        let doubt = |_: &Key| matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        if let Some(line) = key.filter(doubt).and_then(|k| self.lines.get_mut(&k)) {
             line.rest_until = line.rest_until.max(now + self.cfg.settle);
         }
         // A transfer lasts as long as its bytes and its client's pace: only a break tells of the node.
@@ -825,16 +833,11 @@
             return;
         }
         let (phi, volume) = (self.phi(req.plan), req.volume);
-        if let Some(v) = self.volumes.get_mut(&volume) {
-            (v.tokens, v.sent, v.last) = (v.tokens - units, v.sent + units, now);
-        }
-        let cold = home.and_then(|h| self.cold_tokens(now, self.nodes.get(&h)?));
-        if let Some(n) = home.and_then(|h| self.nodes.get_mut(&h)) {
-            (n.cold_tokens, n.cold_at) = (cold.map_or(n.cold_tokens, |c| c - units), now);
-            if let Some(f) = n.flows.get_mut(&volume) {
-                (f.sent_here, f.last) = (f.sent_here + units, now);
-                f.finish += (units / phi * TAG_SCALE).round() as i64;
-            }
+        self.volumes.entry(volume).and_modify(|v| v.tokens -= units);
+        if let Some(home) = home {
+            self.book(now, home, volume, units);
+            let f = self.nodes.get_mut(&home).and_then(|n| n.flows.get_mut(&volume));
+            f.into_iter().for_each(|f| f.finish += (units / phi * TAG_SCALE).round() as i64);
         }
         self.open.entry(id).and_modify(|o| o.more = None);
         self.growing.remove(&id);
@@ -873,7 +876,6 @@
             return;
         }
         let (units, volume) = (req.units, req.volume);
-        self.volumes.entry(volume).or_default().last = now;
         if let Some(key) = self.ordered_key(&req) {
             self.lines.entry(key).or_default().ids.push_back(id);
         }
@@ -886,7 +888,7 @@
         self.open.insert(id, Open { req, seq: self.seq, aim_at, end, value, ..Open::default() });
         self.ends.insert((end, id));
         if let Some((have, rate)) = bucket {
-            let v = self.volumes.get_mut(&volume).expect("made above");
+            let v = self.volumes.entry(volume).or_default();
             let wait = ((v.waiting + units - have) / rate.max(1e-9) * 1e6).clamp(0.0, 1e12) as Micros;
             v.waiting += units;
             if now + wait > aim_at {
