--- a/crates/platform/src/inherited.rs
+++ b/crates/platform/src/inherited.rs
@@ -35,7 +35,7 @@
     std::env::set_var("LISTEN_FDS", "1");
     std::env::set_var("LISTEN_FDS_FIRST_FD", number.to_string());
     let taken = ListenFd::from_env().take_tcp_listener(0)?;
-    let listener = taken.ok_or_else(|| InheritError::Number(said))?;
+    let listener = taken.ok_or(InheritError::Number(said))?;
     if !SockRef::from(&listener).is_listener()? {
         return Err(InheritError::Quiet(number));
     }
