Take new settings at SIGHUP whole or not at all, and keep each request's own rules

Requests of classes added by the first file got 400. Ruled out: late turns, the move by itself (the fourth file moves back in 0.15 s).

Change: platform::shape (every key of the file in use), checks of values, Told::followed_by (an index is its rules), Event::Settings, attempts kept with the request.

Tests: seventeen broken files with their reasons, indices against 1,000 reloads, attempts of an open request.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,7 +12,7 @@
 use lupinrack_policy::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -36,6 +36,7 @@
     Dropped(RequestId),
     List(ListKind, Vec<Listing>),
     Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
+    Settings(Settings),
     Targets(oneshot::Sender<(usize, usize)>),
 }
 
@@ -102,7 +103,7 @@
 pub struct Handle {
     inbox: mpsc::Sender<Input>,
     numbers: Arc<AtomicU32>,
-    orders: usize,
+    orders: Arc<AtomicUsize>,
     /// The clock that all readings are on.
     pub clock: Clock,
 }
@@ -125,7 +126,7 @@
     /// Opens a request; the core numbers it.
     pub async fn open(&self, mut request: Request) -> Ticket {
         request.id = RequestId(self.numbers.fetch_add(1, Ordering::Relaxed));
-        let (to, orders) = mpsc::channel(self.orders);
+        let (to, orders) = mpsc::channel(self.orders.load(Ordering::Relaxed));
         let _ = self.inbox.send(Input::Open(request, to)).await;
         let teller = Teller { id: request.id, inbox: self.inbox.clone() };
         Ticket { teller, orders, settled: false }
@@ -141,6 +142,12 @@
         let _ = self.inbox.send(Input::Extents(input)).await;
     }
 
+    /// Hands on new settings; requests opened after this are under them.
+    pub async fn settings(&self, settings: Settings) {
+        self.orders.fetch_max(orders(&settings), Ordering::Relaxed);
+        let _ = self.inbox.send(Input::Settings(settings)).await;
+    }
+
     /// How many nodes are listed, and how many of them the module avoids now; none once the core is gone.
     pub async fn targets(&self) -> Option<(usize, usize)> {
         let (tell, told) = oneshot::channel();
@@ -230,6 +237,11 @@
     said: Option<Shard>,
 }
 
+/// A Send and a Cancel for each attempt, one Grant at a time, and one final answer: the queue of orders never overflows.
+fn orders(settings: &Settings) -> usize {
+    2 * settings.most_tries.clamp(1, 1024) as usize + 3
+}
+
 /// The loop round the [`Brain`].
 pub struct Core {
     brain: Brain,
@@ -253,8 +265,7 @@
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> (Core, Handle, mpsc::Receiver<Target>) {
         let (inbox, input) = mpsc::channel(INBOX);
         let (probes, to_probe) = mpsc::channel(PROBES);
-        // A Send and a Cancel for each attempt, one Grant at a time, and one final answer: the queue of orders never overflows.
-        let orders = 2 * settings.most_tries.clamp(1, 1024) as usize + 3;
+        let orders = Arc::new(AtomicUsize::new(orders(&settings)));
         let core = Core {
             grace: settings.drain_grace,
             brain: Brain::new(settings, seed),
@@ -344,6 +355,10 @@
                 let entries = self.nodes.apply(now, self.grace, kind, list);
                 self.tell(now, Event::Nodes { kind, entries });
             }
+            Input::Settings(settings) => {
+                self.grace = settings.drain_grace;
+                self.tell(now, Event::Settings(Box::new(settings)));
+            }
             Input::Targets(tell) => drop(tell.send(self.brain.targets())),
             Input::Probed { node, outcome, waited, load } => {
                 self.tell(now, Event::Probed { node, outcome, waited, load });
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -40,8 +40,8 @@
     pub core: Handle,
     /// The way to the nodes.
     pub upstream: Upstream,
-    /// The settings.
-    pub told: Arc<Told>,
+    /// The settings in use.
+    pub told: watch::Receiver<Arc<Told>>,
     /// Whether the front is ending.
     pub phase: watch::Receiver<Phase>,
     /// The ids of all open requests.
@@ -158,8 +158,9 @@
     if visit.as_ref().is_some_and(Visit::doubtful) {
         return Err(IntakeError::Framing);
     }
-    let (mut wanted, patience) = intake::head(&front.told, &parts)?;
-    let class = front.told.classes.get(usize::from(wanted.class)).map_or("", String::as_str);
+    let told = front.told.borrow().clone();
+    let (mut wanted, patience) = intake::head(&told, &parts)?;
+    let class = told.classes.get(usize::from(wanted.class)).map_or("", String::as_str);
     let life = life.insert(front.figures.life(class));
     let due = visit.map_or_else(Instant::now, |v| v.due());
     let parcel = timeout_at(due, intake::parcel(parts, body)).await.unwrap_or(Err(IntakeError::Slow))?;
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -115,7 +115,7 @@
     }
     let path = parts.uri.path();
     let first = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let class = told.classes.iter().position(|c| c == first).ok_or(IntakeError::Class)?;
+    let class = told.class(first).ok_or(IntakeError::Class)?;
     let last = path.rsplit('/').next().unwrap_or("");
     let key = hex16(last).ok_or(IntakeError::Key)?;
     let plan = text(&parts.headers, &PLAN)?.ok_or(IntakeError::Missing("x-plan"))?;
@@ -133,7 +133,13 @@
     if matches!(rules.effect, Effect::Keyed { .. }) && !keyed {
         return Err(IntakeError::Missing("idempotency-key"));
     }
-    if parts.method != (if rules.writes { Method::PUT } else { Method::GET }) {
+    let fits = match told.writes.get(class).copied().flatten() {
+        Some(true) => parts.method == Method::PUT,
+        Some(false) => parts.method == Method::GET,
+        // Not said for these classes: the client knows.
+        None => [Method::PUT, Method::GET].contains(&parts.method),
+    };
+    if !fits {
         return Err(IntakeError::Method);
     }
     let request = Request {
--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Follows the signals.
-pub fn watch(plan: Plan) -> std::io::Result<watch::Receiver<Phase>> {
+/// Follows the signals; `plan` is asked when one comes, for settings may have changed since the start.
+pub fn watch(plan: impl Fn() -> Plan + Send + 'static) -> std::io::Result<watch::Receiver<Phase>> {
     use tokio::signal::unix::{signal, SignalKind};
     let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let (tell, phase) = watch::channel(Phase::Ready);
@@ -57,7 +57,7 @@
             _ = int.recv() => {}
         }
         tracing::info!("told to end");
-        advance(&tell, plan).await;
+        advance(&tell, plan()).await;
     });
     Ok(phase)
 }
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -13,6 +13,7 @@
 use lupinrack_lifecycle::Phase;
 use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, inherited, reload};
 use lupinrack_rsync::{config::RsyncConfig, daemon};
+use lupinrack_settings::Told;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -82,6 +83,8 @@
     pub listen: SocketAddr,
     /// Its core.
     pub core: Handle,
+    /// What it counts.
+    pub figures: Figures,
     /// What its map of extents did so far.
     pub extents: watch::Receiver<Counters>,
     /// Ends with the front: well when it was told to end and all is answered.
@@ -92,9 +95,12 @@
 pub fn until_told(path: PathBuf, plan: Plan) -> std::io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
-        let phase = lifecycle::watch(lifecycle::Plan::new(&plan.config.told.module))?;
-        let discovery = reload::watch(path, plan.config.discovery)?;
-        let front = start(plan, phase, discovery).await?;
+        let current = reload::Current::new(&plan.config);
+        let told = current.told();
+        let phase = lifecycle::watch(move || lifecycle::Plan::new(&told.borrow().for_module()))?;
+        let hangups = reload::hangups()?;
+        let front = start_with(plan, phase, current.told(), current.discovery()).await?;
+        tokio::spawn(reload::follow(hangups, path, current, front.core.clone(), front.figures.clone()));
         front.ended.await.unwrap_or_else(|e| Err(std::io::Error::other(e)))
     })
 }
@@ -104,6 +110,17 @@
     plan: Plan,
     phase: watch::Receiver<Phase>,
     discovery: watch::Receiver<SocketAddr>,
+) -> std::io::Result<Front> {
+    let settings = watch::channel(Arc::new(plan.config.told.clone())).1;
+    start_with(plan, phase, settings, discovery).await
+}
+
+/// The same, with the settings in use followed too.
+async fn start_with(
+    plan: Plan,
+    phase: watch::Receiver<Phase>,
+    settings: watch::Receiver<Arc<Told>>,
+    discovery: watch::Receiver<SocketAddr>,
 ) -> std::io::Result<Front> {
     let Plan { config, rsync, ipfix, extents, inherited } = plan;
     let clock = Clock::start();
@@ -156,8 +173,15 @@
     tracing::info!("{} listens on {listen}{}", config.name, if shared { ", inherited" } else { "" });
     // Another process takes from an inherited socket: this one stops at once, not when it must.
     let last = if shared { Phase::Ending } else { Phase::Closing };
-    let front =
-        accept::Front { core: handle.clone(), upstream, told, phase, ids: Default::default(), figures, last };
+    let front = accept::Front {
+        core: handle.clone(),
+        upstream,
+        told: settings,
+        phase,
+        ids: Default::default(),
+        figures: figures.clone(),
+        last,
+    };
     let ended = tokio::spawn(async move {
         let fronts = async {
             tokio::join!(accept::run(listener, front, most), async {
@@ -177,7 +201,7 @@
         door.inspect(JoinHandle::abort);
         ended
     });
-    Ok(Front { listen, core: handle, extents: counters, ended })
+    Ok(Front { listen, core: handle, figures, extents: counters, ended })
 }
 
 /// Opens the operators' door. An address that cannot be had stops the start.
--- a/crates/lupinrack/tests/common/front.rs
+++ b/crates/lupinrack/tests/common/front.rs
@@ -89,7 +89,7 @@
     let front = accept::Front {
         core: handle.clone(),
         upstream,
-        told: Arc::new(told),
+        told: watch::channel(Arc::new(told)).1,
         phase: seen.clone(),
         ids: Default::default(),
         figures: Default::default(),
--- /dev/null
+++ b/crates/lupinrack/tests/reload.rs
@@ -0,0 +1,169 @@
+//! New settings while the front runs: taken whole or not at all, and each request under the rules it came with.
+
+mod common;
+
+use common::front::SETTINGS;
+use lupinrack::core::{Clock, Core, Order};
+use lupinrack::net::config::Config;
+use lupinrack::net::reload::Current;
+use lupinrack::settings::Told;
+use lupinrack::*;
+use lupinrack_figures::{Figures, Targets};
+use serde_json::{json, Value};
+
+fn file() -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"generation": 1, "instances": []},
+        "settings": serde_json::from_str::<Value>(SETTINGS).unwrap()})
+}
+
+/// A process started with `file()`, and a path for new files.
+fn started(name: &str) -> (Current, std::path::PathBuf) {
+    let path = std::env::temp_dir().join(format!("lupinrack-reload-{name}-{}.json", std::process::id()));
+    (Current::new(&Config::parse(&file().to_string()).unwrap()), path)
+}
+
+#[test]
+fn nothing_is_taken_from_a_broken_file_and_the_reason_names_the_key() {
+    let (current, path) = started("broken");
+    let changed = |change: &dyn Fn(&mut Value)| {
+        let mut new = file();
+        new["discovery"] = json!("127.0.0.1:2");
+        change(&mut new);
+        new.to_string()
+    };
+    let class = |i: usize, key: &'static str, value: Value| {
+        changed(&move |f| f["settings"]["classes"][i][key] = value.clone())
+    };
+    let whole = changed(&|_| {});
+    for (text, why) in [
+        (String::new(), "EOF"),
+        ("{".into(), "EOF"),
+        (whole[..whole.len() / 2].into(), "EOF"),
+        ("[]".into(), "invalid length"),
+        (changed(&|f| drop(f.as_object_mut().map(|o| o.remove("settings")))), "missing field `settings`"),
+        (changed(&|f| drop(f.as_object_mut().map(|o| o.remove("limits")))), "limits is missing"),
+        (
+            changed(&|f| drop(f["settings"].as_object_mut().map(|o| o.remove("grades")))),
+            "settings.grades is missing",
+        ),
+        (class(1, "deadline", json!(-5)), "classes.1.deadline: not a positive number"),
+        (class(0, "deadline", json!(0)), "classes.0.deadline: not a positive number"),
+        (class(0, "deadline", json!("2000")), "classes.0.deadline is missing or of another kind"),
+        (class(2, "deadline", Value::Null), "classes.2.deadline is missing"),
+        (class(2, "repeat", json!("often")), "classes.2.repeat"),
+        (class(2, "name", json!("read")), "'read' stands there twice"),
+        (
+            changed(&|f| f["settings"]["policyLimits"]["mostTries"] = json!(0)),
+            "mostTries: not a positive number",
+        ),
+        (changed(&|f| f["settings"]["policyLimits"]["mostTries"] = json!(-1)), "mostTries"),
+        (changed(&|f| f["settings"]["policyLimits"]["mostTries"] = json!(1.5)), "mostTries"),
+        (changed(&|f| f["settings"]["grades"][0]["name"] = json!("gold")), "'basic' cannot be dropped"),
+    ] {
+        std::fs::write(&path, &text).unwrap();
+        let said = current.check(&path).expect_err(why).to_string();
+        assert!(said.contains(why), "{why}: {said}");
+    }
+    std::fs::write(&path, whole).unwrap();
+    assert!(current.check(&path).is_ok(), "the same without a fault");
+    std::fs::remove_file(&path).unwrap();
+}
+
+fn told(change: impl Fn(&mut Value)) -> Told {
+    let mut settings: Value = serde_json::from_str(SETTINGS).unwrap();
+    change(&mut settings);
+    settings::parse_json(&settings).unwrap()
+}
+
+#[test]
+fn a_class_keeps_its_index_while_its_rules_stay_and_gets_a_new_one_with_new_rules() {
+    let first = told(|_| {});
+    let second = first.followed_by(told(|s| {
+        s["classes"][0]["repeat"] = json!("single_shot");
+        let swapped = (s["classes"][1].clone(), s["classes"][2].clone());
+        (s["classes"][2], s["classes"][1]) = swapped;
+        s["domain"]["changesData"] = json!([false, false, true]);
+    }));
+    let second = second.unwrap();
+    assert_eq!(
+        (second.class("new-write"), second.class("bulk-read")),
+        (Some(1), Some(2)),
+        "wherever they stand"
+    );
+    assert_eq!(second.class("read"), Some(3));
+    assert_eq!(
+        (second.module.classes[0].effect, second.module.classes[3].effect),
+        (Effect::Safe, Effect::Unsafe)
+    );
+    let dropped =
+        second.followed_by(told(|s| drop(s["classes"].as_array_mut().map(|c| c.remove(0))))).unwrap();
+    assert_eq!((dropped.class("read"), dropped.named().count()), (None, 2));
+    assert!(dropped.for_module().classes[0].aim == 0 && dropped.module.classes[0].aim > 0);
+    // A list of writes that was not brought up to date tells nothing of which class is which.
+    let stale = first.followed_by(told(|s| {
+        let mut more = s["classes"][1].clone();
+        more["name"] = json!("new-write-2");
+        s["classes"].as_array_mut().unwrap().insert(0, more);
+    }));
+    let stale = stale.unwrap();
+    let writes = |name: &str| stale.writes[stale.class(name).unwrap()];
+    assert_eq!([writes("read"), writes("new-write"), writes("new-write-2")], [Some(false), Some(true), None]);
+    // Back to the first file, and on like that all day: no new indices.
+    let mut now = dropped;
+    for round in 0..1_000 {
+        let next = if round % 2 == 0 {
+            told(|_| {})
+        } else {
+            told(|s| s["classes"][0]["repeat"] = json!("single_shot"))
+        };
+        now = now.followed_by(next).unwrap();
+    }
+    assert_eq!(now.classes.len(), 4);
+    // Ever new rules end at the bound, and say so.
+    let refused = (1..).find_map(|aim| {
+        let next = now.followed_by(told(|s| s["classes"][0]["aim"] = json!(1_000 + aim)));
+        next.map(|n| now = n).err()
+    });
+    assert!(refused.unwrap().contains("more than 256 classes"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_open_request_keeps_its_attempts_and_new_ones_have_the_new() {
+    let (mut current, path) = started("attempts");
+    let told = current.told().borrow().clone();
+    let clock = Clock::start();
+    let (core, handle, _probes) = Core::new(told.module.clone(), 7, clock);
+    tokio::spawn(core.run());
+    let at = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+    handle.list(ListKind::Cached, vec![common::front::listing(at, NodeState::Ready)]).await;
+    let request = Request {
+        plan: 2,
+        volume: VolumeId(1),
+        hosts: 1.0,
+        units: 1.0,
+        shard: Some(Shard(0)),
+        give_up: clock.now() + 100_000_000,
+        ..Request::default()
+    };
+    let mut old = handle.open(request).await;
+    let sent = |order: Option<Order>| matches!(order, Some(Order::Send(_)));
+    assert!(sent(old.order().await));
+
+    let mut new = file();
+    new["settings"]["policyLimits"]["mostTries"] = json!(1);
+    std::fs::write(&path, new.to_string()).unwrap();
+    let change = current.check(&path).unwrap();
+    let figures = Figures::default();
+    current.take(change, &handle, &figures).await;
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(current.told().borrow().module.most_tries, 1);
+    assert!(figures.text(Targets::default()).contains("lb_success{type=\"new-write\"} 0\n"));
+
+    let mut after = handle.open(request).await;
+    assert!(sent(after.order().await));
+    after.teller().ended(0, Outcome::Error, None).await;
+    assert!(matches!(after.order().await, Some(Order::Refuse(_))), "one attempt is all it has");
+    old.teller().ended(0, Outcome::Error, None).await;
+    assert!(sent(old.order().await), "three were its own when it was taken");
+}
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -86,6 +86,8 @@
     pub known: Option<List>,
     /// Where operators ask; without it there is no door.
     pub management: Option<SocketAddr>,
+    /// The file as it was read.
+    pub file: serde_json::Value,
     /// The settings.
     pub told: Told,
 }
@@ -111,7 +113,8 @@
 
     /// Reads the text of such a file.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        let raw: Raw = serde_json::from_str(text)?;
+        let file: serde_json::Value = serde_json::from_str(text)?;
+        let raw = Raw::deserialize(&file)?;
         let told = settings::parse_json(&raw.settings).map_err(ConfigError::Settings)?;
         let seed = u64::from_str_radix(&raw.seed, 16)
             .map_err(|_| ConfigError::Settings(format!("seed '{}' is not hexadecimal", raw.seed)))?;
@@ -123,6 +126,7 @@
             limits: raw.limits,
             known: raw.known,
             management: raw.management,
+            file,
             told,
         })
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod discovery;
 pub mod inherited;
 pub mod reload;
+pub mod shape;
 pub mod watching;
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -3,6 +3,7 @@
 //! The ordinary path is HYBRID-DSFQ: a request is placed on a node, tagged, held in that node's queue and
 //! sent in start-tag order while fewer than D of this host's are out there. The rest: guards and exceptions.
 
+use crate::asking::Asking;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -59,10 +60,6 @@
 /// One that was never sent is given up sooner, after this part of its time, or its aim if that is later: the
 /// client can still do something with the rest. Could do harm where a late answer is worth nearly as much.
 const UNSENT_PART: f64 = 0.45;
-/// Spacing of calls to discovery that failed, first and last, and how long an answer may take.
-const ASK_FIRST: Micros = 700_000;
-const ASK_LAST: Micros = 4_000_000;
-const ASK_PATIENCE: Micros = 6_000_000;
 /// Share of a keyed request's window in which it may be sent again; the rest covers the way.
 const WINDOW_USED: f64 = 0.9;
 /// Share of this host's part of a limit or cold budget that is used.
@@ -145,6 +142,7 @@
     slot: Option<(i64, u64)>,
     finish: i64,
     tries: u16,
+    most: u32,
     live: u16,
     began: bool,
     more: Option<f64>,
@@ -189,8 +187,7 @@
     seq: u64,
     token: u32,
     wake_at: Option<Micros>,
-    ask_at: Option<Micros>,
-    ask_wait: Micros,
+    asking: Asking,
     swept: Micros,
     served: f64,
     since: Micros,
@@ -200,13 +197,20 @@
 impl Brain {
     /// A host at its start. The same settings, seed and events give the same actions.
     pub fn new(cfg: Settings, seed: u64) -> Self {
-        let weight_sum = cfg.plans.iter().map(|p| weight(p.weight)).sum::<f64>().max(1e-9);
-        let longest_try = vec![0; cfg.classes.len()];
-        let least = cfg.classes.iter().map(|c| c.aim).filter(|a| *a > 0).min().unwrap_or(500_000) as f64;
-        let (target, crowd) = (least * DEPTH_TARGET, (f64::from(cfg.hosts) / CROWD).max(1.0));
+        let mut brain = Brain { seed, ..Brain::default() };
+        brain.go_by(cfg);
+        brain
+    }
+
+    /// Takes settings: at the start, and new ones later. What is open, tagged, spent and learnt stays.
+    fn go_by(&mut self, cfg: Settings) {
+        self.weight_sum = cfg.plans.iter().map(|p| weight(p.weight)).sum::<f64>().max(1e-9);
+        self.longest_try.resize(cfg.classes.len(), 0);
+        self.least = cfg.classes.iter().map(|c| c.aim).filter(|a| *a > 0).min().unwrap_or(500_000) as f64;
+        (self.target, self.crowd) = (self.least * DEPTH_TARGET, (f64::from(cfg.hosts) / CROWD).max(1.0));
         let price = cfg.plans.iter().map(|p| p.price).fold(0.0, f64::max);
-        let best = weight(cfg.classes.iter().map(|c| c.worth * price).fold(0.0, f64::max));
-        Brain { cfg, seed, weight_sum, least, target, crowd, best, longest_try, ..Brain::default() }
+        self.best = weight(cfg.classes.iter().map(|c| c.worth * price).fold(0.0, f64::max));
+        self.cfg = cfg;
     }
 
     /// How much is remembered of volumes, nodes, requests and attempts.
@@ -232,10 +236,11 @@
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         if self.begun.is_none() {
             (self.begun, self.swept, self.since) = (Some(now), now, now);
-            self.ask_at = (self.cfg.discovery != Discovery::Push).then_some(now);
+            self.asking.begin(now, self.cfg.discovery);
         }
         match event {
             Event::Nodes { kind, entries } => self.on_nodes(now, kind, entries),
+            Event::Settings(settings) => self.go_by(*settings),
             Event::Request(req) => self.on_request(now, req, out),
             Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
@@ -259,10 +264,7 @@
             self.finish(id, None, out);
             self.ends.remove(&(due, id));
         }
-        if self.ask_at.is_some_and(|t| t <= now) {
-            out.push(Action::Subscribe);
-            self.ask_at = Some(now + ASK_PATIENCE);
-        }
+        out.extend(self.asking.due(now).then_some(Action::Subscribe));
         if now - self.swept > IDLE_AGE {
             self.sweep(now);
         }
@@ -279,7 +281,7 @@
     fn arm(&mut self, now: Micros, out: &mut Vec<Action>) {
         let mut next = self.ends.first().map(|e| e.0);
         let mut sooner = |t: Micros| next = Some(next.map_or(t, |n| n.min(t)));
-        self.ask_at.into_iter().for_each(&mut sooner);
+        self.asking.next().into_iter().for_each(&mut sooner);
         if !self.growing.is_empty() || self.nodes.values().any(|n| !n.queue.is_empty()) {
             sooner(now + POLL);
         } else if self.nodes.values().any(|n| !n.out.is_empty()) {
@@ -472,16 +474,12 @@
     // ---- discovery -------------------------------------------------------------------------------------
 
     fn on_nodes(&mut self, now: Micros, kind: ListKind, entries: Vec<NodeEntry>) {
+        let chance = self.random();
+        self.asking.heard(now, kind, self.cfg.discovery, chance);
         if kind == ListKind::Failed {
-            let wait = self.ask_wait.max(ASK_FIRST);
-            let again = now + (wait as f64 * (0.5 + self.random())) as Micros;
-            self.ask_at = Some(again).filter(|_| self.cfg.discovery != Discovery::Push);
-            return self.ask_wait = (wait * 2).min(ASK_LAST);
-        }
-        if kind != ListKind::Cached {
-            (self.ask_at, self.ask_wait) = (None, ASK_FIRST);
+            return;
         }
-        let mut dice = fastrand::Rng::with_seed((self.random() * 1e15) as u64);
+        let mut dice = fastrand::Rng::with_seed((chance * 1e15) as u64);
         let listed: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
         let depth = (DEPTH_START / self.crowd).max(1.0);
         for e in entries {
@@ -682,7 +680,7 @@
     fn may_send(&mut self, now: Micros, id: RequestId, to: NodeId) -> bool {
         let (Some(o), Some(n)) = (self.open.get(&id), self.nodes.get(&to)) else { return false };
         let (req, tries, drawn) = (o.req, o.tries, o.drawn);
-        if u32::from(tries) >= self.cfg.most_tries.max(1) || n.gone || now >= self.drain_end(n) {
+        if u32::from(tries) >= o.most.max(1) || n.gone || now >= self.drain_end(n) {
             return false;
         }
         if !self.effect_allows(now, o, n) || !self.cold_allows(now, n, req.units) || now >= req.give_up {
@@ -847,7 +845,7 @@
     /// After an attempt that did not serve the request: back to its place in the queue, or the end.
     fn again(&mut self, now: Micros, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(o) = self.open.get(&id) else { return };
-        let spent = u32::from(o.tries) >= self.cfg.most_tries || now >= o.req.give_up - 4 * self.cfg.tick;
+        let spent = u32::from(o.tries) >= o.most || now >= o.req.give_up - 4 * self.cfg.tick;
         let (anchored, keyless) = (o.anchor.is_some(), o.req.shard.is_none());
         let at = o.home.and_then(|h| self.nodes.get(&h));
         let dead_end = anchored && at.is_none_or(|n| !self.effect_allows(now, o, n));
@@ -885,7 +883,8 @@
         let half = now + ((req.give_up - now) as f64 * UNSENT_PART) as Micros;
         let end = half.max(aim_at).min(self.last_end(&req));
         let bucket = self.tokens(now, &req);
-        self.open.insert(id, Open { req, seq: self.seq, aim_at, end, value, ..Open::default() });
+        let (seq, most) = (self.seq, self.cfg.most_tries);
+        self.open.insert(id, Open { req, seq, most, aim_at, end, value, ..Open::default() });
         self.ends.insert((end, id));
         if let Some((have, rate)) = bucket {
             let v = self.volumes.entry(volume).or_default();
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -52,7 +52,7 @@
 }
 
 /// A class of request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns its full worth.
     pub aim: Micros,
@@ -329,6 +329,8 @@
         /// The entries.
         entries: Vec<NodeEntry>,
     },
+    /// New settings. Classes and plans keep their indices, and what is open keeps its attempts.
+    Settings(Box<Settings>),
     /// A request lands.
     Request(Request),
     /// A stream has begun: its attempt belongs to the client.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,6 +35,7 @@
 //! ```
 #![warn(missing_docs)]
 
+mod asking;
 mod brain;
 mod interface;
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,6 +14,11 @@
     pub columns: Vec<String>,
     /// The names of the classes, by index.
     pub classes: Vec<String>,
+    /// The classes that were dropped while the program ran: open requests keep their rules, new ones find no class.
+    pub retired: Vec<bool>,
+    /// Whether each class writes, where the settings say so for these very classes: a list of another length tells
+    /// nothing of which is which.
+    pub writes: Vec<Option<bool>>,
     /// The names of the plans, by index.
     pub plans: Vec<String>,
     /// The names of the zones, by index.
@@ -24,6 +29,70 @@
     pub connect_timeout: Micros,
 }
 
+/// The most classes that one process can be told, with all that were dropped or changed.
+pub const CLASSES_MOST: usize = 256;
+
+impl Told {
+    /// The index of the class of this name.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.current().find(|(_, n)| *n == name).map(|(at, _)| at)
+    }
+
+    fn current(&self) -> impl Iterator<Item = (usize, &str)> {
+        let names = self.classes.iter().map(String::as_str).enumerate();
+        names.filter(|(at, _)| !self.retired.get(*at).copied().unwrap_or(false))
+    }
+
+    /// The names of the classes in use.
+    pub fn named(&self) -> impl Iterator<Item = &str> {
+        self.current().map(|(_, name)| name)
+    }
+
+    /// What the module goes by. It sees to it that a class that was dropped decides nothing for the others: neither the
+    /// shortest aim nor the most worth.
+    pub fn for_module(&self) -> Settings {
+        let mut settings = self.module.clone();
+        let retired = settings.classes.iter_mut().zip(&self.retired).filter(|(_, retired)| **retired);
+        retired.for_each(|(class, _)| (class.aim, class.worth) = (0, 0.0));
+        settings
+    }
+
+    /// The settings that follow these while the program runs. A class whose rules stay keeps its index; one with new rules
+    /// gets a new index, so that what is open under the old one keeps them. Plans keep theirs, with new figures.
+    pub fn followed_by(&self, new: Told) -> Result<Told, String> {
+        let (mut classes, mut rules) = (self.classes.clone(), self.module.classes.clone());
+        let (mut retired, mut writes) = (vec![true; classes.len()], self.writes.clone());
+        for ((name, rule), said) in new.classes.iter().zip(&new.module.classes).zip(&new.writes) {
+            match classes.iter().zip(&rules).position(|(n, r)| n == name && r == rule) {
+                Some(at) => (retired[at], writes[at]) = (false, said.or(writes[at])),
+                None => {
+                    classes.push(name.clone());
+                    rules.push(rule.clone());
+                    retired.push(false);
+                    writes.push(*said);
+                }
+            }
+        }
+        if classes.len() > CLASSES_MOST {
+            return Err(format!("more than {CLASSES_MOST} classes since the start"));
+        }
+        let (mut plans, mut figures) = (self.plans.clone(), self.module.plans.clone());
+        for (name, figure) in new.plans.iter().zip(&new.module.plans) {
+            match plans.iter().position(|p| p == name) {
+                Some(at) => figures[at] = figure.clone(),
+                None => (plans.push(name.clone()), figures.push(figure.clone())).0,
+            }
+        }
+        if let Some(name) = plans.iter().find(|p| !new.plans.contains(p)) {
+            return Err(format!(
+                "setting grades: the plan '{name}' cannot be dropped while the program runs"
+            ));
+        }
+        let module = Settings { classes: rules, plans: figures, ..new.module };
+        Ok(Told { module, classes, retired, writes, plans, ..new })
+    }
+}
+
 /// Milliseconds of the settings as microseconds.
 pub fn micros(ms: f64) -> Micros {
     (ms * 1000.0).round() as Micros
@@ -107,16 +176,22 @@
             .filter(|v| !v.is_empty())
             .map_or(Vec::new(), |v| v.split(',').map(String::from).collect())
     };
-    let writes = list("domain.changesData");
-    let classes = (0..k.must("classes.count")?)
-        .map(|i| class(k, i, writes.get(i).is_some_and(|w| w == "true")))
-        .collect::<Result<Vec<_>, _>>()?;
+    let (writes, count) = (list("domain.changesData"), k.must("classes.count")?);
+    let writes: Vec<Option<bool>> =
+        (0..count).map(|i| (writes.len() == count).then(|| writes[i] == "true")).collect();
+    let classes = (0..count).map(|i| class(k, i, writes[i])).collect::<Result<Vec<_>, _>>()?;
     let count = k.opt("grades.count")?.unwrap_or(0);
     let plans = (0..count).map(|i| plan(k, i)).collect::<Result<Vec<_>, _>>()?;
     let names = |of: &str, n: usize| -> Vec<String> {
         (0..n).map(|i| k.0.get(&format!("{of}.{i}.name")).cloned().unwrap_or_default()).collect()
     };
     let (class_names, plan_names) = (names("classes", classes.len()), names("grades", plans.len()));
+    for (of, names) in [("classes", &class_names), ("grades", &plan_names)] {
+        let twice = names.iter().enumerate().find(|(i, n)| !n.is_empty() && names[..*i].contains(n));
+        if let Some((i, name)) = twice {
+            return Err(format!("setting {of}.{i}.name: '{name}' stands there twice"));
+        }
+    }
     let discovery = match k.0.get("registryMode").map(String::as_str) {
         Some("ask") => Discovery::Ask { within: k.span("safety.askWithin", 10_000.0)? },
         Some("push") | None => Discovery::Push,
@@ -151,7 +226,10 @@
         settle: k.span("safety.settleAfterDoubt", 0.0)?,
         drain_grace: k.must_span("safety.stopSendingWithin")?,
         tick: k.must_span("resolution")?,
-        most_tries: k.opt("policyLimits.mostTries")?.unwrap_or(1),
+        most_tries: match k.opt("policyLimits.mostTries")? {
+            Some(0) => return Err("setting policyLimits.mostTries: not a positive number".into()),
+            most => most.unwrap_or(1),
+        },
         most_held: k.opt("policyLimits.mostHeld")?.unwrap_or(0),
         parallel_tries: k.flag("policyLimits.parallelTries")?,
         cancel: k.flag("policyLimits.cancel")?,
@@ -167,6 +245,8 @@
     Ok(Told {
         module,
         columns: list("report.columns"),
+        writes,
+        retired: vec![false; class_names.len()],
         classes: class_names,
         plans: plan_names,
         zones: list("areas"),
@@ -175,7 +255,7 @@
     })
 }
 
-fn class(k: &Keys, i: usize, writes: bool) -> Result<Class, String> {
+fn class(k: &Keys, i: usize, writes: Option<bool>) -> Result<Class, String> {
     let at = |name: &str| format!("classes.{i}.{name}");
     let repeat: String = k.must(&at("repeat"))?;
     let effect = match repeat.as_str() {
@@ -195,13 +275,17 @@
     Ok(Class {
         aim: k.must_span(&at("aim"))?,
         aim_stretch: k.real(&at("aimStretch"), 0.0)?,
-        deadline: k.must_span(&at("deadline"))?,
+        deadline: match k.must_span(&at("deadline"))? {
+            ..=0 => return Err(format!("setting {}: not a positive number", at("deadline"))),
+            deadline => deadline,
+        },
         effect,
         in_order: k.flag(&at("byArrival"))?,
         streamed: k.flag(&at("streamed"))?,
         worth: k.real(&at("worth"), 1.0)?,
         late_share: k.real(&at("lateShare"), 0.0)?,
-        writes,
+        // Unsaid: what may not simply be repeated changes something.
+        writes: writes.unwrap_or(effect != Effect::Safe),
     })
 }
 
