--- a/crates/platform/src/shape.rs
+++ b/crates/platform/src/shape.rs
@@ -23,7 +23,7 @@
         }
         // Items come and go; what all of them say, each new one must say.
         (Value::Array(used), Value::Array(new)) => {
-            let Some(first) = used.first() else { return None };
+            let first = used.first()?;
             if new.is_empty() {
                 return Some(path);
             }
