--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
-use crate::commands::{buffer, check, demo, extents};
+use crate::commands::{ask, buffer, check, demo, extents};
 use crate::serve;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use lupinrack_config::{Format, Log, Operator};
@@ -52,6 +52,8 @@
     Schema,
     /// Play a short mixed load against a front with stand-ins on loopback and show what came of it.
     Demo(demo::Demo),
+    /// Ask a front at its door and print the answer: 0 for 200, 1 for 400 or none.
+    Ask(ask::Ask),
     /// Look at the log of a write-back buffer that is closed.
     #[command(subcommand)]
     Buffer(buffer::Buffer),
@@ -105,6 +107,7 @@
         Some(Command::Check { files }) => check::run(&files),
         Some(Command::Schema) => check::schema(),
         Some(Command::Demo(demo)) => quiet(format).and_then(|()| demo::run(&demo)),
+        Some(Command::Ask(what)) => ask::run(&what),
         Some(Command::Buffer(what)) => buffer::run(&what),
         Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
--- /dev/null
+++ b/crates/lupinrack/src/commands/ask.rs
@@ -0,0 +1,54 @@
+//! `lupinrack ask`: one call at a front's door.
+
+use crate::cli::Ended;
+use clap::{Args, ValueEnum};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long the answer may take; the door's own promise is a second.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// The longest answer read.
+const LONGEST: u64 = 1 << 20;
+
+/// What to ask, and where.
+#[derive(Debug, Args)]
+pub struct Ask {
+    /// The door's address: `management` in the front's configuration.
+    address: SocketAddr,
+    /// The call.
+    #[arg(value_enum)]
+    call: Call,
+}
+
+#[derive(Clone, Copy, Debug, ValueEnum)]
+enum Call {
+    /// Whether the process is ready to serve.
+    Status,
+    /// All figures.
+    Stats,
+}
+
+/// Asks and prints the answer.
+pub fn run(ask: &Ask) -> Result<(), Ended> {
+    let answer = exchange(ask).map_err(|e| Ended::failed(format!("{}: {e}", ask.address)))?;
+    print!("{answer}");
+    match answer.starts_with("200") {
+        true => Ok(()),
+        false if answer.is_empty() => Err(Ended::failed(format!("{}: no answer", ask.address))),
+        false => Err(Ended::Failed(String::new())),
+    }
+}
+
+fn exchange(ask: &Ask) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&ask.address, PATIENCE)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    let line: &[u8] = match ask.call {
+        Call::Status => b"status\n",
+        Call::Stats => b"stats\n",
+    };
+    stream.write_all(line)?;
+    let mut answer = String::new();
+    stream.take(LONGEST).read_to_string(&mut answer)?;
+    Ok(answer)
+}
--- a/crates/lupinrack/src/commands/mod.rs
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The commands beside `serve`.
 
+pub mod ask;
 pub mod buffer;
 pub mod check;
 pub mod demo;
--- a/crates/lupinrack/tests/upgrade.rs
+++ b/crates/lupinrack/tests/upgrade.rs
@@ -117,6 +117,13 @@
     let mut old = program(&folder, &socket, "7");
     let (old_door, _log) = door(&mut old).await;
     assert_eq!(call(old_door, "status").await, "200 ready\n");
+    let asked = |at: SocketAddr, what: &'static str| {
+        Command::new(PROGRAM).args(["ask", &at.to_string(), what]).kill_on_drop(true).output()
+    };
+    let answer = asked(old_door, "stats").await.unwrap();
+    assert!(answer.status.success() && answer.stdout.ends_with(b"\nEOF\n"), "{answer:?}");
+    assert_eq!(asked("127.0.0.1:9".parse().unwrap(), "status").await.unwrap().status.code(), Some(1));
+    assert_eq!(asked(old_door, "reboot").await.unwrap().status.code(), Some(2));
 
     let (stop, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU32::new(0)));
     let clients: Vec<_> = (0..8).map(|n| tokio::spawn(client(at, n, stop.clone(), served.clone()))).collect();
