Share one front's limits between the processes of an upgrade; end no answer early

Need and causes. Two processes went by the whole of one front's limits. Logs of every connection's end showed IncompleteMessage once for each loss, some 3 s before it counted: the gate's idle clock ran from when an answer was handed to the library, so a slow client's last bytes were cut after 2 s (gate.rs, poll_read). Ruled out: stalls, breaks at the node, memory.

An answer that may be long begins 30 ms before the client's end at the latest; the gate's clock runs from the last byte; a half-closed client gets its long answer; bodies and answers have memory of their own.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
     List(ListKind, Vec<Listing>),
     Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
     Settings(Settings),
+    Part(f64, oneshot::Sender<()>),
     Targets(oneshot::Sender<(usize, usize)>),
 }
 
@@ -148,6 +149,14 @@
         let _ = self.inbox.send(Input::Settings(settings)).await;
     }
 
+    /// Has the module use this part of what is this front's; done once it does.
+    pub async fn part(&self, part: f64) {
+        let (tell, told) = oneshot::channel();
+        if self.inbox.send(Input::Part(part, tell)).await.is_ok() {
+            let _ = told.await;
+        }
+    }
+
     /// How many nodes are listed, and how many of them the module avoids now; none once the core is gone.
     pub async fn targets(&self) -> Option<(usize, usize)> {
         let (tell, told) = oneshot::channel();
@@ -359,6 +368,10 @@
                 self.grace = settings.drain_grace;
                 self.tell(now, Event::Settings(Box::new(settings)));
             }
+            Input::Part(part, tell) => {
+                self.tell(now, Event::Part(part));
+                let _ = tell.send(());
+            }
             Input::Targets(tell) => drop(tell.send(self.brain.targets())),
             Input::Probed { node, outcome, waited, load } => {
                 self.tell(now, Event::Probed { node, outcome, waited, load });
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -116,7 +116,7 @@
             // Answered before its request had come whole, or to an end that cannot be told: nothing that follows
             // on this connection may be taken for a request.
             let passing = response.extensions_mut().remove::<OnItsWay>().is_some();
-            if !(if passing { visit.whole() } else { visit.answered() }) {
+            if !(if passing { visit.passes_on() } else { visit.answered() }) {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             Ok(response)
--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -77,6 +77,8 @@
     since: Instant,
     /// Body bytes that came, and when the last of them did.
     body: (u64, Instant),
+    /// An answer is on its way that passes on as it comes.
+    passing_on: bool,
     /// Its place is wanted for another client.
     closing: bool,
     reader: Option<Waker>,
@@ -93,6 +95,7 @@
             first: true,
             since: now,
             body: (0, now),
+            passing_on: false,
             closing: false,
             reader: None,
         }
@@ -125,6 +128,7 @@
     /// The answer is on its way. True: the request had come whole, and the next may follow.
     pub fn answered(&mut self, now: Instant) -> bool {
         let whole = self.stage == Stage::Answer;
+        self.passing_on = false;
         if whole {
             (self.stage, self.since, self.first, self.body) = (Stage::Head, now, false, (0, now));
             self.advance(true);
@@ -224,9 +228,11 @@
         self.framing().due()
     }
 
-    /// Whether the request in hand has come whole.
-    pub fn whole(&self) -> bool {
-        self.framing().stage == Stage::Answer
+    /// An answer begins to pass on; true: the request in hand has come whole.
+    pub fn passes_on(&self) -> bool {
+        let mut framing = self.framing();
+        framing.passing_on = true;
+        framing.stage == Stage::Answer
     }
 
     /// The answer is on its way; false: the connection cannot serve another request.
@@ -319,6 +325,12 @@
                     framing.feed(Instant::now(), piece.filled());
                     continue;
                 }
+                // A client may close its side once it has asked. The library would take that for one that has gone and cut off
+                // what is on its way; one that has gone shows when it is written to.
+                Poll::Ready(Ok(())) if framing.passing_on => {
+                    this.ended = true;
+                    return Poll::Pending;
+                }
                 Poll::Ready(end) => {
                     this.ended = true;
                     return Poll::Ready(end);
@@ -328,7 +340,10 @@
             let (due, closing) = (framing.due(), framing.closing);
             // While the front is ending, a client cannot come back on another connection.
             let kept = framing.idle() && *this.phase.borrow() == Phase::Ending;
-            if framing.stage == Stage::Head && (closing || (!kept && this.patience_over(cx, due))) {
+            // The last of an answer may still wait for its client: to the library, an end now would be a client that has gone,
+            // and it would cut the answer off.
+            let over = this.stuck.is_none() && (closing || (!kept && this.patience_over(cx, due)));
+            if framing.stage == Stage::Head && over {
                 // To the library this is a client that closed between two requests. Nothing is owed to it.
                 this.ended = true;
                 return Poll::Ready(Ok(()));
@@ -341,6 +356,12 @@
 impl AsyncWrite for Gate {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
         if let done @ Poll::Ready(_) = Pin::new(&mut self.stream).poll_write(cx, bytes) {
+            // A connection is idle from the last byte of its answer on.
+            let mut framing = self.visit.framing();
+            if framing.idle() {
+                framing.since = Instant::now();
+            }
+            drop(framing);
             self.stuck = None;
             return done;
         }
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -22,9 +22,12 @@
 /// node has just closed would end as a reset.
 const IDLE_TENTHS: Micros = 6;
 
-/// What must be there of an answer that is said to be long before it begins to pass on. Less than that may be one whose
-/// length is wrong, and can still be made again.
-const BEGINS: usize = 8 << 10;
+/// What must be there of an answer that is said to be long before it begins to pass on: its head alone may be spoilt, and
+/// it can still be made again.
+const BEGINS: usize = 1;
+/// How long before the client's end an answer that may be long begins to pass on, whatever is there of it. A little more
+/// than the module takes to give up.
+const LAST: Duration = Duration::from_millis(30);
 
 /// The way to the nodes.
 #[derive(Clone)]
@@ -162,16 +165,18 @@
         }
         // One that is said to be long begins as soon as it is seen to come: the client waits for its first bytes.
         let enough = if length.is_some_and(|l| l > SMALL as u64) { BEGINS } else { SMALL + 1 };
+        let soon = tokio::time::sleep_until(late.deadline() - LAST);
+        tokio::pin!(soon);
+        let may_be_long = head.status == StatusCode::OK && length.is_none_or(|l| l > SMALL as u64);
         let (mut taken, mut held) = (Vec::new(), 0);
         while held < enough {
             let piece = tokio::select! {
                 biased;
                 piece = line.piece(&mut body) => piece?,
-                // What the node is still giving is not cut off where it may be long; the client has it, late.
-                () = &mut late => match held > 0 && length.is_none_or(|l| l > SMALL as u64) {
-                    true => break,
-                    false => return Ok(Taken::Late),
-                },
+                // What the node is still giving is not cut off where it may be long: it is the client's before the module
+                // answers in its place.
+                () = &mut soon, if may_be_long => break,
+                () = &mut late => return Ok(Taken::Late),
             };
             let Some(piece) = piece else { return Ok(Taken::Whole(self.ended(&head, taken))) };
             held += piece.len();
@@ -204,7 +209,7 @@
     async fn pass(&self, line: &mut Line, part: Taken, number: u16, begins: &mpsc::Sender<Begun>) -> Ended {
         let Taken::Part { length, taken, load, mut body } = part else { return Outcome::Moot.into() };
         let mut hold = Hold::default();
-        if !self.room.raise(&mut hold, WINDOW).await {
+        if !self.room.pass(&mut hold, WINDOW).await {
             tracing::debug!("no memory for a long answer");
             return Outcome::Reset.into();
         }
--- a/crates/lupinrack/src/lib.rs
+++ b/crates/lupinrack/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod commands;
 pub mod serve;
+mod takeover;
 
 pub use lupinrack_core as core;
 pub use lupinrack_flows as ipfix;
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -1,5 +1,6 @@
 //! Puts a front together from its parts and runs it: one core, the fronts that are on, the watch of the node list.
 
+use crate::takeover::Takeover;
 use lupinrack_config::Operator;
 use lupinrack_core::{Clock, Core, Handle};
 use lupinrack_door::{call::Call, Answer};
@@ -163,6 +164,11 @@
     let connect = Duration::from_micros(told.connect_timeout.max(1) as u64);
     let second = second_front(rsync, &handle, connect, &phase).await?;
     let shared = inherited.is_some();
+    // Another process may be this front too: what they use together is decided before this one takes anybody.
+    let takeover = match shared {
+        true => Takeover::begin(handle.clone()).await.map(|t| tokio::spawn(t.run(phase.clone()))),
+        false => None,
+    };
     let listener = match inherited {
         Some(socket) => TcpListener::from_std(socket)?,
         None => TcpListener::bind(config.listen).await?,
@@ -202,6 +208,7 @@
         driver.inspect(JoinHandle::abort);
         prober.abort();
         door.inspect(JoinHandle::abort);
+        takeover.inspect(JoinHandle::abort);
         ended
     });
     Ok(Front { listen, core: handle, figures, extents: counters, ended })
--- a/crates/lupinrack/tests/bodies.rs
+++ b/crates/lupinrack/tests/bodies.rs
@@ -159,6 +159,35 @@
     }
 }
 
+#[tokio::test]
+async fn a_client_that_closes_its_side_once_it_has_asked_gets_all_of_a_long_answer() {
+    let fronts = front(Wording::Length, 6_000_000).await;
+    let mut stream = TcpStream::connect(fronts.http).await.unwrap();
+    stream.write_all(get(1).as_bytes()).await.unwrap();
+    let mut first = [0; 4];
+    stream.read_exact(&mut first).await.unwrap();
+    stream.shutdown().await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    let mut rest = Vec::new();
+    stream.read_to_end(&mut rest).await.unwrap();
+    assert!(rest.ends_with(&bytes(1, 6_000_000)), "{}", rest.len());
+}
+
+#[tokio::test]
+async fn an_answer_waits_for_its_client_longer_than_an_idle_connection_is_kept() {
+    const MANY: usize = 150;
+    let fronts = front(Wording::Length, 60_000).await;
+    let mut stream = TcpStream::connect(fronts.http).await.unwrap();
+    let all: String = (0..MANY).map(get).collect();
+    stream.write_all(all.as_bytes()).await.unwrap();
+    // What the system's buffers cannot hold stands in the front meanwhile, its request long answered.
+    sleep(Duration::from_millis(3_500)).await;
+    for seed in 0..MANY {
+        let (status, body) = answer(&mut stream).await.unwrap_or_else(|| panic!("cut off at {seed}"));
+        assert!(status == 200 && body == bytes(seed, 60_000), "{seed}: {status}");
+    }
+}
+
 #[tokio::test]
 async fn an_answer_that_breaks_off_is_told_by_a_broken_frame() {
     for wording in [Wording::Half, Wording::Rests] {
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -68,7 +68,6 @@
 const COLD_LEAN: f64 = 2.0;
 /// How long a host looks before it trusts what it sees of the usual traffic.
 const USUAL_LEAST: Micros = 2_000_000;
-/// Shortest retry-after hint.
 const HINT_LEAST: Micros = 100_000;
 
 /// What one volume has at one node: its last finish tag, and counts for the delay.
@@ -188,6 +187,7 @@
     token: u32,
     wake_at: Option<Micros>,
     asking: Asking,
+    part: f64,
     swept: Micros,
     served: f64,
     since: Micros,
@@ -197,7 +197,7 @@
 impl Brain {
     /// A host at its start. The same settings, seed and events give the same actions.
     pub fn new(cfg: Settings, seed: u64) -> Self {
-        let mut brain = Brain { seed, ..Brain::default() };
+        let mut brain = Brain { seed, part: 1.0, ..Brain::default() };
         brain.go_by(cfg);
         brain
     }
@@ -226,7 +226,6 @@
         (listed().count(), listed().filter(|n| n.open || n.told_stop.is_some()).count())
     }
 
-    /// A random number in 0..1, from the seed alone.
     fn random(&mut self) -> f64 {
         self.seed = self.seed.wrapping_add(1);
         fastrand::Rng::with_seed(self.seed).f64()
@@ -241,6 +240,10 @@
         match event {
             Event::Nodes { kind, entries } => self.on_nodes(now, kind, entries),
             Event::Settings(settings) => self.go_by(*settings),
+            Event::Part(part) => {
+                (self.part, self.begun) = (part.clamp(0.0, 1.0), Some(now));
+                self.volumes.values_mut().for_each(|v| v.filled = now);
+            }
             Event::Request(req) => self.on_request(now, req, out),
             Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
@@ -296,7 +299,6 @@
         }
     }
 
-    /// Drops what idle volumes left behind.
     fn sweep(&mut self, now: Micros) {
         (self.swept, self.since, self.served) = (now, now - (now - self.since) / 2, self.served / 2.0);
         for n in self.nodes.values_mut() {
@@ -416,9 +418,8 @@
 
     // ---- node health -----------------------------------------------------------------------------------
 
-    /// Takes what an attempt tells of its node. Connections that break or do not come up, and time-outs in a
-    /// row open the breaker; errors do not: the node is there. Silence needs none: the eldest attempt out
-    /// counts as latency. Could do harm where a node drops single requests and serves the rest.
+    /// Takes what an attempt tells of its node. Connections that break or do not come up, and time-outs in a row open the
+    /// breaker; errors do not: the node is there. Silence needs none: the eldest attempt out counts as latency.
     fn learn(&mut self, now: Micros, node: NodeId, outcome: Outcome, waited: Micros, out: &mut Vec<Action>) {
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) {
             self.fleet += FLEET_GAIN * (waited as f64 - self.fleet);
@@ -610,19 +611,21 @@
         (age < c.warm_up + c.window).then_some(age)
     }
 
-    /// Rule 4: this host's part of what a cold node bears, as a token bucket that grows like the slowest
-    /// warming; none where the node is warm. With many hosts a part is less than a request: one goes when the
-    /// bucket is above zero and is repaid after. Hosts start at random, most of them in debt, so that they
-    /// do not come all at once though all hear of the start together. Harmful if most hear late.
-    /// A node bears what was stated, and the rule's multiple of the cold share of what warm ones are seen to
-    /// do. That part is by the mean node; of more hosts fewer have something for one node at a time.
+    /// Rule 4: this host's part of what a cold node bears, as a token bucket that grows like the slowest warming. With
+    /// many hosts a part is less than a request: one goes when the bucket is above zero and is repaid after. Hosts
+    /// start at random, most of them in debt, so as not to come all at once. Harmful if most hear late. A node bears
+    /// what was stated, and the rule's multiple of the cold share of what warm ones are seen to do, by the mean node.
     fn cold_tokens(&self, now: Micros, n: &Node) -> Option<f64> {
         let (age, c) = (self.cold_age(now, n)?, self.cfg.cold?);
         let warmth = (age - c.window).max(0) as f64 / c.warm_up.max(1) as f64;
         let grown = (c.from + (1.0 - c.from) * warmth) / c.from.max(0.01);
         let usual = self.served / self.alike / (now - self.since).max(USUAL_LEAST) as f64 * c.window as f64;
         let seen = c.multiple * c.from * usual * self.crowd.sqrt();
-        let part = (c.bears / f64::from(self.cfg.hosts.max(1))).max(seen) * grown * COLD_LEAN * PART_USED;
+        let part = (c.bears / f64::from(self.cfg.hosts.max(1))).max(seen)
+            * self.part
+            * grown
+            * COLD_LEAN
+            * PART_USED;
         let got = part * (now - n.cold_at).max(0) as f64 / c.window.max(1) as f64;
         Some((n.cold_tokens + got).min((part / COLD_LEAN).max(self.cfg.mean_units)))
     }
@@ -669,8 +672,8 @@
         }
         let told = if req.hosts >= 1.0 { req.hosts } else { f64::from(self.cfg.hosts.max(1)) };
         v.hosts = v.hosts.max(told);
-        let rate = limit.rate / v.hosts * PART_USED;
-        let most = (limit.burst + limit.slack) / v.hosts * PART_USED;
+        let rate = limit.rate / v.hosts * PART_USED * self.part;
+        let most = (limit.burst + limit.slack) / v.hosts * PART_USED * self.part;
         v.tokens = (v.tokens + rate * (now - v.filled).max(0) as f64 / 1e6).min(most);
         (v.filled, v.refill) = (now, (most / rate * 1e6) as Micros);
         Some((v.tokens, rate))
@@ -707,7 +710,7 @@
             let room = match n.open {
                 true => now >= n.trial_at,
                 false if n.depth < 1.0 => now >= n.next_at(target),
-                false => n.abreast().count() < n.depth as usize || n.stuck(now),
+                false => n.abreast().count() < (n.depth * self.part) as usize || n.stuck(now),
             };
             n.pressed |= !room;
             let usual = if n.open { 0.0 } else { n.latency_now(now, crowd) };
@@ -901,7 +904,6 @@
         }
     }
 
-    /// When an open request is ended at the latest.
     fn last_end(&self, req: &Request) -> Micros {
         req.give_up - END_TICKS * self.cfg.tick
     }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -331,6 +331,8 @@
     },
     /// New settings. Classes and plans keep their indices, and what is open keeps its attempts.
     Settings(Box<Settings>),
+    /// The part of what is this host's that this process may use from here on, 0 to 1: another one is the same host too.
+    Part(f64),
     /// A request lands.
     Request(Request),
     /// A stream has begun: its attempt belongs to the client.
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -577,3 +577,42 @@
     h.answer(1, 0, 0, Outcome::ConnectFailed);
     assert_eq!(h.sends(), [(1, 0), (1, 1)]);
 }
+
+/// Units sent within three seconds of steady asking at a volume whose limit is ten a second, from two processes.
+fn sent_by(hosts: &mut [Host], parts: impl Fn(usize, Micros) -> Option<f64>) -> f64 {
+    let mut id = 0;
+    for step in 0..300 {
+        for (at, h) in hosts.iter_mut().enumerate() {
+            if let Some(part) = parts(at, step * 10_000) {
+                h.event(Event::Part(part));
+            }
+            id += 1;
+            let before = h.sends().len();
+            h.request_with(id, |r| r.units = 1.0);
+            h.pass(10_000);
+            for (r, n) in h.sends()[before..].to_vec() {
+                h.answer(r, 0, n, Outcome::Ok);
+            }
+        }
+    }
+    hosts.iter().map(|h| h.sends().len() as f64).sum()
+}
+
+#[test]
+fn two_processes_that_are_one_host_send_no_more_than_one() {
+    let both = || [0, 1].map(|_| Host::new(limited(), vec![entry(7, 0)]));
+    // Each by the whole: that is what passes the limit.
+    let whole = sent_by(&mut both(), |_, _| None);
+    assert!(whole > 45.0, "{whole}");
+    // Handed over in steps, none of which adds up past the whole.
+    let steps = |at: usize, now: Micros| match (at, now) {
+        (1, 0) => Some(0.0),
+        (0, 1_000_000) => Some(0.5),
+        (1, 1_020_000) => Some(0.5),
+        (0, 2_000_000) => Some(0.1),
+        (1, 2_020_000) => Some(0.9),
+        _ => None,
+    };
+    let sent = sent_by(&mut both(), steps);
+    assert!((22.0..=31.0).contains(&sent), "{sent}");
+}
