--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -611,7 +611,7 @@
         (age < c.warm_up + c.window).then_some(age)
     }
 
-    /// Rule 4: this host's part of what a cold node bears: a token bucket that grows like the slowest warming.
+    /// Rule 4: this host's part of what a cold node bears: a token bucket that grows as the slowest warm.
     /// With many hosts one request goes when it is above zero and is repaid after. Hosts start at random,
     /// most in debt, so as not to come at once. Harmful if most hear late. A node bears what was stated, and
     /// the rule's multiple of the cold share of what warm ones are seen to do, by the mean node.
