Let the module go by rights that end: reserve, cold share, factors by volume

Need: a front's parts of limits and cold budgets were told once; a fleet moves them by lease, and a process that was stopped must wake with nothing it may not use. Change: Event::Rights, checked whenever something is sent; one Bucket in place of three hand-made ones; attempts carry the end of their right, and one that is about to be written past it ends as Lapsed and draws anew.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,8 @@
     Probed { node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load> },
     Settings(Settings),
     Part(f64, oneshot::Sender<()>),
+    Rights(Box<Rights>),
+    Serving(oneshot::Sender<Vec<Served>>),
     Targets(oneshot::Sender<(usize, usize)>),
 }
 
@@ -88,6 +90,9 @@
     Fail,
 }
 
+/// A volume with a limit that this front served of late, and through how many fronts it works.
+pub type Served = (VolumeId, f64);
+
 /// An attempt to be made.
 #[derive(Debug)]
 pub struct Attempt {
@@ -97,6 +102,8 @@
     pub to: Target,
     /// When to stop waiting.
     pub until: Micros,
+    /// From this reading on it may not be begun: the right that it draws on has ended.
+    pub right_until: Micros,
 }
 
 /// A front's end of the core.
@@ -157,6 +164,18 @@
         }
     }
 
+    /// Hands on what this front may use of what its fleet shares.
+    pub async fn rights(&self, rights: Rights) {
+        let _ = self.inbox.send(Input::Rights(Box::new(rights))).await;
+    }
+
+    /// The volumes with limits that were served since the last such question; none once the core is gone.
+    pub async fn serving(&self) -> Option<Vec<Served>> {
+        let (tell, told) = oneshot::channel();
+        self.inbox.send(Input::Serving(tell)).await.ok()?;
+        told.await.ok()
+    }
+
     /// How many nodes are listed, and how many of them the module avoids now; none once the core is gone.
     pub async fn targets(&self) -> Option<(usize, usize)> {
         let (tell, told) = oneshot::channel();
@@ -264,6 +283,23 @@
     timers: BinaryHeap<Reverse<(Micros, u32)>>,
     actions: Vec<Action>,
     places: Option<Places>,
+    /// What the fleet lets this front use, and what it served; none where there is no fleet.
+    fleet: Option<Fleet>,
+    limited: Vec<bool>,
+}
+
+/// What is kept for a fleet between two questions.
+#[derive(Default)]
+struct Fleet {
+    until: Micros,
+    served: BTreeMap<VolumeId, f64>,
+}
+
+/// Volumes that are noted between two questions; further ones are noted after the next.
+const SERVED_MOST: usize = 4096;
+
+fn limited(settings: &Settings) -> Vec<bool> {
+    settings.plans.iter().map(|p| p.limit.is_some()).collect()
 }
 
 use nodes::Nodes;
@@ -277,6 +313,8 @@
         let orders = Arc::new(AtomicUsize::new(orders(&settings)));
         let core = Core {
             grace: settings.drain_grace,
+            limited: limited(&settings),
+            fleet: None,
             brain: Brain::new(settings, seed),
             clock,
             inbox: input,
@@ -337,6 +375,14 @@
                 let open =
                     Open { orders, request, opened: now, end: None, units, asked, bytes, tries, out, said };
                 self.open.insert(request.id, open);
+                if let Some(fleet) = &mut self.fleet {
+                    let counts = self.limited.get(request.plan as usize) == Some(&true);
+                    if counts
+                        && (fleet.served.len() < SERVED_MOST || fleet.served.contains_key(&request.volume))
+                    {
+                        fleet.served.insert(request.volume, request.hosts);
+                    }
+                }
                 self.tell(now, Event::Request(request));
             }
             Input::Ended { request, attempt, outcome, load } => {
@@ -366,12 +412,21 @@
             }
             Input::Settings(settings) => {
                 self.grace = settings.drain_grace;
+                self.limited = limited(&settings);
                 self.tell(now, Event::Settings(Box::new(settings)));
             }
             Input::Part(part, tell) => {
                 self.tell(now, Event::Part(part));
                 let _ = tell.send(());
             }
+            Input::Rights(rights) => {
+                self.fleet.get_or_insert_default().until = rights.until;
+                self.tell(now, Event::Rights(rights));
+            }
+            Input::Serving(tell) => {
+                let served = self.fleet.as_mut().map(|f| std::mem::take(&mut f.served));
+                let _ = tell.send(served.into_iter().flatten().collect());
+            }
             Input::Targets(tell) => drop(tell.send(self.brain.targets())),
             Input::Probed { node, outcome, waited, load } => {
                 self.tell(now, Event::Probed { node, outcome, waited, load });
@@ -475,12 +530,12 @@
         let Some(o) = self.open.get_mut(&id) else { return Vec::new() };
         let number = o.tries;
         o.tries += 1;
+        // A right that ends while the attempt is on its way ends the attempt; what draws on the reserve has no end.
+        let right_until = self.fleet.as_ref().map(|f| f.until).filter(|u| now < *u).unwrap_or(Micros::MAX);
         let until = timeout.map_or(o.request.give_up, |t| o.request.give_up.min(now + t));
-        let sent = self
-            .nodes
-            .target(node)
-            .filter(|_| o.end.is_none() && moved.is_none())
-            .is_some_and(|to| o.orders.try_send(Order::Send(Attempt { number, to, until })).is_ok());
+        let sent = self.nodes.target(node).filter(|_| o.end.is_none() && moved.is_none()).is_some_and(|to| {
+            o.orders.try_send(Order::Send(Attempt { number, to, until, right_until })).is_ok()
+        });
         if sent {
             o.out.push((number, node, now, o.request.shard));
             return Vec::new();
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -126,6 +126,10 @@
         }
         let request = request.header(&DEADLINE, format!("{left}u")).body(Full::new(parcel.body));
         let Ok(request) = request else { return Outcome::Moot.into() };
+        if self.clock.now() >= attempt.right_until {
+            // This process was stopped meanwhile: others may use by now what this attempt drew on.
+            return Outcome::Lapsed.into();
+        }
         let ended = match self.exchange(&mut line, request, Some(self.figures.clone()), late).await {
             Ok(Taken::Late) => {
                 return if line.written() { Outcome::Timeout } else { Outcome::ConnectFailed }.into()
--- a/crates/lupinrack/src/commands/demo.rs
+++ b/crates/lupinrack/src/commands/demo.rs
@@ -112,6 +112,7 @@
         address: nodes[i as usize].address,
         shard: i % NODES,
         lifecycle,
+        started: 0,
     };
     let discovery = Discovery::start((0..NODES).map(|i| entry(i, "SERVING")).collect()).await?;
     let config = configuration("demo", discovery.address, dice.u64(..), 1);
--- a/crates/lupinrack/src/commands/extents/drill.rs
+++ b/crates/lupinrack/src/commands/extents/drill.rs
@@ -280,7 +280,13 @@
 
     fn list(&self, at: usize, lifecycle: &'static str) -> u64 {
         let (node, shard, _) = &self.nodes[at];
-        self.discovery.set(Entry { name: format!("s-{at}"), address: node.address, shard: *shard, lifecycle })
+        self.discovery.set(Entry {
+            name: format!("s-{at}"),
+            address: node.address,
+            shard: *shard,
+            lifecycle,
+            started: 0,
+        })
     }
 
     /// A node drains, and some of its extents move elsewhere meanwhile; its successor takes the shard over now, or is
--- a/crates/lupinrack/tests/extents.rs
+++ b/crates/lupinrack/tests/extents.rs
@@ -221,6 +221,7 @@
             address: n.address,
             shard: i as u32,
             lifecycle: "SERVING",
+            started: 0,
         };
         let discovery = Discovery::start(nodes.iter().enumerate().map(entry).collect()).await.unwrap();
         let config = configuration("n1", discovery.address, 5, 1);
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -57,8 +57,7 @@
 const POLL: Micros = 10_000;
 /// Ticks before the client's end at which an open request is ended.
 const END_TICKS: Micros = 2;
-/// One that was never sent is given up sooner, after this part of its time, or its aim if that is later: the
-/// client can still do something with the rest. Could do harm where a late answer is worth nearly as much.
+/// One that was never sent is given up after this part of its time, or its aim if later: its client goes on.
 const UNSENT_PART: f64 = 0.45;
 /// Share of a keyed request's window in which it may be sent again; the rest covers the way.
 const WINDOW_USED: f64 = 0.9;
@@ -78,17 +77,23 @@
     last: Micros,
 }
 
+/// What may be spent: it fills with time.
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    level: f64,
+    at: Micros,
+}
+
 /// What one volume has at this host: units sent anywhere, and this host's part of its limit.
 #[derive(Default)]
 struct Volume {
     sent: f64,
-    tokens: f64,
-    filled: Micros,
-    refill: Micros,
+    tokens: Bucket,
+    rate: f64,
+    most: f64,
     hosts: f64,
     waiting: f64,
-    reserve: f64,
-    reserve_at: Micros,
+    reserve: Bucket,
     last: Micros,
 }
 
@@ -117,8 +122,7 @@
     open: bool,
     trial_at: Micros,
     backoff: Micros,
-    cold_tokens: f64,
-    cold_at: Micros,
+    cold: Bucket,
 }
 
 /// The first attempt of a request that ran or may have run.
@@ -188,6 +192,7 @@
     wake_at: Option<Micros>,
     asking: Asking,
     part: f64,
+    rights: Rights,
     swept: Micros,
     served: f64,
     since: Micros,
@@ -197,7 +202,8 @@
 impl Brain {
     /// A host at its start. The same settings, seed and events give the same actions.
     pub fn new(cfg: Settings, seed: u64) -> Self {
-        let mut brain = Brain { seed, part: 1.0, ..Brain::default() };
+        let rights = Rights { until: Micros::MAX, cold: 1.0, ..Rights::default() };
+        let mut brain = Brain { seed, part: 1.0, rights, ..Brain::default() };
         brain.go_by(cfg);
         brain
     }
@@ -242,16 +248,21 @@
             Event::Settings(settings) => self.go_by(*settings),
             Event::Part(part) => {
                 (self.part, self.begun) = (part.clamp(0.0, 1.0), Some(now));
-                self.volumes.values_mut().for_each(|v| v.filled = now);
+                self.volumes.values_mut().for_each(|v| v.tokens.at = now);
+            }
+            Event::Rights(rights) => {
+                // What was due until now is due by the old ones; nothing, where they ended meanwhile.
+                let held = if now < self.rights.until { 1.0 } else { 0.0 };
+                self.volumes.values_mut().for_each(|v| v.tokens.fill(now, v.rate * held, v.most));
+                self.begun = self.begun.filter(|_| held > 0.0).or(Some(now));
+                self.rights = *rights;
             }
             Event::Request(req) => self.on_request(now, req, out),
             Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
             Event::More { request, units } => {
-                if let Some(o) = self.open.get_mut(&request) {
-                    o.more = Some(units.max(0.0));
-                    self.growing.insert(request);
-                }
+                self.open.entry(request).and_modify(|o| o.more = Some(units.max(0.0)));
+                self.growing.insert(request);
             }
             Event::Answer(a) => self.on_answer(now, a, out),
             Event::ClientGone(id) => self.close(id),
@@ -301,12 +312,11 @@
 
     fn sweep(&mut self, now: Micros) {
         (self.swept, self.since, self.served) = (now, now - (now - self.since) / 2, self.served / 2.0);
-        for n in self.nodes.values_mut() {
-            n.flows.retain(|_, f| now - f.last < IDLE_AGE);
-        }
+        self.nodes.values_mut().for_each(|n| n.flows.retain(|_, f| now - f.last < IDLE_AGE));
         let (open, attempts) = (&self.open, &self.attempts);
         // A volume with a limit stays until its bucket is full: forgotten sooner, it would be filled.
-        self.volumes.retain(|_, v| now - v.last < v.refill.max(IDLE_AGE));
+        let full = |v: &Volume| (v.most / v.rate.max(1e-9) * 1e6) as Micros;
+        self.volumes.retain(|_, v| now - v.last < full(v).max(IDLE_AGE));
         self.lines.retain(|_, l| {
             while l.ids.front().is_some_and(|id| !open.contains_key(id) && !still_out(attempts, *id)) {
                 l.ids.pop_front();
@@ -350,12 +360,10 @@
         let Some(o) = self.open.get_mut(&id) else { return };
         let Some(slot) = o.slot.take() else { return };
         let (volume, finish) = (o.req.volume, o.finish);
-        if let Some(n) = o.home.and_then(|h| self.nodes.get_mut(&h)) {
-            n.queue.remove(&slot);
-            if let Some(f) = n.flows.get_mut(&volume).filter(|f| give_back && f.finish == finish) {
-                f.finish = slot.0;
-            }
-        }
+        let Some(n) = o.home.and_then(|h| self.nodes.get_mut(&h)) else { return };
+        n.queue.remove(&slot);
+        let f = n.flows.get_mut(&volume).filter(|f| give_back && f.finish == finish);
+        f.into_iter().for_each(|f| f.finish = slot.0);
     }
 
     // ---- depth -----------------------------------------------------------------------------------------
@@ -384,10 +392,10 @@
         let worth = self.cfg.classes.get(req.class as usize).map_or(1.0, |c| c.worth) * plan.price;
         let rate = plan.reserve / req.hosts.max(1.0);
         let v = self.volumes.entry(req.volume).or_default();
-        v.reserve = (v.reserve + rate * (now - v.reserve_at) as f64 / 1e6).min(rate + self.cfg.max_units);
-        (v.reserve_at, v.last) = (now, now);
-        let due = rate > 0.0 && v.reserve >= req.units;
-        v.reserve -= if due { req.units } else { 0.0 };
+        v.reserve.fill(now, rate, rate + self.cfg.max_units);
+        v.last = now;
+        let due = rate > 0.0 && v.reserve.level >= req.units;
+        v.reserve.level -= if due { req.units } else { 0.0 };
         worth * if due { 1.0 } else { self.cfg.fair_worth }
     }
 
@@ -489,17 +497,16 @@
             if n.started != e.started && e.started.is_some() {
                 n.started = e.started;
                 n.depth = n.depth.min(DEPTH_START);
-                (n.latency, n.open, n.cold_at) = (0.0, false, now);
-                n.cold_tokens = self.cfg.mean_units * (0.5 - 2.0 * dice.f64());
+                (n.latency, n.open) = (0.0, false);
+                n.cold = Bucket { level: self.cfg.mean_units * (0.5 - 2.0 * dice.f64()), at: now };
             }
             (n.shard, n.zone) = (e.shard, e.zone);
             n.told_stop = n.told_stop.or(Some(now)).filter(|_| e.state != NodeState::Ready);
             n.gone = e.state == NodeState::Gone;
         }
-        if kind != ListKind::Delta {
-            for (_, n) in self.nodes.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                (n.told_stop, n.gone) = (n.told_stop.or(Some(now)), true);
-            }
+        let whole = kind != ListKind::Delta;
+        for (_, n) in self.nodes.iter_mut().filter(|(id, _)| whole && !listed.contains(id)) {
+            (n.told_stop, n.gone) = (n.told_stop.or(Some(now)), true);
         }
         self.alike = self.nodes.values().filter(|n| n.told_stop.is_none()).count().max(1) as f64;
         self.rehome(now);
@@ -508,9 +515,8 @@
     /// Moves what waits at nodes that take nothing more.
     fn rehome(&mut self, now: Micros) {
         let mut moving: Vec<RequestId> = self.homeless.iter().copied().collect();
-        for n in self.nodes.values().filter(|n| n.told_stop.is_some()) {
-            moving.extend(n.queue.values());
-        }
+        let stopped = self.nodes.values().filter(|n| n.told_stop.is_some());
+        moving.extend(stopped.flat_map(|n| n.queue.values()));
         moving.into_iter().for_each(|id| self.place(now, id));
     }
 
@@ -545,16 +551,13 @@
                 best = Some((score, *nid));
             }
         }
+        if best.is_some_and(|b| Some(b.1) == home) && self.open[&id].slot.is_some() {
+            return;
+        }
+        self.unhold(id, true);
         match best {
-            Some((_, to)) if Some(to) == home && self.open[&id].slot.is_some() => {}
-            Some((_, to)) => {
-                self.unhold(id, true);
-                self.hold(now, id, to);
-            }
-            None => {
-                self.unhold(id, true);
-                self.homeless.insert(id);
-            }
+            Some((_, to)) => self.hold(now, id, to),
+            None => drop(self.homeless.insert(id)),
         }
     }
 
@@ -621,13 +624,12 @@
         let grown = (c.from + (1.0 - c.from) * warmth) / c.from.max(0.01);
         let usual = self.served / self.alike / (now - self.since).max(USUAL_LEAST) as f64 * c.window as f64;
         let seen = c.multiple * c.from * usual * self.crowd.sqrt();
-        let part = (c.bears / f64::from(self.cfg.hosts.max(1))).max(seen)
-            * self.part
-            * grown
-            * COLD_LEAN
-            * PART_USED;
-        let got = part * (now - n.cold_at).max(0) as f64 / c.window.max(1) as f64;
-        Some((n.cold_tokens + got).min((part / COLD_LEAN).max(self.cfg.mean_units)))
+        let share = self.share(now, self.rights.cold);
+        let told = c.bears / f64::from(self.cfg.hosts.max(1)) * share;
+        let part = told.max(seen * share.min(1.0)) * grown * COLD_LEAN * PART_USED;
+        let mut cold = n.cold;
+        cold.fill(now, part / c.window.max(1) as f64 * 1e6, (part / COLD_LEAN).max(self.cfg.mean_units));
+        Some(cold.level)
     }
 
     fn cold_allows(&self, now: Micros, n: &Node, units: f64) -> bool {
@@ -666,17 +668,21 @@
     fn tokens(&mut self, now: Micros, req: &Request) -> Option<(f64, f64)> {
         let limit = self.cfg.plans.get(req.plan as usize)?.limit?;
         let begun = self.begun.unwrap_or(now);
+        let share = self.share(now, self.rights.factors.get(&req.volume).copied().unwrap_or(1.0)) * PART_USED;
         let v = self.volumes.entry(req.volume).or_default();
         if v.hosts <= 0.0 {
-            (v.tokens, v.filled) = (0.0, begun);
+            v.tokens = Bucket { level: 0.0, at: begun };
         }
         let told = if req.hosts >= 1.0 { req.hosts } else { f64::from(self.cfg.hosts.max(1)) };
         v.hosts = v.hosts.max(told);
-        let rate = limit.rate / v.hosts * PART_USED * self.part;
-        let most = (limit.burst + limit.slack) / v.hosts * PART_USED * self.part;
-        v.tokens = (v.tokens + rate * (now - v.filled).max(0) as f64 / 1e6).min(most);
-        (v.filled, v.refill) = (now, (most / rate * 1e6) as Micros);
-        Some((v.tokens, rate))
+        (v.rate, v.most) = (limit.rate / v.hosts * share, (limit.burst + limit.slack) / v.hosts * share);
+        v.tokens.fill(now, v.rate, v.most);
+        Some((v.tokens.level, v.rate))
+    }
+
+    /// How much of this host's even part may be used now, by this process.
+    fn share(&self, now: Micros, held: f64) -> f64 {
+        self.part * if now < self.rights.until { held } else { self.rights.reserve }
     }
 
     /// Every guard that can hold a request back for now, on one path.
@@ -757,10 +763,9 @@
             n.trial_at = now + (n.backoff as f64 * jitter) as Micros;
             n.backoff = (n.backoff * 2).min((TRIAL_LAST as f64 * crowd) as Micros);
         }
-        if let Some(v) = self.volumes.get_mut(&volume).filter(|_| first_draw) {
-            v.tokens -= units;
-            v.waiting = (v.waiting - units).max(0.0);
-        }
+        let drawn = if first_draw { units } else { 0.0 };
+        let draw = |v: &mut Volume| (v.tokens.level - drawn, (v.waiting - drawn).max(0.0));
+        self.volumes.entry(volume).and_modify(|v| (v.tokens.level, v.waiting) = draw(v));
         self.book(now, to, volume, units);
         let key = self.ordered_key(&self.open[&id].req);
         self.attempts.insert((id, number), (to, key));
@@ -770,27 +775,20 @@
     /// Counts units sent: in a cold node's budget, and in the volume's delay elsewhere.
     fn book(&mut self, now: Micros, to: NodeId, volume: VolumeId, units: f64) {
         let cold = self.nodes.get(&to).and_then(|n| self.cold_tokens(now, n)).unwrap_or(0.0);
-        if let Some(v) = self.volumes.get_mut(&volume) {
-            (v.sent, v.last) = (v.sent + units, now);
-        }
+        self.volumes.entry(volume).and_modify(|v| (v.sent, v.last) = (v.sent + units, now));
         let Some(n) = self.nodes.get_mut(&to) else { return };
-        (n.cold_tokens, n.cold_at) = (cold - units, now);
-        if let Some(f) = n.flows.get_mut(&volume) {
-            (f.sent_here, f.last) = (f.sent_here + units, now);
-        }
+        n.cold = Bucket { level: cold - units, at: now };
+        n.flows.entry(volume).and_modify(|f| (f.sent_here, f.last) = (f.sent_here + units, now));
     }
 
     // ---- attempts --------------------------------------------------------------------------------------
 
     fn on_answer(&mut self, now: Micros, a: Answer, out: &mut Vec<Action>) {
         let Some((node, key)) = self.attempts.remove(&(a.request, a.attempt)) else { return };
-        if let Some(n) = self.nodes.get_mut(&node) {
-            n.out.remove(&(a.request, a.attempt));
-        }
+        self.nodes.entry(node).and_modify(|n| n.out.retain(|k, _| *k != (a.request, a.attempt)));
         let doubt = |_: &Key| matches!(a.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if let Some(line) = key.filter(doubt).and_then(|k| self.lines.get_mut(&k)) {
-            line.rest_until = line.rest_until.max(now + self.cfg.settle);
-        }
+        let line = key.filter(doubt).and_then(|k| self.lines.get_mut(&k));
+        line.into_iter().for_each(|l| l.rest_until = l.rest_until.max(now + self.cfg.settle));
         // A transfer lasts as long as its bytes and its client's pace: only a break tells of the node.
         let begun = self.open.get(&a.request).is_some_and(|o| o.began);
         if !begun || !matches!(a.outcome, Outcome::Ok | Outcome::Timeout) {
@@ -802,6 +800,7 @@
         o.live = o.live.saturating_sub(1);
         match a.outcome {
             Outcome::Moved => o.req.astray = true,
+            Outcome::Lapsed => o.drawn = false,
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => {}
             _ => o.maybe_ran = true,
         }
@@ -821,8 +820,7 @@
         o.began = true;
         let Some((node, _)) = self.attempts.get(&(request, attempt)).copied() else { return };
         let sent = self.nodes.get_mut(&node).and_then(|n| n.out.remove(&(request, attempt)));
-        let Some(waited) = sent.map(|s| now - s) else { return };
-        self.learn(now, node, Outcome::Ok, waited, out);
+        sent.into_iter().for_each(|s| self.learn(now, node, Outcome::Ok, now - s, out));
     }
 
     /// Lets a transfer in hand move on once its volume's limit allows: that is no new work, and a drain does
@@ -834,7 +832,7 @@
             return;
         }
         let (phi, volume) = (self.phi(req.plan), req.volume);
-        self.volumes.entry(volume).and_modify(|v| v.tokens -= units);
+        self.volumes.entry(volume).and_modify(|v| v.tokens.level -= units);
         if let Some(home) = home {
             self.book(now, home, volume, units);
             let f = self.nodes.get_mut(&home).and_then(|n| n.flows.get_mut(&volume));
@@ -877,9 +875,8 @@
             return;
         }
         let (units, volume) = (req.units, req.volume);
-        if let Some(key) = self.ordered_key(&req) {
-            self.lines.entry(key).or_default().ids.push_back(id);
-        }
+        let line = self.ordered_key(&req).map(|key| self.lines.entry(key).or_default());
+        line.into_iter().for_each(|l| l.ids.push_back(id));
         self.seq += 1;
         let aim_at = self.aim_at(now, &req);
         let value = self.value(now, &req);
@@ -898,10 +895,9 @@
             }
         }
         self.place(now, id);
-        if let Some(home) = self.open.get(&id).and_then(|o| o.home) {
-            self.release(now, home, out);
-            self.shed(now, home, out);
-        }
+        let Some(home) = self.open.get(&id).and_then(|o| o.home) else { return };
+        self.release(now, home, out);
+        self.shed(now, home, out);
     }
 
     fn last_end(&self, req: &Request) -> Micros {
@@ -938,9 +934,16 @@
         self.growing.remove(&id);
         let Some(o) = self.open.remove(&id) else { return };
         self.ends.remove(&(o.end, id));
-        if let Some(v) = self.volumes.get_mut(&o.req.volume).filter(|_| !o.drawn) {
-            v.waiting = (v.waiting - o.req.units).max(0.0);
-        }
+        let undrawn = if o.drawn { 0.0 } else { o.req.units };
+        self.volumes.entry(o.req.volume).and_modify(|v| v.waiting = (v.waiting - undrawn).max(0.0));
+    }
+}
+
+impl Bucket {
+    /// At so much a second, up to the most it holds.
+    fn fill(&mut self, now: Micros, rate: f64, most: f64) {
+        self.level = (self.level + rate * (now - self.at).max(0) as f64 / 1e6).min(most);
+        self.at = now;
     }
 }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -188,6 +188,19 @@
     pub meter: Micros,
 }
 
+/// What this host may use of what is shared, as its fleet agreed: times its even part.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rights {
+    /// Until this moment, exclusive, `factors` and `cold` hold; from it on, the reserve.
+    pub until: Micros,
+    /// What it may use whatever happens.
+    pub reserve: f64,
+    /// Of cold nodes' budgets.
+    pub cold: f64,
+    /// Of volumes' limits, where other hosts of the volume are gone; of any other: 1.
+    pub factors: std::collections::BTreeMap<VolumeId, f64>,
+}
+
 /// A node as the list has it.
 #[derive(Clone, Debug)]
 pub struct NodeEntry {
@@ -277,6 +290,8 @@
     Cancelled,
     /// It was never sent.
     Moot,
+    /// It was never sent: the right to what it was to use had ended by then.
+    Lapsed,
 }
 
 /// What a node tells of its load; late and noisy.
@@ -333,6 +348,8 @@
     Settings(Box<Settings>),
     /// The part of what is this host's that this process may use from here on, 0 to 1: another one is the same host too.
     Part(f64),
+    /// What this host may use of what is shared.
+    Rights(Box<Rights>),
     /// A request lands.
     Request(Request),
     /// A stream has begun: its attempt belongs to the client.
--- a/crates/stand-ins/src/discovery.rs
+++ b/crates/stand-ins/src/discovery.rs
@@ -23,6 +23,8 @@
     pub shard: u32,
     /// `SERVING`, `DRAINING` or `DELETED`.
     pub lifecycle: &'static str,
+    /// When it started, in milliseconds of Unix time; 0: long ago.
+    pub started: u64,
 }
 
 /// The list and its history: each entry with the version that it changed at.
@@ -117,8 +119,8 @@
         list.entries.values().filter(|(v, _)| from.is_none_or(|f| *v > f)).collect();
     let one = |(_, e): &&(u64, Entry)| {
         format!(
-            r#"{{"instanceId":"{}","hostPort":"{}","zone":"room","machineType":"m","cell":{},"lifecycle":"{}","weight":1.0,"startedAtMs":0}}"#,
-            e.name, e.address, e.shard, e.lifecycle
+            r#"{{"instanceId":"{}","hostPort":"{}","zone":"room","machineType":"m","cell":{},"lifecycle":"{}","weight":1.0,"startedAtMs":{}}}"#,
+            e.name, e.address, e.shard, e.lifecycle, e.started
         )
     };
     let body: Vec<String> = news.iter().map(one).collect();
