--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -36,6 +36,10 @@
     #[serde(default)]
     #[schemars(with = "lupinrack_extents::config::Section")]
     pub extents: Option<lupinrack_extents::config::Section>,
+    /// The fleet that this front is one of.
+    #[serde(default)]
+    #[schemars(with = "lupinrack_membership::config::Section")]
+    pub fleet: Option<lupinrack_membership::config::Section>,
 }
 
 /// What the program says of itself, on standard error.
@@ -118,6 +122,7 @@
         let mut faults = misfits::<Operator>(&value);
         faults.extend(section(&value, "rsync", lupinrack_rsync::config::Section::faults));
         faults.extend(section(&value, "extents", lupinrack_extents::config::Section::faults));
+        faults.extend(section(&value, "fleet", lupinrack_membership::config::Section::faults));
         if let Some(filter) = value.pointer("/log/filter").and_then(Value::as_str) {
             if let Err(e) = filter.parse::<tracing_subscriber::filter::Targets>() {
                 faults.push(("log.filter".into(), e.to_string()));
--- a/crates/door/src/call.rs
+++ b/crates/door/src/call.rs
@@ -10,6 +10,8 @@
     Status,
     /// All figures.
     Stats,
+    /// What this front knows of its fleet, one JSON object.
+    Fleet,
 }
 
 /// Why a line is no call.
@@ -25,7 +27,7 @@
     #[error("the line is not UTF-8")]
     Text,
     /// It names no call.
-    #[error("no such call; there are: status, stats")]
+    #[error("no such call; there are: status, stats, fleet")]
     Unknown,
     /// It did not come whole in time.
     #[error("no whole line in time")]
@@ -56,6 +58,7 @@
         "" => Err(NoCall::Empty),
         "status" => Ok(Call::Status),
         "stats" => Ok(Call::Stats),
+        "fleet" => Ok(Call::Fleet),
         _ => Err(NoCall::Unknown),
     }
 }
--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
-use crate::commands::{ask, buffer, check, demo, extents};
+use crate::commands::{ask, buffer, check, demo, extents, fleet};
 use crate::serve;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use lupinrack_config::{Format, Log, Operator};
@@ -60,6 +60,9 @@
     /// The map of extents: its drill and its model.
     #[command(subcommand)]
     Extents(extents::Extents),
+    /// The fronts among each other: what one knows of all, and the drill.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
 }
 
 /// What a front reads at its start.
@@ -109,6 +112,7 @@
         Some(Command::Demo(demo)) => quiet(format).and_then(|()| demo::run(&demo)),
         Some(Command::Ask(what)) => ask::run(&what),
         Some(Command::Buffer(what)) => buffer::run(&what),
+        Some(Command::Fleet(what)) => quiet(format).and_then(|()| fleet::run(&what)),
         Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
     let (code, why) = match ended {
--- a/crates/lupinrack/src/commands/ask.rs
+++ b/crates/lupinrack/src/commands/ask.rs
@@ -21,17 +21,21 @@
     call: Call,
 }
 
+/// A call at the door.
 #[derive(Clone, Copy, Debug, ValueEnum)]
-enum Call {
+pub enum Call {
     /// Whether the process is ready to serve.
     Status,
     /// All figures.
     Stats,
+    /// What the front knows of its fleet, as JSON.
+    Fleet,
 }
 
 /// Asks and prints the answer.
 pub fn run(ask: &Ask) -> Result<(), Ended> {
-    let answer = exchange(ask).map_err(|e| Ended::failed(format!("{}: {e}", ask.address)))?;
+    let answer =
+        exchange(ask.address, ask.call).map_err(|e| Ended::failed(format!("{}: {e}", ask.address)))?;
     print!("{answer}");
     match answer.starts_with("200") {
         true => Ok(()),
@@ -40,12 +44,14 @@
     }
 }
 
-fn exchange(ask: &Ask) -> std::io::Result<String> {
-    let mut stream = TcpStream::connect_timeout(&ask.address, PATIENCE)?;
+/// One call and its whole answer.
+pub fn exchange(address: SocketAddr, call: Call) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&address, PATIENCE)?;
     stream.set_read_timeout(Some(PATIENCE))?;
-    let line: &[u8] = match ask.call {
+    let line: &[u8] = match call {
         Call::Status => b"status\n",
         Call::Stats => b"stats\n",
+        Call::Fleet => b"fleet\n",
     };
     stream.write_all(line)?;
     let mut answer = String::new();
--- /dev/null
+++ b/crates/lupinrack/src/commands/fleet/drill.rs
@@ -0,0 +1,145 @@
+//! `lupinrack fleet drill`: several processes of this program, faults between them, and every promise checked.
+
+use crate::cli::Ended;
+use clap::Args;
+use lupinrack_fleet_rig::{play, Act, Figures, Plan, Script};
+use std::path::PathBuf;
+
+/// What the drill plays.
+#[derive(Clone, Debug, Args)]
+pub struct Drill {
+    /// Processes.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(2..=32))]
+    fronts: u16,
+    /// The seed of all chances; a fresh one where it is not given. It is printed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Seconds of load.
+    #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(5..=600))]
+    seconds: u64,
+    /// Parts are told once, at the start: the baseline.
+    #[arg(long = "static")]
+    told_once: bool,
+    /// Play a script from this file in place of one by chance.
+    #[arg(long, value_name = "FILE")]
+    replay: Option<PathBuf>,
+    /// Write the script here.
+    #[arg(long, value_name = "FILE")]
+    script: Option<PathBuf>,
+    /// Print one JSON object in place of the table.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Plays and checks.
+pub fn run(drill: &Drill) -> Result<(), Ended> {
+    let mut script = match &drill.replay {
+        Some(file) => {
+            let text = std::fs::read_to_string(file).map_err(Ended::wrong)?;
+            serde_json::from_str(&text).map_err(Ended::wrong)?
+        }
+        None => by_chance(drill),
+    };
+    script.fleet = !drill.told_once;
+    if let Some(file) = &drill.script {
+        std::fs::write(file, serde_json::to_string_pretty(&script).map_err(Ended::failed)?)
+            .map_err(Ended::failed)?;
+    }
+    let folder = std::env::temp_dir().join(format!("lupinrack-drill-{}-{}", std::process::id(), script.seed));
+    let program = std::env::current_exe().map_err(Ended::failed)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Ended::failed)?;
+    let plan = Plan { script: script.clone(), program, folder, fleet: String::new() };
+    let played =
+        runtime.block_on(play(plan)).map_err(|e| Ended::failed(format!("seed {}: {e}", script.seed)))?;
+    let figures = &played.figures;
+    match drill.json {
+        true => println!("{}", serde_json::to_string(figures).map_err(Ended::failed)?),
+        false => print!("{}", table(figures, drill.told_once)),
+    }
+    match figures.verdict() {
+        Ok(()) => Ok(()),
+        Err(broken) => {
+            let script = serde_json::to_string(&script).unwrap_or_default();
+            eprintln!("seed {}\nscript {script}\n{}", figures.seed, played.history.last(60));
+            Err(Ended::failed(broken.join("\n")))
+        }
+    }
+}
+
+/// Deaths, pauses, cuts and losses by chance; the last fault leaves time to come to rest.
+fn by_chance(drill: &Drill) -> Script {
+    let seed = drill.seed.unwrap_or_else(|| fastrand::u64(..));
+    let mut dice = fastrand::Rng::with_seed(seed);
+    let mut script = Script::new("chance", seed, drill.fronts, drill.seconds as f64);
+    let n = drill.fronts;
+    let end = drill.seconds * 1000;
+    let mut at = 1500 + dice.u64(0..1000);
+    while at + 4000 < end {
+        let front = dice.u16(0..n);
+        let lasts = 1500 + dice.u64(0..5000);
+        let (begin, over) = match dice.u32(0..6) {
+            0 | 1 => (Act::Kill { front }, Act::Start { front }),
+            2 => (Act::Stop { front }, Act::Cont { front }),
+            3 => (Act::Mute { front }, Act::Heal),
+            4 => {
+                let mut all: Vec<u16> = (0..n).collect();
+                dice.shuffle(&mut all);
+                let at = dice.usize(1..usize::from(n));
+                let groups = vec![all[..at].to_vec(), all[at..].to_vec()];
+                (Act::Split { groups }, Act::Heal)
+            }
+            _ => {
+                let fault = lupinrack_fleet_rig::relay::Fault {
+                    loss: 0.1 + 0.2 * dice.f64(),
+                    twice: 0.1,
+                    delay_ms: 1,
+                    spread_ms: dice.u64(1..40),
+                    ..Default::default()
+                };
+                (Act::Net { fault }, Act::Net { fault: Default::default() })
+            }
+        };
+        script = script.at(at, begin).at((at + lasts).min(end - 500), over);
+        at += 1500 + dice.u64(0..4000);
+    }
+    // What was stopped or killed twice is begun again once: later acts on the same front do no harm.
+    script.at(end / 2, Act::Cold)
+}
+
+fn table(f: &Figures, told_once: bool) -> String {
+    let mut text = format!(
+        "seed {}: {} processes, {} kills, {} pauses, {} cuts, parts {}\n\n",
+        f.seed,
+        f.processes,
+        f.kills,
+        f.pauses,
+        f.partitions,
+        if told_once { "told once" } else { "by the fleet" }
+    );
+    for (name, count) in [
+        ("requests", f.requests),
+        ("served", f.served),
+        ("views", f.views),
+        ("view_conflicts", f.view_conflicts),
+        ("limit_broken", f.limit_broken),
+        ("cold_over", f.cold_over),
+        ("lost", f.lost),
+        ("duplicates", f.duplicates),
+        ("false_deaths", f.false_deaths),
+    ] {
+        text += &format!("{name:<26}{count:>10}\n");
+    }
+    for (name, value) in [
+        ("parts_sum_max", f.parts_sum_max),
+        ("idle_limit_share", f.idle_limit_share),
+        ("detect_ms_p50", f.detect_ms_p50),
+        ("detect_ms_p99", f.detect_ms_p99),
+        ("agree_ms_p99", f.agree_ms_p99),
+        ("bytes_per_front_s", f.bytes_per_front_s),
+        ("datagrams_per_front_s", f.datagrams_per_front_s),
+    ] {
+        text += &format!("{name:<26}{value:>10.3}\n");
+    }
+    text
+}
--- a/crates/lupinrack/src/commands/mod.rs
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -5,3 +5,4 @@
 pub mod check;
 pub mod demo;
 pub mod extents;
+pub mod fleet;
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -13,6 +13,8 @@
 use lupinrack_http::{accept, probe};
 use lupinrack_lifecycle as lifecycle;
 use lupinrack_lifecycle::Phase;
+use lupinrack_membership::config::Section as FleetSection;
+use lupinrack_membership_net::{Driver as FleetDriver, Fleet};
 use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, inherited, reload};
 use lupinrack_rsync::{config::RsyncConfig, daemon};
 use lupinrack_settings::Told;
@@ -31,6 +33,7 @@
     rsync: Option<RsyncConfig>,
     ipfix: Option<IpfixConfig>,
     extents: Option<extents::config::Section>,
+    fleet: Option<FleetSection>,
     inherited: Option<std::net::TcpListener>,
 }
 
@@ -75,7 +78,8 @@
         };
         let extents = operator.extents.filter(|section| section.enabled);
         let ipfix = operator.ipfix.and_then(IpfixConfig::new);
-        Ok(Plan { rsync, ipfix, extents, config, inherited: None })
+        let fleet = operator.fleet.filter(|section| section.enabled);
+        Ok(Plan { rsync, ipfix, extents, fleet, config, inherited: None })
     }
 }
 
@@ -124,7 +128,7 @@
     settings: watch::Receiver<Arc<Told>>,
     discovery: watch::Receiver<SocketAddr>,
 ) -> std::io::Result<Front> {
-    let Plan { config, rsync, ipfix, extents, inherited } = plan;
+    let Plan { config, rsync, ipfix, extents, fleet, inherited } = plan;
     let clock = Clock::start();
     let epoch = Epoch::fix(&clock);
     let told = Arc::new(config.told);
@@ -169,13 +173,22 @@
         true => Takeover::begin(handle.clone()).await.map(|t| tokio::spawn(t.run(phase.clone()))),
         false => None,
     };
+    let (membership, fleet) = match fleet {
+        Some(section) => {
+            let (driver, fleet) =
+                FleetDriver::new(section, handle.clone(), shared).map_err(std::io::Error::other)?;
+            let socket = driver.begin().await.map_err(std::io::Error::other)?;
+            (Some(tokio::spawn(driver.run(socket, phase.clone()))), Some(fleet))
+        }
+        None => (None, None),
+    };
     let listener = match inherited {
         Some(socket) => TcpListener::from_std(socket)?,
         None => TcpListener::bind(config.listen).await?,
     };
     let listen = listener.local_addr()?;
     let door = match config.management {
-        Some(address) => Some(door(address, handle.clone(), figures.clone(), phase.clone()).await?),
+        Some(address) => Some(door(address, handle.clone(), figures.clone(), phase.clone(), fleet).await?),
         None => None,
     };
     tracing::info!("{} listens on {listen}{}", config.name, if shared { ", inherited" } else { "" });
@@ -209,6 +222,7 @@
         prober.abort();
         door.inspect(JoinHandle::abort);
         takeover.inspect(JoinHandle::abort);
+        membership.inspect(JoinHandle::abort);
         ended
     });
     Ok(Front { listen, core: handle, figures, extents: counters, ended })
@@ -220,25 +234,44 @@
     core: Handle,
     figures: Figures,
     phase: watch::Receiver<Phase>,
+    fleet: Option<Fleet>,
 ) -> std::io::Result<JoinHandle<()>> {
     let why = |e: std::io::Error| std::io::Error::new(e.kind(), format!("management on {address}: {e}"));
     let listener = TcpListener::bind(address).await.map_err(why)?;
     tracing::info!("management on {}", listener.local_addr()?);
     Ok(tokio::spawn(lupinrack_door::run(listener, move |call| {
-        let (core, figures, phase) = (core.clone(), figures.clone(), *phase.borrow());
+        let (core, figures, fleet, phase) = (core.clone(), figures.clone(), fleet.clone(), *phase.borrow());
         async move {
             match (call, phase) {
                 (Call::Status, Phase::Ready) => Answer::Yes("ready"),
                 (Call::Status, _) => Answer::No("ending".into()),
                 (Call::Stats, _) => match core.targets().await {
-                    Some((listed, disabled)) => Answer::Lines(figures.text(Targets { listed, disabled })),
+                    Some((listed, disabled)) => {
+                        let mut text = figures.text(Targets { listed, disabled });
+                        if let Some(report) = fleet_report(&fleet).await {
+                            text += &report.figures();
+                        }
+                        Answer::Lines(text)
+                    }
                     None => Answer::No("the core has ended".into()),
                 },
+                (Call::Fleet, _) => match fleet_report(&fleet).await.map(|r| serde_json::to_string(&r)) {
+                    Some(Ok(line)) => Answer::Lines(line + "\n"),
+                    Some(Err(why)) => Answer::No(why.to_string()),
+                    None if fleet.is_none() => Answer::No("[fleet] is off".into()),
+                    None => Answer::No("no place in the fleet yet".into()),
+                },
             }
         }
     })))
 }
 
+/// What the fleet's driver tells, where there is one; it may wait for its address, and the door may not wait for it.
+async fn fleet_report(fleet: &Option<Fleet>) -> Option<lupinrack_membership_net::Report> {
+    let report = fleet.as_ref()?.report();
+    tokio::time::timeout(Duration::from_millis(300), report).await.ok()?
+}
+
 /// The map as its file has it; one that cannot be used costs a fetch of what is needed, nothing more.
 fn cache(section: &extents::config::Section, now: lupinrack_policy::Micros) -> Cache {
     let mut cache = Cache::new(section.clone(), now);
--- /dev/null
+++ b/crates/membership-net/src/lib.rs
@@ -0,0 +1,243 @@
+//! The driver of the membership: one UDP socket, one clock. It carries out what the machine decides, hands rights to the core,
+//! and answers the door. No decision is made here.
+#![warn(missing_docs)]
+
+mod report;
+
+pub use report::{Counts, Line, Report};
+
+use lupinrack_core::Handle;
+use lupinrack_lifecycle::Phase;
+use lupinrack_membership::config::Section;
+use lupinrack_membership::wire::LONGEST;
+use lupinrack_membership::{Event, Front, Output, Source};
+use lupinrack_policy::Rights;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{sleep, sleep_until};
+
+/// Questions that may wait.
+const ASKING_MOST: usize = 32;
+/// Datagrams taken in one turn.
+const TURN_MOST: usize = 256;
+/// The wait between two tries to get the address, while an earlier process of this front holds it.
+const RETRY: Duration = Duration::from_millis(50);
+/// How often the core is asked what it served.
+const SERVED: i64 = 250_000;
+
+/// Why there is no membership.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The address cannot be had.
+    #[error("fleet: {0}: {1}")]
+    Bind(SocketAddr, std::io::Error),
+    /// The section names no such member.
+    #[error("fleet: '{0}' is not among the members")]
+    Name(String),
+}
+
+/// The way to the driver, for the door.
+#[derive(Clone, Debug)]
+pub struct Fleet(mpsc::Sender<oneshot::Sender<Report>>);
+
+impl Fleet {
+    /// What this front knows of its fleet; none where it has no place in it yet.
+    pub async fn report(&self) -> Option<Report> {
+        let (tell, told) = oneshot::channel();
+        self.0.send(tell).await.ok()?;
+        told.await.ok()
+    }
+}
+
+/// The driver of one process.
+pub struct Driver {
+    section: Section,
+    me: u16,
+    core: Handle,
+    listen: SocketAddr,
+    peers: HashMap<SocketAddr, u16>,
+    asked: mpsc::Receiver<oneshot::Sender<Report>>,
+    /// Another process may be this front too: then this one has the reserve while the other holds the address.
+    shared: bool,
+}
+
+impl Driver {
+    /// A driver as the section wants it.
+    pub fn new(section: Section, core: Handle, shared: bool) -> Result<(Driver, Fleet), StartError> {
+        let me = section.me().ok_or_else(|| StartError::Name(section.name.clone()))?;
+        let own = section.member.get(usize::from(me)).map(|m| m.address);
+        let listen = section.listen.or(own).ok_or_else(|| StartError::Name(section.name.clone()))?;
+        let peers = section.member.iter().enumerate().map(|(i, m)| (m.address, i as u16)).collect();
+        let (ask, asked) = mpsc::channel(ASKING_MOST);
+        Ok((Driver { section, me, core, listen, peers, asked, shared }, Fleet(ask)))
+    }
+
+    /// Takes the front's place in its fleet. Until then it may use nothing that is shared, or the reserve where another process
+    /// of this front is at work.
+    pub async fn begin(&self) -> Result<Option<UdpSocket>, StartError> {
+        let reserve = if self.shared { self.section.reserve } else { 0.0 };
+        self.core.rights(Rights { reserve, cold: reserve, ..Rights::default() }).await;
+        match UdpSocket::bind(self.listen).await {
+            Ok(socket) => Ok(Some(socket)),
+            Err(e) if self.shared && e.kind() == std::io::ErrorKind::AddrInUse => Ok(None),
+            Err(e) => Err(StartError::Bind(self.listen, e)),
+        }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self, socket: Option<UdpSocket>, mut phase: watch::Receiver<Phase>) {
+        let socket = match socket {
+            Some(socket) => socket,
+            None => loop {
+                sleep(RETRY).await;
+                if let Ok(socket) = UdpSocket::bind(self.listen).await {
+                    break socket;
+                }
+            },
+        };
+        let mut life = fresh();
+        loop {
+            let Some(above) = self.live(&socket, life, &mut phase).await else { return };
+            // The wall clock stepped back: lives are numbered on from what others know.
+            life = life.max(above).saturating_add(1);
+            tracing::warn!(life, "fleet: others know a later life of this name; begins anew above it");
+        }
+    }
+
+    /// One life; it ends with the core, or where others know a later one.
+    async fn live(
+        &mut self,
+        socket: &UdpSocket,
+        life: u64,
+        phase: &mut watch::Receiver<Phase>,
+    ) -> Option<u64> {
+        let clock = self.core.clock;
+        let mut front = Front::new(&self.section, self.me, life, fastrand::u64(..), clock.now());
+        let step = front.step();
+        let (mut next, mut ask) = (clock.now(), 0);
+        let mut told: Option<Rights> = None;
+        let mut out = Vec::new();
+        // One byte more than allowed: a longer datagram shows by its length.
+        let mut buffer = [0; LONGEST + 1];
+        tracing::info!(life, listen = %socket.local_addr().unwrap_or(self.listen), fronts = self.section.member.len(), "fleet: begins");
+        loop {
+            tokio::select! {
+                biased;
+                () = sleep_until(clock.instant(next)) => {}
+                ready = socket.readable() => if ready.is_err() { sleep(RETRY).await },
+                Some(tell) = self.asked.recv() => {
+                    let now = clock.now();
+                    let _ = tell.send(Report::new(&self.section, now, &front.told(now), &front.rights(now)));
+                    continue;
+                }
+            }
+            let mut strangers = Vec::new();
+            for _ in 0..TURN_MOST {
+                // A peer that is away answers with an error of the system's; it says nothing of this socket.
+                let Ok((length, from)) = socket.try_recv_from(&mut buffer) else { break };
+                let source = self.peers.get(&from).map_or(Source::Stranger, |i| Source::Peer(*i));
+                let at = out.len();
+                front.datagram(clock.now(), source, &buffer[..length], &mut out);
+                let answers = out.iter().skip(at).filter(|o| matches!(o, Output::Answer(_))).count();
+                strangers.extend(std::iter::repeat_n(from, answers));
+            }
+            let now = clock.now();
+            if now >= next {
+                next = now + step;
+                if *phase.borrow() >= Phase::Closing {
+                    front.leave(now, &mut out);
+                }
+                if now >= ask {
+                    ask = now + SERVED;
+                    for (volume, hosts) in self.core.serving().await? {
+                        front.serves(now, volume, hosts);
+                    }
+                }
+                front.tick(clock.now(), &mut out);
+            }
+            let mut strangers = strangers.into_iter();
+            for o in out.drain(..) {
+                // A datagram that cannot be sent is one that was lost.
+                match o {
+                    Output::Send(to, bytes) => {
+                        if let Some(peer) = self.section.member.get(usize::from(to)) {
+                            let _ = socket.try_send_to(&bytes, peer.address);
+                        }
+                    }
+                    Output::Answer(bytes) => {
+                        if let Some(to) = strangers.next() {
+                            let _ = socket.try_send_to(&bytes, to);
+                        }
+                    }
+                    Output::Event(Event::Outlived(above)) => return Some(above),
+                    Output::Event(event) => self.tell(&event),
+                }
+            }
+            let rights = front.rights(clock.now());
+            if told.as_ref() != Some(&rights) {
+                note(&rights, clock.now());
+                self.core.rights(rights.clone()).await;
+                told = Some(rights);
+            }
+        }
+    }
+
+    fn tell(&self, event: &Event) {
+        let name = |i: u16| self.section.member.get(usize::from(i)).map_or("?", |m| m.name.as_str());
+        match event {
+            Event::Member(c) => tracing::info!(
+                front = name(c.of),
+                from = c.from.word(),
+                to = c.to.word(),
+                by = name(c.by),
+                reborn = c.reborn,
+                unix_us = unix_us(),
+                "fleet: member"
+            ),
+            Event::View(v) => {
+                let members: Vec<&str> = v.members.iter().map(name).collect();
+                tracing::info!(view = %v.number, prev = %v.prev, members = members.join(" "), unix_us = unix_us(), "fleet: view");
+            }
+            Event::Stance(from, to) => {
+                tracing::info!(from = from.word(), to = to.word(), unix_us = unix_us(), "fleet: stance");
+            }
+            Event::Leads(true) => tracing::info!("fleet: stands for leader"),
+            Event::Leads(false) => tracing::info!("fleet: leads no longer"),
+            Event::Paused(gap) => tracing::warn!(ms = gap / 1000, "fleet: this process did not run"),
+            Event::Twin(of, life) => {
+                tracing::error!(front = name(*of), life, "fleet: another life uses this name from elsewhere");
+            }
+            Event::Roster(of) => tracing::error!(front = name(*of), "fleet: its list of members differs"),
+            Event::Outlived(_) => {}
+        }
+    }
+}
+
+/// What may be used from now on, in a line for whoever follows closely; the wall clock is read for nothing else.
+fn note(rights: &Rights, now: i64) {
+    if tracing::enabled!(tracing::Level::DEBUG) {
+        let unix = unix_us();
+        let factors: Vec<String> = rights.factors.iter().map(|(v, f)| format!("{:x}:{f}", v.0)).collect();
+        let until = if rights.until > now { unix.saturating_add_signed(rights.until - now) } else { 0 };
+        tracing::debug!(
+            unix_us = unix,
+            until_unix_us = until,
+            reserve = rights.reserve,
+            cold = rights.cold,
+            factors = factors.join(" "),
+            "fleet: rights"
+        );
+    }
+}
+
+fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// A number for a new life: the wall clock's milliseconds, and some chance against two within one.
+fn fresh() -> u64 {
+    (unix_us() / 1000) << 16 | fastrand::u64(1..1 << 16)
+}
--- /dev/null
+++ b/crates/membership-net/src/report.rs
@@ -0,0 +1,150 @@
+//! What a front knows of its fleet, as the door tells it.
+
+use lupinrack_membership::config::Section;
+use lupinrack_membership::Told;
+use lupinrack_policy::{Micros, Rights};
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// One front's knowledge of all, at one moment.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Report {
+    /// Its name.
+    pub name: String,
+    /// Its life: unique for each start.
+    pub life: u64,
+    /// The moment on its own monotonic clock, in microseconds.
+    pub at_us: i64,
+    /// How it stands towards the fleet.
+    pub stance: String,
+    /// What is left of its lease, in milliseconds; none: it holds none.
+    pub lease_left_ms: Option<i64>,
+    /// Until when, on its own clock in microseconds, it may use more than its reserve.
+    pub until_us: i64,
+    /// The share of its even part that it may use whatever happens.
+    pub reserve: f64,
+    /// How many times its even part of cold budgets it may use now.
+    pub part: f64,
+    /// Volumes of which it may use more than its even part.
+    pub taken_over: usize,
+    /// Volumes with limits that it serves.
+    pub volumes: usize,
+    /// The view accepted last.
+    pub view: String,
+    /// Whether it leads.
+    pub leads: bool,
+    /// Local health; 0 is well.
+    pub health: u32,
+    /// All fronts of the roster.
+    pub members: Vec<Line>,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+/// One front as another holds it.
+#[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
+pub struct Line {
+    /// Its name.
+    pub name: String,
+    /// `unknown`, `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// For how long, in milliseconds.
+    pub since_ms: i64,
+    /// By whose word.
+    pub by: String,
+    /// Its life.
+    pub life: u64,
+    /// Its incarnation.
+    pub incarnation: u16,
+    /// Whether the view lists it.
+    pub in_view: bool,
+}
+
+/// What was counted, from the start on.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Bytes sent.
+    pub bytes: u64,
+    /// Datagrams taken.
+    pub taken: u64,
+    /// Datagrams that were void.
+    pub void: u64,
+    /// Old ones, doubled ones, and those for an earlier life.
+    pub stale: u64,
+    /// Those kept back by the bound on datagrams a second.
+    pub held_back: u64,
+    /// Views accepted.
+    pub views: u64,
+}
+
+impl Report {
+    /// What is told, in words.
+    pub fn new(section: &Section, now: Micros, told: &Told<'_>, rights: &Rights) -> Report {
+        let name = |i: u16| section.member.get(usize::from(i)).map_or(String::new(), |m| m.name.clone());
+        let members = told.members.iter().enumerate().map(|(i, m)| Line {
+            name: name(i as u16),
+            state: m.state.word().into(),
+            since_ms: (now - m.since) / 1000,
+            by: name(m.by),
+            life: m.life,
+            incarnation: m.inc,
+            in_view: told.view.members.has(i as u16),
+        });
+        let c = told.counts;
+        Report {
+            name: name(told.me),
+            life: told.life,
+            at_us: now,
+            stance: told.stance.word().into(),
+            lease_left_ms: told.left.map(|l| l / 1000),
+            until_us: rights.until,
+            reserve: rights.reserve,
+            part: if now < rights.until { rights.cold } else { rights.reserve },
+            taken_over: rights.factors.len(),
+            volumes: told.volumes,
+            view: told.view.number.to_string(),
+            leads: told.leads,
+            health: told.health,
+            members: members.collect(),
+            counts: Counts {
+                sent: c.sent,
+                bytes: c.bytes,
+                taken: c.taken,
+                void: c.void,
+                stale: c.stale,
+                held_back: c.held_back,
+                views: c.views,
+            },
+        }
+    }
+
+    /// A line a figure, for the door.
+    pub fn figures(&self) -> String {
+        let mut text = String::new();
+        for state in ["unknown", "alive", "suspect", "dead", "left"] {
+            let count = self.members.iter().filter(|m| m.state == state).count();
+            let _ = writeln!(text, "lb_fleet_members{{state=\"{state}\"}} {count}");
+        }
+        let _ = writeln!(text, "lb_fleet_stance{{stance=\"{}\"}} 1", self.stance);
+        let _ = writeln!(text, "lb_fleet_part {:.4}", self.part);
+        for (name, value) in [
+            ("lease_left_ms", self.lease_left_ms.unwrap_or(0).max(0) as u64),
+            ("in_view", self.members.iter().filter(|m| m.in_view).count() as u64),
+            ("leads", u64::from(self.leads)),
+            ("health", u64::from(self.health)),
+            ("taken_over", self.taken_over as u64),
+            ("views", self.counts.views),
+            ("datagrams_sent", self.counts.sent),
+            ("bytes_sent", self.counts.bytes),
+            ("datagrams_taken", self.counts.taken),
+            ("datagrams_void", self.counts.void),
+            ("datagrams_stale", self.counts.stale),
+            ("datagrams_held_back", self.counts.held_back),
+        ] {
+            let _ = writeln!(text, "lb_fleet_{name} {value}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/membership/src/front.rs
@@ -0,0 +1,700 @@
+//! One front among the others: datagrams and moments in, datagrams, rights and events out.
+
+use crate::agree::{Agree, Number, Step, Times, View};
+use crate::bits::Bits;
+use crate::config::Section;
+use crate::lease::Lease;
+use crate::serving::{factor, Serving};
+use crate::stance::{decide, May, Seen, Stance};
+use crate::swim::{Change, Member, Out, Pace, State, Swim};
+use crate::wire::{self, Body, Datagram, Keys, Window, VOLUMES_MOST};
+use lupinrack_policy::{Micros, Rights, VolumeId};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Looks whose moment is remembered.
+const LOOKS_MOST: usize = 64;
+/// Fronts that are told something new at once.
+const FAN: usize = 16;
+/// Fronts that join or leave within this time come into one view.
+const CALM: Micros = 250_000;
+/// But a view waits no longer than this.
+const CALM_MOST: Micros = 1_000_000;
+/// A name that another life was seen under counts as contested for this long.
+const CONTESTED: Micros = 10_000_000;
+/// The wait between two hellos to one front.
+const HELLO: Micros = 500_000;
+/// How often what is served is told to one other front.
+const TELL: Micros = 200_000;
+/// Strangers are answered this often at the most.
+const STRANGER: Micros = 250_000;
+/// Something new is told on for this many steps beside the logarithm of the fleet.
+const HOT: u32 = 2;
+
+/// Where a datagram came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The address of a member.
+    Peer(u16),
+    /// Any other.
+    Stranger,
+}
+
+/// What a step brings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// To a member.
+    Send(u16, Vec<u8>),
+    /// Back to where the datagram came from.
+    Answer(Vec<u8>),
+    /// Something that operators are told of.
+    Event(Event),
+}
+
+/// What operators are told of, each with its cause.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A front is held for something else.
+    Member(Change),
+    /// Another view is accepted.
+    View(View),
+    /// It stands differently towards the fleet.
+    Stance(Stance, Stance),
+    /// It begins to lead, or gives it up.
+    Leads(bool),
+    /// It did not run for this long.
+    Paused(Micros),
+    /// A name is used by a life at an address that is not its own.
+    Twin(u16, u64),
+    /// A front whose list of members differs.
+    Roster(u16),
+    /// Others know a later life of this name: this one must begin anew above it.
+    Outlived(u64),
+}
+
+/// What was counted, where it happened.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Datagrams sent, and their bytes.
+    pub sent: u64,
+    /// Bytes sent.
+    pub bytes: u64,
+    /// Datagrams taken.
+    pub taken: u64,
+    /// Datagrams that were spoilt, or had no right sum.
+    pub void: u64,
+    /// Old or doubled ones, and those for an earlier life.
+    pub stale: u64,
+    /// Those kept back by the bound on datagrams a second.
+    pub held_back: u64,
+    /// Views accepted.
+    pub views: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    /// The life that its datagrams were taken from.
+    life: u64,
+    window: Window,
+    /// The view it told last.
+    number: Number,
+    hello: Option<Micros>,
+    contested_until: Micros,
+    roster_told: bool,
+}
+
+/// One life of one front.
+pub struct Front {
+    me: u16,
+    life: u64,
+    n: usize,
+    roster: u32,
+    keys: Keys,
+    times: Times,
+    reserve: f64,
+    step: Micros,
+    per_s: f64,
+    peers: Vec<Peer>,
+    swim: Swim,
+    agree: Agree,
+    lease: Lease,
+    serving: Serving,
+    dice: fastrand::Rng,
+    seq: u32,
+    looks: VecDeque<(u16, u32, Micros)>,
+    nonce: u32,
+    born: Micros,
+    last: Micros,
+    acknowledged: bool,
+    contested_until: Micros,
+    paused: bool,
+    leaving: bool,
+    stance: Stance,
+    /// Since when the present members are what they are, and since when they differ from the view.
+    present: (Bits, Micros),
+    differs: Option<Micros>,
+    leaderless: Option<Micros>,
+    promised_at: Micros,
+    ask_at: Micros,
+    tell_at: Micros,
+    tell_to: u16,
+    stranger_at: Micros,
+    hot: u32,
+    tokens: f64,
+    filled: Micros,
+    counts: Counts,
+}
+
+/// What a front knows, for whoever asks.
+#[derive(Clone, Debug)]
+pub struct Told<'a> {
+    /// Its index.
+    pub me: u16,
+    /// Its life.
+    pub life: u64,
+    /// How it stands.
+    pub stance: Stance,
+    /// What it may use.
+    pub may: May,
+    /// What is left of its lease.
+    pub left: Option<Micros>,
+    /// The view accepted last.
+    pub view: &'a View,
+    /// Whether it leads.
+    pub leads: bool,
+    /// What it holds of each.
+    pub members: &'a [Member],
+    /// Volumes that it serves.
+    pub volumes: usize,
+    /// Local health; 0 is well.
+    pub health: u32,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+impl Front {
+    /// A life that begins now. `life` must be above that of every earlier one of this name, `seed` new.
+    pub fn new(section: &Section, me: u16, life: u64, seed: u64, now: Micros) -> Front {
+        let n = section.member.len();
+        let lease = Section::span(section.lease_ms);
+        let drift = i64::from(section.drift_ppm);
+        let lapse = lease + lease * 4 * drift / 1_000_000 + 1;
+        // What an earlier life said is used or dropped twice over by then, and the leases that rest on it have ended.
+        let drop = lease / 2;
+        let times = Times { lease, lapse, drop, quiet: lapse + 2 * drop, renew: lease / 4 };
+        let period = Section::span(section.period_ms);
+        let pace = Pace {
+            period,
+            patience: Section::span(section.patience_ms),
+            suspicion: Section::span(section.suspicion_ms),
+        };
+        let mut dice = fastrand::Rng::with_seed(seed);
+        let swim = Swim::new(me, life, n, pace, dice.u64(..), now);
+        Front {
+            me,
+            life,
+            n,
+            roster: section.roster(),
+            keys: section.keys(),
+            times,
+            reserve: section.reserve.clamp(0.0, 1.0),
+            step: (period / 8).max(5_000),
+            per_s: f64::from(section.datagrams_per_s),
+            peers: vec![Peer::default(); n],
+            swim,
+            agree: Agree::new(me, life, n, times, now),
+            lease: Lease::new(me, n, times),
+            serving: Serving::new(section.most_volumes as usize),
+            dice,
+            seq: 0,
+            looks: VecDeque::new(),
+            nonce: 1 << 31,
+            born: now,
+            last: now,
+            acknowledged: false,
+            contested_until: 0,
+            paused: false,
+            leaving: false,
+            stance: Stance::Starting,
+            present: (Bits::default(), now),
+            differs: None,
+            leaderless: None,
+            promised_at: now,
+            ask_at: now,
+            tell_at: now,
+            tell_to: me,
+            stranger_at: 0,
+            hot: 0,
+            tokens: f64::from(section.datagrams_per_s) / 4.0,
+            filled: now,
+            counts: Counts::default(),
+        }
+    }
+
+    /// How often [`Front::tick`] is to be called.
+    pub fn step(&self) -> Micros {
+        self.step
+    }
+
+    /// This front served a volume that works through this many fronts.
+    pub fn serves(&mut self, now: Micros, volume: VolumeId, hosts: f64) {
+        self.serving.own(now, volume.0, hosts);
+    }
+
+    /// It is told to end: others need not find out.
+    pub fn leave(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        self.swim.leave(now);
+        for to in self.swim.some(FAN) {
+            self.push(now, to, out);
+        }
+        self.restate(now, out);
+    }
+
+    /// What it may use now.
+    pub fn rights(&self, now: Micros) -> Rights {
+        let (_, may) = self.stand(now);
+        let right = self.lease.right(now);
+        let reserve = if may == May::Nothing { 0.0 } else { self.reserve };
+        let whole = may == May::View;
+        let gone = right.absent.len() as f64;
+        let cold = if whole { factor(self.n as f64, gone, self.reserve) } else { reserve };
+        let factors = if whole { self.serving.factors(&right.absent, self.reserve) } else { Vec::new() };
+        Rights {
+            until: if whole { right.until } else { now },
+            reserve,
+            cold,
+            factors: factors.into_iter().map(|(v, f)| (VolumeId(v), f)).collect::<BTreeMap<_, _>>(),
+        }
+    }
+
+    /// What it knows.
+    pub fn told(&self, now: Micros) -> Told<'_> {
+        let (stance, may) = self.stand(now);
+        Told {
+            me: self.me,
+            life: self.life,
+            stance,
+            may,
+            left: self.lease.left(now),
+            view: self.agree.view(),
+            leads: self.agree.leads(),
+            members: self.swim.members(),
+            volumes: self.serving.count(),
+            health: self.swim.health(),
+            counts: self.counts,
+        }
+    }
+
+    fn stand(&self, now: Micros) -> (Stance, May) {
+        decide(&Seen {
+            acknowledged: self.acknowledged,
+            waited: now - self.born >= self.times.quiet,
+            others: self.swim.present().len().saturating_sub(1),
+            right: self.lease.right(now),
+            held: self.lease.left(now).is_some(),
+            settled: self.lease.settled(now),
+            paused: self.paused,
+            leaving: self.leaving,
+            contested: now < self.contested_until,
+        })
+    }
+
+    fn restate(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let (stance, _) = self.stand(now);
+        if stance != self.stance {
+            out.push(Output::Event(Event::Stance(self.stance, stance)));
+            self.stance = stance;
+        }
+    }
+
+    // ---- sending ---------------------------------------------------------------------------------------
+
+    fn send(&mut self, now: Micros, to: u16, body: Body, out: &mut Vec<Output>) {
+        let Some(bytes) = self.worded(now, self.peers.get(usize::from(to)).map_or(0, |p| p.life), body)
+        else {
+            return;
+        };
+        out.push(Output::Send(to, bytes));
+    }
+
+    fn worded(&mut self, now: Micros, to_life: u64, body: Body) -> Option<Vec<u8>> {
+        self.tokens =
+            (self.tokens + self.per_s * (now - self.filled).max(0) as f64 / 1e6).min(self.per_s / 4.0);
+        self.filled = now;
+        if self.tokens < 1.0 {
+            self.counts.held_back += 1;
+            return None;
+        }
+        self.tokens -= 1.0;
+        self.seq = self.seq.wrapping_add(1);
+        let datagram = Datagram {
+            roster: self.roster,
+            from: self.me,
+            seq: self.seq,
+            life: self.life,
+            to_life,
+            inc: self.swim.inc(),
+            body,
+        };
+        let bytes = datagram.write(self.n, &self.keys);
+        self.counts.sent += 1;
+        self.counts.bytes += bytes.len() as u64;
+        Some(bytes)
+    }
+
+    /// Whether a front's life is known; without it nothing but a hello is said to it.
+    fn met(&self, to: u16) -> bool {
+        self.peers.get(usize::from(to)).is_some_and(|p| p.life != 0)
+    }
+
+    fn words(&mut self, to: u16) -> wire::Told {
+        let theirs = self.peers.get(usize::from(to)).map_or(Number::default(), |p| p.number);
+        wire::Told { word: self.agree.word(theirs), news: self.swim.news(to, 8) }
+    }
+
+    /// Looks at a front; a front that was never met is greeted first.
+    fn look(&mut self, now: Micros, to: u16, nonce: u32, out: &mut Vec<Output>) {
+        if to == self.me {
+            return;
+        }
+        if !self.met(to) {
+            return self.hello(now, to, out);
+        }
+        if self.looks.len() >= LOOKS_MOST {
+            self.looks.pop_front();
+        }
+        self.looks.push_back((to, nonce, now));
+        let told = self.words(to);
+        self.send(now, to, Body::Ping(nonce, told), out);
+    }
+
+    fn push(&mut self, now: Micros, to: u16, out: &mut Vec<Output>) {
+        if to != self.me && self.met(to) {
+            let told = self.words(to);
+            self.send(now, to, Body::Push(told), out);
+        }
+    }
+
+    fn hello(&mut self, now: Micros, to: u16, out: &mut Vec<Output>) {
+        let due = self.peers.get_mut(usize::from(to)).filter(|p| p.hello.is_none_or(|at| now - at >= HELLO));
+        if let Some(peer) = due {
+            peer.hello = Some(now);
+            self.send(now, to, Body::Hello(0), out);
+        }
+    }
+
+    fn carry(&mut self, now: Micros, outs: Vec<Out>, out: &mut Vec<Output>) {
+        for o in outs {
+            match o {
+                Out::Ping(to, nonce) => self.look(now, to, nonce, out),
+                Out::Ask(to, target, nonce) if self.met(to) => {
+                    self.send(now, to, Body::Ask(target, nonce), out);
+                }
+                Out::Told(to, nonce, reached) if self.met(to) => {
+                    self.send(now, to, Body::Reached(nonce, reached), out);
+                }
+                Out::Ask(..) | Out::Told(..) => {}
+            }
+        }
+    }
+
+    fn changed(&mut self, changes: Vec<Change>, out: &mut Vec<Output>) {
+        out.extend(changes.into_iter().map(|c| Output::Event(Event::Member(c))));
+    }
+
+    // ---- hearing ---------------------------------------------------------------------------------------
+
+    /// Takes a datagram.
+    pub fn datagram(&mut self, now: Micros, source: Source, bytes: &[u8], out: &mut Vec<Output>) {
+        let d = match Datagram::read(bytes, self.n, &self.keys) {
+            Ok(d) => d,
+            Err(_) => return self.counts.void += 1,
+        };
+        let Source::Peer(at) = source else { return self.stranger(now, &d, out) };
+        if d.from != at || at == self.me {
+            return self.stranger(now, &d, out);
+        }
+        let Some(peer) = self.peers.get_mut(usize::from(at)) else { return };
+        if d.roster != self.roster {
+            if !std::mem::replace(&mut peer.roster_told, true) {
+                out.push(Output::Event(Event::Roster(at)));
+            }
+            return self.counts.void += 1;
+        }
+        // Meant for an earlier life of this front, or its sender does not know this life: it is told.
+        if d.to_life != self.life {
+            if d.to_life != 0 {
+                self.counts.stale += 1;
+            }
+            let known = peer.life;
+            // The life is taken once it answers by this front's own; until then it is only greeted by it.
+            let due = peer.hello.is_none_or(|h| now - h >= self.step);
+            if due {
+                peer.hello = Some(now);
+                if let Some(bytes) = self.worded(now, d.life, Body::Hello(known)) {
+                    out.push(Output::Send(at, bytes));
+                }
+            }
+            return;
+        }
+        if d.life < peer.life {
+            return self.counts.stale += 1;
+        }
+        if d.life > peer.life {
+            (peer.life, peer.window, peer.number) = (d.life, Window::default(), Number::default());
+        }
+        if !peer.window.take(d.seq) {
+            return self.counts.stale += 1;
+        }
+        self.counts.taken += 1;
+        self.acknowledged = true;
+        let mut changes = Vec::new();
+        self.swim.heard(now, at, d.life, d.inc, &mut changes);
+        self.changed(changes, out);
+        self.body(now, at, d.body, out);
+        self.restate(now, out);
+    }
+
+    fn body(&mut self, now: Micros, from: u16, body: Body, out: &mut Vec<Output>) {
+        let mut outs = Vec::new();
+        match body {
+            // Once: whoever greets by this life has met it.
+            Body::Hello(known) if known > self.life => out.push(Output::Event(Event::Outlived(known))),
+            Body::Hello(_) => self.push(now, from, out),
+            Body::Ping(nonce, told) => {
+                self.take(now, from, &told, out);
+                let left = self.lease.left(now).unwrap_or(0);
+                let words = self.words(from);
+                self.send(now, from, Body::Ack(nonce, left, words), out);
+                self.warn(now, from, out);
+            }
+            Body::Ack(nonce, left, told) => {
+                let asked = self.looks.iter().position(|l| l.0 == from && l.1 == nonce);
+                let asked = asked.and_then(|at| self.looks.remove(at));
+                self.take(now, from, &told, out);
+                self.swim.answered(from, nonce, &mut outs);
+                if let Some((.., at)) = asked.filter(|_| left > 0 && !self.leaving) {
+                    self.hold(now, told.word.number, at + left.min(self.times.lease));
+                }
+            }
+            Body::Push(told) => self.take(now, from, &told, out),
+            Body::Ask(target, nonce) => self.swim.asked(now, from, nonce, target, &mut outs),
+            Body::Reached(nonce, reached) => self.swim.told(nonce, reached),
+            Body::Serves(volumes) => self.serving.heard(now, from, &volumes),
+            Body::Contested => self.contest(now, self.me, 0, out),
+        }
+        self.carry(now, outs, out);
+    }
+
+    fn hold(&mut self, now: Micros, number: Number, until: Micros) {
+        let members = self.agree.view().members;
+        self.lease.hold(now, number, until, members);
+        self.paused &= self.lease.left(now).is_none();
+    }
+
+    fn take(&mut self, now: Micros, from: u16, told: &wire::Told, out: &mut Vec<Output>) {
+        if let Some(peer) = self.peers.get_mut(usize::from(from)) {
+            peer.number = told.word.number;
+        }
+        let mut changes = Vec::new();
+        for news in &told.news {
+            self.swim.hear(now, *news, &mut changes);
+        }
+        self.changed(changes, out);
+        let before = self.agree.word(Number::default());
+        let mut steps = Vec::new();
+        self.agree.hear(now, &told.word, &mut steps);
+        self.stepped(now, steps, out);
+        let after = self.agree.word(Number::default());
+        let place = |w: &crate::agree::Word| (w.promised, w.number, w.round.map(|r| r.k));
+        if place(&before) != place(&after) {
+            if before.promised != after.promised {
+                self.promised_at = now;
+            }
+            self.heat();
+            let leader = after.promised.leader;
+            if self.n <= FAN || self.dice.usize(0..self.n) < FAN {
+                self.push(now, leader, out);
+            }
+        }
+    }
+
+    fn heat(&mut self) {
+        if self.n > FAN {
+            self.hot = HOT + (self.n as f64).log2().ceil() as u32;
+        }
+    }
+
+    fn stepped(&mut self, now: Micros, steps: Vec<Step>, out: &mut Vec<Output>) {
+        for step in steps {
+            match step {
+                Step::Accepted(view) => {
+                    self.counts.views += 1;
+                    self.lease.accept(&view);
+                    out.push(Output::Event(Event::View(view)));
+                }
+                Step::Renewed(began) if !self.leaving => {
+                    self.hold(now, self.agree.view().number, began + self.times.lease);
+                }
+                Step::Renewed(_) => {}
+                Step::Spread => {
+                    self.heat();
+                    for to in self.swim.some(FAN) {
+                        self.push(now, to, out);
+                    }
+                }
+                Step::GaveUp => {
+                    self.leaderless = None;
+                    out.push(Output::Event(Event::Leads(false)));
+                }
+            }
+        }
+    }
+
+    /// A datagram from elsewhere, whose sum is right: some life uses a name of this roster at another address.
+    fn stranger(&mut self, now: Micros, d: &Datagram, out: &mut Vec<Output>) {
+        if d.roster != self.roster || now - self.stranger_at < STRANGER {
+            return self.counts.void += 1;
+        }
+        self.stranger_at = now;
+        self.contest(now, d.from, d.life, out);
+        if let Some(bytes) = self.worded(now, d.life, Body::Contested) {
+            out.push(Output::Answer(bytes));
+        }
+        self.warn(now, d.from, out);
+        self.restate(now, out);
+    }
+
+    fn contest(&mut self, now: Micros, of: u16, life: u64, out: &mut Vec<Output>) {
+        let me = self.me;
+        let Some(peer) = self.peers.get_mut(usize::from(of)) else { return };
+        let until = if of == me { &mut self.contested_until } else { &mut peer.contested_until };
+        if *until <= now {
+            out.push(Output::Event(Event::Twin(of, life)));
+        }
+        *until = now + CONTESTED;
+    }
+
+    /// Tells a front that its name is contested.
+    fn warn(&mut self, now: Micros, of: u16, out: &mut Vec<Output>) {
+        let contested = self.peers.get(usize::from(of)).is_some_and(|p| now < p.contested_until);
+        if contested && of != self.me && self.met(of) {
+            self.send(now, of, Body::Contested, out);
+        }
+    }
+
+    // ---- time ------------------------------------------------------------------------------------------
+
+    /// Carries on at a moment.
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let gap = now - std::mem::replace(&mut self.last, now);
+        if gap > 8 * self.step + 100_000 {
+            self.swim.paused(now, gap);
+            self.paused = self.lease.left(now).is_none();
+            out.push(Output::Event(Event::Paused(gap)));
+        }
+        let (mut outs, mut changes, mut steps) = (Vec::new(), Vec::new(), Vec::new());
+        self.swim.tick(now, &mut outs, &mut changes);
+        self.changed(changes, out);
+        self.carry(now, outs, out);
+        let present = self.swim.present();
+        if present != self.present.0 {
+            self.present = (present, now);
+        }
+        let wanted = self.wanted(now);
+        if !self.leaving {
+            self.agree.tick(now, wanted, &mut steps);
+            self.stepped(now, std::mem::take(&mut steps), out);
+            self.candidate(now, out);
+        }
+        self.ask(now, out);
+        if self.hot > 0 {
+            self.hot -= 1;
+            for to in self.swim.some(1) {
+                self.push(now, to, out);
+            }
+        }
+        self.tell(now, out);
+        self.restate(now, out);
+    }
+
+    /// Whom the next view is to list, once who is there has stayed the same for a moment.
+    fn wanted(&mut self, now: Micros) -> Option<Bits> {
+        let (present, since) = self.present;
+        if present == self.agree.view().members {
+            self.differs = None;
+            return Some(present);
+        }
+        let differs = *self.differs.get_or_insert(now);
+        (now - since >= CALM || now - differs >= CALM_MOST).then_some(present)
+    }
+
+    /// Stands for leader where there is none: the first of those who are there, and the others after it.
+    fn candidate(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let ballot = self.agree.promised();
+        let leader = self.swim.members().get(usize::from(ballot.leader));
+        let there = leader.is_some_and(|m| {
+            matches!(m.state, State::Alive | State::Suspect) && (m.life == ballot.life || m.life == 0)
+        });
+        let fresh = now - self.promised_at < 2 * self.times.drop;
+        let led = ballot.round > 0 && there && (self.lease.left(now).is_some() || fresh);
+        if led || self.agree.leads() || !self.agree.votes(now) || self.present.0.len() < self.agree.majority()
+        {
+            self.leaderless = None;
+            return;
+        }
+        let me = self.me;
+        let before = self.present.0.iter().filter(|i| *i < me).count().min(8) as Micros;
+        let wait = before * self.times.drop / 4 + self.dice.i64(0..self.times.drop / 8 + 1);
+        let since = *self.leaderless.get_or_insert(now);
+        if now - since >= wait {
+            let mut steps = Vec::new();
+            self.agree.stand(now, &mut steps);
+            self.promised_at = now;
+            out.push(Output::Event(Event::Leads(true)));
+            self.stepped(now, steps, out);
+        }
+    }
+
+    /// Asks for what is left of the lease: the leader where the fleet is small, anybody where it is large.
+    fn ask(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now < self.ask_at || self.agree.leads() || self.leaving {
+            return;
+        }
+        let spread = self.times.lease / 16;
+        self.ask_at = now + self.times.lease / 8 + self.dice.i64(0..spread + 1);
+        let leader = self.agree.promised().leader;
+        let near = self.n <= FAN || self.dice.usize(0..self.n) < FAN;
+        let to = match near && leader != self.me && self.agree.promised().round > 0 && self.dice.u32(0..4) > 0
+        {
+            true => Some(leader),
+            false => self.swim.some(1).first().copied(),
+        };
+        let Some(to) = to else { return };
+        self.nonce = self.nonce.wrapping_add(1) | 1 << 31;
+        let nonce = self.nonce;
+        self.look(now, to, nonce, out);
+    }
+
+    /// Tells one other front after another what is served here.
+    fn tell(&mut self, now: Micros, out: &mut Vec<Output>) {
+        if now < self.tell_at {
+            return;
+        }
+        self.tell_at = now + TELL;
+        self.serving.forget(now, &self.present.0);
+        let order: Vec<u16> = self.present.0.iter().filter(|i| *i != self.me).collect();
+        let Some(to) = order.iter().find(|i| **i > self.tell_to).or(order.first()).copied() else { return };
+        self.tell_to = to;
+        // Small fleets hear all at once, one front after another; large ones a part each time.
+        let rounds = if self.n <= FAN { self.serving.count().div_ceil(VOLUMES_MOST).min(4) } else { 1 };
+        for _ in 0..rounds {
+            let volumes = self.serving.tell(VOLUMES_MOST);
+            if !volumes.is_empty() && self.met(to) {
+                self.send(now, to, Body::Serves(volumes), out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,16 @@
+//! Fronts that know each other, as machines without I/O, clock or chance of their own: who is there ([`swim`]), on which
+//! list a majority agreed ([`agree`]), what may be used of limits and until when ([`lease`], [`serving`]), and what to do
+//! while they disagree ([`stance`]). [`Front`] puts them together; a driver, the lab and the model checker run the same.
+#![warn(missing_docs)]
+
+pub mod agree;
+pub mod bits;
+pub mod config;
+pub mod front;
+pub mod lease;
+pub mod serving;
+pub mod stance;
+pub mod swim;
+pub mod wire;
+
+pub use front::{Counts, Event, Front, Output, Source, Told};
