--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
-use crate::commands::{ask, buffer, check, demo, extents, fleet};
+use crate::commands::{ask, buffer, check, demo, extents, fleet, lab};
 use crate::serve;
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use lupinrack_config::{Format, Log, Operator};
@@ -63,6 +63,9 @@
     /// The fronts among each other: what one knows of all, and the drill.
     #[command(subcommand)]
     Fleet(fleet::Fleet),
+    /// The fleet's machines in simulated time, at sizes that sockets don't reach.
+    #[command(subcommand)]
+    Lab(lab::Lab),
 }
 
 /// What a front reads at its start.
@@ -113,6 +116,7 @@
         Some(Command::Ask(what)) => ask::run(&what),
         Some(Command::Buffer(what)) => buffer::run(&what),
         Some(Command::Fleet(what)) => quiet(format).and_then(|()| fleet::run(&what)),
+        Some(Command::Lab(what)) => quiet(format).and_then(|()| lab::run(&what)),
         Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
     let (code, why) = match ended {
--- /dev/null
+++ b/crates/lupinrack/src/commands/lab.rs
@@ -0,0 +1,98 @@
+//! `lupinrack lab`: the fleet's machines in simulated time.
+
+use crate::cli::Ended;
+use clap::{Args, Subcommand};
+use lupinrack_lab::{plot, Experiment, Point};
+use std::path::PathBuf;
+
+/// The lab.
+#[derive(Debug, Subcommand)]
+pub enum Lab {
+    /// Play an experiment and print its figures: median, least and most over the seeds.
+    Run(Run),
+    /// Play it and draw one figure as SVG.
+    Plot(Plot),
+}
+
+/// What is played.
+#[derive(Debug, Args)]
+pub struct Run {
+    /// The experiment (TOML).
+    experiment: PathBuf,
+    /// Put a setting over the file's, as `fronts=[5,50]` or `fleet.lease_ms=4000`; may be given again.
+    #[arg(long, value_name = "KEY=VALUE")]
+    set: Vec<String>,
+    /// Seeds, from 1 on.
+    #[arg(long)]
+    seeds: Option<u64>,
+    /// Runs side by side; as many as there are cores where it is not given.
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Print one JSON object.
+    #[arg(long)]
+    json: bool,
+}
+
+/// What is drawn.
+#[derive(Debug, Args)]
+pub struct Plot {
+    #[command(flatten)]
+    run: Run,
+    /// The figure, or `parts`: what is in use over time in the first seed.
+    #[arg(long, default_value = "detect_ms_p99")]
+    figure: String,
+    /// Where to.
+    #[arg(long, value_name = "FILE")]
+    out: PathBuf,
+}
+
+/// Runs one of them.
+pub fn run(lab: &Lab) -> Result<(), Ended> {
+    match lab {
+        Lab::Run(run) => {
+            let (experiment, points) = play(run)?;
+            if run.json {
+                println!("{}", serde_json::to_string(&points).map_err(Ended::failed)?);
+            } else {
+                print!("{}", table(&experiment, &points));
+            }
+            match points.iter().all(Point::kept) {
+                true => Ok(()),
+                false => Err(Ended::failed(
+                    "a promise was broken: view_conflicts must be 0, parts_sum_max at most 1",
+                )),
+            }
+        }
+        Lab::Plot(p) => {
+            let (experiment, points) = play(&p.run)?;
+            let title = format!("{}: {}", experiment.name, p.figure);
+            let svg = plot::svg(&points, &p.figure, &title).map_err(Ended::wrong)?;
+            std::fs::write(&p.out, svg).map_err(Ended::failed)
+        }
+    }
+}
+
+fn play(run: &Run) -> Result<(Experiment, Vec<Point>), Ended> {
+    let text = std::fs::read_to_string(&run.experiment)
+        .map_err(|e| Ended::wrong(format!("{}: {e}", run.experiment.display())))?;
+    let mut set = run.set.clone();
+    set.extend(run.seeds.map(|n| format!("seeds={n}")));
+    let experiment = Experiment::parse(&text, &set).map_err(Ended::wrong)?;
+    let threads =
+        run.threads.or_else(|| std::thread::available_parallelism().ok().map(usize::from)).unwrap_or(1);
+    let points =
+        experiment.run(threads, |done, all| eprint!("\r{done} of {all} runs")).map_err(Ended::wrong)?;
+    eprintln!();
+    Ok((experiment, points))
+}
+
+fn table(experiment: &Experiment, points: &[Point]) -> String {
+    let mut text = format!("{}: {} seeds; median (least to most)\n", experiment.name, experiment.seeds);
+    for p in points {
+        text += &format!("\n{} fronts, loss {}\n", p.fronts, p.loss);
+        for (name, s) in &p.spread {
+            text += &format!("  {name:<24}{:>12.3}  ({:.3} to {:.3})\n", s.median, s.least, s.most);
+        }
+    }
+    text
+}
--- a/crates/lupinrack/src/commands/mod.rs
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -6,3 +6,4 @@
 pub mod demo;
 pub mod extents;
 pub mod fleet;
+pub mod lab;
--- a/crates/membership/src/front.rs
+++ b/crates/membership/src/front.rs
@@ -462,7 +462,10 @@
         match body {
             // Once: whoever greets by this life has met it.
             Body::Hello(known) if known > self.life => out.push(Output::Event(Event::Outlived(known))),
-            Body::Hello(_) => self.push(now, from, out),
+            Body::Hello(_) => {
+                self.swim.greeted(from, &mut outs);
+                self.push(now, from, out);
+            }
             Body::Ping(nonce, told) => {
                 self.take(now, from, &told, out);
                 let left = self.lease.left(now).unwrap_or(0);
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -134,6 +134,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Favour {
+    target: u16,
     whose: u16,
     their: u32,
     nonce: u32,
@@ -333,6 +334,15 @@
         }
     }
 
+    /// One that was not met before greeted: that answers as well as any probe of it, which could only greet.
+    pub fn greeted(&mut self, from: u16, out: &mut Vec<Out>) {
+        if let Some(nonce) = self.probe.as_ref().filter(|p| p.of == from).map(|p| p.nonce) {
+            self.answered(from, nonce, out);
+        }
+        let waiting: Vec<u32> = self.favours.iter().filter(|f| f.target == from).map(|f| f.nonce).collect();
+        waiting.into_iter().for_each(|nonce| self.answered(from, nonce, out));
+    }
+
     /// Another asks to probe `target` for it.
     pub fn asked(&mut self, now: Micros, whose: u16, their: u32, target: u16, out: &mut Vec<Out>) {
         if target == self.me || usize::from(target) >= self.members.len() {
@@ -342,7 +352,7 @@
             self.favours.pop_front();
         }
         let nonce = self.nonce();
-        self.favours.push_back(Favour { whose, their, nonce, ends: now + self.pace.patience });
+        self.favours.push_back(Favour { target, whose, their, nonce, ends: now + self.pace.patience });
         out.push(Out::Ping(target, nonce));
     }
 
