Name what is wrong between the files of one fleet; count terms into the roster's sum

Need: fronts whose lease, drift or reserve differ would break the sums that each counts on. Change: these terms are part of the roster's sum, so such fronts don't count on each other and say so; 'check' with several files names what contradicts across them and notes an even number of fronts and a lease shorter than the detection. The lab's clocks can be made to drift past what is stated, which must break the promise.

--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -67,3 +67,58 @@
     objects(&schema(), &mut open);
     assert!(open.is_empty(), "{open:?}");
 }
+
+fn fleet(name: &str, more: &str, members: &[(&str, u16)]) -> String {
+    let mut text = format!("[fleet]\nenabled = true\nname = \"{name}\"\n{more}\n");
+    for (name, port) in members {
+        text += &format!("[[fleet.member]]\nname = \"{name}\"\naddress = \"127.0.0.1:{port}\"\n");
+    }
+    text
+}
+
+#[test]
+fn the_faults_of_a_fleet_say_what_they_lead_to() {
+    let three = [("a", 1), ("b", 2), ("c", 3)];
+    assert!(Operator::parse(&fleet("a", "", &three)).is_ok());
+    for (text, path) in [
+        (fleet("d", "", &three), "fleet.name: 'd' is not among the members"),
+        (fleet("a", "", &[("a", 1), ("b", 1)]), "fleet.member[1].address: 127.0.0.1:1 stands twice"),
+        (fleet("a", "", &[("a", 1), ("a", 2)]), "fleet.member[1].name: 'a' stands twice"),
+        (fleet("a", "lease_ms = 300", &three), "fleet.lease_ms: shorter than two periods"),
+        (fleet("a", "keys = [\"12\"]", &three), "fleet.keys[0]: a key is 64 hexadecimal digits"),
+        (fleet("a", "patience_ms = 200", &three), "fleet.patience_ms: must be less"),
+        (fleet("a", "reserve = 1.5", &three), "fleet.reserve: "),
+    ] {
+        let found = faults(&text);
+        assert!(found.iter().any(|(_, why)| why.starts_with(path)), "{path}: {found:?}");
+    }
+    let fleet = |text: String| Operator::parse(&text).unwrap().fleet.unwrap();
+    let remarks = fleet(fleet_of(4)).remarks();
+    assert!(remarks.iter().any(|(path, why)| path == "member" && why.contains("4 is even")), "{remarks:?}");
+    assert!(fleet(fleet_of(5)).remarks().iter().any(|(path, _)| path == "lease_ms"));
+}
+
+fn fleet_of(n: u16) -> String {
+    let names: Vec<String> = (0..n).map(|i| format!("n{i}")).collect();
+    let members: Vec<(&str, u16)> = names.iter().zip(1..).map(|(name, port)| (name.as_str(), port)).collect();
+    fleet("n0", "", &members)
+}
+
+#[test]
+fn files_of_one_fleet_that_contradict_each_other_are_named() {
+    use lupinrack_membership::config::Section;
+    let three = [("a", 1), ("b", 2), ("c", 3)];
+    let section =
+        |name: &str, more: &str| Operator::parse(&fleet(name, more, &three)).unwrap().fleet.unwrap();
+    let across = |other: &Section| {
+        let found = Section::across(&[&section("a", ""), other]);
+        found.into_iter().map(|(at, path, _)| (at, path)).collect::<Vec<_>>()
+    };
+    assert_eq!(across(&section("b", "")), []);
+    assert_eq!(across(&section("a", "")), [(1, "name".to_string())]);
+    assert_eq!(across(&section("b", "lease_ms = 9000")), [(1, "lease_ms".to_string())]);
+    let key = format!("keys = [\"{}\"]", "ab".repeat(32));
+    assert_eq!(across(&section("b", &key)), [(1, "keys".to_string())]);
+    let fewer = Operator::parse(&fleet("b", "", &three[..2])).unwrap().fleet.unwrap();
+    assert_eq!(across(&fewer), [(1, "member".to_string())]);
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -57,6 +57,8 @@
     pub fleet: toml::Table,
     /// The median of a datagram's way, in milliseconds.
     pub way_ms: f64,
+    /// By how much clocks run fast or slow, in millionths.
+    pub drift_ppm: f64,
 }
 
 impl Default for Experiment {
@@ -75,6 +77,7 @@
             seeds: 5,
             fleet: toml::Table::new(),
             way_ms: 0.3,
+            drift_ppm: 900.0,
         }
     }
 }
@@ -173,6 +176,9 @@
         if !(0.0..=3600.0).contains(&self.seconds) || !(1..=10_000).contains(&self.seeds) {
             return Err("seconds: at most 3600; seeds: 1 to 10000".into());
         }
+        if !(0.0..=900_000.0).contains(&self.drift_ppm) {
+            return Err("drift_ppm: at most 900000".into());
+        }
         if !(0.0..=1.0).contains(&self.kill) || !(0.0..=1.0).contains(&self.stop) {
             return Err("kill and stop are shares".into());
         }
@@ -227,7 +233,7 @@
         tell: impl Fn(usize, usize) + Sync,
     ) -> Result<Vec<Point>, ExperimentError> {
         let section = self.section().map_err(ExperimentError::Content)?;
-        let net = Net { median_us: self.way_ms * 1000.0, ..Net::default() };
+        let net = Net { median_us: self.way_ms * 1000.0, drift_ppm: self.drift_ppm, ..Net::default() };
         let mut jobs = Vec::new();
         for fronts in &self.fronts {
             for loss in &self.loss {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -19,8 +19,6 @@
 
 /// The first moment; machines want a clock well above zero.
 const BASE: Micros = 1_000_000_000;
-/// Clocks run fast or slow by up to this, in millionths; below what is stated to the machines.
-const DRIFT_PPM: f64 = 900.0;
 /// A front was well if nothing was done to it for so long.
 const WELL: Micros = 4_000_000;
 /// Datagrams kept for being played again.
@@ -35,11 +33,14 @@
     pub median_us: f64,
     /// The spread of its logarithm.
     pub sigma: f64,
+    /// Clocks run fast or slow by up to this, in millionths. Two of them differ by twice as much, which has to stay within what is
+    /// stated to the machines.
+    pub drift_ppm: f64,
 }
 
 impl Default for Net {
     fn default() -> Self {
-        Net { median_us: 300.0, sigma: 0.4 }
+        Net { median_us: 300.0, sigma: 0.4, drift_ppm: 900.0 }
     }
 }
 
@@ -173,7 +174,7 @@
                 turn: 0,
                 stopped: false,
                 waiting: Vec::new(),
-                rate: 1.0 + dice.random_range(-DRIFT_PPM..DRIFT_PPM) / 1e6,
+                rate: 1.0 + dice.random_range(-1.0..1.0) * net.drift_ppm / 1e6,
                 offset: dice.random_range(0..1_000_000_000),
                 keys: script.keys.clone(),
                 lacks: Vec::new(),
--- a/crates/lab/tests/lab.rs
+++ b/crates/lab/tests/lab.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// The lab can fail: clocks that differ by far more than is stated break what rests on it.
+#[test]
+fn clocks_that_drift_more_than_is_stated_break_the_promise() {
+    let net = Net { drift_ppm: 600_000.0, ..Net::default() };
+    let past = |seed| {
+        let script = chance(seed, 4, 30);
+        World::new(script, Section::default(), net).run().parts_sum_max > 1.0 + 1e-6
+    };
+    assert!((0..60).any(past));
+}
+
 /// Once the faults are over a fleet comes to rest on one view of all who live.
 #[test]
 fn a_fleet_comes_to_rest_once_the_faults_are_over() {
--- a/crates/lupinrack/src/commands/check.rs
+++ b/crates/lupinrack/src/commands/check.rs
@@ -2,31 +2,45 @@
 
 use crate::cli::Ended;
 use lupinrack_config::Operator;
+use lupinrack_membership::config::Section;
 use lupinrack_platform::config::Config;
 use std::path::{Path, PathBuf};
 
-/// Checks the files; all faults of all of them are printed.
+/// Checks the files; all faults of all of them are printed, and what is wrong between the files of one fleet.
 pub fn run(files: &[PathBuf]) -> Result<(), Ended> {
     let mut wrong = Vec::new();
+    let mut fleets: Vec<(&PathBuf, Section)> = Vec::new();
     for file in files {
         match one(file) {
-            Ok(()) => println!("{}: good", file.display()),
+            Ok(fleet) => {
+                println!("{}: good", file.display());
+                let fleet = fleet.filter(|f| f.enabled);
+                for (path, why) in fleet.iter().flat_map(Section::remarks) {
+                    println!("{}: note: fleet.{path}: {why}", file.display());
+                }
+                fleets.extend(fleet.map(|f| (file, f)));
+            }
             Err(why) => wrong.push(why),
         }
     }
+    let sections: Vec<&Section> = fleets.iter().map(|(_, f)| f).collect();
+    for (at, path, why) in Section::across(&sections) {
+        wrong.push(format!("{}: fleet.{path}: {why}", fleets[at].0.display()));
+    }
     match wrong.is_empty() {
         true => Ok(()),
         false => Err(Ended::Wrong(wrong.join("\n"))),
     }
 }
 
-fn one(file: &Path) -> Result<(), String> {
+/// Checks one file; the fleet that it speaks of, where it does.
+fn one(file: &Path) -> Result<Option<Section>, String> {
     if !file.exists() {
         return Err(format!("{}: no such file", file.display()));
     }
     match file.extension().is_some_and(|e| e == "json") {
-        true => Config::load(file).map(drop).map_err(|e| format!("{}: {e}", file.display())),
-        false => Operator::load(file).map(drop).map_err(|e| e.to_string()),
+        true => Config::load(file).map(|_| None).map_err(|e| format!("{}: {e}", file.display())),
+        false => Operator::load(file).map(|o| o.fleet).map_err(|e| e.to_string()),
     }
 }
 
--- a/crates/membership-net/src/lib.rs
+++ b/crates/membership-net/src/lib.rs
@@ -210,7 +210,9 @@
             Event::Twin(of, life) => {
                 tracing::error!(front = name(*of), life, "fleet: another life uses this name from elsewhere");
             }
-            Event::Roster(of) => tracing::error!(front = name(*of), "fleet: its list of members differs"),
+            Event::Roster(of) => {
+                tracing::error!(front = name(*of), "fleet: its members, lease, drift or reserve differ")
+            }
             Event::Outlived(_) => {}
         }
     }
--- a/crates/membership/src/config.rs
+++ b/crates/membership/src/config.rs
@@ -108,13 +108,17 @@
         Keys { sign: keys.next(), also: keys.next() }
     }
 
-    /// A hash of the names in their order: fronts whose files differ are told apart by it.
+    /// A hash of the names in their order and of the terms that safety rests on: fronts whose files differ in them don't count on each
+    /// other.
     pub fn roster(&self) -> u32 {
         let mut hash = crc32fast::Hasher::new();
         for m in &self.member {
             hash.update(m.name.as_bytes());
             hash.update(&[0]);
         }
+        hash.update(&self.lease_ms.to_le_bytes());
+        hash.update(&self.drift_ppm.to_le_bytes());
+        hash.update(&self.reserve.to_le_bytes());
         hash.finalize()
     }
 
@@ -197,6 +201,53 @@
         remarks
     }
 
+    /// What is wrong between the files of one fleet, each with the place of its file and the path below the section.
+    pub fn across(files: &[&Section]) -> Vec<(usize, String, String)> {
+        let mut faults = Vec::new();
+        let Some((first, rest)) = files.split_first() else { return faults };
+        let names = |s: &Section| s.member.iter().map(|m| m.name.clone()).collect::<Vec<_>>();
+        for (i, other) in rest.iter().enumerate().map(|(i, s)| (i + 1, s)) {
+            let mut fault = |path: &str, why: String| faults.push((i, path.to_string(), why));
+            if names(other) != names(first) {
+                let why = "not the members of the first file, in its order: fronts with such files don't count on each other, and \
+                           no front of the smaller side ever gets more than its reserve";
+                fault("member", why.into());
+            }
+            for (path, own, theirs) in [
+                ("lease_ms", f64::from(other.lease_ms), f64::from(first.lease_ms)),
+                ("drift_ppm", f64::from(other.drift_ppm), f64::from(first.drift_ppm)),
+                ("reserve", other.reserve, first.reserve),
+            ] {
+                if own != theirs {
+                    let why = format!(
+                        "{own}, and {theirs} in the first file: such fronts don't count on each other"
+                    );
+                    fault(path, why);
+                }
+            }
+            let (own, theirs) = (other.keys(), first.keys());
+            let valid = |k: &Keys| [k.sign, k.also];
+            let understood = match (own.sign, theirs.sign) {
+                (None, None) => true,
+                (Some(a), Some(b)) => valid(&theirs).contains(&Some(a)) && valid(&own).contains(&Some(b)),
+                _ => false,
+            };
+            if !understood {
+                fault("keys", "what one signs the other does not take: they never hear each other".into());
+            }
+        }
+        for (i, s) in files.iter().enumerate() {
+            if files[..i].iter().any(|o| o.name == s.name) {
+                let why = format!(
+                    "'{}' in another file too: two fronts under one name, and both keep to the least",
+                    s.name
+                );
+                faults.push((i, "name".into(), why));
+            }
+        }
+        faults
+    }
+
     /// Microseconds of a setting in milliseconds.
     pub fn span(ms: u32) -> Micros {
         Micros::from(ms) * 1000
--- a/crates/membership/src/front.rs
+++ b/crates/membership/src/front.rs
@@ -65,7 +65,7 @@
     Paused(Micros),
     /// A name is used by a life at an address that is not its own.
     Twin(u16, u64),
-    /// A front whose list of members differs.
+    /// A front whose list of members, or whose terms, differ.
     Roster(u16),
     /// Others know a later life of this name: this one must begin anew above it.
     Outlived(u64),
