Ask for a cold node's shard as soon as it is there; count processor time in the drill

Need: cold nodes of the drill were listed but hardly asked, so that cold_over could not fail. Change: reads go to their shards; sets in place of scans in the detection; cpu_us_per_request.

--- a/crates/fleet-rig/src/check.rs
+++ b/crates/fleet-rig/src/check.rs
@@ -105,6 +105,8 @@
     pub bytes_per_front_s: f64,
     /// Datagrams that a front sent, a second.
     pub datagrams_per_front_s: f64,
+    /// Processor time of the processes that lived to the end, over all requests, in microseconds.
+    pub cpu_us_per_request: f64,
     /// Every broken promise in words.
     pub broken: Vec<String>,
 }
@@ -130,6 +132,7 @@
         done: &[(Asked, Came)],
         sent: Vec<(u64, u64)>,
         processes: u64,
+        cpu_ms: f64,
     ) -> Figures {
         let count = |of: fn(&Act) -> bool| deeds.iter().filter(|(_, a)| of(a)).count() as u64;
         let seconds = (span.end - span.start).max(1) as f64 / 1e6;
@@ -168,6 +171,7 @@
             idle_limit_share: idle(script, seen, &span),
             bytes_per_front_s: per_front(sent.iter().map(|(_, b)| b).sum()),
             datagrams_per_front_s: per_front(sent.iter().map(|(c, _)| c).sum()),
+            cpu_us_per_request: cpu_ms * 1000.0 / done.len().max(1) as f64,
             broken,
         }
     }
--- a/crates/fleet-rig/src/process.rs
+++ b/crates/fleet-rig/src/process.rs
@@ -156,6 +156,14 @@
         }
     }
 
+    /// Processor time so far, as the kernel counts it (in hundredths of a second).
+    pub fn cpu_ms(&self) -> Option<f64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.id)).ok()?;
+        let mut fields = text.rsplit_once(')')?.1.split_whitespace().skip(11);
+        let (user, system): (f64, f64) = (fields.next()?.parse().ok()?, fields.next()?.parse().ok()?);
+        Some((user + system) * 10.0)
+    }
+
     /// The last lines of its log.
     pub fn said(&self) -> String {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/fleet-rig/src/rig.rs
+++ b/crates/fleet-rig/src/rig.rs
@@ -344,6 +344,8 @@
                 if lives {
                     asked.spawn(async move { (what, clients.ask(at, &ask).await.0) });
                 }
+                // A cold node's shard is asked for as soon as it is there.
+                load.nodes = self.nodes.len() as u32;
                 loads = load.next(span);
             }
             while let Some(Ok(one)) = asked.try_join_next() {
@@ -359,12 +361,23 @@
         let _ = tokio::time::timeout(AFTER, rest).await;
         let sent = (0..self.fronts.len()).map(|i| self.relay.sent(i)).collect();
         let seen = self.seen();
+        let cpu_ms = self.cpu_ms();
         let mut started = 0;
         for (_, entry) in self.history.all() {
             started += u64::from(matches!(entry, crate::history::Entry::Lives(_, _, true)));
         }
         self.end().await;
-        Ok(Figures::of(&script, from..to, &self.history.all(), &self.deeds, &seen, &done, sent, started))
+        Ok(Figures::of(
+            &script,
+            from..to,
+            &self.history.all(),
+            &self.deeds,
+            &seen,
+            &done,
+            sent,
+            started,
+            cpu_ms,
+        ))
     }
 
     /// Waits until all fronts agreed on a view of all, for a while.
@@ -410,6 +423,12 @@
         all
     }
 
+    /// Processor time of all that live now.
+    fn cpu_ms(&self) -> f64 {
+        let of = |p: &Process| p.cpu_ms().unwrap_or(0.0);
+        self.fronts.iter().filter_map(|f| f.process.as_ref()).map(of).sum()
+    }
+
     async fn end(&mut self) {
         for f in &mut self.fronts {
             for process in f.process.take().into_iter().chain(f.twin.take()) {
--- a/crates/lupinrack/src/commands/fleet/drill.rs
+++ b/crates/lupinrack/src/commands/fleet/drill.rs
@@ -134,6 +134,7 @@
         ("agree_ms_p99", f.agree_ms_p99),
         ("bytes_per_front_s", f.bytes_per_front_s),
         ("datagrams_per_front_s", f.datagrams_per_front_s),
+        ("cpu_us_per_request", f.cpu_us_per_request),
     ] {
         text += &format!("{name:<26}{value:>10.3}\n");
     }
--- a/crates/membership/src/bits.rs
+++ b/crates/membership/src/bits.rs
@@ -62,7 +62,14 @@
 
     /// The indexes, in order.
     pub fn iter(&self) -> impl Iterator<Item = u16> + '_ {
-        (0..MOST as u16).filter(|i| self.has(*i))
+        self.0.iter().enumerate().flat_map(|(at, word)| {
+            let mut left = *word;
+            std::iter::from_fn(move || {
+                let bit = left.trailing_zeros();
+                left &= left.wrapping_sub(1);
+                (bit < 64).then_some((at * 64) as u16 + bit as u16)
+            })
+        })
     }
 
     /// As bytes, for a roster of `n`.
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -151,6 +151,10 @@
     me: u16,
     pace: Pace,
     members: Vec<Member>,
+    /// Who is held for there, who is suspected, and of whom there is something to tell: what `members` says, in sets.
+    here: Bits,
+    suspected: Bits,
+    telling: Bits,
     order: Vec<u16>,
     probe: Option<Probe>,
     favours: VecDeque<Favour>,
@@ -176,6 +180,9 @@
             me,
             pace,
             members,
+            here: [me].into_iter().collect(),
+            suspected: Bits::default(),
+            telling: [me].into_iter().collect(),
             order,
             probe: None,
             favours: VecDeque::new(),
@@ -199,8 +206,7 @@
 
     /// Who is held for there, suspects included.
     pub fn present(&self) -> Bits {
-        let here = |m: &Member| matches!(m.state, State::Alive | State::Suspect);
-        (0..self.members.len() as u16).filter(|i| here(&self.members[usize::from(*i)])).collect()
+        self.here
     }
 
     /// Others that are held for there, at random.
@@ -239,6 +245,17 @@
         m.suspects = if news.state == State::Suspect { vec![news.by] } else { Vec::new() };
         m.again = now;
         (m.state, m.life, m.inc, m.by, m.tell) = (news.state, news.life, news.inc, news.by, tell);
+        self.telling.insert(news.of);
+        for (set, is) in [
+            (&mut self.here, matches!(news.state, State::Alive | State::Suspect)),
+            (&mut self.suspected, news.state == State::Suspect),
+        ] {
+            if is {
+                set.insert(news.of)
+            } else {
+                set.remove(news.of)
+            }
+        }
         if from != news.state || reborn {
             changes.push(Change { of: news.of, from, to: news.state, by: news.by, reborn });
         }
@@ -280,6 +297,7 @@
             if m.suspects.len() < CONFIRMS + 1 && !m.suspects.contains(&news.by) {
                 m.suspects.push(news.by);
                 m.tell = tell;
+                self.telling.insert(news.of);
             }
         }
     }
@@ -301,15 +319,20 @@
         told.extend(held.map(|m| worded(to, m)));
         // What may have to be refuted, and refutations, before who is there; of each the least told first.
         let plain = |m: &Member| m.state == State::Alive && m.inc == 0;
-        let mut fresh: Vec<(bool, u32, u16)> = (0..self.members.len() as u16)
+        let mut fresh: Vec<(bool, u32, u16)> = self
+            .telling
+            .iter()
             .map(|i| (i, &self.members[usize::from(i)]))
-            .filter(|(i, m)| *i != to && m.tell > 0 && m.state != State::Unknown)
+            .filter(|(i, _)| *i != to)
             .map(|(i, m)| (!plain(m), m.tell, i))
             .collect();
         fresh.sort_unstable_by(|a, b| b.cmp(a));
         for (.., i) in fresh.into_iter().take(most.saturating_sub(told.len())) {
             let m = &mut self.members[usize::from(i)];
-            m.tell -= 1;
+            m.tell = m.tell.saturating_sub(1);
+            if m.tell == 0 {
+                self.telling.remove(i);
+            }
             let mut news = worded(i, m);
             if m.state == State::Suspect && m.suspects.contains(&self.me) {
                 news.by = self.me;
@@ -425,16 +448,17 @@
             self.health = (self.health + u32::from(p.asked.is_empty() || silent > 0)).min(HEALTH_WORST);
             self.suspect(now, &p, changes);
         }
-        for of in 0..self.members.len() as u16 {
+        let suspected: Vec<u16> = self.suspected.iter().collect();
+        for of in suspected {
             let m = &self.members[usize::from(of)];
-            if m.state == State::Suspect && m.again <= now && m.suspects.contains(&self.me) {
+            if m.again <= now && m.suspects.contains(&self.me) {
                 // It hears of the suspicion first-hand, and its answer refutes it.
                 let nonce = self.nonce();
                 self.members[usize::from(of)].again = now + self.pace.period / 2;
                 out.push(Out::Ping(of, nonce));
             }
             let m = &self.members[usize::from(of)];
-            if m.state == State::Suspect && now - m.since >= self.lasts(m) {
+            if now - m.since >= self.lasts(m) {
                 let news = News { of, state: State::Dead, life: m.life, inc: m.inc, by: self.me };
                 self.set(now, news, changes);
             }
