Hold no leader for gone that was not heard of yet; spread by fronts that were met

Seen by printing ballots and views: candidates stood beside a leader that they had not heard of yet (unknown was taken for gone), and pushes went to fronts whose life was not known, which says nothing. Ruled out: the bound on datagrams (32 of 400 a second). Change: both mended.

--- a/crates/membership/src/front.rs
+++ b/crates/membership/src/front.rs
@@ -114,6 +114,8 @@
     step: Micros,
     per_s: f64,
     peers: Vec<Peer>,
+    /// Those whose life is known.
+    met: Bits,
     swim: Swim,
     agree: Agree,
     lease: Lease,
@@ -200,6 +202,7 @@
             step: (period / 8).max(5_000),
             per_s: f64::from(section.datagrams_per_s),
             peers: vec![Peer::default(); n],
+            met: Bits::default(),
             swim,
             agree: Agree::new(me, life, n, times, now),
             lease: Lease::new(me, n, times),
@@ -246,12 +249,18 @@
             return;
         }
         self.swim.leave(now);
-        for to in self.swim.some(FAN) {
+        for to in self.some(FAN) {
             self.push(now, to, out);
         }
         self.restate(now, out);
     }
 
+    /// Others that are there and that it has met, at random: what is pushed to anybody else says nothing.
+    fn some(&mut self, most: usize) -> Vec<u16> {
+        let met = self.met;
+        self.swim.some(&met, most)
+    }
+
     /// What it may use now.
     pub fn rights(&self, now: Micros) -> Rights {
         let (_, may) = self.stand(now);
@@ -346,7 +355,7 @@
 
     /// Whether a front's life is known; without it nothing but a hello is said to it.
     fn met(&self, to: u16) -> bool {
-        self.peers.get(usize::from(to)).is_some_and(|p| p.life != 0)
+        self.met.has(to)
     }
 
     fn words(&mut self, to: u16) -> wire::Told {
@@ -444,6 +453,7 @@
         }
         if d.life > peer.life {
             (peer.life, peer.window, peer.number) = (d.life, Window::default(), Number::default());
+            self.met.insert(at);
         }
         if !peer.window.take(d.seq) {
             return self.counts.stale += 1;
@@ -550,7 +560,7 @@
                 Step::Renewed(_) => {}
                 Step::Spread => {
                     self.heat();
-                    for to in self.swim.some(FAN) {
+                    for to in self.some(FAN) {
                         self.push(now, to, out);
                     }
                 }
@@ -621,7 +631,7 @@
         self.ask(now, out);
         if self.hot > 0 {
             self.hot -= 1;
-            for to in self.swim.some(1) {
+            for to in self.some(1) {
                 self.push(now, to, out);
             }
         }
@@ -644,9 +654,11 @@
     fn candidate(&mut self, now: Micros, out: &mut Vec<Output>) {
         let ballot = self.agree.promised();
         let leader = self.swim.members().get(usize::from(ballot.leader));
-        let there = leader.is_some_and(|m| {
-            matches!(m.state, State::Alive | State::Suspect) && (m.life == ballot.life || m.life == 0)
-        });
+        // One that was not heard of yet is not gone, nor is one whose life is newer than what is known of it.
+        let gone = |m: &Member| {
+            m.life > ballot.life || matches!(m.state, State::Dead | State::Left) && m.life == ballot.life
+        };
+        let there = leader.is_some_and(|m| !gone(m));
         let fresh = now - self.promised_at < 2 * self.times.drop;
         let led = ballot.round > 0 && there && (self.lease.left(now).is_some() || fresh);
         if led || self.agree.leads() || !self.agree.votes(now) || self.present.0.len() < self.agree.majority()
@@ -679,7 +691,7 @@
         let to = match near && leader != self.me && self.agree.promised().round > 0 && self.dice.u32(0..4) > 0
         {
             true => Some(leader),
-            false => self.swim.some(1).first().copied(),
+            false => self.some(1).first().copied(),
         };
         let Some(to) = to else { return };
         self.nonce = self.nonce.wrapping_add(1) | 1 << 31;
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -209,9 +209,9 @@
         self.here
     }
 
-    /// Others that are held for there, at random.
-    pub fn some(&mut self, most: usize) -> Vec<u16> {
-        let mut others: Vec<u16> = self.present().iter().filter(|i| *i != self.me).collect();
+    /// Others of these that are held for there, at random.
+    pub fn some(&mut self, of: &Bits, most: usize) -> Vec<u16> {
+        let mut others: Vec<u16> = self.present().and(of).iter().filter(|i| *i != self.me).collect();
         self.dice.shuffle(&mut others);
         others.truncate(most);
         others
@@ -435,7 +435,12 @@
         let late = self.probe.as_ref().is_some_and(|p| p.asked.is_empty() && p.patience_ends <= now);
         if late {
             if let Some(mut p) = self.probe.take() {
-                p.asked = self.some(HELPERS + 1).into_iter().filter(|i| *i != p.of).take(HELPERS).collect();
+                p.asked = self
+                    .some(&Bits::first(self.members.len()), HELPERS + 1)
+                    .into_iter()
+                    .filter(|i| *i != p.of)
+                    .take(HELPERS)
+                    .collect();
                 out.extend(p.asked.iter().map(|h| Out::Ask(*h, p.of, p.nonce)));
                 // And once more itself: a datagram may be lost.
                 out.push(Out::Ping(p.of, p.nonce));
