--- a/crates/lupinrack/tests/upstream.rs
+++ b/crates/lupinrack/tests/upstream.rs
@@ -183,3 +183,26 @@
     let fourth = upstream.attempt(parcel(), attempt(&handle, address).await, begins()).await;
     assert_eq!(fourth.outcome, Outcome::Reset);
 }
+
+/// A process that was stopped between the decision and the send wakes with an attempt that others may have paid for by now.
+#[tokio::test]
+async fn an_attempt_whose_right_has_ended_is_never_begun() {
+    let (address, mut came) = scripted(vec![Step::Whole(200, false)]).await;
+    let clock = Clock::start();
+    let (core, handle, _targets) = Core::new(told().module, 3, clock);
+    tokio::spawn(core.run());
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
+    let upstream = Upstream::new(&told(), clock, 64, common::front::room(), Default::default());
+    let until = clock.now() + 60_000_000;
+    handle.rights(Rights { until, reserve: 0.1, cold: 1.0, ..Rights::default() }).await;
+    let mut late = attempt(&handle, address).await;
+    assert_eq!(late.right_until, until);
+    late.right_until = clock.now();
+    assert_eq!(upstream.attempt(parcel(), late, begins()).await.outcome, Outcome::Lapsed);
+    assert!(came.try_recv().is_err(), "nothing of it reached the node");
+    let right = attempt(&handle, address).await;
+    assert_eq!(upstream.attempt(parcel(), right, begins()).await.outcome, Outcome::Ok);
+    // What draws on the reserve has no end.
+    handle.rights(Rights { reserve: 0.1, cold: 0.1, ..Rights::default() }).await;
+    assert_eq!(attempt(&handle, address).await.right_until, Micros::MAX);
+}
--- a/crates/rsync/src/pull.rs
+++ b/crates/rsync/src/pull.rs
@@ -36,6 +36,8 @@
     Unreached(std::io::Error),
     #[error("no connection in time, or the node stops")]
     Unsent,
+    #[error("the right that it drew on had ended")]
+    Lapsed,
     #[error("turned away: {0}")]
     Full(String),
     #[error("server: {0}")]
@@ -50,6 +52,7 @@
     fn outcome(&self) -> Outcome {
         match self {
             PullError::Unreached(_) | PullError::Unsent => Outcome::ConnectFailed,
+            PullError::Lapsed => Outcome::Lapsed,
             PullError::Full(_) => Outcome::Full,
             PullError::Server(_) => Outcome::Error,
             PullError::Wire(_) => Outcome::Reset,
@@ -196,6 +199,10 @@
         () = attempt.to.stopped(clock) => return Err(PullError::Unsent),
         greeted = greet => greeted?,
     };
+    if clock.now() >= attempt.right_until {
+        // This process was stopped meanwhile: others may use by now what this pull drew on.
+        return Err(PullError::Lapsed);
+    }
     let recurse = if want.recursive { "-rt" } else { "-t" };
     let arguments = format!("--server\n--sender\n{recurse}\n.\n{}/{}\n\n", want.module, want.path);
     to.data(arguments.as_bytes()).await?;
