--- a/crates/fleet-rig/src/check.rs
+++ b/crates/fleet-rig/src/check.rs
@@ -136,7 +136,7 @@
     ) -> Figures {
         let count = |of: fn(&Act) -> bool| deeds.iter().filter(|(_, a)| of(a)).count() as u64;
         let seconds = (span.end - span.start).max(1) as f64 / 1e6;
-        let well = Wellness::new(script, deeds, span.start);
+        let well = Wellness::new(script, deeds);
         let mut broken = Vec::new();
         let (views, view_conflicts) = views(history, &mut broken);
         let parts_sum_max = parts(script, history, &mut broken);
@@ -360,14 +360,13 @@
 
 impl Wellness {
     /// From the rig's deeds.
-    pub fn new(script: &Script, deeds: &[(Moment, Act)], begin: Moment) -> Wellness {
+    pub fn new(script: &Script, deeds: &[(Moment, Act)]) -> Wellness {
         let n = script.fronts;
         let size = usize::from(n);
         let mut runs: Vec<Vec<(Moment, bool)>> = vec![vec![(0, !script.late)]; size];
         let mut cuts = vec![false; size * size];
         let mut lossy = false;
         let mut reach = vec![(0, vec![true; size])];
-        let _ = begin;
         for (at, act) in deeds {
             match act {
                 Act::Kill { front } | Act::Stop { front } | Act::Term { front } => {
--- a/crates/fleet-rig/src/relay.rs
+++ b/crates/fleet-rig/src/relay.rs
@@ -3,7 +3,6 @@
 //! Front `i` reaches `j` at a socket that the relay holds for that pair; what comes in there leaves from the socket that `j`
 //! knows `i` by. So the address of a sender is right at the receiver, unless a script makes it another.
 
-use crate::history::now;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -331,8 +330,3 @@
     let _ = tokio::time::timeout(Duration::from_secs(5), copy_bidirectional(inner, outer)).await;
     Some(())
 }
-
-/// The moment, for whoever follows the relay.
-pub fn moment() -> u64 {
-    now()
-}
--- a/crates/fleet-rig/src/rig.rs
+++ b/crates/fleet-rig/src/rig.rs
@@ -13,7 +13,6 @@
 use stand_ins::load::{Ask, Came, Clients};
 use stand_ins::node::{lock, Fate, Group, Manner, Node};
 use stand_ins::settings::configuration;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
@@ -509,10 +508,3 @@
 fn worded(id: &str) -> Option<(u64, u32)> {
     Some((u64::from_str_radix(id.get(..8)?, 16).ok()?, u32::from_str_radix(id.get(8..10)?, 16).ok()?))
 }
-
-/// Requests by front, for those who look at one front alone.
-pub fn by_front(done: &[(Asked, Came)]) -> HashMap<u16, u64> {
-    let mut by = HashMap::new();
-    done.iter().for_each(|(a, _)| *by.entry(a.front).or_default() += 1);
-    by
-}
--- a/crates/fleet-rig/tests/check.rs
+++ b/crates/fleet-rig/tests/check.rs
@@ -81,7 +81,7 @@
     assert_eq!(duplicates(&[write(1), write(2)], &mut broken), 1);
     let script = Script::new("x", 1, 3, 20.0);
     let deeds = [(10 * S, Act::Kill { front: 1 })];
-    let well = Wellness::new(&script, &deeds, 0);
+    let well = Wellness::new(&script, &deeds);
     let ask = |front: u16, at: u64| Asked { at, front, volume: 1, units: 4, limited: true, writes: false };
     let done = |front, at| (ask(front, at), Came::Lost);
     assert_eq!(lost(&[done(1, 9 * S)], &well, &mut broken), 0, "it was killed under it");
@@ -92,7 +92,7 @@
 fn a_front_held_for_dead_while_it_is_well() {
     let script = Script::new("x", 1, 5, 30.0);
     let deeds = [(10 * S, Act::Mute { front: 1 }), (20 * S, Act::Heal)];
-    let well = Wellness::new(&script, &deeds, 0);
+    let well = Wellness::new(&script, &deeds);
     let dead = |at: u64, by: u16, of: u16| {
         (at, said(by, "member", json!({"to": "dead", "front": format!("n{of}")})))
     };
--- a/crates/membership-net/src/lib.rs
+++ b/crates/membership-net/src/lib.rs
@@ -4,7 +4,7 @@
 
 mod report;
 
-pub use report::{Counts, Line, Report};
+pub use report::{Line, Report};
 
 use lupinrack_core::Handle;
 use lupinrack_lifecycle::Phase;
--- a/crates/membership-net/src/report.rs
+++ b/crates/membership-net/src/report.rs
@@ -1,7 +1,7 @@
 //! What a front knows of its fleet, as the door tells it.
 
 use lupinrack_membership::config::Section;
-use lupinrack_membership::Told;
+use lupinrack_membership::{Counts, Told};
 use lupinrack_policy::{Micros, Rights};
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
@@ -37,7 +37,7 @@
     pub health: u32,
     /// All fronts of the roster.
     pub members: Vec<Line>,
-    /// What was counted.
+    /// What was counted, from the start of this life on.
     pub counts: Counts,
 }
 
@@ -60,25 +60,6 @@
     pub in_view: bool,
 }
 
-/// What was counted, from the start on.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize, PartialEq, Eq)]
-pub struct Counts {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Bytes sent.
-    pub bytes: u64,
-    /// Datagrams taken.
-    pub taken: u64,
-    /// Datagrams that were void.
-    pub void: u64,
-    /// Old ones, doubled ones, and those for an earlier life.
-    pub stale: u64,
-    /// Those kept back by the bound on datagrams a second.
-    pub held_back: u64,
-    /// Views accepted.
-    pub views: u64,
-}
-
 impl Report {
     /// What is told, in words.
     pub fn new(section: &Section, now: Micros, told: &Told<'_>, rights: &Rights) -> Report {
@@ -92,7 +73,6 @@
             incarnation: m.inc,
             in_view: told.view.members.has(i as u16),
         });
-        let c = told.counts;
         Report {
             name: name(told.me),
             life: told.life,
@@ -108,15 +88,7 @@
             leads: told.leads,
             health: told.health,
             members: members.collect(),
-            counts: Counts {
-                sent: c.sent,
-                bytes: c.bytes,
-                taken: c.taken,
-                void: c.void,
-                stale: c.stale,
-                held_back: c.held_back,
-                views: c.views,
-            },
+            counts: told.counts,
         }
     }
 
--- a/crates/membership/src/front.rs
+++ b/crates/membership/src/front.rs
@@ -9,6 +9,7 @@
 use crate::swim::{Change, Member, Out, Pace, State, Swim};
 use crate::wire::{self, Body, Datagram, Keys, Window, VOLUMES_MOST};
 use lupinrack_policy::{Micros, Rights, VolumeId};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Looks whose moment is remembered.
@@ -72,9 +73,9 @@
 }
 
 /// What was counted, where it happened.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
-    /// Datagrams sent, and their bytes.
+    /// Datagrams sent.
     pub sent: u64,
     /// Bytes sent.
     pub bytes: u64,
