--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -1,7 +1,7 @@
 //! The node list: its form on the wire, and the loop that watches it.
 
 use crate::clock::Epoch;
-use crate::watching::{Call, Head, Verdict, Watching};
+use crate::watching::{Call, Failure, Head, Verdict, Watching};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::{connect::HttpConnector, Client};
@@ -13,8 +13,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 
-/// How much longer than it may be held an answer may take before the call is given up.
-const PATIENCE: Duration = Duration::from_millis(500);
 /// How long a connection may take to come up: the agent is on the front's own machine.
 const CONNECT: Duration = Duration::from_secs(1);
 /// The longest list taken.
@@ -79,6 +77,15 @@
     Address(#[from] http::Error),
 }
 
+impl CallError {
+    fn failure(&self) -> Failure {
+        match self {
+            CallError::Late => Failure::Silent,
+            _ => Failure::Said,
+        }
+    }
+}
+
 /// Words a list for the core.
 fn listings(list: &List, zones: &[String], epoch: &Epoch) -> Vec<Listing> {
     let zone = |name: &str| Zone(zones.iter().position(|z| z == name).unwrap_or(0) as u8);
@@ -152,7 +159,7 @@
                     }
                 }
                 Err(why) => {
-                    watching.failed();
+                    watching.failed(why.failure());
                     tracing::debug!("discovery: {why}");
                     if before == 0 {
                         tracing::warn!("discovery: {why}; asked again, with growing waits");
@@ -187,6 +194,6 @@
             let body = Limited::new(answer.into_body(), LONGEST).collect().await.map_err(CallError::Body)?;
             Ok(serde_json::from_slice(&body.to_bytes())?)
         };
-        tokio::time::timeout(hold + PATIENCE, exchange).await.unwrap_or(Err(CallError::Late))
+        tokio::time::timeout(call.patience, exchange).await.unwrap_or(Err(CallError::Late))
     }
 }
--- a/crates/platform/src/watching.rs
+++ b/crates/platform/src/watching.rs
@@ -21,9 +21,18 @@
 /// The longest wait after news, which ended all watches at once; under the 200 ms within which a watch goes on, since
 /// a change that falls between two watches can count as told.
 const NEWS: Duration = Duration::from_millis(150);
-/// The longest wait after a failure, and that for each front beyond a small fleet, both before they double.
+/// The longest wait after a failure, and that for each front beyond a small fleet, both before they double. An agent on the
+/// front's own machine is asked again within the first alone, however often it failed: calls to it cost nothing, and what
+/// it gets when discovery returns counts as told at once.
 const RETRY: Duration = Duration::from_millis(90);
 const RETRY_EACH: Duration = Duration::from_millis(80);
+/// The longest wait after a watch fell silent. It is broken then, and what it missed counts as told 2 s after its hold is over
+/// (6 s after the silence began, if that is later); a service that is only busy says so, and is given more time.
+const REOPEN: Duration = Duration::from_millis(500);
+/// How much longer than it may be held an answer may take before its call is given up: a watch's, and that of a call for the
+/// whole list, which is not held but may wait where the service is busy.
+const LATE: Duration = Duration::from_millis(500);
+const LATE_WHOLE: Duration = Duration::from_millis(2_500);
 /// What is waited doubles with each failure up to this factor, and shrinks again with each answer.
 const STRETCH_MOST: f64 = 8.0;
 const STRETCH_KEPT: f64 = 0.75;
@@ -42,6 +51,17 @@
     pub from: Option<u64>,
     /// How long discovery may hold it.
     pub hold: Duration,
+    /// When it is given up as silent, from the moment it is made.
+    pub patience: Duration,
+}
+
+/// How a call came to nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No answer came in time.
+    Silent,
+    /// Anything else: an error, no connection, what cannot be read.
+    Said,
 }
 
 /// What an answer says of itself.
@@ -77,6 +97,8 @@
     Quiet,
     /// With news, as at all fronts.
     News,
+    /// A watch that had worked fell silent.
+    Silent,
     Failed,
 }
 
@@ -84,6 +106,8 @@
 #[derive(Debug)]
 pub struct Watching {
     from: Option<u64>,
+    /// An agent of its own is asked.
+    agent: bool,
     beyond: u32,
     hold: Duration,
     last: Last,
@@ -101,6 +125,7 @@
         let hold = HOLD.mul_f64((f64::from(fronts) / f64::from(SMALL_FLEET)).max(1.0)).min(HOLD_MOST);
         Watching {
             from,
+            agent: how == Discovery::Push,
             beyond: fronts.saturating_sub(SMALL_FLEET),
             hold,
             last: Last::Start,
@@ -118,19 +143,27 @@
             Last::Start => (START_EACH * self.beyond).mul_f64(dice),
             Last::Quiet => Duration::ZERO,
             Last::News => (NEWS * self.beyond.min(1)).mul_f64(dice),
+            Last::Silent => REOPEN.min(if self.agent { RETRY } else { REOPEN }).mul_f64(dice),
+            Last::Failed if self.agent => RETRY.mul_f64(dice),
             Last::Failed => {
                 (RETRY + RETRY_EACH * self.beyond).mul_f64(self.stretch).min(RETRY_MOST).mul_f64(dice)
             }
         };
         let from = self.from.filter(|_| self.doubts < DOUBTS_MOST);
         // Spread, so that calls that began together do not end together.
-        let hold = self.hold.mul_f64(0.75 + 0.25 * self.dice.f64());
-        Call { after, from, hold }
+        let spread = 0.75 + 0.25 * self.dice.f64();
+        let (hold, late) = match from {
+            Some(_) => (self.hold.mul_f64(spread), LATE),
+            None => (Duration::ZERO, LATE_WHOLE),
+        };
+        Call { after, from, hold, patience: hold + late }
     }
 
-    /// The call brought nothing: an error, no answer in time, or what cannot be read.
-    pub fn failed(&mut self) {
-        (self.fails, self.last) = (self.fails.saturating_add(1), Last::Failed);
+    /// The call brought nothing. A watch that falls silent after answers is begun anew at once; what fails again waits.
+    pub fn failed(&mut self, how: Failure) {
+        let fell_silent = how == Failure::Silent && self.fails == 0;
+        self.last = if fell_silent { Last::Silent } else { Last::Failed };
+        self.fails = self.fails.saturating_add(1);
         self.stretch = (self.stretch * 2.0).min(STRETCH_MOST);
     }
 
@@ -146,7 +179,7 @@
         let older = call.from.is_some_and(|from| answer.generation < from);
         let none = whole && answer.empty && self.from.is_some();
         if older || none {
-            self.failed();
+            self.failed(Failure::Said);
             self.doubts = self.doubts.saturating_add(1);
             return Verdict::Doubted;
         }
@@ -191,7 +224,7 @@
             free += if full { 0 } else { WORK };
             let ends = if wait >= 2_000_000 {
                 failures += usize::from(at > 40_000_000);
-                w.failed();
+                w.failed(Failure::Said);
                 at + if full { 3_000 } else { 2_000_000 }
             } else {
                 heard[f] |= at > 40_000_000;
@@ -202,7 +235,7 @@
                         _ => u64::MAX,
                     },
                 );
-                let call = Call { after: Duration::ZERO, from: w.from, hold: HOLD };
+                let call = Call { after: Duration::ZERO, from: w.from, hold: HOLD, patience: HOLD };
                 w.answered(call, Head { empty: over < news, ..ANSWER });
                 over.min(news)
             };
@@ -234,7 +267,7 @@
                 let mut w = Watching::new(ASK, fronts, Some(7), seed);
                 w.next_call();
                 for most in &mut longest {
-                    w.failed();
+                    w.failed(Failure::Said);
                     *most = most.max(w.next_call().after.as_secs_f64());
                 }
                 let call = w.next_call();
@@ -280,11 +313,55 @@
             assert!(agent.next_call().after.is_zero(), "a watch goes on within 200 ms");
             for fronts in [4, 100, 1_000] {
                 let mut service = Watching::new(ASK, fronts, Some(7), seed);
-                (0..6).for_each(|_| service.failed());
+                (0..6).for_each(|_| service.failed(Failure::Said));
                 let call = service.next_call();
                 service.answered(call, news);
                 assert!(service.next_call().after < Duration::from_millis(180));
             }
         }
     }
+
+    /// One clock for silence: what a silent watch misses counts as told 6 s after the silence began, or 2 s after its hold is
+    /// over, and sends must stop within the grace from then on, of which the module uses 0.7. The answer to the next call may take a while.
+    #[test]
+    fn a_watch_that_falls_silent_is_begun_anew_before_what_it_missed_counts() {
+        const ANSWERED: Duration = Duration::from_millis(1_000);
+        let most = Duration::from_secs(2) + Duration::from_millis(350) - ANSWERED;
+        for (how, fronts) in [(Discovery::Push, 300), (ASK, 4), (ASK, 100), (ASK, 300), (ASK, 1_000)] {
+            for seed in 0..300 {
+                let mut w = Watching::new(how, fronts, Some(7), seed);
+                let first = w.next_call();
+                w.answered(first, ANSWER);
+                let silent = w.next_call();
+                w.failed(Failure::Silent);
+                let anew = w.next_call();
+                let late = silent.patience - silent.hold + anew.after;
+                assert!(late <= most, "{how:?}, {fronts} fronts: {late:?} after its hold");
+                // An agent: within the 6 s even if it falls silent once more.
+                w.failed(Failure::Silent);
+                let twice = silent.patience + anew.after + anew.patience + w.next_call().after;
+                assert!(how != Discovery::Push || twice < Duration::from_secs(6), "{twice:?}");
+            }
+        }
+    }
+
+    #[test]
+    fn an_agent_is_asked_again_while_what_it_gets_at_the_return_can_still_be_acted_on() {
+        for seed in 0..300 {
+            let mut w = Watching::new(Discovery::Push, 300, Some(7), seed);
+            for failures in 1..60 {
+                w.failed(if failures % 3 == 0 { Failure::Silent } else { Failure::Said });
+                let call = w.next_call();
+                // The module uses 0.7 of a grace of 1 s: news that is 0.3 s late is late for good.
+                assert!(call.after < Duration::from_millis(100), "{:?} after {failures}", call.after);
+            }
+        }
+    }
+
+    #[test]
+    fn a_call_for_the_whole_list_is_not_waited_for_as_if_it_were_held() {
+        let mut w = Watching::new(ASK, 1_000, None, 1);
+        let call = w.next_call();
+        assert!(call.hold.is_zero() && call.patience < Duration::from_secs(3), "{call:?}");
+    }
 }
--- a/crates/policy/src/asking.rs
+++ b/crates/policy/src/asking.rs
@@ -3,10 +3,11 @@
 
 use crate::interface::{Discovery, ListKind, Micros};
 
-/// Spacing of calls to discovery that failed, first and last, and how long an answer may take.
+/// Spacing of calls to discovery that failed, first and last, and how long an answer may take. What a call that fell silent missed
+/// counts as told 6 s after the silence began: the next one, and its answer, have to be there by then.
 const FIRST: Micros = 700_000;
 const LAST: Micros = 4_000_000;
-const PATIENCE: Micros = 6_000_000;
+const PATIENCE: Micros = 4_500_000;
 
 /// The next call, if one is due at some time.
 #[derive(Default)]
