House: move demo, extents drill and the membership's drill out of the rig

Change: crates/demo, crates/extents-drill, crates/membership-drill. The rig plays and hands over a Witness; what every drill checks (limits, cold nodes, writes that run twice, lost requests, who was well) stands in fleet-rig's checks.rs; stand-ins count answers in one Tally.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,12 +1,13 @@
 //! The demo: a process of the program, stand-in nodes and a stand-in discovery on loopback, and a short mixed load: reads, new
 //! writes, bulk reads, one volume over its limit, one node that drains half-way.
+#![warn(missing_docs)]
 
-use crate::stage::Stage;
-use crate::RigError;
 use clap::Args;
 use hdrhistogram::Histogram;
+use lupinrack_fleet_rig::stage::Stage;
+use lupinrack_fleet_rig::RigError;
 use serde::Serialize;
-use stand_ins::load::{Ask, Came, Clients};
+use stand_ins::load::{Ask, Clients, Tally};
 use stand_ins::node::Manner;
 use stand_ins::settings::configuration;
 use std::path::PathBuf;
@@ -33,16 +34,9 @@
 pub struct Figures {
     /// The seed.
     pub seed: u64,
-    /// Requests sent.
-    pub requests: u64,
-    /// Answered with what a node made for them.
-    pub served: u64,
-    /// Turned away; asking again is harmless.
-    pub refused: u64,
-    /// Answered as failed.
-    pub failed: u64,
-    /// Never answered, or with the answer of another.
-    pub lost: u64,
+    /// What came of the requests.
+    #[serde(flatten)]
+    pub tally: Tally,
     /// New writes that ran more than once.
     pub duplicates: u64,
     /// Of all served: the median from the first byte sent to the last byte of the answer, in milliseconds.
@@ -63,12 +57,12 @@
     pub fn table(&self) -> String {
         let f = self;
         let mut text =
-            format!("seed {}: {} requests through one front to {NODES} nodes\n\n", f.seed, f.requests);
+            format!("seed {}: {} requests through one front to {NODES} nodes\n\n", f.seed, f.tally.requests);
         for (name, count) in [
-            ("served", f.served),
-            ("refused", f.refused),
-            ("failed", f.failed),
-            ("lost", f.lost),
+            ("served", f.tally.served),
+            ("refused", f.tally.refused),
+            ("failed", f.tally.failed),
+            ("lost", f.tally.lost),
             ("duplicated new writes", f.duplicates),
         ] {
             text += &format!("{name:<24}{count:>8}\n");
@@ -116,12 +110,17 @@
         }
         let (clients, ask) = (clients.clone(), ask(&mut dice, number));
         asked.spawn(async move { clients.ask(at, &ask).await });
-        while let Some(Ok(came)) = asked.try_join_next() {
-            figures.count(came, &mut latency);
+        while let Some(Ok((came, after))) = asked.try_join_next() {
+            if figures.tally.count(came) {
+                latency.saturating_record(after.as_micros() as u64);
+            }
         }
     }
     while let Some(came) = asked.join_next().await {
-        figures.count(came.map_err(std::io::Error::other)?, &mut latency);
+        let (came, after) = came.map_err(std::io::Error::other)?;
+        if figures.tally.count(came) {
+            latency.saturating_record(after.as_micros() as u64);
+        }
     }
     stage.end(front).await?;
     figures.duplicates = stage.duplicates();
@@ -152,18 +151,3 @@
         deadline: Duration::from_secs(if class == "read" { 2 } else { 4 }),
     }
 }
-
-impl Figures {
-    fn count(&mut self, (came, after): (Came, Duration), latency: &mut Histogram<u64>) {
-        self.requests += 1;
-        match came {
-            Came::Served => {
-                self.served += 1;
-                latency.saturating_record(after.as_micros() as u64);
-            }
-            Came::Refused => self.refused += 1,
-            Came::Failed => self.failed += 1,
-            Came::Lost => self.lost += 1,
-        }
-    }
-}
--- a/crates/extents-drill/src/lib.rs
+++ b/crates/extents-drill/src/lib.rs
@@ -1,15 +1,16 @@
 //! The extents drill: processes of the program with a relay between them, nodes, discovery and the authority on loopback, all
 //! chances from one seed. What was promised is compared with what the stand-ins saw.
+#![warn(missing_docs)]
 
-use crate::process::Process;
-use crate::relay::Relay;
-use crate::stage::Stage;
-use crate::RigError;
 use clap::{Args, ValueEnum};
+use lupinrack_fleet_rig::process::Process;
+use lupinrack_fleet_rig::relay::Relay;
+use lupinrack_fleet_rig::stage::Stage;
+use lupinrack_fleet_rig::RigError;
 use serde::Serialize;
 use serde_json::json;
 use stand_ins::authority::{Authority, Entrance, Lot, Traffic, Truth};
-use stand_ins::load::{Ask, Came, Clients};
+use stand_ins::load::{Ask, Came, Clients, Tally};
 use stand_ins::node::{lock, Fate, Manner, Whereabouts};
 use stand_ins::settings::configuration;
 use std::collections::{BTreeMap, HashMap};
@@ -87,16 +88,9 @@
     pub strategy: &'static str,
     /// The seed.
     pub seed: u64,
-    /// Requests sent by clients.
-    pub requests: u64,
-    /// Served with the answer made for them.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Answered as failed.
-    pub failed: u64,
-    /// Never answered, or with the answer of another. A promise: 0.
-    pub lost: u64,
+    /// What came of the requests. A promise: none is lost.
+    #[serde(flatten)]
+    pub tally: Tally,
     /// New writes that ran more than once. A promise: 0.
     pub duplicates: u64,
     /// What reached a node more than 1 s (and 50 ms) after the last front was told that it drains. A promise: 0.
@@ -175,7 +169,7 @@
 
     /// How often a promise was broken.
     pub fn broken(&self) -> u64 {
-        self.all().map(|f| f.lost + f.duplicates + f.drain_late).sum()
+        self.all().map(|f| f.tally.lost + f.duplicates + f.drain_late).sum()
     }
 
     /// As a table.
@@ -204,11 +198,11 @@
         text += &format!(
             "{:<10}{:>9}{:>8}{:>8}{:>7}{:>6}{:>6}{:>6}{:>11}{:>9.3}{:>8}{:>10.2}\n",
             f.strategy,
-            f.requests,
-            f.served,
-            f.refused,
-            f.failed,
-            f.lost,
+            f.tally.requests,
+            f.tally.served,
+            f.tally.refused,
+            f.tally.failed,
+            f.tally.lost,
             f.duplicates,
             f.drain_late,
             f.misdirected,
@@ -385,17 +379,17 @@
         let (clients, ask) = (clients.clone(), next(&mut dice, None));
         asked.spawn(async move { clients.ask(at, &ask).await });
         while let Some(Ok(came)) = asked.try_join_next() {
-            figures.count(came.0);
+            figures.tally.count(came.0);
         }
     }
     while let Some(came) = asked.join_next().await {
-        figures.count(came.map_err(std::io::Error::other)?.0);
+        figures.tally.count(came.map_err(std::io::Error::other)?.0);
     }
     let (after, all) = (told(&fronts), traffic(&fronts, &relay));
     figures.refresh_calls = after.iter().sum::<u64>() - before.iter().sum::<u64>();
     figures.datagrams = all.1 - first_load.1;
     let messages = all.0 - first_load.0 + all.2 - first_load.2;
-    figures.message_bytes_per_request = messages as f64 / figures.requests.max(1) as f64;
+    figures.message_bytes_per_request = messages as f64 / figures.tally.requests.max(1) as f64;
     for front in fronts {
         room.stage.end(front.process).await?;
     }
@@ -549,16 +543,6 @@
 }
 
 impl Figures {
-    fn count(&mut self, came: Came) {
-        self.requests += 1;
-        match came {
-            Came::Served => self.served += 1,
-            Came::Refused => self.refused += 1,
-            Came::Failed => self.failed += 1,
-            Came::Lost => self.lost += 1,
-        }
-    }
-
     /// What the nodes saw against what was promised.
     fn compare(&mut self, room: &Room) {
         let mut turned: HashMap<String, u64> = HashMap::new();
@@ -574,6 +558,6 @@
         self.duplicates = room.stage.duplicates();
         self.misdirected = turned.len() as u64;
         self.second_misdirected = turned.values().filter(|n| **n > 1).count() as u64;
-        self.misdirected_share = self.misdirected as f64 / self.requests.max(1) as f64;
+        self.misdirected_share = self.misdirected as f64 / self.tally.requests.max(1) as f64;
     }
 }
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -1,20 +1,18 @@
 //! The rig: real processes of the program on loopback with a fault relay between them, stand-ins for what surrounds them, a
-//! history on one clock, and checkers written apart from the program's own code. It ends all that it started, by id, however
+//! history on one clock, and the checkers that all drills share. A drill is a crate of its own. It ends all that it started, by id, however
 //! it ends itself.
 #![warn(missing_docs)]
 
-pub mod cases;
-pub mod check;
-pub mod demo;
-pub mod extents;
+pub mod checks;
 pub mod history;
 pub mod process;
 pub mod relay;
 pub mod rig;
 pub mod script;
 pub mod stage;
+pub mod witness;
 
-pub use check::{Figures, Verdict};
+pub use checks::Verdict;
 pub use history::{History, Moment};
 pub use rig::{play, Plan, Played};
 pub use script::{Act, Script};
--- a/crates/fleet-rig/src/rig.rs
+++ b/crates/fleet-rig/src/rig.rs
@@ -1,11 +1,11 @@
 //! Plays a script: starts the processes and what surrounds them, carries out the acts, asks for more than the limits, and
 //! hands all that was seen to the checkers.
 
-use crate::check::{Asked, Figures, Seen};
 use crate::history::{now, History, Moment};
 use crate::process::{Guard, Process, Start};
 use crate::relay::{Fault, Relay, Way};
 use crate::script::{Act, Script};
+use crate::witness::{Asked, Seen, Witness, CAPACITY, FALLS, LIMIT};
 use crate::RigError;
 use nix::sys::signal::Signal;
 use serde_json::{json, Value};
@@ -29,12 +29,6 @@
 const DEMAND: f64 = 2.4;
 /// Units of a request that counts against a limit.
 const UNITS: u32 = 4;
-/// The limit of the stand-in settings' plan `basic`: units a second, burst and slack.
-pub const LIMIT: (f64, f64, f64) = (40.0, 32.0, 8.0);
-/// What a warm node can do, in units a second; the share of it that a cold one begins with, and how long it warms.
-pub const CAPACITY: (f64, f64, f64) = (150.0, 0.25, 8.0);
-/// Sent more than this many times what it can do for a second, a node falls over.
-pub const FALLS: f64 = 4.0;
 /// What is told that a cold node always bears, in units within a second. The module leans on it up to twice over, as its days on
 /// the bench allow; what really makes one fall is a quarter above that.
 const BEARS: f64 = 60.0;
@@ -61,8 +55,8 @@
 
 /// What came of it.
 pub struct Played {
-    /// The figures, with every broken promise.
-    pub figures: Figures,
+    /// What the checkers need.
+    pub witness: Witness,
     /// All that happened.
     pub history: Arc<History>,
 }
@@ -100,12 +94,12 @@
     plan.script.check().map_err(RigError::Script)?;
     let history = Arc::new(History::default());
     let folder = plan.folder.clone();
-    let figures = match Rig::new(plan, history.clone()).await {
+    let witness = match Rig::new(plan, history.clone()).await {
         Ok(mut rig) => rig.run().await,
         Err(e) => Err(e),
     };
     let _ = std::fs::remove_dir_all(&folder);
-    Ok(Played { figures: figures?, history })
+    Ok(Played { witness: witness?, history })
 }
 
 impl Rig {
@@ -342,7 +336,7 @@
         Ok(())
     }
 
-    async fn run(&mut self) -> Result<Figures, RigError> {
+    async fn run(&mut self) -> Result<Witness, RigError> {
         let script = self.plan.script.clone();
         if !script.late {
             for front in 0..script.fronts {
@@ -420,17 +414,8 @@
             started += u64::from(matches!(entry, crate::history::Entry::Lives(_, _, true)));
         }
         self.end().await;
-        Ok(Figures::of(
-            &script,
-            from..to,
-            &self.history.all(),
-            &self.deeds,
-            &seen,
-            &done,
-            sent,
-            started,
-            cpu_ms,
-        ))
+        let (history, deeds) = (self.history.all(), std::mem::take(&mut self.deeds));
+        Ok(Witness { span: from..to, history, deeds, seen, done, sent, processes: started, cpu_ms })
     }
 
     /// Waits until all fronts agreed on a view of all, for a while.
--- a/crates/lupinrack/src/commands/demo.rs
+++ b/crates/lupinrack/src/commands/demo.rs
@@ -1,8 +1,8 @@
 //! `lupinrack demo`: a process of this program among stand-ins on loopback, under a short mixed load.
 
 use crate::ended::Ended;
-use lupinrack_fleet_rig::demo::play;
-pub use lupinrack_fleet_rig::demo::Demo;
+use lupinrack_demo::play;
+pub use lupinrack_demo::Demo;
 
 /// Plays the demo and prints what came of it.
 pub fn run(demo: &Demo) -> Result<(), Ended> {
@@ -15,8 +15,8 @@
     } else {
         print!("{}", figures.table());
     }
-    match figures.lost + figures.duplicates {
+    match figures.tally.lost + figures.duplicates {
         0 => Ok(()),
-        _ => Err(Ended::failed(format!("{} lost, {} duplicated", figures.lost, figures.duplicates))),
+        _ => Err(Ended::failed(format!("{} lost, {} duplicated", figures.tally.lost, figures.duplicates))),
     }
 }
--- a/crates/lupinrack/tests/fleet.rs
+++ b/crates/lupinrack/tests/fleet.rs
@@ -1,8 +1,9 @@
 //! Several processes of the program with faults between them. Promises are asserted, never speed; every case of the rig is
 //! played once, four at a time at the most, with shorter leases than in service.
 
-use lupinrack_fleet_rig::cases::{named, CASES};
-use lupinrack_fleet_rig::{play, Act, Figures, Plan, Script};
+use lupinrack_fleet_rig::{Act, Plan, Script};
+use lupinrack_membership_drill::cases::{named, CASES};
+use lupinrack_membership_drill::{play, Figures};
 use std::sync::OnceLock;
 use tokio::sync::Semaphore;
 
--- /dev/null
+++ b/crates/membership-drill/src/lib.rs
@@ -0,0 +1,25 @@
+//! The drill of the membership: scripts of its hard cases, the checkers of what only it promises, and its table of figures. The rig
+//! plays it.
+#![warn(missing_docs)]
+
+pub mod cases;
+pub mod check;
+
+pub use check::Figures;
+use lupinrack_fleet_rig::{rig, History, Plan, RigError};
+use std::sync::Arc;
+
+/// What came of a script.
+pub struct Played {
+    /// The figures, with every broken promise.
+    pub figures: Figures,
+    /// All that happened.
+    pub history: Arc<History>,
+}
+
+/// Plays a script and checks it.
+pub async fn play(plan: Plan) -> Result<Played, RigError> {
+    let script = plan.script.clone();
+    let played = rig::play(plan).await?;
+    Ok(Played { figures: Figures::of(&script, played.witness), history: played.history })
+}
--- a/crates/membership-drill/tests/check.rs
+++ b/crates/membership-drill/tests/check.rs
@@ -1,10 +1,10 @@
 //! Each checker finds the fault that is planted for it, and nothing where there is none.
 
-use lupinrack_fleet_rig::check::{
-    cold, deaths, duplicates, limits, lost, parts, views, Asked, Seen, Wellness,
-};
+use lupinrack_fleet_rig::checks::{cold, duplicates, limits, lost, Wellness};
 use lupinrack_fleet_rig::history::{Entry, Note};
+use lupinrack_fleet_rig::witness::{Asked, Seen};
 use lupinrack_fleet_rig::{Act, Script};
+use lupinrack_membership_drill::check::{deaths, parts, views};
 use serde_json::{json, Value};
 use stand_ins::load::Came;
 
--- a/crates/stand-ins/src/load.rs
+++ b/crates/stand-ins/src/load.rs
@@ -49,6 +49,35 @@
     Lost,
 }
 
+/// What came of all requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Tally {
+    /// Requests sent.
+    pub requests: u64,
+    /// Answered with what a node made for them.
+    pub served: u64,
+    /// Turned away; asking again is harmless.
+    pub refused: u64,
+    /// Answered as failed.
+    pub failed: u64,
+    /// Never answered, or with the answer of another.
+    pub lost: u64,
+}
+
+impl Tally {
+    /// Counts one; true: it was served.
+    pub fn count(&mut self, came: Came) -> bool {
+        self.requests += 1;
+        *match came {
+            Came::Served => &mut self.served,
+            Came::Refused => &mut self.refused,
+            Came::Failed => &mut self.failed,
+            Came::Lost => &mut self.lost,
+        } += 1;
+        came == Came::Served
+    }
+}
+
 /// How much longer than its deadline a client listens before it calls a request lost.
 const GRACE: Duration = Duration::from_millis(500);
 
