--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -10,6 +10,7 @@
 use axum::extract::{Request as AxumRequest, State};
 use axum::routing::get;
 use axum::Router;
+use futures_util::FutureExt;
 use http::{header, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -26,11 +27,16 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch};
 use tokio::time::{sleep_until, Instant};
 use tracing::Instrument;
 
+/// How long the queue of new connections is looked at before it closes: whether anybody waits in it is known only after a turn.
+const LOOK: Duration = Duration::from_millis(2);
+/// How long connections stay open once the queue of new ones is closed: a request that crosses the close has to be sent again elsewhere.
+const HEARD: Duration = Duration::from_millis(20);
+
 /// The wait after an accept that failed, as it does when descriptors run out.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -64,18 +70,8 @@
     let app = Router::new().route("/health/ready", get(ready)).fallback(take).with_state(front);
     let connections = GracefulShutdown::new();
     let places = Places::new(most);
-    for number in 0.. {
-        let next = tokio::select! {
-            biased;
-            // Where another process takes from the same queue, what is left in it is left to that one.
-            () = reached(&mut phase, last) => break,
-            next = listener.accept() => next,
-        };
-        let Ok((stream, _)) = next else {
-            tokio::time::sleep(PAUSE).await;
-            continue;
-        };
-        // A connection that was taken is served, also where the end comes while it waits for its place.
+    // A connection that was taken is served, also where the end comes while it waits for its place.
+    let serve = async |number: u64, stream: TcpStream| {
         let _ = stream.set_nodelay(true);
         let (gate, visit) = Gate::new(stream, ending.clone());
         let place = places.take(number, &visit).await;
@@ -91,12 +87,40 @@
             }
             drop(place);
         });
+    };
+    let mut number = 0;
+    loop {
+        let next = tokio::select! {
+            biased;
+            // Where another process takes from the same queue, what is left in it is left to that one.
+            () = reached(&mut phase, last) => break,
+            next = listener.accept() => next,
+        };
+        match next {
+            Ok((stream, _)) => serve(number, stream).await,
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+        number += 1;
+    }
+    // What the system took until now would be reset with the queue, its requests unheard: look at it once more, then take what is left.
+    if last >= Phase::Closing {
+        let until = Instant::now() + LOOK;
+        while let Ok(Ok((stream, _))) = tokio::time::timeout_at(until, listener.accept()).await {
+            serve(number, stream).await;
+            number += 1;
+        }
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            serve(number, stream).await;
+            number += 1;
+        }
     }
     drop(listener);
     tokio::select! {
         () = reached(&mut phase, Phase::Closing) => {}
         () = places.empty() => {}
     }
+    // A request that is on its way to a connection without one is heard, where it comes at once.
+    tokio::time::sleep(HEARD).await;
     connections.shutdown().await;
 }
 
