House: one carrier between fronts, and one kind of part

Need: overload, rule versions and missing keys are to go by the fleet's one socket, and what they share out by its views and leases; the head, keys, window and budget stood inside the membership, and only limits had parts.

Change: crates/carrier: a head with the machine's tag, keyed sums, the window, a budget of datagrams and bytes by priority (the membership first, whoever floods holds back nobody before it), and bounded streams of up to 64 KiB with selective repeat.

--- /dev/null
+++ b/crates/carrier/src/lib.rs
@@ -0,0 +1,9 @@
+//! What all machines of the fleet share between two fronts: one head with a keyed sum ([`frame`]), a budget of datagrams and
+//! bytes by priority ([`budget`]), and bounded streams for what does not fit into a datagram ([`stream`]). No I/O, no clock.
+#![warn(missing_docs)]
+
+pub mod budget;
+pub mod frame;
+pub mod stream;
+
+pub use frame::{Head, Keys, Tag, Void, LONGEST};
--- a/crates/membership-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -181,6 +181,7 @@
                     }
                     Output::Event(Event::Outlived(above)) => return Some(above),
                     Output::Event(event) => self.tell(&event),
+                    Output::Carried(..) | Output::Reborn(_) => {}
                 }
             }
         }
--- a/crates/fleet-rig/src/process.rs
+++ b/crates/fleet-rig/src/process.rs
@@ -119,7 +119,7 @@
         // Whoever asks for a log of their own gets it, beside the lines that the rig lives by.
         let wanted = std::env::var("LUPINRACK_LOG").ok();
         let own = wanted.as_deref().map(|w| format!("{w},")).unwrap_or_default();
-        let filter = format!("{own}info,lupinrack_membership_net=debug");
+        let filter = format!("{own}info,lupinrack_fleet_net=debug");
         let mut command = match start.socket {
             Some(socket) => {
                 let mut shell = Command::new("/bin/sh");
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -379,6 +379,8 @@
                     }
                 }
                 Output::Event(event) => self.event(slot, &event),
+                // No other machine speaks in this world.
+                Output::Carried(..) | Output::Reborn(_) => {}
             }
         }
         self.hold(slot);
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -7,6 +7,7 @@
 use lupinrack_extents::{self as extents, Cache, Counters};
 use lupinrack_extents_net::Driver;
 use lupinrack_figures::{Figures, Targets};
+use lupinrack_fleet_net::{Driver as FleetDriver, Fleet};
 use lupinrack_flows::config::IpfixConfig;
 use lupinrack_http::budget::{Budget, Room};
 use lupinrack_http::upstream::Upstream;
@@ -14,7 +15,6 @@
 use lupinrack_lifecycle as lifecycle;
 use lupinrack_lifecycle::Phase;
 use lupinrack_membership::config::Section as FleetSection;
-use lupinrack_membership_net::{Driver as FleetDriver, Fleet};
 use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, inherited, reload};
 use lupinrack_rsync::{config::RsyncConfig, daemon};
 use lupinrack_settings::Told;
@@ -267,7 +267,7 @@
 }
 
 /// What the fleet's driver tells, where there is one; it may wait for its address, and the door may not wait for it.
-async fn fleet_report(fleet: &Option<Fleet>) -> Option<lupinrack_membership_net::Report> {
+async fn fleet_report(fleet: &Option<Fleet>) -> Option<lupinrack_fleet_net::Report> {
     let report = fleet.as_ref()?.report();
     tokio::time::timeout(Duration::from_millis(300), report).await.ok()?
 }
--- a/crates/membership/src/front.rs
+++ b/crates/membership/src/front.rs
@@ -4,10 +4,13 @@
 use crate::bits::Bits;
 use crate::config::Section;
 use crate::lease::{Lease, Right};
-use crate::serving::{factor, Serving};
+use crate::part::{factor, Share};
+use crate::serving::Serving;
 use crate::stance::{decide, May, Seen, Stance};
 use crate::swim::{Change, Member, Out, Pace, State, Swim};
-use crate::wire::{self, Body, Datagram, Keys, Window, VOLUMES_MOST};
+use crate::wire::{self, Body, Datagram, Keys, Void, Window, VOLUMES_MOST};
+use lupinrack_carrier::budget::Budget;
+use lupinrack_carrier::frame::{self, Head, Tag};
 use lupinrack_policy::{Micros, Rights, VolumeId};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
@@ -58,6 +61,10 @@
     Send(u16, Vec<u8>),
     /// Back to where the datagram came from.
     Answer(Vec<u8>),
+    /// A member's machine says this to the same machine here. Its life is the one that is held now.
+    Carried(u16, Tag, Vec<u8>),
+    /// Another life of a member is heard, or the first: what was underway between the two has ended.
+    Reborn(u16),
     /// Something that operators are told of.
     Event(Event),
 }
@@ -98,6 +105,9 @@
     pub stale: u64,
     /// Those kept back by the bound on datagrams a second.
     pub held_back: u64,
+    /// Datagrams of other machines sent, those of streams too; counted in `sent` as well.
+    #[serde(default)]
+    pub carried: u64,
     /// Views accepted.
     pub views: u64,
 }
@@ -130,7 +140,7 @@
     reserve: f64,
     step: Micros,
     period: Micros,
-    per_s: f64,
+    budget: Budget,
     peers: Vec<Peer>,
     swim: Swim,
     agree: Agree,
@@ -165,8 +175,6 @@
     hot: u32,
     /// Datagrams, every other of which is to carry a view that is new here.
     view_hot: u32,
-    tokens: f64,
-    filled: Micros,
     counts: Counts,
 }
 
@@ -225,7 +233,7 @@
             reserve: section.reserve.clamp(0.0, 1.0),
             step: (period / 8).max(5_000),
             period,
-            per_s: f64::from(section.datagrams_per_s),
+            budget: Budget::new(now, f64::from(section.datagrams_per_s)),
             peers: vec![Peer::default(); n],
             swim,
             agree: Agree::new(me, life, n, times, now),
@@ -255,8 +263,6 @@
             stranger_at: 0,
             hot: 0,
             view_hot: 0,
-            tokens: f64::from(section.datagrams_per_s) / 4.0,
-            filled: now,
             counts: Counts::default(),
         }
     }
@@ -288,21 +294,31 @@
         self.swim.some(most)
     }
 
-    /// What it may use now.
-    pub fn rights(&self, now: Micros) -> Rights {
+    /// What it may use now of whatever all fronts of the roster share.
+    pub fn share(&self, now: Micros) -> Share {
         let (_, may) = self.stand(now);
         let right = self.lease.right(now);
         let reserve = if may == May::Nothing { 0.0 } else { self.reserve };
-        let whole = may == May::View;
-        let gone = right.absent.len() as f64;
-        let cold = if whole { factor(self.n as f64, gone, self.reserve) } else { reserve };
+        match may {
+            May::View => {
+                let held = factor(self.n as f64, right.absent.len() as f64, self.reserve);
+                Share { until: right.until, held, reserve }
+            }
+            _ => Share { until: now, held: reserve, reserve },
+        }
+    }
+
+    /// The same for the module, with what is shared among the fronts of one volume.
+    pub fn rights(&self, now: Micros) -> Rights {
+        let (share, right) = (self.share(now), self.lease.right(now));
+        let whole = share.until > now;
         // Where some are missing, a volume that not all others know of is left at the reserve.
         let shared = whole && right.partial && self.n <= SHARING_MOST;
         let factors = if shared { self.factors(&right) } else { BTreeMap::new() };
         Rights {
-            until: if whole { right.until } else { now },
-            reserve,
-            cold,
+            until: share.until,
+            reserve: share.reserve,
+            cold: share.held,
             factors,
             rest: if shared { self.reserve } else { 1.0 },
         }
@@ -372,14 +388,10 @@
     }
 
     fn worded(&mut self, now: Micros, to_life: u64, body: Body) -> Option<Vec<u8>> {
-        self.tokens =
-            (self.tokens + self.per_s * (now - self.filled).max(0) as f64 / 1e6).min(self.per_s / 4.0);
-        self.filled = now;
-        if self.tokens < 1.0 {
+        if !self.budget.draw(now, Tag::MEMBERSHIP, 0) {
             self.counts.held_back += 1;
             return None;
         }
-        self.tokens -= 1.0;
         self.seq = self.seq.wrapping_add(1);
         let datagram = Datagram {
             roster: self.roster,
@@ -396,6 +408,32 @@
         Some(bytes)
     }
 
+    /// Whether another machine may say so much to a member now: it is met, and there is room in the machine's budget, of which this is
+    /// drawn. A member that is met is one whose life is known, not one that is there.
+    pub fn may_carry(&mut self, now: Micros, to: u16, tag: Tag, bytes: usize) -> bool {
+        let known = to != self.me && self.met(to) && bytes <= frame::room(&self.keys);
+        let may = known && self.budget.draw(now, tag, frame::LONGEST - frame::room(&self.keys) + bytes);
+        self.counts.held_back += u64::from(known && !may);
+        may
+    }
+
+    /// Says what [`Front::may_carry`] allowed.
+    pub fn carry_to(&mut self, to: u16, tag: Tag, said: &[u8], out: &mut Vec<Output>) {
+        self.seq = self.seq.wrapping_add(1);
+        let (roster, from, seq, life, to_life) =
+            (self.roster, self.me, self.seq, self.life, self.life_of(to));
+        let bytes = frame::seal(&Head { tag, roster, from, seq, life, to_life }, said, &self.keys);
+        self.counts.sent += 1;
+        self.counts.carried += 1;
+        self.counts.bytes += bytes.len() as u64;
+        out.push(Output::Send(to, bytes));
+    }
+
+    /// How many bytes a machine may say in one datagram.
+    pub fn room(&self) -> usize {
+        frame::room(&self.keys)
+    }
+
     /// A front's life, first-hand or as others told; 0: not known, and nothing but a hello is said to it.
     fn life_of(&self, of: u16) -> u64 {
         let at = usize::from(of);
@@ -486,20 +524,39 @@
 
     /// Takes a datagram.
     pub fn datagram(&mut self, now: Micros, source: Source, bytes: &[u8], out: &mut Vec<Output>) {
-        let d = match Datagram::read(bytes, self.n, &self.keys) {
-            Ok(d) => d,
-            Err(_) => return self.counts.void += 1,
+        let read = frame::open(bytes, self.n, &self.keys).and_then(|(head, said)| {
+            let own =
+                (head.tag == Tag::MEMBERSHIP).then(|| Datagram::said(head, said, self.n)).transpose()?;
+            let known = own.is_some() || Tag::ALL.contains(&head.tag);
+            known.then_some((head, said, own)).ok_or(Void::Content)
+        });
+        let Ok((head, said, own)) = read else { return self.counts.void += 1 };
+        let at = match source {
+            Source::Peer(at) if at == head.from && at != self.me => at,
+            _ => return self.stranger(now, &head, out),
         };
-        let Source::Peer(at) = source else { return self.stranger(now, &d, out) };
-        if d.from != at || at == self.me {
-            return self.stranger(now, &d, out);
+        if !self.admits(now, at, &head, out) {
+            return;
         }
-        let Some(peer) = self.peers.get_mut(usize::from(at)) else { return };
+        let Some(d) = own else { return out.push(Output::Carried(at, head.tag, said.to_vec())) };
+        // That its name is another's is no word for this life.
+        self.acknowledged |= d.body != Body::Contested;
+        let mut changes = Vec::new();
+        self.swim.heard(now, at, d.life, d.inc, &mut changes);
+        self.changed(changes, out);
+        self.body(now, at, d.body, out);
+        self.restate(now, out);
+    }
+
+    /// Whether a member's datagram is taken: of its terms, from a life to this life, and for the first time.
+    fn admits(&mut self, now: Micros, at: u16, d: &Head, out: &mut Vec<Output>) -> bool {
+        let Some(peer) = self.peers.get_mut(usize::from(at)) else { return false };
         if d.roster != self.roster {
             if !std::mem::replace(&mut peer.roster_told, true) {
                 out.push(Output::Event(Event::Roster(at)));
             }
-            return self.counts.void += 1;
+            self.counts.void += 1;
+            return false;
         }
         // Meant for an earlier life of this front, or its sender does not know this life: it is told.
         if d.to_life != self.life {
@@ -515,26 +572,21 @@
                     out.push(Output::Send(at, bytes));
                 }
             }
-            return;
+            return false;
         }
         if d.life < peer.life {
-            return self.counts.stale += 1;
+            self.counts.stale += 1;
+            return false;
         }
         if d.life > peer.life {
             (peer.life, peer.window, peer.number) = (d.life, Window::default(), Number::default());
             self.serving.reborn(at);
+            out.push(Output::Reborn(at));
         }
-        if !peer.window.take(d.seq) {
-            return self.counts.stale += 1;
-        }
-        self.counts.taken += 1;
-        // That its name is another's is no word for this life.
-        self.acknowledged |= d.body != Body::Contested;
-        let mut changes = Vec::new();
-        self.swim.heard(now, at, d.life, d.inc, &mut changes);
-        self.changed(changes, out);
-        self.body(now, at, d.body, out);
-        self.restate(now, out);
+        let new = peer.window.take(d.seq);
+        self.counts.taken += u64::from(new);
+        self.counts.stale += u64::from(!new);
+        new
     }
 
     fn body(&mut self, now: Micros, from: u16, body: Body, out: &mut Vec<Output>) {
@@ -664,7 +716,7 @@
     }
 
     /// A datagram from elsewhere, whose sum is right: some life uses a name of this roster at another address.
-    fn stranger(&mut self, now: Micros, d: &Datagram, out: &mut Vec<Output>) {
+    fn stranger(&mut self, now: Micros, d: &Head, out: &mut Vec<Output>) {
         if d.roster != self.roster || now - self.stranger_at < STRANGER {
             return self.counts.void += 1;
         }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,5 +1,5 @@
 //! Fronts that know each other, as machines without I/O, clock or chance of their own: who is there ([`swim`]), on which
-//! list a majority agreed ([`agree`]), what may be used of limits and until when ([`lease`], [`serving`]), and what to do
+//! list a majority agreed ([`agree`]), what may be used of what is shared and until when ([`lease`], [`serving`], [`part`]), and what to do
 //! while they disagree ([`stance`]). [`Front`] puts them together; a driver, the lab and the model checker run the same.
 #![warn(missing_docs)]
 
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod front;
 pub mod lease;
+pub mod part;
 pub mod serving;
 pub mod stance;
 pub mod swim;
--- a/crates/membership/src/serving.rs
+++ b/crates/membership/src/serving.rs
@@ -9,6 +9,7 @@
 //! most, which is less than what was told is remembered for.
 
 use crate::bits::Bits;
+use crate::part::factor;
 use lupinrack_policy::Micros;
 use std::collections::BTreeMap;
 
@@ -19,15 +20,6 @@
 /// A round of telling; answers count in it and in the next one.
 const ROUND: Micros = 40_000_000;
 
-/// How many times its even part a front may use of a volume that works through `hosts` fronts, `gone` of which surely use
-/// nothing but their reserve: those that are left share out evenly what is free.
-pub fn factor(hosts: f64, gone: f64, reserve: f64) -> f64 {
-    if gone <= 0.0 || gone >= hosts {
-        return 1.0;
-    }
-    1.0 + gone * (1.0 - reserve.clamp(0.0, 1.0)) / (hosts - gone)
-}
-
 #[derive(Clone, Debug, Default)]
 struct Volume {
     /// Through how many fronts it works, where this front serves it.
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -1,38 +1,20 @@
-//! Datagrams between fronts: at most 256 bytes, with a keyed sum where the operators set a key.
+//! What the membership says in a datagram of the carrier: a kind, the sender's incarnation, and a body by kind.
 //!
-//! Little-endian throughout. A head of 34 bytes (form, kind, roster, sender, sequence number, life, the receiver's life as the
-//! sender knows it, incarnation), a body by kind, and the sum over all of it. Nothing in it is longer than it says, and
-//! whatever is left over makes it void.
+//! Nothing in it is longer than it says, and whatever is left over makes it void.
 
 use crate::agree::{Ballot, Number, Promises, Round, View, Word};
 use crate::bits::Bits;
 use crate::swim::{News, State};
+use lupinrack_carrier::frame::{open, room, seal, Head, Reader, Tag, Writer};
+pub use lupinrack_carrier::frame::{Key, Keys, Void, Window, LONGEST};
 use lupinrack_policy::Micros;
 
-/// The longest datagram.
-pub const LONGEST: usize = 256;
 /// The most volumes of one datagram.
 pub const VOLUMES_MOST: usize = 24;
-const MAGIC: [u8; 2] = [0x6c, 0x02];
-const HEAD: usize = 34;
-const KEYED: usize = 16;
-const PLAIN: usize = 4;
 const NEWS: usize = 15;
 const BALLOT: usize = 14;
 const NUMBER: usize = BALLOT + 4;
 
-/// A key, 32 bytes.
-pub type Key = [u8; 32];
-
-/// The sums in force. Without a key it is a checksum, which tells damage and nothing else.
-#[derive(Clone, Default)]
-pub struct Keys {
-    /// The one that is signed with.
-    pub sign: Option<Key>,
-    /// Another that is valid too, while keys are changed.
-    pub also: Option<Key>,
-}
-
 /// What a datagram says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Body {
@@ -86,34 +68,15 @@
     pub body: Body,
 }
 
-/// Why a datagram is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Void {
-    /// Not of this form.
-    #[error("not a datagram of this form")]
-    Form,
-    /// Its sum is not right under any key in force.
-    #[error("its sum is wrong")]
-    Sum,
-    /// Its content contradicts its form.
-    #[error("its content is spoilt")]
-    Content,
+/// The membership's own forms.
+trait Write {
+    fn ballot(&mut self, b: &Ballot);
+    fn number(&mut self, n: &Number);
+    fn volumes(&mut self, round: u8, volumes: &[u64]);
+    fn told(&mut self, told: &Told, n: usize, room: usize);
 }
 
-fn sum(key: &Option<Key>, bytes: &[u8]) -> Vec<u8> {
-    match key {
-        Some(key) => blake3::keyed_hash(key, bytes).as_bytes()[..KEYED].to_vec(),
-        None => crc32fast::hash(bytes).to_le_bytes().to_vec(),
-    }
-}
-
-struct Writer(Vec<u8>);
-
-impl Writer {
-    fn put<const N: usize>(&mut self, bytes: [u8; N]) {
-        self.0.extend(bytes);
-    }
-
+impl Write for Writer {
     fn ballot(&mut self, b: &Ballot) {
         self.put(b.round.to_le_bytes());
         self.put(b.leader.to_le_bytes());
@@ -173,35 +136,15 @@
     }
 }
 
-struct Reader<'a>(&'a [u8]);
-
-impl<'a> Reader<'a> {
-    fn take(&mut self, n: usize) -> Option<&'a [u8]> {
-        let (head, rest) = self.0.split_at_checked(n)?;
-        self.0 = rest;
-        Some(head)
-    }
-
-    fn array<const N: usize>(&mut self) -> Option<[u8; N]> {
-        self.take(N)?.try_into().ok()
-    }
-
-    fn u8(&mut self) -> Option<u8> {
-        self.array::<1>().map(|b| b[0])
-    }
-
-    fn u16(&mut self) -> Option<u16> {
-        self.array().map(u16::from_le_bytes)
-    }
-
-    fn u32(&mut self) -> Option<u32> {
-        self.array().map(u32::from_le_bytes)
-    }
-
-    fn u64(&mut self) -> Option<u64> {
-        self.array().map(u64::from_le_bytes)
-    }
+trait Read {
+    fn volumes(&mut self) -> Option<Vec<u64>>;
+    fn ballot(&mut self) -> Option<Ballot>;
+    fn number(&mut self) -> Option<Number>;
+    fn bits(&mut self, n: usize) -> Option<Bits>;
+    fn told(&mut self, n: usize) -> Option<Told>;
+}
 
+impl Read for Reader<'_> {
     fn volumes(&mut self) -> Option<Vec<u64>> {
         let count = Some(usize::from(self.u8()?)).filter(|n| *n <= VOLUMES_MOST)?;
         (0..count).map(|_| self.u64()).collect()
@@ -257,10 +200,16 @@
 }
 
 impl Datagram {
+    /// Its head, as the carrier has it.
+    pub fn head(&self) -> Head {
+        let (roster, from, seq, life, to_life) = (self.roster, self.from, self.seq, self.life, self.to_life);
+        Head { tag: Tag::MEMBERSHIP, roster, from, seq, life, to_life }
+    }
+
     /// As bytes, for a roster of `n` fronts.
     pub fn write(&self, n: usize, keys: &Keys) -> Vec<u8> {
-        let mut w = Writer(Vec::with_capacity(LONGEST));
-        let tail = if keys.sign.is_some() { KEYED } else { PLAIN };
+        let most = room(keys);
+        let mut w = Writer(Vec::with_capacity(most));
         let kind = match &self.body {
             Body::Hello(_) => 0,
             Body::Ping(..) => 1,
@@ -272,16 +221,9 @@
             Body::Contested => 7,
             Body::Heard(..) => 8,
         };
-        w.put(MAGIC);
         w.put([kind, 0]);
-        w.put(self.roster.to_le_bytes());
-        w.put(self.from.to_le_bytes());
-        w.put(self.seq.to_le_bytes());
-        w.put(self.life.to_le_bytes());
-        w.put(self.to_life.to_le_bytes());
         w.put(self.inc.to_le_bytes());
-        w.put([0, 0]);
-        let room = |w: &Writer| LONGEST - tail - w.0.len();
+        let room = |w: &Writer| most - w.0.len();
         match &self.body {
             Body::Contested => {}
             Body::Hello(known) => w.put(known.to_le_bytes()),
@@ -314,30 +256,24 @@
                 w.put(too.to_le_bytes());
             }
         }
-        let sum = sum(&keys.sign, &w.0);
-        w.0.extend(sum);
-        w.0
+        seal(&self.head(), &w.0, keys)
     }
 
     /// From bytes, for a roster of `n` fronts.
     pub fn read(bytes: &[u8], n: usize, keys: &Keys) -> Result<Datagram, Void> {
-        if bytes.len() > LONGEST || bytes.len() < HEAD || bytes[..2] != MAGIC {
-            return Err(Void::Form);
+        let (head, said) = open(bytes, n, keys)?;
+        match head.tag {
+            Tag::MEMBERSHIP => Datagram::said(head, said, n),
+            _ => Err(Void::Content),
         }
-        let tail = if keys.sign.is_some() { KEYED } else { PLAIN };
-        let (said, theirs) = bytes.split_at_checked(bytes.len() - tail).ok_or(Void::Form)?;
-        let right = |key: &Option<Key>| sum(key, said) == theirs;
-        if !(right(&keys.sign) || keys.also.is_some() && right(&keys.also)) {
-            return Err(Void::Sum);
-        }
-        let mut r = Reader(&said[2..]);
+    }
+
+    /// From what the carrier made of it.
+    pub fn said(head: Head, said: &[u8], n: usize) -> Result<Datagram, Void> {
+        let Head { roster, from, seq, life, to_life, .. } = head;
+        let mut r = Reader(said);
         let mut read = || -> Option<Datagram> {
-            let (kind, zero) = (r.u8()?, r.u8()?);
-            let (roster, from, seq, life) = (r.u32()?, r.u16()?, r.u32()?, r.u64()?);
-            let (to_life, inc, pad) = (r.u64()?, r.u16()?, r.u16()?);
-            if usize::from(from) >= n || zero != 0 || pad != 0 || life == 0 {
-                return None;
-            }
+            let (kind, zero, inc) = (r.u8()?, r.u8()?, r.u16()?);
             let body = match kind {
                 0 => Body::Hello(r.u64()?),
                 1 => Body::Ping(r.u32()?, r.told(n)?),
@@ -350,30 +286,9 @@
                 7 => Body::Contested,
                 _ => return None,
             };
-            r.0.is_empty().then_some(Datagram { roster, from, seq, life, to_life, inc, body })
+            let whole = r.0.is_empty() && zero == 0;
+            whole.then_some(Datagram { roster, from, seq, life, to_life, inc, body })
         };
         read().ok_or(Void::Content)
     }
 }
-
-/// What has been taken of one life of a sender: nothing is taken twice, nor what is older than a window.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Window {
-    last: u32,
-    seen: u64,
-}
-
-impl Window {
-    /// Whether this number is new; it is noted.
-    pub fn take(&mut self, seq: u32) -> bool {
-        if seq > self.last {
-            let by = seq - self.last;
-            self.seen = if by >= 64 { 0 } else { self.seen << by };
-            self.last = seq;
-        }
-        let back = self.last - seq;
-        let new = back < 64 && self.seen >> back & 1 == 0;
-        self.seen |= if back < 64 { 1 << back } else { 0 };
-        new
-    }
-}
--- a/crates/membership/tests/wire.rs
+++ b/crates/membership/tests/wire.rs
@@ -122,7 +122,8 @@
         let n = dice.usize(1..1025);
         let mut bytes: Vec<u8> = (0..dice.usize(0..252)).map(|_| dice.u8(..)).collect();
         if bytes.len() > 4 && dice.bool() {
-            bytes[..4].copy_from_slice(&[0x6c, 2, dice.u8(0..10), 0]);
+            bytes[..4].copy_from_slice(&[0x6c, 3, 0, 0]);
+            bytes.get_mut(30..32).into_iter().for_each(|b| b.copy_from_slice(&[dice.u8(0..10), 0]));
         }
         bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
         if let Ok(read) = Datagram::read(&bytes, n, &Keys::default()) {
