--- a/crates/membership/src/part.rs
+++ b/crates/membership/src/part.rs
@@ -14,7 +14,7 @@
 //! // One of five fronts; two of the others are gone for certain, and nobody ever takes a reserve of 0.15.
 //! let share = Share { until: 2_000_000, held: factor(5.0, 2.0, 0.15), reserve: 0.15 };
 //! let mut purse = Purse::new(0, Whole { per_s: 50.0, burst: 25.0, fronts: 5 }, share);
-//! assert!(purse.draw(1_000_000, &share, 10.0));
+//! assert!(purse.draw(1_000_000, &share, 7.0));
 //! // Past its lease it has its reserve, whatever it held.
 //! assert!(!purse.draw(2_000_000, &share, 5.0));
 //! ```
