House: the hub of a front's machines, its driver with inboxes, and the ground written down

Need: a machine of the fleet is to see typed messages, members, the view and its lease, never a socket; a stranger who adds a decision is to find its five places in a minute.

Change: crates/fleet puts membership and streams together (Hub: Standing, Said, say, stream); crates/fleet-net drives it and lets machines be attached by tag, with bounded inboxes (datagrams give way first, streams stand still). docs/design/as-one.md: sketch, options weighed, bounds, the five places.

--- a/crates/carrier/src/stream.rs
+++ b/crates/carrier/src/stream.rs
@@ -190,7 +190,7 @@
     }
 
     /// Carries on at a moment: pieces that are due, at most a window for each front. `may` says whether one more may go.
-    pub fn tick(&mut self, now: Micros, mut may: impl FnMut(usize) -> bool, out: &mut Vec<Out>) {
+    pub fn tick(&mut self, now: Micros, mut may: impl FnMut(u16, usize) -> bool, out: &mut Vec<Out>) {
         for (to, s) in &mut self.sending {
             let Some(m) = s.waiting.front().filter(|_| now - s.moved_at < PATIENCE) else {
                 if let Some(m) = s.waiting.pop_front() {
@@ -200,7 +200,7 @@
                 continue;
             };
             let mut piece = |at: usize, end: usize| {
-                let may = may(HEAD + end - at);
+                let may = may(*to, HEAD + end - at);
                 if may {
                     let mut w = Writer(Vec::with_capacity(HEAD + end - at));
                     w.put([0, m.tag.0]);
--- a/crates/carrier/tests/stream.rs
+++ b/crates/carrier/tests/stream.rs
@@ -56,7 +56,7 @@
         let mut most = 40;
         a.tick(
             now,
-            |_| {
+            |_, _| {
                 most -= 1;
                 most > 0
             },
--- a/crates/fleet-net/src/lib.rs
+++ b/crates/fleet-net/src/lib.rs
@@ -1,17 +1,21 @@
-//! The driver of the membership: one UDP socket, one clock. It carries out what the machine decides, hands rights to the core,
-//! and answers the door. No decision is made here.
+//! The driver of the fleet's machines: one UDP socket, one clock. It carries out what they decide, hands rights to the core, answers
+//! the door, and is the way of each machine that is attached to the same machine at other fronts. No decision is made here.
 #![warn(missing_docs)]
 
+mod machines;
 mod report;
 
+pub use machines::{Heard, Machine, Words};
 pub use report::{Line, Report};
 
+use lupinrack_carrier::{Tag, LONGEST};
 use lupinrack_core::Handle;
+use lupinrack_fleet::{Hub, Out};
 use lupinrack_lifecycle::Phase;
 use lupinrack_membership::config::Section;
-use lupinrack_membership::wire::LONGEST;
-use lupinrack_membership::{Event, Front, Output, Source};
+use lupinrack_membership::{Event, Source};
 use lupinrack_policy::Rights;
+use machines::Machines;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -21,6 +25,8 @@
 
 /// Questions that may wait.
 const ASKING_MOST: usize = 32;
+/// What machines say that is taken in one turn.
+const WORDS_MOST: usize = 64;
 /// Datagrams taken in one turn.
 const TURN_MOST: usize = 256;
 /// The wait between two tries to get the address, while an earlier process of this front holds it.
@@ -62,6 +68,7 @@
     asked: mpsc::Receiver<oneshot::Sender<Report>>,
     /// Another process may be this front too: then this one has the reserve while the other holds the address.
     shared: bool,
+    machines: Machines,
 }
 
 impl Driver {
@@ -72,7 +79,13 @@
         let listen = section.listen.or(own).ok_or_else(|| StartError::Name(section.name.clone()))?;
         let peers = section.member.iter().enumerate().map(|(i, m)| (m.address, i as u16)).collect();
         let (ask, asked) = mpsc::channel(ASKING_MOST);
-        Ok((Driver { section, me, core, listen, peers, asked, shared }, Fleet(ask)))
+        let machines = Machines::default();
+        Ok((Driver { section, me, core, listen, peers, asked, shared, machines }, Fleet(ask)))
+    }
+
+    /// The way of a machine to the same machine at other fronts, one for each tag; to be asked for before the driver runs.
+    pub fn attach(&mut self, tag: Tag) -> Machine {
+        self.machines.attach(tag)
     }
 
     /// Takes the front's place in its fleet. Until then it may use nothing that is shared, or the reserve where another process
@@ -115,7 +128,7 @@
         phase: &mut watch::Receiver<Phase>,
     ) -> Option<u64> {
         let clock = self.core.clock;
-        let mut front = Front::new(&self.section, self.me, life, fastrand::u64(..), clock.now());
+        let mut front = Hub::new(&self.section, self.me, life, fastrand::u64(..), clock.now());
         let step = front.step();
         let (mut next, mut ask) = (clock.now(), 0);
         let mut told: Option<Rights> = None;
@@ -133,6 +146,7 @@
                     let _ = tell.send(Report::new(&self.section, now, &front.told(now), &front.rights(now)));
                     continue;
                 }
+                words = self.machines.words() => self.machines.say(clock.now(), words, &mut front, &mut out),
             }
             let mut strangers = Vec::new();
             for _ in 0..TURN_MOST {
@@ -141,9 +155,14 @@
                 let source = self.peers.get(&from).map_or(Source::Stranger, |i| Source::Peer(*i));
                 let at = out.len();
                 front.datagram(clock.now(), source, &buffer[..length], &mut out);
-                let answers = out.iter().skip(at).filter(|o| matches!(o, Output::Answer(_))).count();
+                let answers = out.iter().skip(at).filter(|o| matches!(o, Out::Answer(_))).count();
                 strangers.extend(std::iter::repeat_n(from, answers));
             }
+            self.machines.listen(&mut front);
+            for _ in 0..WORDS_MOST {
+                let Some(words) = self.machines.word() else { break };
+                self.machines.say(clock.now(), words, &mut front, &mut out);
+            }
             let now = clock.now();
             if now >= next {
                 next = now + step;
@@ -165,23 +184,24 @@
                 self.core.rights(rights.clone()).await;
                 told = Some(rights);
             }
+            self.machines.stands(|| front.standing(clock.now()));
             let mut strangers = strangers.into_iter();
             for o in out.drain(..) {
                 // A datagram that cannot be sent is one that was lost.
                 match o {
-                    Output::Send(to, bytes) => {
+                    Out::Send(to, bytes) => {
                         if let Some(peer) = self.section.member.get(usize::from(to)) {
                             let _ = socket.try_send_to(&bytes, peer.address);
                         }
                     }
-                    Output::Answer(bytes) => {
+                    Out::Answer(bytes) => {
                         if let Some(to) = strangers.next() {
                             let _ = socket.try_send_to(&bytes, to);
                         }
                     }
-                    Output::Event(Event::Outlived(above)) => return Some(above),
-                    Output::Event(event) => self.tell(&event),
-                    Output::Carried(..) | Output::Reborn(_) => {}
+                    Out::Event(Event::Outlived(above)) => return Some(above),
+                    Out::Event(event) => self.tell(&event),
+                    Out::Said(..) | Out::Ended(..) | Out::Reborn(_) => self.machines.hear(o),
                 }
             }
         }
--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -43,6 +43,11 @@
 }
 
 impl State {
+    /// Whether it is held for there: silence alone is no death.
+    pub fn there(self) -> bool {
+        matches!(self, State::Alive | State::Suspect)
+    }
+
     /// Its word in figures and lines.
     pub fn word(self) -> &'static str {
         match self {
