--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -41,6 +41,9 @@
     Rights(Box<Rights>, oneshot::Sender<()>),
     Serving(oneshot::Sender<Vec<Served>>),
     Targets(oneshot::Sender<(usize, usize)>),
+    Silent(oneshot::Sender<Vec<Arc<str>>>),
+    Trials(Vec<Arc<str>>, Micros),
+    Back(Arc<str>),
 }
 
 /// How a request ended for its client.
@@ -186,6 +189,23 @@
         told.await.ok()
     }
 
+    /// The names of the listed nodes that do not answer; none once the core is gone.
+    pub async fn silent(&self) -> Option<Vec<Arc<str>>> {
+        let (tell, told) = oneshot::channel();
+        self.inbox.send(Input::Silent(tell)).await.ok()?;
+        told.await.ok()
+    }
+
+    /// From here on nodes that do not answer are tried as the fleet grants it: each of these once, until this moment.
+    pub async fn trials(&self, granted: Vec<Arc<str>>, until: Micros) {
+        let _ = self.inbox.send(Input::Trials(granted, until)).await;
+    }
+
+    /// Another front saw this node answer again.
+    pub async fn back(&self, node: Arc<str>) {
+        let _ = self.inbox.send(Input::Back(node)).await;
+    }
+
     /// Reports the end of a probe.
     pub async fn probed(&self, node: NodeId, outcome: Outcome, waited: Micros, load: Option<Load>) {
         let _ = self.inbox.send(Input::Probed { node, outcome, waited, load }).await;
@@ -431,7 +451,23 @@
                 let served = self.fleet.as_mut().map(|f| std::mem::take(&mut f.served));
                 let _ = tell.send(served.into_iter().flatten().collect());
             }
-            Input::Targets(tell) => drop(tell.send(self.brain.targets())),
+            Input::Targets(tell) => {
+                let avoided = self.brain.targets().filter(|t| t.1).count();
+                let _ = tell.send((self.brain.targets().count(), avoided));
+            }
+            Input::Silent(tell) => {
+                let silent = self.brain.targets().filter(|t| t.2);
+                let _ = tell.send(silent.filter_map(|t| Some(self.nodes.target(t.0)?.name)).collect());
+            }
+            Input::Trials(names, until) => {
+                let granted = names.iter().filter_map(|name| Some((self.nodes.id(name)?, until))).collect();
+                self.tell(now, Event::Trials(granted));
+            }
+            Input::Back(name) => {
+                if let Some(node) = self.nodes.id(&name) {
+                    self.tell(now, Event::Back(node));
+                }
+            }
             Input::Probed { node, outcome, waited, load } => {
                 self.tell(now, Event::Probed { node, outcome, waited, load });
             }
--- a/crates/core/src/nodes.rs
+++ b/crates/core/src/nodes.rs
@@ -131,6 +131,10 @@
         node
     }
 
+    pub(super) fn id(&self, name: &str) -> Option<NodeId> {
+        self.ids.get(name).copied()
+    }
+
     pub(super) fn target(&self, node: NodeId) -> Option<Target> {
         self.known.get(&node).map(|k| k.target.clone())
     }
--- a/crates/fleet/tests/hub.rs
+++ b/crates/fleet/tests/hub.rs
@@ -80,7 +80,7 @@
                     self.with(to, |h, now, out| h.datagram(now, Source::Peer(from), &bytes, out));
                 }
             }
-            if self.now % (25 * MS) == 0 {
+            if self.now.rem_euclid(25 * MS) == 0 {
                 for i in 0..self.hubs.len() as u16 {
                     if self.hubs[usize::from(i)].is_some() {
                         self.with(i, |h, now, out| h.tick(now, out));
@@ -100,7 +100,7 @@
 fn long_messages_come_whole_over_a_network_that_loses_one_in_five() {
     let mut fleet = Fleet::new(3, 5);
     fleet.pass(4_000 * MS, |_| {});
-    let message = |k: u8| vec![k; if k % 2 == 0 { MESSAGE_MOST } else { 700 }];
+    let message = |k: u8| vec![k; if k.is_multiple_of(2) { MESSAGE_MOST } else { 700 }];
     for k in 0..4 {
         let taken = fleet.with(0, |h, now, out| h.stream(now, 1, Tag::REGISTRY, message(k), out));
         assert_eq!(taken, Ok(u32::from(k) + 1));
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -193,6 +193,7 @@
     asking: Asking,
     part: f64,
     rights: Rights,
+    trials: Option<BTreeMap<NodeId, Micros>>,
     swept: Micros,
     served: f64,
     since: Micros,
@@ -226,10 +227,10 @@
         nodes + self.volumes.len() + self.open.len() + self.attempts.len() + self.ends.len()
     }
 
-    /// The listed nodes, and how many of them are avoided now.
-    pub fn targets(&self) -> (usize, usize) {
-        let listed = || self.nodes.values().filter(|n| !n.gone);
-        (listed().count(), listed().filter(|n| n.open || n.told_stop.is_some()).count())
+    /// The listed nodes, whether each is avoided now, and whether that is because it does not answer.
+    pub fn targets(&self) -> impl Iterator<Item = (NodeId, bool, bool)> + '_ {
+        let listed = self.nodes.iter().filter(|(_, n)| !n.gone);
+        listed.map(|(id, n)| (*id, n.open || n.told_stop.is_some(), n.open))
     }
 
     fn random(&mut self) -> f64 {
@@ -257,6 +258,8 @@
                 self.begun = self.begun.filter(|_| held > 0.0).or(Some(now));
                 self.rights = *rights;
             }
+            Event::Trials(granted) => self.trials.get_or_insert_default().extend(granted),
+            Event::Back(node) => self.learn(now, node, Outcome::Moved, 0, out),
             Event::Request(req) => self.on_request(now, req, out),
             Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
@@ -282,9 +285,7 @@
         if now - self.swept > IDLE_AGE {
             self.sweep(now);
         }
-        for id in self.growing.iter().copied().collect::<Vec<_>>() {
-            self.grow(now, id, out);
-        }
+        self.growing.clone().into_iter().for_each(|id| self.grow(now, id, out));
         for id in self.nodes.keys().copied().collect::<Vec<_>>() {
             self.adapt(now, id);
             self.release(now, id, out);
@@ -301,8 +302,7 @@
         } else if self.nodes.values().any(|n| !n.out.is_empty()) {
             sooner(now + DEPTH_EVERY);
         }
-        let Some(at) = next else { return };
-        let at = at.max(now + self.cfg.tick.max(1));
+        let Some(at) = next.map(|t| t.max(now + self.cfg.tick.max(1))) else { return };
         if self.wake_at.is_none_or(|w| at < w || w <= now) {
             self.token = self.token.wrapping_add(1);
             self.wake_at = Some(at);
@@ -632,10 +632,6 @@
         Some(cold.level)
     }
 
-    fn cold_allows(&self, now: Micros, n: &Node, units: f64) -> bool {
-        self.cold_tokens(now, n).is_none_or(|t| t >= units || (t > 0.0 && n.out.is_empty()))
-    }
-
     /// Rule 5: is it this request's turn among those with its key?
     fn order_allows(&mut self, now: Micros, id: RequestId) -> bool {
         let Some(o) = self.open.get(&id) else { return false };
@@ -658,9 +654,8 @@
     /// Rule 6: room for one more attempt past a request's first?
     fn budget_allows(&mut self, now: Micros) -> bool {
         let Some(b) = self.cfg.budget else { return true };
-        let slack = self.cfg.tick;
-        self.extra.retain(|t| now - t <= b.window + slack);
-        self.taken.retain(|t| now - t < b.window - slack);
+        self.extra.retain(|t| now - t <= b.window + self.cfg.tick);
+        self.taken.retain(|t| now - t < b.window - self.cfg.tick);
         (self.extra.len() + 1) as f64 <= b.spare + b.ratio * self.taken.len() as f64
     }
 
@@ -692,7 +687,9 @@
         if u32::from(tries) >= o.most.max(1) || n.gone || now >= self.drain_end(n) {
             return false;
         }
-        if !self.effect_allows(now, o, n) || !self.cold_allows(now, n, req.units) || now >= req.give_up {
+        let cold = |t: f64| t >= req.units || (t > 0.0 && n.out.is_empty());
+        if !self.effect_allows(now, o, n) || !self.cold_tokens(now, n).is_none_or(cold) || now >= req.give_up
+        {
             return false;
         }
         if !drawn && self.tokens(now, &req).is_some_and(|(have, _)| have < req.units) {
@@ -707,6 +704,7 @@
     /// place and blocks no other. Exception: what would miss its aim goes only where nothing is out.
     fn release(&mut self, now: Micros, id: NodeId, out: &mut Vec<Action>) {
         let (least, target, best) = (self.least, self.target, self.best);
+        let trial = self.trials.as_ref().map(|t| t.get(&id).is_some_and(|until| now < *until));
         let crowd = self.crowd.sqrt() * (self.fleet / target).clamp(1.0, self.crowd.sqrt());
         loop {
             let Some(n) = self.nodes.get_mut(&id) else { return };
@@ -714,7 +712,7 @@
                 return;
             }
             let room = match n.open {
-                true => now >= n.trial_at,
+                true => trial.unwrap_or(now >= n.trial_at),
                 false if n.depth < 1.0 => now >= n.next_at(target),
                 false => n.abreast().count() < (n.depth * self.part) as usize || n.stuck(now),
             };
@@ -763,12 +761,12 @@
             n.trial_at = now + (n.backoff as f64 * jitter) as Micros;
             n.backoff = (n.backoff * 2).min((TRIAL_LAST as f64 * crowd) as Micros);
         }
+        self.trials.iter_mut().for_each(|t| t.retain(|node, until| *node != to && *until > now));
         let drawn = if first_draw { units } else { 0.0 };
         let draw = |v: &mut Volume| (v.tokens.level - drawn, (v.waiting - drawn).max(0.0));
         self.volumes.entry(volume).and_modify(|v| (v.tokens.level, v.waiting) = draw(v));
         self.book(now, to, volume, units);
-        let key = self.ordered_key(&self.open[&id].req);
-        self.attempts.insert((id, number), (to, key));
+        self.attempts.insert((id, number), (to, self.ordered_key(&self.open[&id].req)));
         out.push(Action::Send { request: id, node: to, timeout: None });
     }
 
@@ -853,11 +851,10 @@
         if spent || dead_end || (outcome == Outcome::Moot && !keyless) || o.began {
             return self.finish(id, None, out);
         }
-        let home = o.home;
         let here = |n: &Node| !o.req.astray && o.req.shard.is_none_or(|s| s == n.shard);
         let keep = at.is_some_and(|n| !n.gone && n.told_stop.is_none() && here(n));
         let stay = keep && (anchored || !keyless) && outcome != Outcome::Moot;
-        let (finish, seq) = (o.finish, o.seq);
+        let (finish, seq, home) = (o.finish, o.seq, o.home);
         let Some(n) = home.filter(|_| stay).and_then(|h| self.nodes.get_mut(&h)) else {
             return self.place_or_fail(now, id, out);
         };
@@ -869,12 +866,11 @@
     // ---- admission and expiry --------------------------------------------------------------------------
 
     fn on_request(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
-        let id = req.id;
+        let (id, units, volume) = (req.id, req.units, req.volume);
         self.taken.extend(self.cfg.budget.map(|_| now));
         if self.open.contains_key(&id) {
             return;
         }
-        let (units, volume) = (req.units, req.volume);
         let line = self.ordered_key(&req).map(|key| self.lines.entry(key).or_default());
         line.into_iter().for_each(|l| l.ids.push_back(id));
         self.seq += 1;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -359,6 +359,11 @@
     Part(f64),
     /// What this host may use of what is shared.
     Rights(Box<Rights>),
+    /// From here on nodes that do not answer are tried as the fleet grants it, not at this host's own pace: each of these once, until
+    /// its moment, exclusive.
+    Trials(std::collections::BTreeMap<NodeId, Micros>),
+    /// Another host of the fleet saw a node answer again.
+    Back(NodeId),
     /// A request lands.
     Request(Request),
     /// A stream has begun: its attempt belongs to the client.
--- a/crates/policy/tests/rights.rs
+++ b/crates/policy/tests/rights.rs
@@ -119,3 +119,52 @@
         }
     }
 }
+
+/// A host whose node 7 has broken every connection, with nothing out.
+fn shut() -> Host {
+    let mut h = Host::new(settings(), vec![entry(7, 0)]);
+    h.event(Event::Trials(BTreeMap::new()));
+    (1..=3).for_each(|id| h.request(id));
+    let mut answered = 0;
+    while let Some((id, node)) = h.sends().get(answered).copied() {
+        let tries = h.sends()[..answered].iter().filter(|s| s.0 == id).count();
+        h.answer(id, tries as u16, node, Outcome::ConnectFailed);
+        answered += 1;
+    }
+    h
+}
+
+#[test]
+fn a_node_that_does_not_answer_is_tried_as_the_fleet_grants_it_and_not_else() {
+    let mut h = shut();
+    let before = h.sends().len();
+    for id in 10..14 {
+        h.request(id);
+        h.pass(700_000);
+    }
+    assert_eq!(h.sends().len(), before, "not at its own pace");
+    let grant = |h: &Host, last| Event::Trials(BTreeMap::from([(NodeId(7), h.now + last)]));
+    h.request(20);
+    let one = grant(&h, 400_000);
+    h.event(one);
+    h.pass(100_000);
+    assert_eq!(h.sends().len(), before + 1, "once");
+    h.answer(h.sends().last().unwrap().0, 0, 7, Outcome::ConnectFailed);
+    h.pass(3_000_000);
+    let two = grant(&h, 400_000);
+    h.event(two);
+    h.pass(500_000);
+    h.request(30);
+    h.pass(100_000);
+    assert_eq!(h.sends().len(), before + 1, "a grant that ended is none");
+}
+
+#[test]
+fn what_another_host_saw_answer_is_used_again() {
+    let mut h = shut();
+    let before = h.sends().len();
+    h.event(Event::Back(NodeId(7)));
+    h.request(20);
+    h.pass(100_000);
+    assert_eq!(h.sends().len(), before + 1);
+}
