--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -40,6 +40,10 @@
     #[serde(default)]
     #[schemars(with = "lupinrack_membership::config::Section")]
     pub fleet: Option<lupinrack_membership::config::Section>,
+    /// Overload handled by the fleet as one.
+    #[serde(default)]
+    #[schemars(with = "lupinrack_overload::config::Section")]
+    pub overload: Option<lupinrack_overload::config::Section>,
 }
 
 /// What the program says of itself, on standard error.
@@ -123,6 +127,8 @@
         faults.extend(section(&value, "rsync", lupinrack_rsync::config::Section::faults));
         faults.extend(section(&value, "extents", lupinrack_extents::config::Section::faults));
         faults.extend(section(&value, "fleet", lupinrack_membership::config::Section::faults));
+        let fleet = value.pointer("/fleet/enabled").and_then(Value::as_bool).unwrap_or(false);
+        faults.extend(section(&value, "overload", |s: &lupinrack_overload::Section| s.faults(fleet)));
         if let Some(filter) = value.pointer("/log/filter").and_then(Value::as_str) {
             if let Err(e) = filter.parse::<tracing_subscriber::filter::Targets>() {
                 faults.push(("log.filter".into(), e.to_string()));
--- a/crates/fleet-rig/src/rig.rs
+++ b/crates/fleet-rig/src/rig.rs
@@ -109,9 +109,10 @@
         let mut dice = fastrand::Rng::with_seed(script.seed);
         let relay = Relay::new(n, dice.u64(..)).await?;
         let mut nodes = Vec::new();
-        let groups: Vec<Group> = (0..SHARDS).map(|_| Group::default()).collect();
+        let shards = shards(script);
+        let groups: Vec<Group> = (0..shards).map(|_| Group::default()).collect();
         for at in 0..NODES {
-            let shard = at % SHARDS;
+            let shard = at % shards;
             // A node that forgets is met by many repeats, so that the planted fault shows each time.
             let resets = if script.spoilt { RESETS / 5 } else { RESETS };
             let manner = Manner { resets, forgets: script.spoilt, ..manner(shard, dice.u64(..)) };
@@ -125,7 +126,7 @@
             let mut ways = Vec::new();
             for (i, (node, _)) in nodes.iter().enumerate() {
                 let way = Way::new(Some(node.address)).await?;
-                discovery.set(entry(i, way.address, i as u32 % SHARDS, 0));
+                discovery.set(entry(i, way.address, i as u32 % shards, 0));
                 ways.push(way);
             }
             fronts.push(Front {
@@ -179,6 +180,7 @@
                 operator += &format!("[[fleet.member]]\nname = \"n{j}\"\naddress = \"{address}\"\n");
             }
         }
+        operator += &script.sections;
         let folder = self.plan.folder.join(if twin { format!("{name}-twin") } else { name });
         Ok(Start { program: &self.plan.program, folder, config, operator, front, twin, socket })
     }
@@ -304,6 +306,11 @@
                 }
             }
             Act::Forgets { front, member } => self.fronts[usize::from(*front)].lacks.push(*member),
+            Act::Hang { node, on } => {
+                if let Some((node, _)) = self.nodes.get(usize::from(*node)) {
+                    node.hang(*on);
+                }
+            }
             Act::Cold => self.cold().await?,
             Act::Upgrade { front } => self.upgrade(*front).await?,
             Act::Joins { .. } => {}
@@ -325,7 +332,7 @@
     /// A cold node comes up for a shard of its own, and every front is told.
     async fn cold(&mut self) -> Result<(), RigError> {
         let (at, since) = (self.nodes.len(), now());
-        let shard = at as u32 - NODES + SHARDS;
+        let shard = at as u32 - NODES + shards(&self.plan.script);
         let node = Node::start(manner(shard, self.dice.u64(..)), Group::default()).await?;
         for f in &mut self.fronts {
             let way = Way::new(Some(node.address)).await?;
@@ -391,7 +398,7 @@
                     asked.spawn(async move { (what, clients.ask(at, &ask).await.0) });
                 }
                 // A cold node's shard is asked for as soon as it is there.
-                load.shards(self.nodes.len() as u32 - NODES + SHARDS);
+                load.shards(self.nodes.len() as u32 - NODES + shards(&script));
                 loads = load.next(span);
             }
             while let Some(Ok(one)) = asked.try_join_next() {
@@ -476,6 +483,15 @@
     }
 }
 
+/// Shards of the warm nodes.
+fn shards(script: &Script) -> u32 {
+    if script.apart {
+        NODES
+    } else {
+        SHARDS
+    }
+}
+
 fn manner(shard: u32, seed: u64) -> Manner {
     Manner { shard, slots: 32, queue: 512, work: Duration::from_millis(2), seed, ..Manner::default() }
 }
@@ -522,7 +538,7 @@
         let dice = fastrand::Rng::with_seed(seed);
         let pairs: Vec<(u16, u16)> = pairs;
         let per_s = each * pairs.len() as f64 * 1.15;
-        Load { dice, per_s, pairs, at: 0.0, number: 0, hosts, shards: SHARDS, surge: 0.0 }
+        Load { dice, per_s, pairs, at: 0.0, number: 0, hosts, shards: shards(script), surge: 0.0 }
     }
 
     /// So many shards there are; one more than before is that of a cold node.
--- a/crates/fleet-rig/src/script.rs
+++ b/crates/fleet-rig/src/script.rs
@@ -108,6 +108,13 @@
         /// Whom it lacks.
         member: u16,
     },
+    /// A warm node hangs: it takes connections and requests, and answers nothing; or no longer.
+    Hang {
+        /// Which, from 0 on.
+        node: u16,
+        /// Whether it hangs from now on.
+        on: bool,
+    },
     /// A cold node starts, and is listed.
     Cold,
     /// A volume works through another front from now on, in place of one that is dead.
@@ -149,6 +156,12 @@
     /// whole of everything for its part, and nodes do not remember which writes ran.
     #[serde(default)]
     pub spoilt: bool,
+    /// Each warm node holds a shard of its own, not two of them one.
+    #[serde(default)]
+    pub apart: bool,
+    /// What stands in each front's operators' file beside `[fleet]`.
+    #[serde(default)]
+    pub sections: String,
 }
 
 fn yes() -> bool {
@@ -175,6 +188,8 @@
             fleet: true,
             late: false,
             spoilt: false,
+            apart: false,
+            sections: String::new(),
         }
     }
 
@@ -222,7 +237,12 @@
                 Act::Split { groups } => groups.concat(),
                 Act::Forgets { front, member } => vec![*front, *member],
                 Act::Keys { front, .. } => front.iter().copied().collect(),
-                Act::Net { .. } | Act::Heal | Act::Keep { .. } | Act::Again | Act::Cold => Vec::new(),
+                Act::Net { .. }
+                | Act::Heal
+                | Act::Keep { .. }
+                | Act::Again
+                | Act::Cold
+                | Act::Hang { .. } => Vec::new(),
             };
             if !named.iter().all(known) {
                 return Err(format!("{act:?} names a front that is not there"));
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -588,7 +588,7 @@
             }
             Act::Forgets { front, member } => self.slots[usize::from(*front)].lacks.push(*member),
             // Nodes are not part of this world.
-            Act::Nodes { .. } | Act::Discovery { .. } | Act::Cold => {}
+            Act::Nodes { .. } | Act::Discovery { .. } | Act::Cold | Act::Hang { .. } => {}
             // One process after the other, with a new life: the time that both live is the rig's.
             Act::Upgrade { front } => {
                 self.kill(usize::from(*front));
--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,7 +2,7 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
-use crate::commands::{ask, buffer, check, demo, extents, fleet, lab};
+use crate::commands::{ask, buffer, check, demo, extents, fleet, lab, overload};
 use crate::ended::Ended;
 use crate::serve;
 use clap::{Args, Parser, Subcommand, ValueEnum};
@@ -66,6 +66,9 @@
     /// The fleet's machines in simulated time, at sizes that sockets don't reach.
     #[command(subcommand)]
     Lab(lab::Lab),
+    /// Overload handled by the fleet as one: the drill.
+    #[command(subcommand)]
+    Overload(overload::Overload),
 }
 
 /// What a front reads at its start.
@@ -95,6 +98,7 @@
         Some(Command::Ask(what)) => ask::run(&what),
         Some(Command::Buffer(what)) => buffer::run(&what),
         Some(Command::Fleet(what)) => quiet(format).and_then(|()| fleet::run(&what)),
+        Some(Command::Overload(what)) => quiet(format).and_then(|()| overload::run(&what)),
         Some(Command::Lab(what)) => quiet(format).and_then(|()| lab::run(&what)),
         Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
--- a/crates/lupinrack/src/commands/mod.rs
+++ b/crates/lupinrack/src/commands/mod.rs
@@ -7,3 +7,4 @@
 pub mod extents;
 pub mod fleet;
 pub mod lab;
+pub mod overload;
--- /dev/null
+++ b/crates/lupinrack/src/commands/overload.rs
@@ -0,0 +1,79 @@
+//! `lupinrack overload drill`: several processes of this program and a node that hangs; every promise checked.
+
+use crate::ended::Ended;
+use clap::{Args, Subcommand};
+use lupinrack_fleet_rig::Plan;
+use lupinrack_overload_drill::{named, play, CASES};
+
+/// Overload handled by the fleet as one.
+#[derive(Debug, Subcommand)]
+pub enum Overload {
+    /// Real processes and a node that hangs; every promise is checked.
+    Drill(Drill),
+}
+
+/// What the drill plays.
+#[derive(Clone, Debug, Args)]
+pub struct Drill {
+    /// Processes.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(3..=32))]
+    fronts: u16,
+    /// The seed of all chances; a fresh one where it is not given. It is printed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The script; `list` to see them.
+    #[arg(long, default_value = "hung")]
+    script: String,
+    /// Each front for itself: the baseline.
+    #[arg(long)]
+    alone: bool,
+    /// Print one JSON object in place of the table.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Runs one of them.
+pub fn run(Overload::Drill(drill): &Overload) -> Result<(), Ended> {
+    if drill.script == "list" {
+        CASES.iter().for_each(|c| println!("{:<12}{}", c.name, c.shows));
+        return Ok(());
+    }
+    let case =
+        named(&drill.script).ok_or_else(|| Ended::wrong(format!("no such script: {}", drill.script)))?;
+    let seed = drill.seed.unwrap_or_else(|| fastrand::u64(..1 << 32));
+    let mut script = (case.script)(drill.fronts, seed);
+    if drill.alone {
+        script.sections.clear();
+    }
+    let folder = std::env::temp_dir().join(format!("lupinrack-overload-{}-{seed}", std::process::id()));
+    let program = std::env::current_exe().map_err(Ended::failed)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Ended::failed)?;
+    let plan = Plan { script, program, folder, fleet: String::new() };
+    let played = runtime.block_on(play(plan)).map_err(|e| Ended::failed(format!("seed {seed}: {e}")))?;
+    let f = &played.figures;
+    if drill.json {
+        println!("{}", serde_json::to_string(f).map_err(Ended::failed)?);
+    } else {
+        let how = if f.alone { "each for itself" } else { "as one" };
+        println!(
+            "{}, seed {}: {} processes, {how}, {} requests\n",
+            f.script, f.seed, f.processes, f.requests
+        );
+        println!(
+            "{:<20}{:>10.3}\n{:<20}{:>10}",
+            "served_share", f.served_share, "attempts_at_hung", f.attempts_at_hung
+        );
+        println!(
+            "{:<20}{:>10.2}\n{:<20}{:>10}",
+            "trials_per_s", f.trials_per_s, "trials_over", f.trials_over
+        );
+        let recovery = f.recovery_ms.map_or("never".to_string(), |ms| format!("{ms:.0}"));
+        println!("{:<20}{recovery:>10}\n{:<20}{:>10}", "recovery_ms", "limit_broken", f.limit_broken);
+        println!("{:<20}{:>10}\n{:<20}{:>10}", "lost", f.lost, "duplicates", f.duplicates);
+    }
+    f.verdict().map_err(|broken| {
+        eprintln!("seed {seed}\n{}", played.history.last(60));
+        Ended::failed(broken.join("\n"))
+    })
+}
--- a/crates/lupinrack/src/serve.rs
+++ b/crates/lupinrack/src/serve.rs
@@ -1,6 +1,7 @@
 //! Puts a front together from its parts and runs it: one core, the fronts that are on, the watch of the node list.
 
 use crate::takeover::Takeover;
+use lupinrack_carrier::Tag;
 use lupinrack_config::Operator;
 use lupinrack_core::{Clock, Core, Handle};
 use lupinrack_door::{call::Call, Answer};
@@ -15,6 +16,7 @@
 use lupinrack_lifecycle as lifecycle;
 use lupinrack_lifecycle::Phase;
 use lupinrack_membership::config::Section as FleetSection;
+use lupinrack_overload::Section as OverloadSection;
 use lupinrack_platform::{clock::Epoch, config::Config, discovery::Watch, inherited, reload};
 use lupinrack_rsync::{config::RsyncConfig, daemon};
 use lupinrack_settings::Told;
@@ -34,6 +36,7 @@
     ipfix: Option<IpfixConfig>,
     extents: Option<extents::config::Section>,
     fleet: Option<FleetSection>,
+    overload: Option<OverloadSection>,
     inherited: Option<std::net::TcpListener>,
 }
 
@@ -79,7 +82,8 @@
         let extents = operator.extents.filter(|section| section.enabled);
         let ipfix = operator.ipfix.and_then(IpfixConfig::new);
         let fleet = operator.fleet.filter(|section| section.enabled);
-        Ok(Plan { rsync, ipfix, extents, fleet, config, inherited: None })
+        let overload = operator.overload.filter(|section| section.enabled);
+        Ok(Plan { rsync, ipfix, extents, fleet, overload, config, inherited: None })
     }
 }
 
@@ -128,7 +132,7 @@
     settings: watch::Receiver<Arc<Told>>,
     discovery: watch::Receiver<SocketAddr>,
 ) -> std::io::Result<Front> {
-    let Plan { config, rsync, ipfix, extents, fleet, inherited } = plan;
+    let Plan { config, rsync, ipfix, extents, fleet, overload, inherited } = plan;
     let clock = Clock::start();
     let epoch = Epoch::fix(&clock);
     let told = Arc::new(config.told);
@@ -173,10 +177,15 @@
         true => Takeover::begin(handle.clone()).await.map(|t| tokio::spawn(t.run(phase.clone()))),
         false => None,
     };
+    let mut as_one = None;
     let (membership, fleet) = match fleet {
         Some(section) => {
-            let (driver, fleet) =
+            let (mut driver, fleet) =
                 FleetDriver::new(section, handle.clone(), shared).map_err(std::io::Error::other)?;
+            if let Some(section) = overload {
+                let machine = driver.attach(Tag::OVERLOAD);
+                as_one = Some(tokio::spawn(lupinrack_overload_net::run(section, handle.clone(), machine)));
+            }
             let socket = driver.begin().await.map_err(std::io::Error::other)?;
             (Some(tokio::spawn(driver.run(socket, phase.clone()))), Some(fleet))
         }
@@ -223,6 +232,7 @@
         door.inspect(JoinHandle::abort);
         takeover.inspect(JoinHandle::abort);
         membership.inspect(JoinHandle::abort);
+        as_one.inspect(JoinHandle::abort);
         ended
     });
     Ok(Front { listen, core: handle, figures, extents: counters, ended })
--- /dev/null
+++ b/crates/overload-net/src/lib.rs
@@ -0,0 +1,71 @@
+//! The driver of overload handled as one: it asks the core which nodes do not answer, runs the machine, and carries out what that
+//! decides. No decision is made here.
+#![warn(missing_docs)]
+
+use lupinrack_core::Handle;
+use lupinrack_fleet_net::{Heard, Machine, Words};
+use lupinrack_overload::trials::NodeHash;
+use lupinrack_overload::{Act, Section, Trials};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{interval, MissedTickBehavior};
+
+/// How often the machine carries on.
+const STEP: Duration = Duration::from_millis(50);
+/// Names that are kept for the hashes that others tell.
+const NAMES_MOST: usize = 4096;
+
+fn hash(name: &str) -> NodeHash {
+    let bytes = blake3::hash(name.as_bytes());
+    bytes.as_bytes().first_chunk().map_or(0, |b| NodeHash::from_le_bytes(*b))
+}
+
+/// Runs for as long as the core and the fleet's driver do.
+pub async fn run(section: Section, core: Handle, mut machine: Machine) {
+    let mut trials = Trials::new(&section);
+    let mut names: HashMap<NodeHash, Arc<str>> = HashMap::new();
+    let mut steps = interval(STEP);
+    steps.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    tracing::info!(trials_per_s = section.trials_per_s, "overload: begins");
+    // From here on nothing is tried at this front's own pace.
+    core.trials(Vec::new(), core.clock.now()).await;
+    loop {
+        let mut out = Vec::new();
+        tokio::select! {
+            heard = machine.heard.recv() => match heard {
+                Some(Heard::Said(said)) => trials.hear(core.clock.now(), said.from, &said.bytes, &mut out),
+                Some(Heard::Ended(..) | Heard::Reborn(_)) => {}
+                None => return,
+            },
+            _ = steps.tick() => {
+                let Some(silent) = core.silent().await else { return };
+                let standing = machine.standing.borrow().clone();
+                let Some(standing) = standing else { continue };
+                if names.len() > NAMES_MOST {
+                    names.clear();
+                }
+                let hashes: Vec<NodeHash> = silent.iter().map(|name| hash(name)).collect();
+                names.extend(hashes.iter().copied().zip(silent));
+                trials.step(core.clock.now(), &hashes, &standing, &mut out);
+            }
+        }
+        for act in out {
+            match act {
+                Act::Grant(node, until) => {
+                    if let Some(name) = names.get(&node) {
+                        tracing::debug!(node = &**name, "overload: trial");
+                        core.trials(vec![name.clone()], until).await;
+                    }
+                }
+                Act::Back(node) => {
+                    if let Some(name) = names.get(&node) {
+                        tracing::info!(node = &**name, "overload: answers at another front");
+                        core.back(name.clone()).await;
+                    }
+                }
+                Act::Say(to, bytes) => drop(machine.try_say(Words::Once(to, bytes))),
+            }
+        }
+    }
+}
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -259,7 +259,10 @@
                 self.rights = *rights;
             }
             Event::Trials(granted) => self.trials.get_or_insert_default().extend(granted),
-            Event::Back(node) => self.learn(now, node, Outcome::Moved, 0, out),
+            Event::Back(node) => {
+                self.nodes.entry(node).and_modify(|n| n.latency = 0.0);
+                self.learn(now, node, Outcome::Moved, 0, out);
+            }
             Event::Request(req) => self.on_request(now, req, out),
             Event::Moved { request, shard } => self.on_moved(now, request, shard, out),
             Event::Began { request, attempt } => self.on_began(now, request, attempt, out),
@@ -704,9 +707,9 @@
     /// place and blocks no other. Exception: what would miss its aim goes only where nothing is out.
     fn release(&mut self, now: Micros, id: NodeId, out: &mut Vec<Action>) {
         let (least, target, best) = (self.least, self.target, self.best);
-        let trial = self.trials.as_ref().map(|t| t.get(&id).is_some_and(|until| now < *until));
         let crowd = self.crowd.sqrt() * (self.fleet / target).clamp(1.0, self.crowd.sqrt());
         loop {
+            let trial = self.trials.as_ref().map(|t| t.get(&id).is_some_and(|until| now < *until));
             let Some(n) = self.nodes.get_mut(&id) else { return };
             if n.queue.is_empty() {
                 return;
--- a/crates/policy/tests/rights.rs
+++ b/crates/policy/tests/rights.rs
@@ -144,7 +144,8 @@
     }
     assert_eq!(h.sends().len(), before, "not at its own pace");
     let grant = |h: &Host, last| Event::Trials(BTreeMap::from([(NodeId(7), h.now + last)]));
-    h.request(20);
+    // Several wait for it: one goes.
+    (20..24).for_each(|id| h.request(id));
     let one = grant(&h, 400_000);
     h.event(one);
     h.pass(100_000);
--- a/crates/stand-ins/src/node.rs
+++ b/crates/stand-ins/src/node.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
@@ -61,6 +61,8 @@
     Elsewhere,
     /// Its connection was broken before it ran.
     Broken,
+    /// The node hung when it came: it was never answered, and did not run.
+    Hung,
 }
 
 /// One attempt as the node saw it.
@@ -85,6 +87,7 @@
     pub address: SocketAddr,
     /// What reached it.
     pub seen: Arc<Mutex<Vec<Seen>>>,
+    hangs: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -96,6 +99,7 @@
 
 struct Work {
     manner: Manner,
+    hangs: watch::Receiver<bool>,
     seen: Arc<Mutex<Vec<Seen>>>,
     group: Group,
     slots: Semaphore,
@@ -114,7 +118,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let (address, seen) = (listener.local_addr()?, Arc::new(Mutex::new(Vec::new())));
         let (slots, dice) = (Semaphore::new(manner.slots), Mutex::new(fastrand::Rng::with_seed(manner.seed)));
-        let work = Arc::new(Work { manner, seen: seen.clone(), group, slots, waiting: Mutex::new(0), dice });
+        let (hangs, hung) = watch::channel(false);
+        let work =
+            Work { manner, hangs: hung, seen: seen.clone(), group, slots, waiting: Mutex::new(0), dice };
+        let work = Arc::new(work);
         let task = tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
@@ -123,7 +130,14 @@
                 while connections.try_join_next().is_some() {}
             }
         });
-        Ok(Node { address, seen, task })
+        Ok(Node { address, seen, hangs, task })
+    }
+}
+
+impl Node {
+    /// Hangs from now on, or no longer: what came meanwhile ends with its connection.
+    pub fn hang(&self, hangs: bool) {
+        self.hangs.send_replace(hangs);
     }
 }
 
@@ -148,6 +162,11 @@
             answer(stream, "404 Not Found", "", b"").await.ok()?;
             return Some(());
         }
+        if *self.hangs.borrow() {
+            note(Fate::Hung);
+            let _ = self.hangs.clone().wait_for(|hangs| !hangs).await;
+            return None;
+        }
         let (reset, before, work) = {
             let mut dice = lock(&self.dice);
             let reset = self.manner.resets > 0 && dice.u32(0..self.manner.resets) == 0;
