--- a/crates/config/tests/faults.rs
+++ b/crates/config/tests/faults.rs
@@ -122,3 +122,23 @@
     let fewer = Operator::parse(&fleet("b", "", &three[..2])).unwrap().fleet.unwrap();
     assert_eq!(across(&fewer), [(1, "member".to_string())]);
 }
+
+#[test]
+fn overload_needs_a_fleet_and_one_budget_for_all_of_it() {
+    use lupinrack_overload::Section;
+    let three = [("a", 1), ("b", 2), ("c", 3)];
+    let on = |more: &str| format!("[overload]\nenabled = true\n{more}");
+    let alone = Operator::parse(&on("")).unwrap_err();
+    assert!(alone.iter().any(|f| f.path == "overload.enabled" && f.reason.contains("[fleet]")), "{alone:?}");
+    let section = |more: &str| {
+        let text = format!("{}\n{more}", fleet("a", "", &three));
+        Operator::parse(&text).unwrap().overload.unwrap_or_default()
+    };
+    let across = |other: &str| {
+        let found = Section::across(&[&section(&on("")), &section(other)]);
+        found.into_iter().map(|(at, path, _)| (at, path)).collect::<Vec<_>>()
+    };
+    assert_eq!(across(&on("")), []);
+    assert_eq!(across(""), [(1, "enabled".to_string())]);
+    assert_eq!(across(&on("trials_per_s = 9.0")), [(1, "trials_per_s".to_string())]);
+}
