--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -7,7 +7,7 @@
 use lupinrack_fleet_rig::stage::Stage;
 use lupinrack_fleet_rig::RigError;
 use serde::Serialize;
-use stand_ins::load::{Ask, Clients, Tally};
+use stand_ins::load::{mix, Ask, Clients, Tally};
 use stand_ins::node::Manner;
 use stand_ins::settings::configuration;
 use std::path::PathBuf;
@@ -132,12 +132,8 @@
 fn ask(dice: &mut fastrand::Rng, number: u64) -> Ask {
     let greedy = dice.u32(0..3) == 0;
     let volume = if greedy { GREEDY } else { 10 + dice.u64(0..12) };
-    let (class, writes, units) = match dice.u32(0..100) {
-        _ if greedy => ("read", false, 4),
-        0..=54 => ("read", false, 1),
-        55..=84 => ("new-write", true, 2),
-        _ => ("bulk-read", false, 4),
-    };
+    let mixed = mix(dice);
+    let (class, writes, units) = if greedy { ("read", false, 4) } else { mixed };
     Ask {
         id: format!("{number:016x}"),
         class,
--- a/crates/extents-drill/src/lib.rs
+++ b/crates/extents-drill/src/lib.rs
@@ -10,7 +10,7 @@
 use serde::Serialize;
 use serde_json::json;
 use stand_ins::authority::{Authority, Entrance, Lot, Traffic, Truth};
-use stand_ins::load::{Ask, Came, Clients, Tally};
+use stand_ins::load::{mix, Ask, Came, Clients, Tally};
 use stand_ins::node::{lock, Fate, Manner, Whereabouts};
 use stand_ins::settings::configuration;
 use std::collections::{BTreeMap, HashMap};
@@ -436,11 +436,7 @@
 }
 
 fn ask(dice: &mut fastrand::Rng, number: u64, volume: u64, fronts: u32) -> Ask {
-    let (class, writes, units) = match dice.u32(0..100) {
-        0..=54 => ("read", false, 1),
-        55..=84 => ("new-write", true, 2),
-        _ => ("bulk-read", false, 4),
-    };
+    let (class, writes, units) = mix(dice);
     Ask {
         id: format!("{number:016x}"),
         class,
--- a/crates/lupinrack/src/commands/overload.rs
+++ b/crates/lupinrack/src/commands/overload.rs
@@ -3,7 +3,7 @@
 use crate::ended::Ended;
 use clap::{Args, Subcommand};
 use lupinrack_fleet_rig::Plan;
-use lupinrack_overload_drill::{named, play, CASES};
+use lupinrack_overload_drill::{named, play, CASES, SECONDS, SECONDS_LEAST};
 
 /// Overload handled by the fleet as one.
 #[derive(Debug, Subcommand)]
@@ -21,6 +21,9 @@
     /// The seed of all chances; a fresh one where it is not given. It is printed.
     #[arg(long)]
     seed: Option<u64>,
+    /// Seconds of load; the node hangs from the second one to the sixth before the last.
+    #[arg(long, default_value_t = SECONDS, value_parser = clap::value_parser!(u64).range(SECONDS_LEAST..=600))]
+    seconds: u64,
     /// The script; `list` to see them.
     #[arg(long, default_value = "hung")]
     script: String,
@@ -41,7 +44,7 @@
     let case =
         named(&drill.script).ok_or_else(|| Ended::wrong(format!("no such script: {}", drill.script)))?;
     let seed = drill.seed.unwrap_or_else(|| fastrand::u64(..1 << 32));
-    let mut script = (case.script)(drill.fronts, seed);
+    let mut script = (case.script)(drill.fronts, seed, drill.seconds);
     if drill.alone {
         script.sections.clear();
     }
--- a/crates/lupinrack/tests/overload.rs
+++ b/crates/lupinrack/tests/overload.rs
@@ -1,12 +1,12 @@
 //! Overload handled as one, with real processes: a node hangs under one and the same load. Promises are asserted, never speed.
 
 use lupinrack_fleet_rig::Plan;
-use lupinrack_overload_drill::{named, play, Figures, CASES};
+use lupinrack_overload_drill::{named, play, Figures, CASES, SECONDS};
 
 const SHORT: &str = "lease_ms = 1500\nsuspicion_ms = 500\nperiod_ms = 120\npatience_ms = 60\n";
 
 async fn played(name: &str) -> Figures {
-    let script = (named(name).expect("a script").script)(5, 7);
+    let script = (named(name).expect("a script").script)(5, 7, SECONDS);
     let folder = std::env::temp_dir().join(format!("lupinrack-overload-{}-{name}", std::process::id()));
     let program = env!("CARGO_BIN_EXE_lupinrack").into();
     let played = play(Plan { script, program, folder, fleet: SHORT.into() }).await.unwrap();
--- a/crates/overload-drill/src/lib.rs
+++ b/crates/overload-drill/src/lib.rs
@@ -16,8 +16,13 @@
 const FOUND_OUT_MS: u64 = 5_000;
 /// For how long a grant may wait for its request, with the way to the node, in seconds.
 const GRANT_S: f64 = 0.5;
-/// How long the node hangs.
-const HANGS_MS: u64 = 12_000;
+/// Before the hang, and after it.
+const BEFORE_MS: u64 = 2_000;
+const AFTER_MS: u64 = 6_000;
+/// The least seconds of load: the node has to hang for longer than it takes to find out.
+pub const SECONDS_LEAST: u64 = 15;
+/// The seconds of load where nothing else is said.
+pub const SECONDS: u64 = 20;
 
 /// A script by name.
 pub struct Case {
@@ -25,15 +30,15 @@
     pub name: &'static str,
     /// What it shows.
     pub shows: &'static str,
-    /// Its script, for so many fronts and a seed.
-    pub script: fn(u16, u64) -> Script,
+    /// Its script, for so many fronts, a seed and seconds of load.
+    pub script: fn(u16, u64, u64) -> Script,
 }
 
 /// All scripts.
 pub const CASES: &[Case] = &[
     Case {
         name: "hung",
-        shows: "a node hangs for 12 s; how often it is tried, and how soon it is used again",
+        shows: "a node hangs (of 20 s, for 12); how often it is tried, and how soon it is used again",
         script: hung,
     },
     Case {
@@ -49,17 +54,18 @@
     CASES.iter().find(|c| c.name == name)
 }
 
-fn hung(fronts: u16, seed: u64) -> Script {
-    let mut script = Script::new("hung", seed, fronts, 20.0)
-        .at(2_000, Act::Hang { node: 0, on: true })
-        .at(2_000 + HANGS_MS, Act::Hang { node: 0, on: false });
+fn hung(fronts: u16, seed: u64, seconds: u64) -> Script {
+    let seconds = seconds.max(SECONDS_LEAST);
+    let mut script = Script::new("hung", seed, fronts, seconds as f64)
+        .at(BEFORE_MS, Act::Hang { node: 0, on: true })
+        .at(seconds * 1000 - AFTER_MS, Act::Hang { node: 0, on: false });
     script.apart = true;
     script.sections = format!("[overload]\nenabled = true\ntrials_per_s = {TRIALS_PER_S:.1}\n");
     script
 }
 
-fn hung_deaths(fronts: u16, seed: u64) -> Script {
-    let mut script = hung(fronts, seed);
+fn hung_deaths(fronts: u16, seed: u64, seconds: u64) -> Script {
+    let mut script = hung(fronts, seed, seconds);
     script.name = "hung-deaths".into();
     for front in 0..fronts / 3 {
         script = script.at(6_000, Act::Kill { front });
@@ -67,10 +73,11 @@
     script
 }
 
-fn hung_cut(fronts: u16, seed: u64) -> Script {
-    let mut script = hung(fronts, seed);
+fn hung_cut(fronts: u16, seed: u64, seconds: u64) -> Script {
+    let mut script = hung(fronts, seed, seconds);
     script.name = "hung-cut".into();
-    script.at(4_000, Act::Split { groups: vec![vec![0], (1..fronts).collect()] }).at(13_000, Act::Heal)
+    let heals = (script.seconds * 1000.0) as u64 - AFTER_MS - 1_000;
+    script.at(4_000, Act::Split { groups: vec![vec![0], (1..fronts).collect()] }).at(heals, Act::Heal)
 }
 
 /// What came of a script.
--- a/crates/stand-ins/src/load.rs
+++ b/crates/stand-ins/src/load.rs
@@ -78,6 +78,15 @@
     }
 }
 
+/// The ordinary mix of classes: the class, whether it writes, and its units.
+pub fn mix(dice: &mut fastrand::Rng) -> (&'static str, bool, u32) {
+    match dice.u32(0..100) {
+        0..=54 => ("read", false, 1),
+        55..=84 => ("new-write", true, 2),
+        _ => ("bulk-read", false, 4),
+    }
+}
+
 /// How much longer than its deadline a client listens before it calls a request lost.
 const GRACE: Duration = Duration::from_millis(500);
 
