--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -283,7 +283,7 @@
         let id = |r: &RequestId| r.0.to_be_bytes();
         let ms = |t: &Option<Micros>| t.map_or(0.0, millis).to_be_bytes();
         match action {
-            Action::Send { request, node, timeout } => {
+            Action::Send { request, node, timeout, .. } => {
                 self.put(70, instance, &[&id(request), &node.0.to_be_bytes(), &ms(timeout)]);
             }
             Action::Cancel { request, attempt } => {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -108,8 +108,8 @@
     pub to: Target,
     /// When to stop waiting.
     pub until: Micros,
-    /// From this reading on it may not be begun: the right that it draws on has ended.
-    pub right_until: Micros,
+    /// From this reading on it may not be begun: the right that it draws on has ended, or nodes may have forgotten what it repeats.
+    pub begin_by: Micros,
 }
 
 /// A front's end of the core.
@@ -542,7 +542,9 @@
 
     fn act(&mut self, now: Micros, action: Action) -> Vec<Event> {
         match action {
-            Action::Send { request, node, timeout } => return self.send(now, request, node, timeout),
+            Action::Send { request, node, timeout, begin_by } => {
+                return self.send(now, request, node, timeout, begin_by)
+            }
             Action::Cancel { request, attempt } => {
                 if let Some(o) = self.open.get(&request) {
                     let _ = o.orders.try_send(Order::Cancel(attempt));
@@ -573,17 +575,25 @@
         Vec::new()
     }
 
-    fn send(&mut self, now: Micros, id: RequestId, node: NodeId, timeout: Option<Micros>) -> Vec<Event> {
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        node: NodeId,
+        timeout: Option<Micros>,
+        begin_by: Micros,
+    ) -> Vec<Event> {
         let Some(request) = self.open.get(&id).map(|o| o.request) else { return Vec::new() };
         let moved = self.moved(now, &request);
         let Some(o) = self.open.get_mut(&id) else { return Vec::new() };
         let number = o.tries;
         o.tries += 1;
         // A right that ends while the attempt is on its way ends the attempt; what draws on the reserve has no end.
-        let right_until = self.fleet.as_ref().map(|f| f.until).filter(|u| now < *u).unwrap_or(Micros::MAX);
+        let right = self.fleet.as_ref().map(|f| f.until).filter(|u| now < *u).unwrap_or(Micros::MAX);
+        let begin_by = right.min(begin_by);
         let until = timeout.map_or(o.request.give_up, |t| o.request.give_up.min(now + t));
         let sent = self.nodes.target(node).filter(|_| o.end.is_none() && moved.is_none()).is_some_and(|to| {
-            o.orders.try_send(Order::Send(Attempt { number, to, until, right_until })).is_ok()
+            o.orders.try_send(Order::Send(Attempt { number, to, until, begin_by })).is_ok()
         });
         if sent {
             o.out.push((number, node, now, o.request.shard));
--- a/crates/door/src/lib.rs
+++ b/crates/door/src/lib.rs
@@ -85,6 +85,7 @@
     F: Fn(Call) -> A,
     A: Future<Output = Answer>,
 {
+    let _ = stream.set_nodelay(true);
     let call = timeout(WHOLE, hear(&mut stream)).await.unwrap_or(Err(NoCall::Late));
     heard.store(true, Relaxed);
     let answer = match call {
--- a/crates/http/src/accept.rs
+++ b/crates/http/src/accept.rs
@@ -213,7 +213,7 @@
         // What is there counts, however late it was looked at.
         biased;
         parcel = intake::parcel(parts, body, &front.room) => parcel?,
-        () = overdue(visit) => return Err(IntakeError::Slow),
+        () = overdue(visit.clone()) => return Err(IntakeError::Slow),
     };
     // A request's time runs from its last byte, however slowly it came.
     life.taken();
@@ -223,7 +223,7 @@
     let (core, upstream, phase) = (front.core.clone(), front.upstream.clone(), front.phase.clone());
     let (id, volume) = (parcel.id.to_str().unwrap_or(""), wanted.volume.0);
     let span = tracing::debug_span!("request", id, class, volume = %format_args!("{volume:016x}"), attempt = tracing::field::Empty);
-    let life = request::serve(core, upstream, phase, wanted, parcel, client).instrument(span);
+    let life = request::serve(core, upstream, phase, wanted, parcel, (client, visit)).instrument(span);
     tokio::spawn(async move {
         life.await;
         drop(one);
--- a/crates/http/src/gate.rs
+++ b/crates/http/src/gate.rs
@@ -9,8 +9,9 @@
 use lupinrack_lifecycle::Phase;
 use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -81,6 +82,9 @@
     passing_on: bool,
     /// Its place is wanted for another client.
     closing: bool,
+    /// More came ahead of its turn than is kept: it was read, so that the client's end shows, and dropped. No request can be told
+    /// behind it.
+    flooded: bool,
     reader: Option<Waker>,
 }
 
@@ -97,6 +101,7 @@
             body: (0, now),
             passing_on: false,
             closing: false,
+            flooded: false,
             reader: None,
         }
     }
@@ -111,6 +116,10 @@
         if self.stage == Stage::Head && self.held.is_empty() && !self.first {
             self.since = now;
         }
+        if self.stage == Stage::Answer && self.held.len() >= HEAD_MOST {
+            self.flooded = true;
+            return;
+        }
         if matches!(self.stage, Stage::Body(_) | Stage::Last) {
             self.body = (self.body.0 + bytes.len() as u64, now);
         }
@@ -127,8 +136,14 @@
 
     /// The answer is on its way. True: the request had come whole, and the next may follow.
     pub fn answered(&mut self, now: Instant) -> bool {
-        let whole = self.stage == Stage::Answer;
+        let whole = self.stage == Stage::Answer && !self.flooded;
         self.passing_on = false;
+        // What was dropped may have been half a request: this answer is the last.
+        self.closing |= self.flooded;
+        if self.flooded {
+            self.held.truncate(self.passing);
+            self.stage = Stage::Head;
+        }
         if whole {
             (self.stage, self.since, self.first, self.body) = (Stage::Head, now, false, (0, now));
             self.advance(true);
@@ -211,11 +226,25 @@
 
 /// One client's connection, as those see it who do not own its socket.
 #[derive(Clone, Debug)]
-pub struct Visit(Arc<Mutex<Framing>>);
+pub struct Visit {
+    framing: Arc<Mutex<Framing>>,
+    stream: Weak<TcpStream>,
+}
 
 impl Visit {
     fn framing(&self) -> MutexGuard<'_, Framing> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.framing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the client has closed, by a look at the socket itself: what the system knows by now, though the connection's own
+    /// task has not had its turn. A client that closed its side has gone.
+    pub fn gone(&self) -> bool {
+        let Some(stream) = self.stream.upgrade() else { return true };
+        let mut byte = [MaybeUninit::uninit()];
+        match socket2::SockRef::from(&*stream).peek(&mut byte) {
+            Ok(bytes) => bytes == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
     }
 
     /// Whether the lengths of the request in hand contradict each other.
@@ -232,7 +261,7 @@
     pub fn passes_on(&self) -> bool {
         let mut framing = self.framing();
         framing.passing_on = true;
-        framing.stage == Stage::Answer
+        framing.stage == Stage::Answer && !framing.flooded
     }
 
     /// The answer is on its way; false: the connection cannot serve another request.
@@ -263,7 +292,7 @@
 
 /// The connection's socket, as the library sees it.
 pub struct Gate {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     visit: Visit,
     phase: watch::Receiver<Phase>,
     patience: Pin<Box<Sleep>>,
@@ -281,7 +310,8 @@
     pub fn new(stream: TcpStream, phase: watch::Receiver<Phase>) -> (Gate, Visit) {
         let framing = Framing::new(Instant::now());
         let patience = Box::pin(sleep_until(framing.due()));
-        let visit = Visit(Arc::new(Mutex::new(framing)));
+        let stream = Arc::new(stream);
+        let visit = Visit { framing: Arc::new(Mutex::new(framing)), stream: Arc::downgrade(&stream) };
         let gate = Gate {
             stream,
             visit: visit.clone(),
@@ -301,39 +331,45 @@
         }
         self.patience.as_mut().poll(cx).is_ready()
     }
+
+    fn poll_piece(&self, cx: &mut Context<'_>, piece: &mut [u8]) -> Poll<Result<usize>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(piece) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read),
+            }
+        }
+    }
 }
 
 impl AsyncRead for Gate {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, out: &mut ReadBuf<'_>) -> Poll<Result<()>> {
         let this = &mut *self;
         let visit = this.visit.clone();
-        loop {
+        for _ in 0..PIECES {
             let mut framing = visit.framing();
             if framing.passing > 0 {
                 out.put_slice(&framing.hand_on(out.remaining()));
                 return Poll::Ready(Ok(()));
             }
             framing.reader = Some(cx.waker().clone());
-            // What was sent ahead waits for its turn; the library looks again after its answer.
-            if framing.stage == Stage::Answer && framing.held.len() >= HEAD_MOST {
-                return Poll::Pending;
-            }
             let mut piece = [0; PIECE];
-            let mut piece = ReadBuf::new(&mut piece);
-            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
-                Poll::Ready(Ok(())) if !piece.filled().is_empty() => {
-                    framing.feed(Instant::now(), piece.filled());
+            match this.poll_piece(cx, &mut piece) {
+                // What was sent ahead waits for its turn; the library looks again after its answer.
+                Poll::Ready(Ok(n)) if n > 0 => {
+                    framing.feed(Instant::now(), &piece[..n]);
                     continue;
                 }
                 // A client may close its side once it has asked. The library would take that for one that has gone and cut off
                 // what is on its way; one that has gone shows when it is written to.
-                Poll::Ready(Ok(())) if framing.passing_on => {
+                Poll::Ready(Ok(_)) if framing.passing_on => {
                     this.ended = true;
                     return Poll::Pending;
                 }
                 Poll::Ready(end) => {
                     this.ended = true;
-                    return Poll::Ready(end);
+                    return Poll::Ready(end.map(|_| ()));
                 }
                 Poll::Pending => {}
             }
@@ -344,18 +380,32 @@
             // and it would cut the answer off.
             let over = this.stuck.is_none() && (closing || (!kept && this.patience_over(cx, due)));
             if framing.stage == Stage::Head && over {
-                // To the library this is a client that closed between two requests. Nothing is owed to it.
-                this.ended = true;
+                // To the library this is a client that closed between two requests. Nothing is owed to it; but what one sends that
+                // sent too much must be heard out, or its answer is reset away.
+                this.ended = !framing.flooded;
                 return Poll::Ready(Ok(()));
             }
             return Poll::Pending;
         }
+        cx.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
 impl AsyncWrite for Gate {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        if let done @ Poll::Ready(_) = Pin::new(&mut self.stream).poll_write(cx, bytes) {
+        let written = loop {
+            match self.stream.poll_write_ready(cx) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(e)) => break Poll::Ready(Err(e)),
+                Poll::Pending => break Poll::Pending,
+            }
+            match self.stream.try_write(bytes) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                written => break Poll::Ready(written),
+            }
+        };
+        if let done @ Poll::Ready(_) = written {
             // A connection is idle from the last byte of its answer on.
             let mut framing = self.visit.framing();
             if framing.idle() {
@@ -380,18 +430,20 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         let this = &mut *self;
         if !this.finished {
-            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            socket2::SockRef::from(&*this.stream).shutdown(std::net::Shutdown::Write)?;
             this.finished = true;
             this.patience.as_mut().reset(Instant::now() + LINGER);
         }
-        if this.ended || this.visit.framing().idle() {
+        let idle = {
+            let framing = this.visit.framing();
+            framing.idle() && !framing.flooded
+        };
+        if this.ended || idle {
             return Poll::Ready(Ok(()));
         }
         for _ in 0..PIECES {
-            let mut piece = [0; PIECE];
-            let mut piece = ReadBuf::new(&mut piece);
-            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
-                Poll::Ready(Ok(())) if !piece.filled().is_empty() => this.heard_out += piece.filled().len(),
+            match this.poll_piece(cx, &mut [0; PIECE]) {
+                Poll::Ready(Ok(n)) if n > 0 => this.heard_out += n,
                 Poll::Ready(_) => return Poll::Ready(Ok(())),
                 Poll::Pending if this.patience.as_mut().poll(cx).is_ready() => return Poll::Ready(Ok(())),
                 Poll::Pending => return Poll::Pending,
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,5 +1,6 @@
 //! The life of one request, from its arrival to its one final answer and the end of its last attempt.
 
+use crate::gate::Visit;
 use crate::intake::Parcel;
 use crate::passing::Passing;
 use crate::upstream::{Begun, Ended, Upstream};
@@ -20,26 +21,64 @@
     Passing(Passing),
 }
 
-/// Serves one request. `client` takes its one final answer; closed, the client has gone.
+/// The client of a request, until it has its final answer or has gone.
+struct Client {
+    answer: oneshot::Sender<Answer>,
+    /// Ends with this: what was not sent by then never is.
+    _waiting: watch::Sender<()>,
+}
+
+/// Whether a request's client still waits for its answer.
+#[derive(Clone)]
+pub struct Waiting {
+    waiting: watch::Receiver<()>,
+    visit: Option<Visit>,
+}
+
+impl Waiting {
+    /// One that waits until the sender is dropped or its connection, if it is known, is closed.
+    pub fn new(waiting: watch::Receiver<()>, visit: Option<Visit>) -> Self {
+        Waiting { waiting, visit }
+    }
+
+    /// Ends once the client has its answer, or has gone.
+    pub async fn over(&mut self) {
+        while self.waiting.changed().await.is_ok() {}
+    }
+
+    /// The look in the moment of a send: nothing is sent for a client that has gone, whoever has heard of it yet.
+    pub fn now(&self) -> bool {
+        self.waiting.has_changed().is_ok() && !self.visit.as_ref().is_some_and(Visit::gone)
+    }
+}
+
+/// Serves one request. `client` takes its one final answer; closed, the client has gone, as it has where `visit` says so.
 pub async fn serve(
     core: Handle,
     upstream: Upstream,
     mut phase: watch::Receiver<Phase>,
     request: Request,
     parcel: Parcel,
-    client: oneshot::Sender<Answer>,
+    (client, visit): (oneshot::Sender<Answer>, Option<Visit>),
 ) {
     // Taken: the module hears of it, and every order it gives comes back here.
     let span = tracing::Span::current();
     let mut ticket = core.open(request).await;
     let teller = ticket.teller();
-    let mut client = Some(client);
+    let (_waiting, waiting) = watch::channel(());
+    let waiting = Waiting::new(waiting, visit);
+    let mut client = Some(Client { answer: client, _waiting });
     let mut attempts = FuturesUnordered::new();
     let (begins, mut begun) = mpsc::channel(1);
     let mut cancels: Vec<(u16, oneshot::Sender<()>)> = Vec::new();
     loop {
         tokio::select! {
             biased;
+            // The client left before its answer. What is out still ends properly; what is not, never begins.
+            () = closed(&mut client) => {
+                client = None;
+                teller.client_gone().await;
+            }
             order = ticket.order() => match order {
                 // The module sends it out.
                 Some(Order::Send(attempt)) => {
@@ -47,7 +86,7 @@
                     cancels.push((number, cancel));
                     span.record("attempt", number);
                     tracing::debug!(node = &*attempt.to.name, "sent");
-                    let exchange = upstream.attempt(parcel.clone(), attempt, begins.clone());
+                    let exchange = upstream.attempt(parcel.clone(), attempt, begins.clone(), waiting.clone());
                     attempts.push(async move {
                         tokio::select! {
                             ended = exchange => (number, ended),
@@ -99,37 +138,32 @@
                 answer(&mut client, Answer::Whole(failed()));
                 teller.client_gone().await;
             }
-            // The client left before its answer. What is out still ends properly.
-            () = closed(&mut client) => {
-                client = None;
-                teller.client_gone().await;
-            }
         }
     }
 }
 
 /// Hands over an answer that passes on as it comes; where another was first, dropping it ends its attempt.
-async fn begin(client: &mut Option<oneshot::Sender<Answer>>, teller: &Teller, begun: Begun) {
+async fn begin(client: &mut Option<Client>, teller: &Teller, begun: Begun) {
     if let Some(client) = client.take() {
         teller.began(begun.number).await;
         let Begun { length, taken, pieces, .. } = begun;
-        let _ = client.send(Answer::Passing(Passing::new(length, taken, pieces)));
+        let _ = client.answer.send(Answer::Passing(Passing::new(length, taken, pieces)));
     }
 }
 
 /// Hands over the final answer; of several only the first.
-fn answer(client: &mut Option<oneshot::Sender<Answer>>, answer: Answer) {
+fn answer(client: &mut Option<Client>, answer: Answer) {
     if let Some(client) = client.take() {
         if let Answer::Whole(response) = &answer {
             tracing::debug!(status = response.status().as_u16(), "answered");
         }
-        let _ = client.send(answer);
+        let _ = client.answer.send(answer);
     }
 }
 
-async fn closed(client: &mut Option<oneshot::Sender<Answer>>) {
+async fn closed(client: &mut Option<Client>) {
     match client {
-        Some(client) => client.closed().await,
+        Some(client) => client.answer.closed().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::budget::{Hold, Room, ANSWER_LONGEST, SMALL, WINDOW};
 use crate::intake::{Parcel, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
 use crate::line::{Line, LineError, Lines, Spoilt};
+use crate::request::Waiting;
 use bytes::Bytes;
 use http::{header, HeaderMap, Request as HttpRequest, StatusCode};
 use http_body_util::Full;
@@ -100,14 +101,21 @@
     }
 
     /// Makes one attempt. Dropped, it closes the attempt's connection. An answer that is passed on as it comes is told to
-    /// `begins`, and the attempt then lasts until all of it has passed.
-    pub async fn attempt(&self, parcel: Parcel, attempt: Attempt, begins: mpsc::Sender<Begun>) -> Ended {
+    /// `begins`, and the attempt then lasts until all of it has passed. Nothing is written once its client waits no more.
+    pub async fn attempt(
+        &self,
+        parcel: Parcel,
+        attempt: Attempt,
+        begins: mpsc::Sender<Begun>,
+        mut waiting: Waiting,
+    ) -> Ended {
         let late = tokio::time::sleep_until(self.clock.instant(attempt.until));
         tokio::pin!(late);
         let line = tokio::select! {
             biased;
             // Told to drain while the connection was still coming up: this send must not go out any more.
             () = attempt.to.stopped(self.clock) => return Outcome::ConnectFailed.into(),
+            () = waiting.over() => return Outcome::Moot.into(),
             line = self.lines.line(attempt.to.address) => line,
             () = &mut late => return Outcome::ConnectFailed.into(),
         };
@@ -126,8 +134,14 @@
         }
         let request = request.header(&DEADLINE, format!("{left}u")).body(Full::new(parcel.body));
         let Ok(request) = request else { return Outcome::Moot.into() };
-        if self.clock.now() >= attempt.right_until {
-            // This process was stopped meanwhile: others may use by now what this attempt drew on.
+        // The last look before the first byte: there is no wait between it and the write.
+        if !waiting.now() {
+            self.lines.keep(line).await;
+            return Outcome::Moot.into();
+        }
+        if self.clock.now() >= attempt.begin_by {
+            // The connection came up too late, or this process was stopped meanwhile: the nodes may have forgotten what ran, and others
+            // may use by now what this attempt drew on.
             return Outcome::Lapsed.into();
         }
         let ended = match self.exchange(&mut line, request, Some(self.figures.clone()), late).await {
--- a/crates/lupinrack/tests/upstream.rs
+++ b/crates/lupinrack/tests/upstream.rs
@@ -5,16 +5,20 @@
 
 use bytes::Bytes;
 use common::front::{told, unreached};
+use futures_util::FutureExt;
 use lupinrack::core::{Attempt, Clock, Core, Handle, Order};
+use lupinrack::net::gate::Gate;
 use lupinrack::net::intake::Parcel;
+use lupinrack::net::request::Waiting;
+use lupinrack::net::shutdown::Phase;
 use lupinrack::net::upstream::Upstream;
 use lupinrack::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
 
 /// What the node does with a request.
 #[derive(Clone, Copy, Debug)]
@@ -109,6 +113,13 @@
     tokio::sync::mpsc::channel(1).0
 }
 
+/// A client that waits for as long as the test runs.
+fn waits() -> Waiting {
+    let (waiting, over) = watch::channel(());
+    Box::leak(Box::new(waiting));
+    Waiting::new(over, None)
+}
+
 fn parcel() -> Parcel {
     let target = "/read/7f3a9c21e0b4d655".parse().unwrap();
     let id = http::HeaderValue::from_static("1");
@@ -124,7 +135,7 @@
     let upstream = Upstream::new(&told(), clock, 64, common::front::room(), Default::default());
     let mut closed = BTreeSet::new();
     for step in steps {
-        let exchange = upstream.attempt(parcel(), attempt(&handle, address).await, begins());
+        let exchange = upstream.attempt(parcel(), attempt(&handle, address).await, begins(), waits());
         tokio::pin!(exchange);
         let (outcome, reuse) = expected(step);
         let (seen, connection) = match step {
@@ -173,14 +184,14 @@
     let mut out = Vec::new();
     for _ in 0..2 {
         let (upstream, attempt) = (upstream.clone(), attempt(&handle, address).await);
-        out.push(tokio::spawn(async move { upstream.attempt(parcel(), attempt, begins()).await }));
+        out.push(tokio::spawn(async move { upstream.attempt(parcel(), attempt, begins(), waits()).await }));
         came.recv().await.expect("the node has it");
     }
-    let third = upstream.attempt(parcel(), attempt(&handle, address).await, begins()).await;
+    let third = upstream.attempt(parcel(), attempt(&handle, address).await, begins(), waits()).await;
     assert_eq!(third.outcome, Outcome::Moot, "it tells nothing of the node");
     // Given up, an attempt leaves its descriptor to others.
     out.remove(0).abort();
-    let fourth = upstream.attempt(parcel(), attempt(&handle, address).await, begins()).await;
+    let fourth = upstream.attempt(parcel(), attempt(&handle, address).await, begins(), waits()).await;
     assert_eq!(fourth.outcome, Outcome::Reset);
 }
 
@@ -196,13 +207,128 @@
     let until = clock.now() + 60_000_000;
     handle.rights(Rights { until, reserve: 0.1, cold: 1.0, rest: 1.0, ..Rights::default() }).await;
     let mut late = attempt(&handle, address).await;
-    assert_eq!(late.right_until, until);
-    late.right_until = clock.now();
-    assert_eq!(upstream.attempt(parcel(), late, begins()).await.outcome, Outcome::Lapsed);
+    assert_eq!(late.begin_by, until);
+    late.begin_by = clock.now();
+    assert_eq!(upstream.attempt(parcel(), late, begins(), waits()).await.outcome, Outcome::Lapsed);
     assert!(came.try_recv().is_err(), "nothing of it reached the node");
     let right = attempt(&handle, address).await;
-    assert_eq!(upstream.attempt(parcel(), right, begins()).await.outcome, Outcome::Ok);
+    assert_eq!(upstream.attempt(parcel(), right, begins(), waits()).await.outcome, Outcome::Ok);
     // What draws on the reserve has no end.
     handle.rights(Rights { reserve: 0.1, cold: 0.1, ..Rights::default() }).await;
-    assert_eq!(attempt(&handle, address).await.right_until, Micros::MAX);
+    assert_eq!(attempt(&handle, address).await.begin_by, Micros::MAX);
+}
+
+/// A front's end of the core with one node on the list, and the way to the nodes, with this long for a connection to come up.
+async fn way(connect: Micros) -> (Handle, Upstream) {
+    let mut told = told();
+    told.connect_timeout = connect;
+    let clock = Clock::start();
+    let (core, handle, _targets) = Core::new(told.module.clone(), 3, clock);
+    tokio::spawn(core.run());
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
+    (handle, Upstream::new(&told, clock, 64, common::front::room(), Default::default()))
+}
+
+/// A node whose connections come up once it takes those that wait: its queue is full.
+fn late_node() -> (std::net::TcpListener, Vec<std::net::TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: std::net::TcpListener = socket.into();
+    let at = listener.local_addr().unwrap();
+    let mut fill = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&at, std::time::Duration::from_millis(200)) {
+        fill.push(stream);
+    }
+    (listener, fill)
+}
+
+#[tokio::test]
+async fn nothing_begins_for_a_client_that_left_while_the_connection_came_up() {
+    let (core, upstream) = way(60_000_000).await;
+    let (node, fill) = late_node();
+    let order = attempt(&core, node.local_addr().unwrap()).await;
+    let (client, over) = watch::channel(());
+    let exchange = upstream.attempt(parcel(), order, begins(), Waiting::new(over, None));
+    tokio::pin!(exchange);
+    assert!((&mut exchange).now_or_never().is_none(), "its connection is coming up");
+    drop(client);
+    let ended = tokio::time::timeout(std::time::Duration::from_secs(10), exchange).await;
+    assert_eq!(
+        ended.expect("at once, not when it is up").outcome,
+        Outcome::Moot,
+        "and tells nothing of the node"
+    );
+    // Whatever still comes up brings no byte.
+    drop(fill);
+    node.set_nonblocking(true).unwrap();
+    while let Ok((mut stream, _)) = node.accept() {
+        use std::io::Read;
+        stream.set_nonblocking(false).unwrap();
+        stream.set_read_timeout(Some(std::time::Duration::from_millis(100))).unwrap();
+        assert!(!matches!(stream.read(&mut [0; 64]), Ok(1..)));
+    }
+}
+
+#[tokio::test]
+async fn a_client_is_looked_at_once_more_in_the_moment_of_the_send() {
+    let (address, mut came) = scripted(vec![Step::Whole(200, false); 2]).await;
+    let (core, upstream) = way(250_000).await;
+    let door = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(door.local_addr().unwrap()).await.unwrap();
+    // Its connection's own task never runs here: only a look at the socket can tell.
+    let (_gate, visit) = Gate::new(door.accept().await.unwrap().0, watch::channel(Phase::Ready).1);
+    let (_open, over) = watch::channel(());
+    let waiting = Waiting::new(over, Some(visit.clone()));
+    let first = upstream.attempt(parcel(), attempt(&core, address).await, begins(), waiting.clone()).await;
+    assert_eq!((first.outcome, came.recv().await), (Outcome::Ok, Some(0)));
+    drop(client);
+    common::rsync::until(|| visit.gone()).await;
+    let second = upstream.attempt(parcel(), attempt(&core, address).await, begins(), waiting).await;
+    assert_eq!(second.outcome, Outcome::Moot);
+    assert!(came.try_recv().is_err(), "nothing of it reached the node");
+}
+
+/// A keyed write may be repeated while nodes remember it: one whose connection came up too late is not sent.
+#[tokio::test]
+async fn a_repeat_is_not_begun_once_the_nodes_may_have_forgotten_the_first() {
+    let mut told = told();
+    let window = 400_000;
+    told.module.classes[1].effect = Effect::Keyed { group: Group::Cell, window };
+    let clock = Clock::start();
+    let (core, handle, _targets) = Core::new(told.module.clone(), 3, clock);
+    tokio::spawn(core.run());
+    handle.list(ListKind::Cached, vec![unreached(NodeState::Ready)]).await;
+    let (class, give_up) = (1, clock.now() + 60_000_000);
+    let request = Request {
+        class,
+        plan: 2,
+        units: 1.0,
+        hosts: 1.0,
+        give_up,
+        shard: Some(Shard(0)),
+        ..Request::default()
+    };
+    let before = clock.now();
+    let mut ticket = handle.open(request).await;
+    let Some(Order::Send(first)) = ticket.order().await else { panic!("not sent") };
+    assert_eq!(first.begin_by, Micros::MAX, "the first one has all its time");
+    ticket.teller().ended(0, Outcome::Reset, None).await;
+    let Some(Order::Send(second)) = ticket.order().await else { panic!("not repeated") };
+    let sent = before..=clock.now();
+    assert!(sent.contains(&(second.begin_by - window * 9 / 10)), "from the first that may have run");
+    // The order that was not carried out in time is the last, and the client hears that it failed.
+    ticket.teller().ended(1, Outcome::Lapsed, None).await;
+    tokio::time::sleep_until(clock.instant(second.begin_by)).await;
+    loop {
+        match ticket.order().await {
+            // Still in time: the module's choice.
+            Some(Order::Send(again)) => {
+                assert!(again.begin_by == second.begin_by);
+                ticket.teller().ended(again.number, Outcome::Lapsed, None).await;
+            }
+            Some(Order::Fail) => break,
+            other => panic!("{other:?}"),
+        }
+    }
 }
--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -126,6 +126,7 @@
     pub async fn run(mut self, core: Handle, known: Option<List>) {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT));
+        connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .retry_canceled_requests(false)
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -590,12 +590,16 @@
 
     /// Rule 2, sending: may an attempt of this request go to this node now?
     fn effect_allows(&self, now: Micros, o: &Open, n: &Node) -> bool {
-        if o.live > 0 && !self.cfg.parallel_tries {
-            return false;
+        let alone = o.live == 0 || self.cfg.parallel_tries;
+        alone && o.anchor.is_none_or(|a| same_group(self.effect(o), a, n)) && now < self.covered_until(o)
+    }
+
+    /// Until when nodes drop a repeat for certain: from the first send that may have run, less the way there.
+    fn covered_until(&self, o: &Open) -> Micros {
+        match (o.anchor, self.effect(o)) {
+            (Some(a), Effect::Keyed { window, .. }) => a.sent + (window as f64 * WINDOW_USED) as Micros,
+            _ => Micros::MAX,
         }
-        let (Some(a), effect) = (o.anchor, self.effect(o)) else { return true };
-        let Effect::Keyed { window, .. } = effect else { return same_group(effect, a, n) };
-        same_group(effect, a, n) && now - a.sent <= (window as f64 * WINDOW_USED) as Micros
     }
 
     /// Rule 2, answering: may the client be told that trying again is harmless?
@@ -745,8 +749,8 @@
         let (jitter, crowd) = (0.75 + 0.5 * self.random(), self.crowd);
         let start = self.open.get(&id).and_then(|o| o.slot).map_or(i64::MIN, |s| s.0);
         self.unhold(id, false);
-        let last = self.open.get(&id).map_or(now, |o| self.last_end(&o.req));
-        let Some(o) = self.open.get_mut(&id) else { return };
+        let ends = self.open.get(&id).map(|o| (self.last_end(&o.req), self.covered_until(o)));
+        let Some((o, (last, begin_by))) = self.open.get_mut(&id).zip(ends) else { return };
         self.ends.remove(&(o.end, id));
         self.ends.insert((last, id));
         o.end = last;
@@ -769,7 +773,7 @@
         self.volumes.entry(volume).and_modify(|v| (v.tokens.level, v.waiting) = draw(v));
         self.book(now, to, volume, units);
         self.attempts.insert((id, number), (to, self.ordered_key(&self.open[&id].req)));
-        out.push(Action::Send { request: id, node: to, timeout: None });
+        out.push(Action::Send { request: id, node: to, timeout: None, begin_by });
     }
 
     /// Counts units sent: in a cold node's budget, and in the volume's delay elsewhere.
@@ -800,7 +804,7 @@
         o.live = o.live.saturating_sub(1);
         match a.outcome {
             Outcome::Moved => o.req.astray = true,
-            Outcome::Lapsed => o.drawn = false,
+            Outcome::Lapsed => o.drawn = o.maybe_ran,
             Outcome::Full | Outcome::ConnectFailed | Outcome::Moot => {}
             _ => o.maybe_ran = true,
         }
@@ -994,10 +998,8 @@
 
 /// The paper's delay: units got elsewhere since, clipped to keep a minimum share here; zero where phi is 1.
 fn hybrid_delay(elsewhere: f64, units: f64, phi: f64) -> f64 {
-    if phi >= 1.0 {
-        return 0.0;
-    }
-    elsewhere.max(0.0).min((1.0 / PHI_MIN - 1.0) / (1.0 - phi) * units)
+    let most = if phi < 1.0 { (1.0 / PHI_MIN - 1.0) / (1.0 - phi) * units } else { 0.0 };
+    elsewhere.max(0.0).min(most)
 }
 
 fn still_out(attempts: &Attempts, id: RequestId) -> bool {
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -299,7 +299,7 @@
     Cancelled,
     /// It was never sent.
     Moot,
-    /// It was never sent: the right to what it was to use had ended by then.
+    /// It was never sent: the moment by which it was to begin had passed.
     Lapsed,
 }
 
@@ -426,6 +426,8 @@
         node: NodeId,
         /// The attempt's time-out.
         timeout: Option<Micros>,
+        /// From this moment on it may not be begun; [`Outcome::Lapsed`] says that it was not.
+        begin_by: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,7 +31,8 @@
 //!     shard: Some(Shard(0)), give_up: 2_001_000, repeat: false, astray: false,
 //! };
 //! brain.handle(1_000, Event::Request(request), &mut actions);
-//! assert!(actions.contains(&Action::Send { request: RequestId(1), node: NodeId(7), timeout: None }));
+//! let (request, node, begin_by) = (RequestId(1), NodeId(7), Micros::MAX);
+//! assert!(actions.contains(&Action::Send { request, node, timeout: None, begin_by }));
 //! ```
 #![warn(missing_docs)]
 
--- a/crates/rsync/src/pull.rs
+++ b/crates/rsync/src/pull.rs
@@ -199,7 +199,7 @@
         () = attempt.to.stopped(clock) => return Err(PullError::Unsent),
         greeted = greet => greeted?,
     };
-    if clock.now() >= attempt.right_until {
+    if clock.now() >= attempt.begin_by {
         // This process was stopped meanwhile: others may use by now what this pull drew on.
         return Err(PullError::Lapsed);
     }
--- a/crates/stand-ins/src/scripted.rs
+++ b/crates/stand-ins/src/scripted.rs
@@ -103,3 +103,32 @@
     });
     (address, calls, tell)
 }
+
+/// A stand-in node whose connections are in the test's hands: what they say, in which order, and how they end.
+pub async fn node_in_hand() -> (SocketAddr, mpsc::UnboundedReceiver<TcpStream>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, (give, taken)) = (listener.local_addr().unwrap(), mpsc::unbounded_channel());
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            stream.set_nodelay(true).unwrap();
+            if give.send(stream).is_err() {
+                return;
+            }
+        }
+    });
+    (address, taken)
+}
+
+/// Reads one head, byte for byte, and nothing behind it.
+pub async fn head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.expect("a whole head"));
+    }
+    String::from_utf8(head).unwrap()
+}
+
+/// Closes a connection by a reset.
+pub fn reset(stream: TcpStream) {
+    socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO)).unwrap();
+}
