--- /dev/null
+++ b/crates/lupinrack/tests/sites.rs
@@ -0,0 +1,72 @@
+//! The deployments of our own that the standing test is played on beside the operators': they parse, they say what they are there
+//! for, and settings of their kind are taken.
+
+use lupinrack::{settings, Effect, Group};
+use serde_json::{json, Value};
+use std::path::Path;
+
+fn site(name: &str) -> Value {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/sites").join(name);
+    let text = std::fs::read_to_string(path).unwrap();
+    serde_json::to_value(toml::from_str::<toml::Table>(&text).unwrap()).unwrap()
+}
+
+/// The settings that a front of such a deployment is told.
+fn told(site: &Value) -> settings::Told {
+    let list = |of: &Value| of.as_array().unwrap().clone();
+    let repeat = |effect: &str| match effect {
+        "safe" => "free",
+        "keyed" => "guarded",
+        "unsafe" => "single_shot",
+        other => panic!("{other}"),
+    };
+    let classes: Vec<Value> = list(&site["class"])
+        .iter()
+        .map(|c| {
+            json!({"name": c["name"], "aim": c["aim_ms"], "deadline": c["deadline_ms"], "worth": c["worth"],
+                "repeat": repeat(c["effect"].as_str().unwrap()), "window": c["window_ms"], "group": c["group"],
+                "lateShare": c["late_worth"]})
+        })
+        .collect();
+    let plans: Vec<Value> = list(&site["tenant"])
+        .iter()
+        .zip(list(&site["fam"]["plan"]))
+        .map(|(t, p)| {
+            json!({"name": t["name"], "shares": p["weight"], "guaranteed": p["reserve"], "worthFactor": p["price"],
+                "limit": p["limit"], "limitBurst": p["limit"], "limitSlack": 1.0})
+        })
+        .collect();
+    let writes: Vec<&Value> = site["class"].as_array().unwrap().iter().map(|c| &c["write"]).collect();
+    settings::parse_json(
+        &json!({"areas": site["net"]["zones"], "peersTotal": 3, "registryMode": site["discovery"]["mode"],
+        "resolution": site["day"]["tick_ms"], "classes": classes, "grades": plans,
+        "domain": {"changesData": writes, "maxUnits": site["fam"]["most_units"], "coldBears": 20.0},
+        "policyLimits": {"mostTries": site["allow"]["max_attempts"], "probes": site["allow"]["probes"],
+            "parallelTries": site["allow"]["second_copies"], "retryAfter": site["allow"]["retry_after"]},
+        "safety": {"stopSendingWithin": site["rules"]["drain_grace_ms"], "tipAfter": site["rules"]["fall_ms"],
+            "fallMultiple": site["rules"]["fall_multiple"], "coldFrom": 0.2, "warmUp": 15000.0}}),
+    )
+    .unwrap()
+}
+
+#[test]
+fn the_variants_parse_and_are_what_they_are_there_for() {
+    let short = told(&site("harbour-ledger.toml")).module;
+    assert!(short.classes.iter().all(|c| c.deadline <= 1_200_000 && c.aim < c.deadline));
+    let window =
+        |e: &Effect| matches!(e, Effect::Keyed { group: Group::Cell, window } if *window < 1_000_000);
+    assert_eq!(short.classes.iter().filter(|c| window(&c.effect)).count(), 1);
+    let other = told(&site("quarry-archive.toml")).module;
+    let effects: Vec<Effect> = other.classes.iter().map(|c| c.effect).collect();
+    let keyed = Effect::Keyed { group: Group::All, window: 3_000_000 };
+    assert_eq!(effects, [Effect::Unsafe, keyed, Effect::Safe]);
+    assert!(other.plans.iter().all(|p| p.limit.is_none()) && other.plans[0].reserve == 0.0);
+    assert!(!other.parallel_tries && !other.probes && !other.retry_after);
+    for name in ["harbour-ledger.toml", "quarry-archive.toml"] {
+        let site = site(name);
+        let shares: f64 =
+            site["tenant"].as_array().unwrap().iter().map(|t| t["share"].as_f64().unwrap()).sum();
+        assert!((shares - 1.0).abs() < 1e-9, "{name}: {shares}");
+        assert!(site["name"].as_str().is_some_and(|n| name.starts_with(n)));
+    }
+}
