--- a/crates/lupinrack/tests/program.rs
+++ b/crates/lupinrack/tests/program.rs
@@ -39,7 +39,25 @@
     for (bad, why) in [
         (good.replace("\"seed\":\"8c\"", "\"seed\":\"xyz\""), "seed"),
         (good.replace("\"stopSendingWithin\"", "\"other\""), "safety.stopSendingWithin is missing"),
-        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "invalid socket address"),
+        (good.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\""), "listen: invalid socket address"),
+        (good.replace("\"sockets\":1024", "\"sockets\":-4"), "limits.sockets: invalid value"),
+        (good.replace("\"sockets\":1024", "\"sockets\":0"), "limits.sockets: not a positive number"),
+        (good.replace("\"generation\":41", "\"generation\":\"x\""), "known.generation: invalid type"),
+        (good.replace("\"aim\": 300.0", "\"aim\": -300"), "classes.0.aim: not a positive number"),
+        (good.replace("\"deadline\": 2000.0", "\"deadline\": 1e300"), "classes.0.deadline: over ten days"),
+        (
+            good.replace("\"connectTimeout\": 250.0", "\"connectTimeout\": -1"),
+            "policyLimits.connectTimeout: not a positive",
+        ),
+        (
+            good.replace("\"stopSendingWithin\": 1000.0", "\"stopSendingWithin\": 1e18"),
+            "safety.stopSendingWithin: over ten days",
+        ),
+        (good.replace("\"limitBurst\": 32.0", "\"limitBurst\": -32"), "grades.0.limitBurst: not a positive"),
+        (
+            good.replace("\"safety\": {", "\"safety\": {\"tipAfter\": 1000, \"coldFrom\": 7, "),
+            "safety.coldFrom: 7 is over 1",
+        ),
     ] {
         let said = Config::parse(&bad).err().expect("it is not usable").to_string();
         assert!(said.contains(why), "{said}");
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -12,9 +12,15 @@
     /// The file cannot be read.
     #[error("{0}: {1}")]
     Read(String, std::io::Error),
-    /// It is not the JSON expected.
+    /// It is no JSON.
     #[error("configuration: {0}")]
     Form(#[from] serde_json::Error),
+    /// Something in it is of another kind; the path says where.
+    #[error("configuration: {0}")]
+    Kind(#[from] serde_path_to_error::Error<serde_json::Error>),
+    /// A limit is none.
+    #[error("configuration: {0}: not a positive number")]
+    Limit(&'static str),
     /// An address in the environment cannot be read.
     #[error("{0}: '{1}' is not an address")]
     Address(&'static str, String),
@@ -116,7 +122,14 @@
     /// Reads the text of such a file.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
         let file: serde_json::Value = serde_json::from_str(text)?;
-        let raw = Raw::deserialize(&file)?;
+        let raw: Raw = serde_path_to_error::deserialize(&file)?;
+        for (path, limit) in
+            [("limits.sockets", raw.limits.sockets), ("limits.memory_mb", raw.limits.memory_mb)]
+        {
+            if limit == 0 {
+                return Err(ConfigError::Limit(path));
+            }
+        }
         let told = settings::parse_json(&raw.settings).map_err(ConfigError::Settings)?;
         let seed = u64::from_str_radix(&raw.seed, 16)
             .map_err(|_| ConfigError::Settings(format!("seed '{}' is not hexadecimal", raw.seed)))?;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -29,6 +29,9 @@
     pub connect_timeout: Micros,
 }
 
+/// The longest span that a setting may name, in milliseconds: ten days. Times are added to clock readings.
+const SPAN_MOST: f64 = 864e6;
+
 /// The most classes that one process can be told, with all that were dropped or changed.
 pub const CLASSES_MOST: usize = 256;
 
@@ -114,17 +117,24 @@
     fn num(&self, key: &str) -> Result<Option<f64>, String> {
         match self.opt::<f64>(key)? {
             Some(x) if !x.is_finite() => Err(format!("setting {key}: not a finite number")),
+            Some(x) if x < 0.0 => Err(format!("setting {key}: not a positive number")),
             x => Ok(x),
         }
     }
+    fn ms(&self, key: &str) -> Result<Option<Micros>, String> {
+        match self.num(key)? {
+            Some(x) if x > SPAN_MOST => Err(format!("setting {key}: over ten days")),
+            x => Ok(x.map(micros)),
+        }
+    }
     fn real(&self, key: &str, absent: f64) -> Result<f64, String> {
         Ok(self.num(key)?.unwrap_or(absent))
     }
     fn span(&self, key: &str, absent_ms: f64) -> Result<Micros, String> {
-        self.real(key, absent_ms).map(micros)
+        Ok(self.ms(key)?.unwrap_or(micros(absent_ms)))
     }
     fn must_span(&self, key: &str) -> Result<Micros, String> {
-        self.num(key)?.map(micros).ok_or_else(|| format!("setting {key} is missing"))
+        self.ms(key)?.ok_or_else(|| format!("setting {key} is missing"))
     }
     fn flag(&self, key: &str) -> Result<bool, String> {
         Ok(self.opt(key)?.unwrap_or(false))
@@ -197,13 +207,16 @@
         Some("push") | None => Discovery::Push,
         Some(other) => return Err(format!("setting registryMode: cannot read '{other}'")),
     };
-    let cold = match k.num("safety.tipAfter")? {
-        Some(window) if window > 0.0 => Some(ColdRule {
+    let cold = match k.ms("safety.tipAfter")? {
+        Some(window) if window > 0 => Some(ColdRule {
             bears: k.real("domain.coldBears", 0.0)?,
-            from: k.real("safety.coldFrom", 0.0)?,
+            from: match k.real("safety.coldFrom", 0.0)? {
+                from if from > 1.0 => return Err(format!("setting safety.coldFrom: {from} is over 1")),
+                from => from,
+            },
             multiple: k.real("safety.fallMultiple", 0.0)?,
             warm_up: k.span("safety.warmUp", 0.0)?,
-            window: micros(window),
+            window,
         }),
         _ => None,
     };
@@ -294,7 +307,9 @@
     let rate = k.real(&at("limit"), 0.0)?;
     let limit = match rate > 0.0 {
         true => {
-            Some(Limit { rate, burst: k.must(&at("limitBurst"))?, slack: k.real(&at("limitSlack"), 0.0)? })
+            let burst = at("limitBurst");
+            let burst = k.num(&burst)?.ok_or_else(|| format!("setting {burst} is missing"))?;
+            Some(Limit { rate, burst, slack: k.real(&at("limitSlack"), 0.0)? })
         }
         false => None,
     };
