--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -65,6 +65,8 @@
 const PART_USED: f64 = 0.98;
 /// How far this host's part of the cold budget may be overdrawn in the mean.
 const COLD_LEAN: f64 = 2.0;
+/// Where hosts are many, traffic is uneven: at one node up to this many times what it is in the mean.
+const UNEVEN_MOST: f64 = 3.0;
 /// How long a host looks before it trusts what it sees of the usual traffic.
 const USUAL_LEAST: Micros = 2_000_000;
 const HINT_LEAST: Micros = 100_000;
@@ -516,10 +518,9 @@
 
     /// Moves what waits at nodes that take nothing more.
     fn rehome(&mut self, now: Micros) {
-        let mut moving: Vec<RequestId> = self.homeless.iter().copied().collect();
         let stopped = self.nodes.values().filter(|n| n.told_stop.is_some());
-        moving.extend(stopped.flat_map(|n| n.queue.values()));
-        moving.into_iter().for_each(|id| self.place(now, id));
+        let waiting = self.homeless.iter().chain(stopped.flat_map(|n| n.queue.values()));
+        waiting.copied().collect::<Vec<_>>().into_iter().for_each(|id| self.place(now, id));
     }
 
     // ---- placement -------------------------------------------------------------------------------------
@@ -620,16 +621,15 @@
         (age < c.warm_up + c.window).then_some(age)
     }
 
-    /// Rule 4: this host's part of what a cold node bears: a token bucket that grows as the slowest warm.
-    /// With many hosts one request goes when it is above zero and is repaid after. Hosts start at random,
-    /// most in debt, so as not to come at once. Harmful if most hear late. A node bears what was stated, and
-    /// the rule's multiple of the cold share of what warm ones are seen to do, by the mean node.
+    /// Rule 4: this host's part of what a cold node bears: what was stated, and the rule's multiple of the
+    /// cold share of what warm ones are seen to do. The bucket grows as the slowest warm; with many hosts one
+    /// request goes above zero and is repaid after, and most start in debt, so as not to come at once.
     fn cold_tokens(&self, now: Micros, n: &Node) -> Option<f64> {
         let (age, c) = (self.cold_age(now, n)?, self.cfg.cold?);
         let warmth = (age - c.window).max(0) as f64 / c.warm_up.max(1) as f64;
         let grown = (c.from + (1.0 - c.from) * warmth) / c.from.max(0.01);
         let usual = self.served / self.alike / (now - self.since).max(USUAL_LEAST) as f64 * c.window as f64;
-        let seen = c.multiple * c.from * usual * self.crowd.sqrt();
+        let seen = c.multiple * c.from * usual * self.crowd.sqrt().min(UNEVEN_MOST);
         let share = self.share(now, self.rights.cold);
         let told = c.bears / f64::from(self.cfg.hosts.max(1)) * share;
         let part = told.max(seen * share.min(1.0)) * grown * COLD_LEAN * PART_USED;
