--- a/crates/rsync/src/unit.rs
+++ b/crates/rsync/src/unit.rs
@@ -125,6 +125,11 @@
         };
         tokio::select! {
             biased;
+            // Before all else: nothing begins for a client that has gone.
+            () = &mut gone => {
+                teller.client_gone().await;
+                break End::ClientGone;
+            }
             order = ticket.order() => match order {
                 // One connection to the client can take one answer: a copy beside it is never sent.
                 Some(Order::Send(attempt)) if out.is_some() => {
@@ -168,10 +173,6 @@
                     _ => {}
                 }
             }
-            () = &mut gone => {
-                teller.client_gone().await;
-                break End::ClientGone;
-            }
         }
     };
     // An attempt still out is given up here: its connection closes with it.
