--- a/crates/lupinrack/tests/crossings.rs
+++ b/crates/lupinrack/tests/crossings.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::front::{get, node, start, Fronts};
+use common::front::{get, node, start, told, Fronts};
+use lupinrack::net::clock::Epoch;
+use lupinrack::net::discovery::Watch;
 use lupinrack::net::gate::Gate;
 use lupinrack::net::shutdown::Phase;
 use stand_ins::scripted::{head, node_in_hand, reset};
@@ -220,3 +222,43 @@
         assert!(!matches!(timeout(Duration::from_millis(100), node.read(&mut [0; 64])).await, Ok(Ok(1..))));
     }
 }
+
+/// A list that breaks off is none, and one that comes after its call was given up changes nothing: the watch goes on from the version in
+/// hand, and what is known serves on.
+#[tokio::test]
+async fn a_list_that_is_cut_or_comes_after_its_time_changes_nothing() {
+    let (address, _) = node(std::str::from_utf8(OK).unwrap()).await;
+    let fronts = start(address, address, "priority", 4_000).await;
+    let (discovery, mut calls) = node_in_hand().await;
+    let entry = format!(
+        r#"{{"instanceId":"s-1","hostPort":"{address}","cell":0,"lifecycle":"SERVING","startedAtMs":0}}"#
+    );
+    let known = format!(r#"{{"generation":41,"reset":true,"instances":[{entry}]}}"#);
+    let watch = Watch {
+        address: watch::channel(discovery).1,
+        zones: told().zones,
+        epoch: Epoch::fix(&fronts.core.clock),
+        how: (lupinrack::Discovery::Push, 3),
+        seed: 1,
+    };
+    tokio::spawn(watch.run(fronts.core.clone(), Some(serde_json::from_str(&known).unwrap())));
+    let gone = r#"{"generation":43,"reset":true,"instances":[{"instanceId":"s-1","lifecycle":"DELETED"}]}"#;
+    let whole = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{gone}", gone.len());
+    // Cut one byte before its end, by a reset.
+    let mut call = calls.recv().await.unwrap();
+    assert!(head(&mut call).await.contains("from=41&"));
+    call.write_all(&whole.as_bytes()[..whole.len() - 1]).await.unwrap();
+    reset(call);
+    // Silent until it is given up; then all of it.
+    let mut silent = calls.recv().await.unwrap();
+    assert!(head(&mut silent).await.contains("from=41&"));
+    let mut next = calls.recv().await.unwrap();
+    assert!(head(&mut next).await.contains("from=41&"));
+    let _ = silent.write_all(whole.as_bytes()).await;
+    // The next one's answer is taken, and the watch goes on at once.
+    let none = r#"{"generation":44,"reset":false,"instances":[]}"#;
+    let none = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{none}", none.len());
+    next.write_all(none.as_bytes()).await.unwrap();
+    assert!(head(&mut next).await.contains("from=44&"));
+    assert!(rest(client(&fronts, &last(1)).await).await.ends_with("whole"), "the node serves on");
+}
