--- a/crates/fleet-rig/src/checks.rs
+++ b/crates/fleet-rig/src/checks.rs
@@ -5,7 +5,7 @@
 use crate::script::{Act, Script};
 use crate::witness::{Asked, Seen, CAPACITY, FALLS, LIMIT};
 use stand_ins::load::Came;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// What a checker holds of sums beside rounding.
 const EPSILON: f64 = 1e-6;
@@ -33,13 +33,16 @@
     })
 }
 
-/// Volumes whose limit was broken: a bucket over all that ran anywhere.
+/// Volumes whose limit was broken: a bucket over all that ran anywhere. A request draws with the first of its attempts that comes to a
+/// node, and with no other: that is the rule, and the module's promise.
 pub fn limits(seen: &[Seen], broken: &mut Vec<String>) -> u64 {
     let (rate, burst, slack) = LIMIT;
     let most = burst + slack + rate * SOCKETS_S;
     let mut levels: HashMap<u64, (f64, Moment)> = HashMap::new();
     let mut over: BTreeMap<u64, f64> = BTreeMap::new();
-    for s in seen.iter().filter(|s| s.ran && s.volume < 10_000 && s.volume > 0) {
+    let mut drawn = HashSet::new();
+    let counts = |s: &&Seen| s.ran && s.volume < 10_000 && s.volume > 0;
+    for s in seen.iter().filter(counts).filter(|s| drawn.insert(s.id.as_str())) {
         let (level, at) = levels.entry(s.volume).or_insert((most, s.at));
         *level = (*level + rate * (s.at - *at) as f64 / 1e6).min(most) - f64::from(s.units);
         *at = s.at;
--- a/crates/membership-drill/tests/check.rs
+++ b/crates/membership-drill/tests/check.rs
@@ -7,6 +7,7 @@
 use lupinrack_membership_drill::check::{deaths, parts, views};
 use serde_json::{json, Value};
 use stand_ins::load::Came;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 const S: u64 = 1_000_000;
 
@@ -19,7 +20,10 @@
 }
 
 fn ran(at: u64, node: usize, volume: u64, units: u32) -> Seen {
-    Seen { at, node, cold: None, id: String::new(), volume, units, ran: true, dropped: false, key: None }
+    // Each its own request.
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let id = NEXT.fetch_add(1, Ordering::Relaxed).to_string();
+    Seen { at, node, cold: None, id, volume, units, ran: true, dropped: false, key: None }
 }
 
 #[test]
@@ -76,6 +80,11 @@
     seen.push(ran(11 * S, 1, 1, 4));
     seen.push(ran(11 * S, 2, 1, 4));
     assert_eq!((limits(&seen, &mut broken), broken.len()), (1, 1), "at whichever nodes");
+    // A request draws once, whatever became of its first attempt; another one draws for itself.
+    let mut one: Vec<Seen> = (0..3).map(|i| Seen { id: "one".into(), ..ran(S, i, 1, 16) }).collect();
+    assert_eq!(limits(&one, &mut Vec::new()), 0);
+    one.iter_mut().zip(["one", "two", "three"]).for_each(|(s, id)| s.id = id.into());
+    assert_eq!(limits(&one, &mut Vec::new()), 1);
 }
 
 #[test]
