System: design note, shared types and the borders of the scheduler's crates

The cluster scheduler begins: identities, operations, messages and error kinds in one crate of plain data, the record of the control state, and empty crates for each part, so that they can be built side by side. The design note says who owns which state, what is on which disk when an answer goes out, and where the house style gives way (reads by barrier in place of leases, redb in place of sled). Ruled out: leases on clocks for reads (a barrier costs a round trip and trusts no clock); starts that are not recorded (a new owner would have to wait for every hold).

--- /dev/null
+++ b/crates/chain/src/lib.rs
@@ -0,0 +1,1 @@
+//! Chain replication of the control state's log.
--- /dev/null
+++ b/crates/cluster-api/src/wire.rs
@@ -0,0 +1,216 @@
+//! Frames of the internal protocol.
+//!
+//! A connection begins with [`Frame::Hello`] from the process that opened it. A frame on the wire is its length in four
+//! bytes, little-endian, and its `borsh` form. Connections may end at any time; whoever needs an answer asks again.
+
+use crate::agent::{AgentMessage, OwnerMessage};
+use crate::configuration::Configuration;
+use crate::identity::{DiskId, PeerAddress};
+use crate::operation::LogEntry;
+use crate::request::{Reply, Request};
+use crate::view::{View, Voter};
+use borsh::{BorshDeserialize, BorshSerialize};
+
+/// The largest frame, in bytes.
+pub const FRAME_BYTES_MOST: usize = 8 * 1024 * 1024;
+
+/// The kind of machine that a process runs on, as its settings name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, BorshSerialize, BorshDeserialize)]
+pub enum Role {
+    /// Takes clients' calls.
+    Frontend,
+    /// The agent on a server's machine.
+    Agent,
+    /// Has a disk and serves control.
+    Core,
+}
+
+/// Who opened a connection.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Hello {
+    /// Where it listens for others of the system.
+    pub address: PeerAddress,
+    /// Its kind.
+    pub role: Role,
+    /// Its zone.
+    pub zone: String,
+    /// Drawn at random when the process began.
+    pub life: u64,
+    /// Its disk, where it has one.
+    pub disk: Option<DiskId>,
+}
+
+/// A ballot of the agreement on views: unique, since its proposer is.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize,
+)]
+pub struct Ballot {
+    /// Above that of every ballot that the proposer had heard of.
+    pub round: u64,
+    /// Drawn at random when the proposer's process began.
+    pub life: u64,
+}
+
+/// Messages of the agreement on views (a register changed by two-phase ballots).
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum AgreementMessage {
+    /// Asks for a promise to take nothing under a lower ballot.
+    Prepare {
+        /// The ballot.
+        ballot: Ballot,
+    },
+    /// The promise, and the view accepted last.
+    Promise {
+        /// The ballot promised.
+        ballot: Ballot,
+        /// The disk that promises.
+        disk: DiskId,
+        /// Under which ballot the view was accepted.
+        accepted_ballot: Ballot,
+        /// The view accepted last; number 0 where there is none.
+        accepted: View,
+    },
+    /// Asks to accept a view.
+    Accept {
+        /// The ballot.
+        ballot: Ballot,
+        /// The view.
+        view: View,
+    },
+    /// The view was accepted and is on disk.
+    Accepted {
+        /// The ballot.
+        ballot: Ballot,
+        /// The disk that accepted.
+        disk: DiskId,
+    },
+    /// A higher ballot was promised.
+    Rejected {
+        /// The ballot refused.
+        ballot: Ballot,
+        /// The ballot promised.
+        promised: Ballot,
+    },
+    /// A view that is agreed.
+    Agreed {
+        /// The view.
+        view: View,
+    },
+}
+
+/// Messages of the replication chain.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum ChainMessage {
+    /// From a member to its successor: entries, and how far everything is committed as far as the sender knows.
+    Append {
+        /// The sender's view.
+        view: u64,
+        /// The index before the first entry.
+        previous: u64,
+        /// The entries; none for a check that the successor is there.
+        entries: Vec<LogEntry>,
+        /// Everything up to this index is committed.
+        committed: u64,
+        /// Rises with each barrier of the head; acknowledged like an entry, without a sync.
+        barrier: u64,
+    },
+    /// From a member to its predecessor: everything up to `synced` is on the disks of the sender and of all behind it.
+    Acknowledge {
+        /// The sender's view.
+        view: u64,
+        /// The last index that is on all those disks.
+        synced: u64,
+        /// The last barrier that the tail has seen.
+        barrier: u64,
+    },
+    /// From a member to its predecessor: entries after `have` are needed.
+    Resend {
+        /// The sender's view.
+        view: u64,
+        /// The last index that the sender has.
+        have: u64,
+    },
+    /// From a member to its successor, or to a disk that is to join: the whole state, in pieces.
+    Snapshot {
+        /// The sender's view.
+        view: u64,
+        /// The index that the state covers.
+        index: u64,
+        /// Which piece this is, from 0.
+        piece: u32,
+        /// How many pieces there are.
+        pieces: u32,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// From a disk that is to join the chain to the tail: it has everything up to `have` and wants what follows.
+    Join {
+        /// The view that the sender knows.
+        view: u64,
+        /// The disk.
+        disk: DiskId,
+        /// The last index that it has synced; none where it needs a snapshot.
+        have: Option<u64>,
+    },
+    /// The receiver's view is older than the sender's.
+    Outdated {
+        /// The newer view.
+        view: View,
+    },
+}
+
+/// One frame.
+#[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum Frame {
+    /// Opens a connection.
+    Hello(Hello),
+    /// A call, and the milliseconds that its caller waits.
+    Request {
+        /// Its number on this connection.
+        id: u64,
+        /// Milliseconds until the caller gives up.
+        remaining_ms: u64,
+        /// The call.
+        request: Request,
+    },
+    /// The answer to a call.
+    Reply {
+        /// The number of the call.
+        id: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Core to core, a few times a second: it lives, and what it knows.
+    Heartbeat {
+        /// The sender as a voter would be listed.
+        voter: Voter,
+        /// The newest view that the sender knows.
+        view: View,
+        /// Whether its disk answers in time.
+        disk_healthy: bool,
+        /// Whether it has everything that is committed, as far as it knows, and could join the chain.
+        caught_up: bool,
+    },
+    /// The agreement on views.
+    Agreement(AgreementMessage),
+    /// The replication chain.
+    Chain(ChainMessage),
+    /// From a server's agent.
+    Agent(AgentMessage),
+    /// To a server's agent.
+    Owner(OwnerMessage),
+    /// To processes without a disk: the newest view.
+    ViewNews(View),
+    /// Asks to be told of views and configurations from now on, a few times a second while the sender lives.
+    Subscribe {
+        /// The version of the configuration that the sender has; 0 for none.
+        have: u64,
+    },
+    /// To a subscriber: the newest configuration, certain at the moment of sending; none where the subscriber has it.
+    ConfigurationNews {
+        /// The newest version.
+        version: u64,
+        /// The configuration.
+        configuration: Option<Configuration>,
+    },
+}
--- /dev/null
+++ b/crates/cluster-net/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sockets of the cluster scheduler: internal connections and HTTP.
--- /dev/null
+++ b/crates/cluster-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings file of a process of the cluster scheduler.
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! HYBRID-DSFQ over the tasks that wait for each server.
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of tasks on servers, and what the owner of a service orders.
