--- a/crates/cluster-api/src/wire.rs
+++ b/crates/cluster-api/src/wire.rs
@@ -6,7 +6,7 @@
 use crate::agent::{AgentMessage, OwnerMessage};
 use crate::configuration::Configuration;
 use crate::identity::{DiskId, PeerAddress};
-use crate::operation::LogEntry;
+use crate::operation::{LogEntry, Operation};
 use crate::request::{Reply, Request};
 use crate::view::{View, Voter};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -195,6 +195,9 @@
     Agreement(AgreementMessage),
     /// The replication chain.
     Chain(ChainMessage),
+    /// From the owner of a shard to the head: an operation to append. No answer; the owner sees it applied in its own
+    /// replica, and sends it again if it does not.
+    Submit(Operation),
     /// From a server's agent.
     Agent(AgentMessage),
     /// To a server's agent.
