Node: the driver of the cluster scheduler's processes, before it is joined with its parts

Ruled out: one task a subsystem (a core process is one owner of all its state, so that effects keep their order).

--- a/crates/cluster-api/src/request.rs
+++ b/crates/cluster-api/src/request.rs
@@ -1,6 +1,5 @@
 //! Calls between processes of the system: what a front or any control process asks of the head of the chain.
 
-use crate::configuration::Configuration;
 use crate::error::ErrorKind;
 use crate::identity::JobId;
 use crate::job::{JobSpec, JobState};
@@ -52,6 +51,12 @@
         /// Which queue.
         target: Target,
     },
+    /// Asks whether the view of this number still rules: answered `Done` after a barrier through its chain. An owner of a
+    /// shard may act for a bounded time counted from when it sent this.
+    ConfirmView {
+        /// The number.
+        number: u64,
+    },
     /// Asks what a process knows of the system, for operators.
     Status,
 }
@@ -61,8 +66,8 @@
 pub enum Reply {
     /// It is done and kept.
     Done,
-    /// The newest configuration.
-    Configuration(Configuration),
+    /// The newest configuration as the operator wrote it, as JSON text.
+    ConfigurationDocument(String),
     /// A job's state.
     Job(JobState),
     /// How many jobs of the queue have not ended.
--- /dev/null
+++ b/crates/cluster-node/src/control_api.rs
@@ -0,0 +1,80 @@
+//! The operator's HTTP interface, served by every core process.
+
+use crate::NodeError;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
+use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
+use lupinrack_cluster_settings::NodeSettings;
+use tokio::sync::{mpsc, oneshot};
+
+const CONFIGURATION_PATH: &str = "/lupinrack/config";
+const STATUS_PATH: &str = "/lupinrack/status";
+/// How long a call to the head may take, in milliseconds. Callers go on to another process after a second of silence.
+const CALL_MS: u64 = 3_000;
+/// The largest body that an operator may send, in bytes.
+const BODY_BYTES_MOST: usize = 4 * 1024 * 1024;
+
+/// A call of this process to the head.
+#[derive(Debug)]
+pub struct ControlCall {
+    /// What is asked.
+    pub request: Request,
+    /// Where the answer goes.
+    pub answerer: oneshot::Sender<Reply>,
+    /// Milliseconds that the caller waits.
+    pub remaining_ms: u64,
+}
+
+/// Serves at the control address.
+pub fn serve(settings: &NodeSettings, calls: mpsc::Sender<ControlCall>) -> Result<ServerHandle, NodeError> {
+    let address = settings.control.ok_or(NodeError::NoAddress)?;
+    let listener = http_server::bind(address)?;
+    let limits = HttpLimits { max_body_bytes: BODY_BYTES_MOST, ..HttpLimits::default() };
+    let handler = move |call: HttpCall| {
+        let calls = calls.clone();
+        async move { answer(call, calls).await }
+    };
+    Ok(http_server::serve(listener, limits, handler)?)
+}
+
+async fn answer(call: HttpCall, calls: mpsc::Sender<ControlCall>) -> HttpAnswer {
+    let request = match request_of(&call) {
+        Ok(request) => request,
+        Err(kind) => return HttpAnswer::error(kind),
+    };
+    match ask(&calls, request, CALL_MS).await {
+        Reply::Done | Reply::Job(_) | Reply::Pending(_) => HttpAnswer::empty(200),
+        Reply::ConfigurationDocument(document) => HttpAnswer::json(200, document),
+        Reply::Status(text) => HttpAnswer::json(200, text),
+        Reply::Error(kind) => HttpAnswer::error(kind),
+        Reply::NotHead(_) => HttpAnswer::error(ErrorKind::InDoubt),
+    }
+}
+
+/// Asks the head and waits for its answer.
+pub async fn ask(calls: &mpsc::Sender<ControlCall>, request: Request, remaining_ms: u64) -> Reply {
+    let (answerer, reply) = oneshot::channel();
+    let call = ControlCall { request, answerer, remaining_ms };
+    if calls.send(call).await.is_err() {
+        return Reply::Error(ErrorKind::ShuttingDown);
+    }
+    reply.await.unwrap_or(Reply::Error(ErrorKind::InDoubt))
+}
+
+fn request_of(call: &HttpCall) -> Result<Request, ErrorKind> {
+    match (call.method.as_str(), call.path.as_str()) {
+        ("GET", CONFIGURATION_PATH) => Ok(Request::ReadConfiguration),
+        ("GET", STATUS_PATH) => Ok(Request::Status),
+        ("PUT", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Whole),
+        ("PATCH", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Patch),
+        _ => Err(ErrorKind::NotServed),
+    }
+}
+
+fn change_of(call: &HttpCall, kind: fn(String) -> ConfigurationBody) -> Result<Request, ErrorKind> {
+    let if_match = call.if_match.ok_or(ErrorKind::Malformed)?;
+    let text = std::str::from_utf8(&call.body).map_err(|_| ErrorKind::Malformed)?;
+    let body = kind(text.to_owned());
+    Ok(Request::ChangeConfiguration(ConfigurationChange { if_match, body }))
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/mod.rs
@@ -0,0 +1,15 @@
+//! A core process: votes on views, replicates the control state, answers calls, owns shards.
+//!
+//! One task owns all of it. Everything that happens (frames, calls of this process, synced writes, the timer) comes in as
+//! an event; the state machines answer with effects, which are carried out here.
+
+mod calls;
+mod disk;
+mod process;
+mod replica;
+mod shards;
+mod subscribers;
+mod waiting;
+
+pub use process::run;
+pub use subscribers::VIEWS_ONLY;
--- /dev/null
+++ b/crates/cluster-node/src/core/replica.rs
@@ -0,0 +1,43 @@
+//! This disk's replica of the control state: what is applied, and how it is kept small.
+
+use lupinrack_cluster_api::operation::{LogEntry, OperationResult};
+use lupinrack_control_state::ControlState;
+
+/// Entries after which the state is written as a new snapshot.
+const SNAPSHOT_AFTER_ENTRIES: u64 = 4_000;
+
+/// The applied state.
+#[derive(Debug, Default)]
+pub struct Replica {
+    /// The state.
+    pub state: ControlState,
+    /// The index of the last applied operation.
+    pub applied: u64,
+    snapshot_index: u64,
+}
+
+impl Replica {
+    /// From the snapshot on the disk; empty bytes stand for the empty state.
+    pub fn load(index: u64, bytes: &[u8]) -> Result<Replica, std::io::Error> {
+        let state = if bytes.is_empty() { ControlState::default() } else { ControlState::from_bytes(bytes)? };
+        Ok(Replica { state, applied: index, snapshot_index: index })
+    }
+
+    /// Applies the next operation.
+    pub fn apply(&mut self, entry: &LogEntry) -> OperationResult {
+        debug_assert_eq!(entry.index, self.applied + 1, "operations are applied in order");
+        self.applied = entry.index;
+        self.state.apply(&entry.operation)
+    }
+
+    /// Whether a new snapshot is due.
+    pub fn wants_snapshot(&self) -> bool {
+        self.applied.saturating_sub(self.snapshot_index) >= SNAPSHOT_AFTER_ENTRIES
+    }
+
+    /// The state as bytes, under the index that it covers.
+    pub fn snapshot(&mut self) -> (u64, Vec<u8>) {
+        self.snapshot_index = self.applied;
+        (self.applied, self.state.to_bytes())
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/shards.rs
@@ -0,0 +1,162 @@
+//! The shards that this process owns: taking them over, feeding their schedulers, sending what they decide.
+
+use crate::owner::owner_of;
+use lupinrack_cluster_api::agent::AgentMessage;
+use lupinrack_cluster_api::identity::{DiskId, FencingToken, PeerAddress, ServiceName};
+use lupinrack_cluster_api::operation::{Operation, OperationResult};
+use lupinrack_cluster_api::time::{Millis, WallMillis};
+use lupinrack_cluster_api::view::View;
+use lupinrack_control_state::ControlState;
+use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings};
+use std::collections::BTreeMap;
+
+/// How long an owner may act after it last asked whether its view rules, in milliseconds.
+pub const AUTHORITY_MS: u64 = 1_000;
+/// A take-over that was not applied is submitted again after this long, in milliseconds.
+const TAKE_AGAIN_MS: u64 = 700;
+
+/// An agent's newest first message, kept until its shard is owned.
+#[derive(Debug)]
+struct EarlyAttach {
+    agent: PeerAddress,
+    connection: u64,
+    message: AgentMessage,
+}
+
+/// All shards that this process owns or is about to.
+#[derive(Debug)]
+pub struct Shards {
+    me: DiskId,
+    settings: SchedulerSettings,
+    schedulers: BTreeMap<ServiceName, Scheduler>,
+    taking: BTreeMap<ServiceName, Millis>,
+    agents: BTreeMap<u64, ServiceName>,
+    early: BTreeMap<ServiceName, Vec<EarlyAttach>>,
+}
+
+impl Shards {
+    /// None yet.
+    pub fn new(me: DiskId, settings: SchedulerSettings) -> Shards {
+        Shards {
+            me,
+            settings,
+            schedulers: BTreeMap::new(),
+            taking: BTreeMap::new(),
+            agents: BTreeMap::new(),
+            early: BTreeMap::new(),
+        }
+    }
+
+    /// Whether this process owns any shard.
+    pub fn is_empty(&self) -> bool {
+        self.schedulers.is_empty()
+    }
+
+    /// The services that this process schedules, for operators.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.schedulers.keys()
+    }
+
+    /// Drops what the view gives to others, and takes over what it gives to this process.
+    pub fn follow_view(&mut self, view: &View, state: &ControlState, now: Millis) -> Vec<Operation> {
+        let me = self.me;
+        self.schedulers.retain(|service, _| owner_of(view, service) == Some(me));
+        let mut operations = Vec::new();
+        for service in &state.configuration.services {
+            let mine = owner_of(view, &service.name) == Some(me);
+            if !mine || self.schedulers.contains_key(&service.name) {
+                continue;
+            }
+            let tried = self.taking.get(&service.name);
+            if tried.is_some_and(|at| now.since(*at) < TAKE_AGAIN_MS) {
+                continue;
+            }
+            self.taking.insert(service.name.clone(), now);
+            let current = state.shards.get(&service.name).map_or(0, |shard| shard.token.0);
+            let token = FencingToken(view.number.max(current + 1));
+            operations.push(Operation::TakeShard { service: service.name.clone(), token, owner: me });
+        }
+        operations
+    }
+
+    /// An operation was applied to the replica.
+    pub fn applied(&mut self, operation: &Operation, result: &OperationResult, view: &View, now: Millis) {
+        if let Operation::TakeShard { service, token, owner } = operation {
+            self.shard_taken(service, *token, *owner, result, view, now);
+        }
+        for scheduler in self.schedulers.values_mut() {
+            scheduler.applied(operation, result, now);
+        }
+    }
+
+    fn shard_taken(
+        &mut self,
+        service: &ServiceName,
+        token: FencingToken,
+        owner: DiskId,
+        result: &OperationResult,
+        view: &View,
+        now: Millis,
+    ) {
+        if *result != OperationResult::Done {
+            return;
+        }
+        self.schedulers.remove(service);
+        self.taking.remove(service);
+        let mine = owner == self.me && owner_of(view, service) == Some(self.me);
+        if !mine {
+            return;
+        }
+        let mut scheduler = Scheduler::new(service.clone(), token, self.settings.clone(), now);
+        for early in self.early.remove(service).unwrap_or_default() {
+            scheduler.receive(early.agent, early.connection, early.message, now);
+        }
+        self.schedulers.insert(service.clone(), scheduler);
+    }
+
+    /// A message of an agent.
+    pub fn receive(&mut self, agent: PeerAddress, connection: u64, message: AgentMessage, now: Millis) {
+        if let AgentMessage::Attach { facts, .. } = &message {
+            self.agents.insert(connection, facts.service.clone());
+        }
+        let Some(service) = self.agents.get(&connection) else {
+            return;
+        };
+        if let Some(scheduler) = self.schedulers.get_mut(service) {
+            scheduler.receive(agent, connection, message, now);
+            return;
+        }
+        if matches!(message, AgentMessage::Attach { .. }) {
+            let early = self.early.entry(service.clone()).or_default();
+            early.retain(|attach| attach.agent != agent);
+            early.push(EarlyAttach { agent, connection, message });
+        }
+    }
+
+    /// An agent's connection ended.
+    pub fn disconnected(&mut self, agent: PeerAddress, connection: u64, now: Millis) {
+        let Some(service) = self.agents.remove(&connection) else {
+            return;
+        };
+        if let Some(early) = self.early.get_mut(&service) {
+            early.retain(|attach| attach.connection != connection);
+        }
+        if let Some(scheduler) = self.schedulers.get_mut(&service) {
+            scheduler.disconnected(agent, connection, now);
+        }
+    }
+
+    /// One round of every scheduler.
+    pub fn round(
+        &mut self,
+        state: &ControlState,
+        now: Millis,
+        wall: WallMillis,
+        authority_until: Millis,
+    ) -> Vec<Round> {
+        self.schedulers
+            .values_mut()
+            .map(|scheduler| scheduler.round(state, now, wall, authority_until))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/subscribers.rs
@@ -0,0 +1,44 @@
+//! Processes that asked to be told of views and configurations.
+
+use lupinrack_cluster_api::identity::PeerAddress;
+use std::collections::BTreeMap;
+
+/// What a subscriber that wants no configuration says that it has.
+pub const VIEWS_ONLY: u64 = u64::MAX;
+
+/// All subscribers, by their connection.
+#[derive(Debug, Default)]
+pub struct Subscribers {
+    by_connection: BTreeMap<u64, Subscriber>,
+}
+
+/// One of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Subscriber {
+    /// Its process.
+    pub address: PeerAddress,
+    /// The version of the configuration that it has.
+    pub have: u64,
+    /// The number of the view that it was told last.
+    pub told_view: u64,
+}
+
+impl Subscribers {
+    /// A process subscribed, or said again what it has.
+    pub fn heard(&mut self, connection: u64, address: PeerAddress, have: u64) -> &mut Subscriber {
+        let entry = self.by_connection.entry(connection);
+        let subscriber = entry.or_insert(Subscriber { address, have, told_view: 0 });
+        subscriber.have = have;
+        subscriber
+    }
+
+    /// Its connection ended.
+    pub fn closed(&mut self, connection: u64) {
+        self.by_connection.remove(&connection);
+    }
+
+    /// All of them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&u64, &mut Subscriber)> {
+        self.by_connection.iter_mut()
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/front.rs
@@ -0,0 +1,280 @@
+//! A front: takes clients' calls, checks them, and asks the head of the chain.
+
+use crate::clock::{draw, Clock};
+use crate::control_api::{ask, ControlCall};
+use crate::head_client::{HeadClient, Outgoing};
+use crate::signals::Signals;
+use crate::subscription::Subscription;
+use crate::NodeError;
+use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::JobId;
+use lupinrack_cluster_api::request::{Reply, Request, Target};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
+use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits};
+use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeersSettings};
+use lupinrack_cluster_net::snapshot::Snapshot;
+use lupinrack_cluster_settings::NodeSettings;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// How often the process looks at its clock, in milliseconds.
+const TICK_MS: u64 = 50;
+/// The front subscribes again at least so often, in milliseconds.
+const SUBSCRIBE_MS: u64 = 400;
+/// A configuration that was not confirmed for this long says nothing on what does not exist, in milliseconds.
+const FRESH_MS: u64 = 900;
+/// A front that was not confirmed for this long is not ready, in milliseconds.
+const READY_MS: u64 = 2_500;
+/// What is kept of a client's time for the answer's way back, in milliseconds.
+const ANSWER_MARGIN_MS: u64 = 250;
+/// How long a client without a deadline is made to wait, in milliseconds.
+const WAIT_MS: u64 = 2_500;
+/// A process that is told to end goes on taking calls for this part of its grace, in hundredths.
+const SERVE_ON_PERCENT: u64 = 55;
+/// It has ended before this part of its grace is over, in hundredths.
+const END_PERCENT: u64 = 85;
+
+/// What the handlers of calls know, swapped whole.
+#[derive(Clone, Debug, Default)]
+struct FrontTable {
+    configuration: Arc<Configuration>,
+    confirmed_at: Millis,
+    draining: bool,
+}
+
+struct Front {
+    clock: Clock,
+    peers: Peers,
+    client: HeadClient,
+    subscription: Subscription,
+    table: Arc<Snapshot<FrontTable>>,
+    subscribed_at: Millis,
+}
+
+/// Runs until the process is told to end.
+pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+    let address = settings.internal_address();
+    let hello =
+        Hello { address, role: Role::Frontend, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (peers, mut events) = Peers::start(address.0, hello, PeersSettings::default())?;
+    let table = Arc::new(Snapshot::new(FrontTable::default()));
+    let (calls_in, mut calls) = mpsc::channel::<ControlCall>(1024);
+    let front_server = serve_jobs(&settings, &table, calls_in, clock)?;
+    let readiness_server = serve_readiness(&settings, &table, clock)?;
+    let mut front = Front {
+        clock,
+        peers,
+        client: HeadClient::default(),
+        subscription: Subscription::new(settings.seed_internal(), SUBSCRIBE_MS, clock.now()),
+        table,
+        subscribed_at: Millis(0),
+    };
+    let mut signals = Signals::listen()?;
+    let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let grace_ms = settings.bounds.grace_ms;
+    let mut ending: Option<Millis> = None;
+    let mut drained = false;
+    loop {
+        tokio::select! {
+            Some(event) = events.recv() => front.on_peer_event(event),
+            Some(call) = calls.recv() => front.on_call(call),
+            _ = timer.tick() => front.on_tick(),
+            () = signals.terminated(), if ending.is_none() => {
+                ending = Some(clock.now());
+                front.drain();
+            }
+        }
+        let Some(since) = ending else {
+            continue;
+        };
+        let waited = clock.now().since(since);
+        if !drained && waited >= grace_ms * SERVE_ON_PERCENT / 100 {
+            drained = true;
+            front_server.stop();
+        }
+        if (drained && front_server.is_idle()) || waited >= grace_ms * END_PERCENT / 100 {
+            readiness_server.stop();
+            return Ok(());
+        }
+    }
+}
+
+impl Front {
+    fn on_peer_event(&mut self, event: PeerEvent) {
+        let now = self.clock.now();
+        match event {
+            PeerEvent::Frame { frame, .. } => self.on_frame(frame, now),
+            PeerEvent::Closed { from, .. } => {
+                self.subscription.hurry();
+                let outgoing = self.client.closed(from, now);
+                self.send_all(outgoing);
+            }
+        }
+    }
+
+    fn on_frame(&mut self, frame: Frame, now: Millis) {
+        match frame {
+            Frame::Reply { id, reply } => {
+                let outgoing = self.client.answered(id, reply, now);
+                self.send_all(outgoing);
+            }
+            Frame::ViewNews(view) => {
+                if view.number > self.client.view().number {
+                    self.subscription.hurry();
+                }
+                let outgoing = self.client.learn(&view, now);
+                self.send_all(outgoing);
+            }
+            Frame::ConfigurationNews { version, configuration } => {
+                self.subscription.heard_news(now);
+                self.on_configuration(version, configuration, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Never back to an older configuration in one life of the process.
+    fn on_configuration(&mut self, version: u64, configuration: Option<Configuration>, now: Millis) {
+        let table = self.table.load();
+        let known = table.configuration.version;
+        if version < known {
+            return;
+        }
+        let mut next = FrontTable::clone(&table);
+        match configuration {
+            Some(newer) if newer.version > known => next.configuration = Arc::new(newer),
+            _ if version > known => return,
+            _ => {}
+        }
+        next.confirmed_at = now;
+        self.table.replace(Arc::new(next));
+    }
+
+    fn on_call(&mut self, call: ControlCall) {
+        let now = self.clock.now();
+        let until = now.plus(call.remaining_ms);
+        let outgoing = self.client.call(call.request, call.answerer, until, now);
+        self.send_all(outgoing);
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.clock.now();
+        let outgoing = self.client.tick(now);
+        self.send_all(outgoing);
+        let have = self.table.load().configuration.version;
+        if let Some(subscribe) = self.subscription.tick(self.client.view(), have, now) {
+            self.subscribed_at = now;
+            self.peers.send(subscribe.to, subscribe.frame);
+        }
+    }
+
+    fn drain(&mut self) {
+        spdlog::info!("told to end");
+        let mut next = FrontTable::clone(&self.table.load());
+        next.draining = true;
+        self.table.replace(Arc::new(next));
+    }
+
+    fn send_all(&mut self, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, frame } in outgoing {
+            self.peers.send(to, frame);
+        }
+    }
+}
+
+fn serve_readiness(
+    settings: &NodeSettings,
+    table: &Arc<Snapshot<FrontTable>>,
+    clock: Clock,
+) -> Result<http_server::ServerHandle, NodeError> {
+    let address = settings.readiness.ok_or(NodeError::NoAddress)?;
+    let listener = http_server::bind(address)?;
+    let table = table.clone();
+    let handler = move |_call: HttpCall| {
+        let ready = is_ready(&table.load(), clock.now());
+        async move { HttpAnswer::empty(if ready { 200 } else { 503 }) }
+    };
+    Ok(http_server::serve(listener, HttpLimits::default(), handler)?)
+}
+
+fn is_ready(table: &FrontTable, now: Millis) -> bool {
+    let knows = table.configuration.version > 0;
+    knows && !table.draining && now.since(table.confirmed_at) < READY_MS
+}
+
+fn serve_jobs(
+    settings: &NodeSettings,
+    table: &Arc<Snapshot<FrontTable>>,
+    calls: mpsc::Sender<ControlCall>,
+    clock: Clock,
+) -> Result<http_server::ServerHandle, NodeError> {
+    let address = settings.front.ok_or(NodeError::NoAddress)?;
+    let listener = http_server::bind(address)?;
+    let table = table.clone();
+    let handler = move |call: HttpCall| {
+        let table = table.load();
+        let calls = calls.clone();
+        async move { answer(call, table, calls, clock).await }
+    };
+    Ok(http_server::serve(listener, HttpLimits::default(), handler)?)
+}
+
+async fn answer(
+    call: HttpCall,
+    table: Arc<FrontTable>,
+    calls: mpsc::Sender<ControlCall>,
+    clock: Clock,
+) -> HttpAnswer {
+    match request_of(&call, &table, clock.now()) {
+        Err(kind) => HttpAnswer::error(kind),
+        Ok(request) => {
+            let remaining = call.deadline_remaining_ms.unwrap_or(WAIT_MS).min(WAIT_MS);
+            let wait = remaining.saturating_sub(ANSWER_MARGIN_MS).max(1);
+            answer_of(ask(&calls, request, wait).await)
+        }
+    }
+}
+
+fn answer_of(reply: Reply) -> HttpAnswer {
+    match reply {
+        Reply::Job(state) => HttpAnswer::json(200, job_state_body(state)),
+        Reply::Pending(count) => HttpAnswer::json(200, pending_body(count)),
+        Reply::Done => HttpAnswer::empty(200),
+        Reply::Error(kind) => HttpAnswer::error(kind),
+        Reply::ConfigurationDocument(_) | Reply::Status(_) | Reply::NotHead(_) => {
+            HttpAnswer::error(ErrorKind::InDoubt)
+        }
+    }
+}
+
+fn request_of(call: &HttpCall, table: &FrontTable, now: Millis) -> Result<Request, ErrorKind> {
+    let target = Target { host: call.host.clone(), path: call.path.clone() };
+    let known = table.configuration.route(&target.host, &target.path).is_some();
+    let fresh = table.configuration.version > 0 && now.since(table.confirmed_at) < FRESH_MS;
+    if !known && fresh {
+        return Err(ErrorKind::UnknownQueue);
+    }
+    let job = target_of(&call.path);
+    match (call.method.as_str(), job) {
+        ("POST", Some(job)) => submission(target, job, call),
+        ("GET", Some(job)) => Ok(Request::ReadJob { target, job }),
+        ("DELETE", Some(job)) => Ok(Request::CancelJob { target, job }),
+        ("GET", None) => Ok(Request::ReadQueue { target }),
+        _ => Err(ErrorKind::Malformed),
+    }
+}
+
+fn submission(target: Target, job: JobId, call: &HttpCall) -> Result<Request, ErrorKind> {
+    match parse_job(&call.body, &JobLimits::default()) {
+        Ok(spec) => Ok(Request::SubmitJob { target, job, spec }),
+        Err(fault) => {
+            spdlog::debug!("job {job} is malformed: {fault}");
+            Err(ErrorKind::Malformed)
+        }
+    }
+}
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -1,1 +1,79 @@
 //! A process of the cluster scheduler: the driver of its state machines.
+//!
+//! What a process does follows from `serves` in its settings: a front for clients, an agent beside a server, or a core
+//! process. Each runs on one thread; a core process has one more for its disk.
+
+mod clock;
+mod control_api;
+mod core;
+mod front;
+mod head_client;
+mod owner;
+mod scheduling;
+mod side;
+mod signals;
+mod subscription;
+
+use clock::Clock;
+use lupinrack_cluster_settings::{NodeSettings, Serves};
+use std::process::ExitCode;
+
+/// Why a process ends.
+#[derive(Debug, displaydoc::Display)]
+pub enum NodeError {
+    /// a core process needs `data-dir`
+    NoDisk,
+    /// the settings name no address for what the process serves
+    NoAddress,
+    /// what is on the disk cannot be read: {0}
+    Damaged(std::io::Error),
+    /// input or output failed: {0}
+    Io(std::io::Error),
+    /// the disk: {0}
+    Store(lupinrack_control_store::StoreError),
+}
+
+impl std::error::Error for NodeError {}
+
+impl From<std::io::Error> for NodeError {
+    fn from(error: std::io::Error) -> Self {
+        NodeError::Io(error)
+    }
+}
+
+impl From<lupinrack_control_store::StoreError> for NodeError {
+    fn from(error: lupinrack_control_store::StoreError) -> Self {
+        NodeError::Store(error)
+    }
+}
+
+/// Runs a process until it is told to end.
+pub fn run(settings: NodeSettings) -> ExitCode {
+    let clock = Clock::start();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            spdlog::error!("the runtime does not start: {error}");
+            return ExitCode::from(1);
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    let ended = local.block_on(&runtime, serve(settings, clock));
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            spdlog::error!("{error}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+async fn serve(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+    if settings.serves.contains(&Serves::ControlPlane) {
+        core::run(settings, clock).await
+    } else if settings.serves.contains(&Serves::Side) {
+        side::run(settings, clock).await
+    } else {
+        front::run(settings, clock).await
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/side.rs
@@ -0,0 +1,215 @@
+//! The agent's process, beside one server.
+
+use crate::clock::{draw, Clock};
+use crate::owner::owner_address;
+use crate::signals::Signals;
+use crate::subscription::Subscription;
+use crate::NodeError;
+use lupinrack_cluster_api::agent::AgentMessage;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::{PeerAddress, ServerId, ServiceName};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
+use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeersSettings};
+use lupinrack_cluster_settings::NodeSettings;
+use lupinrack_worker_agent::{parse_heartbeat, render_answer, Agent, AgentSettings, ParsedHeartbeat};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+/// How often the process looks at its clock, in milliseconds.
+const TICK_MS: u64 = 50;
+/// Between two subscriptions to views, in milliseconds.
+const SUBSCRIBE_MS: u64 = 1_500;
+/// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
+const OWNER_SILENT_MS: u64 = 600;
+const INSTANCES_PATH: &str = "/lupinrack/instances/";
+
+enum ServerCall {
+    Heartbeat { parsed: Box<ParsedHeartbeat>, answerer: oneshot::Sender<String> },
+    Leave { server: ServerId, answerer: oneshot::Sender<String> },
+}
+
+struct Side {
+    clock: Clock,
+    peers: Peers,
+    view: View,
+    subscription: Subscription,
+    agent: Agent,
+    service: Option<ServiceName>,
+    owner: Option<PeerAddress>,
+    owner_heard: Millis,
+    session: u64,
+}
+
+/// Runs until the process is told to end.
+pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+    let address = settings.internal_address();
+    let hello = Hello { address, role: Role::Agent, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (peers, mut events) = Peers::start(address.0, hello, PeersSettings::default())?;
+    let (calls_in, mut calls) = mpsc::channel::<ServerCall>(64);
+    let server = serve(&settings, calls_in)?;
+    let now = clock.now();
+    let agent_settings = AgentSettings {
+        hold_max_ms: settings.bounds.hold_max_ms,
+        heartbeat_ms: settings.heartbeat_ms,
+        ..AgentSettings::default()
+    };
+    let mut side = Side {
+        clock,
+        peers,
+        view: View::default(),
+        subscription: Subscription::new(settings.seed_internal(), SUBSCRIBE_MS, now),
+        agent: Agent::new(agent_settings, now),
+        service: settings.service.clone().map(ServiceName),
+        owner: None,
+        owner_heard: now,
+        session: 0,
+    };
+    let mut signals = Signals::listen()?;
+    let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
+    timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            Some(event) = events.recv() => side.on_peer_event(event),
+            Some(call) = calls.recv() => side.on_server_call(call),
+            _ = timer.tick() => side.on_tick(),
+            () = signals.terminated() => {
+                server.stop();
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl Side {
+    fn on_peer_event(&mut self, event: PeerEvent) {
+        let now = self.clock.now();
+        match event {
+            PeerEvent::Frame { from, frame, connection, .. } => match frame {
+                Frame::Owner(message) => {
+                    if Some(from) == self.owner {
+                        self.owner_heard = now;
+                        self.subscription.heard_news(now);
+                        self.agent.owner_message(self.session, message, now);
+                    }
+                    let _ = connection;
+                }
+                Frame::ViewNews(view) => self.on_view(view, now),
+                _ => {}
+            },
+            PeerEvent::Closed { from, .. } => {
+                if Some(from) == self.owner {
+                    self.begin_session(now);
+                    self.subscription.hurry();
+                }
+            }
+        }
+    }
+
+    fn on_view(&mut self, view: View, now: Millis) {
+        self.subscription.heard_news(now);
+        if view.number <= self.view.number {
+            return;
+        }
+        self.view = view;
+        self.find_owner(now);
+    }
+
+    fn find_owner(&mut self, now: Millis) {
+        let owner = self.service.as_ref().and_then(|service| owner_address(&self.view, service));
+        if owner != self.owner {
+            self.owner = owner;
+            self.begin_session(now);
+        }
+    }
+
+    fn begin_session(&mut self, now: Millis) {
+        self.session += 1;
+        self.owner_heard = now;
+        self.agent.owner_connected(self.session);
+        self.send_to_owner(now);
+    }
+
+    fn on_server_call(&mut self, call: ServerCall) {
+        let now = self.clock.now();
+        match call {
+            ServerCall::Heartbeat { parsed, answerer } => {
+                let service = parsed.facts.service.clone();
+                if self.service.as_ref() != Some(&service) {
+                    self.service = Some(service);
+                    self.find_owner(now);
+                }
+                let answer = self.agent.heartbeat(*parsed, now);
+                let _ = answerer.send(render_answer(&answer));
+            }
+            ServerCall::Leave { server, answerer } => {
+                self.agent.leave(server, now);
+                let _ = answerer.send(String::new());
+            }
+        }
+        self.send_to_owner(now);
+    }
+
+    fn on_tick(&mut self) {
+        let now = self.clock.now();
+        let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
+        if silent {
+            self.begin_session(now);
+        }
+        self.send_to_owner(now);
+        let have = crate::core::VIEWS_ONLY;
+        if let Some(subscribe) = self.subscription.tick(&self.view, have, now) {
+            self.peers.send(subscribe.to, subscribe.frame);
+        }
+    }
+
+    fn send_to_owner(&mut self, now: Millis) {
+        let Some(owner) = self.owner else {
+            return;
+        };
+        let messages: Vec<AgentMessage> = self.agent.poll(now);
+        for message in messages {
+            self.peers.send(owner, Frame::Agent(message));
+        }
+    }
+}
+
+fn serve(settings: &NodeSettings, calls: mpsc::Sender<ServerCall>) -> Result<ServerHandle, NodeError> {
+    let address = settings.control.ok_or(NodeError::NoAddress)?;
+    let listener = http_server::bind(address)?;
+    let limits = HttpLimits { max_body_bytes: 4 * 1024 * 1024, ..HttpLimits::default() };
+    let handler = move |call: HttpCall| {
+        let calls = calls.clone();
+        async move { answer(call, calls).await }
+    };
+    Ok(http_server::serve(listener, limits, handler)?)
+}
+
+async fn answer(call: HttpCall, calls: mpsc::Sender<ServerCall>) -> HttpAnswer {
+    let Some(id) = call.path.strip_prefix(INSTANCES_PATH) else {
+        return HttpAnswer::error(ErrorKind::NotServed);
+    };
+    let server = ServerId(id.to_owned());
+    let (answerer, reply) = oneshot::channel();
+    let server_call = match call.method.as_str() {
+        "PUT" => match parse_heartbeat(server, &call.body) {
+            Ok(parsed) => ServerCall::Heartbeat { parsed: Box::new(parsed), answerer },
+            Err(fault) => {
+                spdlog::warn!("a heartbeat cannot be read: {fault}");
+                return HttpAnswer::error(ErrorKind::Malformed);
+            }
+        },
+        "DELETE" => ServerCall::Leave { server, answerer },
+        _ => return HttpAnswer::error(ErrorKind::NotServed),
+    };
+    if calls.send(server_call).await.is_err() {
+        return HttpAnswer::error(ErrorKind::ShuttingDown);
+    }
+    match reply.await {
+        Ok(body) if body.is_empty() => HttpAnswer::empty(200),
+        Ok(body) => HttpAnswer::json(200, body),
+        Err(_) => HttpAnswer::error(ErrorKind::ShuttingDown),
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/subscription.rs
@@ -0,0 +1,62 @@
+//! How a process without a disk follows the core: it finds a core process from its seeds, learns the view, and stays
+//! subscribed to the head.
+
+use crate::head_client::Outgoing;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::Frame;
+
+/// Between two subscriptions while the view is known, in milliseconds.
+const KNOWN_MS: u64 = 400;
+/// Between two tries while no view is known, in milliseconds.
+const SEARCH_MS: u64 = 150;
+/// Without news of the head for this long, other core processes are asked for the view, in milliseconds.
+const SILENT_MS: u64 = 1_000;
+
+/// One subscription.
+#[derive(Debug)]
+pub struct Subscription {
+    seeds: Vec<PeerAddress>,
+    every_ms: u64,
+    last_sent: Option<Millis>,
+    last_news: Millis,
+    turn: usize,
+}
+
+impl Subscription {
+    /// With the seeds of the settings; `every_ms` is the least time between two subscriptions once the view is known.
+    pub fn new(seeds: Vec<PeerAddress>, every_ms: u64, now: Millis) -> Subscription {
+        Subscription { seeds, every_ms: every_ms.max(KNOWN_MS), last_sent: None, last_news: now, turn: 0 }
+    }
+
+    /// Something came from the head.
+    pub fn heard_news(&mut self, now: Millis) {
+        self.last_news = now;
+    }
+
+    /// Something that the subscription depends on has changed: the next tick subscribes at once.
+    pub fn hurry(&mut self) {
+        self.last_sent = None;
+    }
+
+    /// The subscription that is due, if any.
+    pub fn tick(&mut self, view: &View, have: u64, now: Millis) -> Option<Outgoing> {
+        let searching = view.number == 0 || now.since(self.last_news) >= SILENT_MS + self.every_ms;
+        let every = if searching { SEARCH_MS } else { self.every_ms };
+        if self.last_sent.is_some_and(|at| now.since(at) < every) {
+            return None;
+        }
+        self.last_sent = Some(now);
+        let to = if searching { self.next_candidate(view)? } else { view.address(view.head()?)? };
+        Some(Outgoing { to, frame: Frame::Subscribe { have } })
+    }
+
+    fn next_candidate(&mut self, view: &View) -> Option<PeerAddress> {
+        let mut candidates: Vec<PeerAddress> = view.voters.iter().map(|voter| voter.address).collect();
+        candidates.extend(self.seeds.iter().copied());
+        self.turn += 1;
+        let count = candidates.len();
+        candidates.get(self.turn.checked_rem(count)?).copied()
+    }
+}
