Control state: apply operations, and read the operator's configurations

Operations are decided when they are applied, so all replicas come to the same results. Configurations are kept in the operator's words, item by item and in their order, and read back from those.

serde_json splits a body into raw values, since nanoserde reads on past the end of a text, takes comments and does not return from an unclosed list; nanoserde reads the fields that have a meaning. Ruled out: nanoserde alone, with a text type of its own, since it would still need a strict reader in front of it.

--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -3,8 +3,21 @@
 //! It is a deterministic state machine: [`ControlState::apply`] takes committed operations in their order, and equal
 //! sequences lead to equal states and results on every replica. It reads no clock and makes no I/O.
 
+pub mod configuration_body;
+mod configuration_change;
+pub mod configuration_document;
+pub mod configuration_fault;
+mod configuration_items;
+mod ends;
+mod json_text;
 pub mod record;
+pub mod snapshot;
+mod starts;
 pub mod state;
 
+pub use configuration_body::check_configuration;
+pub use configuration_document::{ConfigurationDocument, DocumentItem};
+pub use configuration_fault::{ConfigurationFault, FaultReason};
 pub use record::{JobRecord, Occurrence, TaskRecord, TaskStatus};
-pub use state::{ControlState, Shard};
+pub use snapshot::SnapshotFault;
+pub use state::{ControlState, Shard, CHANGES_REMEMBERED, TASKS_PER_OCCURRENCE_MOST};
--- a/crates/control-state/src/record.rs
+++ b/crates/control-state/src/record.rs
@@ -2,7 +2,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::identity::{Attempt, QueueName, ServerId, ServiceName};
-use lupinrack_cluster_api::job::{JobSpec, JobState};
+use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::BTreeMap;
 
@@ -27,8 +27,10 @@
     pub status: TaskStatus,
     /// The number of its newest start; 0 before the first.
     pub attempt: Attempt,
-    /// How many of its runs ended failed.
+    /// How many of its runs ended failed; a failed run of a gang counts once for each member.
     pub failed: u32,
+    /// The newest start whose failure was counted; 0 for none.
+    pub failed_attempt: Attempt,
     /// Its newest checkpoint; empty for none.
     pub saved: String,
 }
@@ -36,13 +38,24 @@
 impl TaskRecord {
     /// A task that was never started.
     pub fn new() -> TaskRecord {
-        TaskRecord { status: TaskStatus::Waiting, attempt: 0, failed: 0, saved: String::new() }
+        TaskRecord {
+            status: TaskStatus::Waiting,
+            attempt: 0,
+            failed: 0,
+            failed_attempt: 0,
+            saved: String::new(),
+        }
     }
 
     /// Whether it has ended well.
     pub fn is_done(&self) -> bool {
         self.status == TaskStatus::Done
     }
+
+    /// Whether this start of it was recorded, and no end.
+    pub fn is_assigned(&self, attempt: Attempt) -> bool {
+        matches!(self.status, TaskStatus::Assigned { .. }) && self.attempt == attempt
+    }
 }
 
 impl Default for TaskRecord {
@@ -60,6 +73,20 @@
     pub open_tasks: u32,
 }
 
+impl Occurrence {
+    /// A time of a job with these steps, none of whose tasks was started.
+    pub fn new(steps: &[Step]) -> Occurrence {
+        let tasks = |step: &Step| vec![TaskRecord::new(); step.count as usize];
+        let open_tasks = steps.iter().fold(0u32, |sum, step| sum.saturating_add(step.count));
+        Occurrence { steps: steps.iter().map(tasks).collect(), open_tasks }
+    }
+
+    /// Whether all its tasks have ended well.
+    pub fn is_done(&self) -> bool {
+        self.open_tasks == 0
+    }
+}
+
 /// A job.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct JobRecord {
@@ -108,4 +135,35 @@
     pub fn task(&self, occurrence: u32, step: u32, index: u32) -> Option<&TaskRecord> {
         self.occurrences.get(&occurrence)?.steps.get(step as usize)?.get(index as usize)
     }
+
+    /// Whether it has not come to its final state.
+    pub fn is_open(&self) -> bool {
+        !self.state.is_final()
+    }
+
+    /// A step of what it asks for.
+    pub fn step(&self, step: u32) -> Option<&Step> {
+        self.spec.steps.get(step as usize)
+    }
+
+    /// Failed runs after which a task has failed for good: `max_retries`, and at least one.
+    pub fn failure_limit(&self) -> u32 {
+        self.max_retries.max(1)
+    }
+
+    /// Whether all tasks of a time have ended well.
+    pub fn occurrence_is_done(&self, occurrence: u32) -> bool {
+        self.occurrences.get(&occurrence).is_some_and(Occurrence::is_done)
+    }
+
+    /// Whether all tasks of a step have ended well in a time; false where there is no such step.
+    pub fn step_is_done(&self, occurrence: u32, step: u32) -> bool {
+        let Some(asked) = self.step(step) else { return false };
+        if asked.count == 0 || self.occurrence_is_done(occurrence) {
+            return true;
+        }
+        let started = self.occurrences.get(&occurrence);
+        let tasks = started.and_then(|started| started.steps.get(step as usize));
+        tasks.is_some_and(|tasks| tasks.iter().all(TaskRecord::is_done))
+    }
 }
--- /dev/null
+++ b/crates/control-state/tests/configuration.rs
@@ -0,0 +1,262 @@
+//! Reading, checking and giving back of configurations.
+
+mod common;
+
+use common::{route, service_json, two_queues, whole, LIMITS};
+use lupinrack_cluster_api::operation::ConfigurationBody;
+use lupinrack_control_state::configuration_body::{apply_body, apply_patch, read_whole};
+use lupinrack_control_state::{check_configuration, FaultReason};
+use quickcheck::quickcheck;
+use serde_json::Value;
+
+fn value(text: &str) -> Value {
+    serde_json::from_str(text).expect("it is JSON")
+}
+
+/// The path of the fault of a text that has one.
+fn fault_path(text: &str) -> String {
+    check_configuration(text).expect_err("it has a fault").path
+}
+
+fn fault_reason(text: &str) -> FaultReason {
+    check_configuration(text).expect_err("it has a fault").reason
+}
+
+#[test]
+fn a_whole_configuration_is_read_with_its_lists_sorted() {
+    let routes = [route("z", "/z/", "two"), route("c", "/c/", "one")];
+    let text = whole(7, &routes, &[service_json("two"), service_json("one")]);
+    let read = check_configuration(&text).expect("it is valid");
+    assert_eq!(read.version, 7);
+    let names: Vec<&str> = read.routes.iter().map(|route| route.name.0.as_str()).collect();
+    assert_eq!(names, ["c", "z"]);
+    assert_eq!(read.services[0].name.0, "one");
+    assert!(read.services[0].guards);
+    let first = &read.routes[0];
+    assert_eq!((first.host.as_str(), first.path_prefix.as_str()), ("h.example", "/c/"));
+    assert_eq!((first.timeout_ms, first.target_latency_ms, first.priority), (3000, 800, 1));
+    assert_eq!((first.service.0.as_str(), first.max_retries), ("one", common::MAX_RETRIES));
+    assert_eq!(first.extension_milli, 2250);
+    assert_eq!((read.limits.max_header_bytes, read.limits.max_body_bytes), (16384, 262144));
+    assert_eq!((read.limits.header_timeout_ms, read.limits.idle_timeout_ms), (3000, 15000));
+}
+
+#[test]
+fn an_extension_may_be_written_in_any_form_of_a_number() {
+    for (form, milli) in [("4", 4000), ("4.0", 4000), ("1.2345", 1235), ("2e0", 2000), ("0", 0)] {
+        let text = two_queues(1).replace("2.25", form);
+        let read = check_configuration(&text).expect("it is valid");
+        assert_eq!(read.routes[0].extension_milli, milli, "{form}");
+    }
+    for form in ["-1", "1e999", "\"2\"", "null"] {
+        let text = two_queues(1).replace("2.25", form);
+        assert!(check_configuration(&text).is_err(), "{form}");
+    }
+}
+
+#[test]
+fn every_text_that_is_cut_short_is_refused() {
+    let text = two_queues(3);
+    for length in 0..text.len() {
+        assert!(check_configuration(&text[..length]).is_err(), "cut at {length}");
+        assert!(apply_patch(&Default::default(), &text[..length]).is_err(), "cut at {length}");
+    }
+}
+
+#[test]
+fn text_after_the_end_and_comments_are_refused() {
+    for text in [format!("{}x", two_queues(1)), format!("/* c */{}", two_queues(1))] {
+        assert!(matches!(fault_reason(&text), FaultReason::Unreadable(_)));
+    }
+    assert!(check_configuration(&format!(" {}\n", two_queues(1))).is_ok());
+}
+
+#[test]
+fn wrong_types_are_refused_with_their_place() {
+    let text = two_queues(1);
+    for (from, to) in [
+        ("\"timeout-ms\":3000", "\"timeout-ms\":\"3000\""),
+        ("\"timeout-ms\":3000", "\"timeout-ms\":-1"),
+        ("\"timeout-ms\":3000", "\"timeout-ms\":{}"),
+        ("\"priority\":1", "\"priority\":4294967296"),
+        ("\"priority\":1", "\"priority\":1.5"),
+        ("\"host\":\"h.example\"", "\"host\":5"),
+        ("\"max-retries\":2", "\"max-retries\":null"),
+        ("\"path-prefix\":\"/a/\"", "\"path-prefix\":[\"/a/\"]"),
+    ] {
+        assert_eq!(fault_path(&text.replacen(from, to, 1)), "routes[0]", "{to}");
+    }
+    assert_eq!(fault_path(&text.replacen("\"guards\":true", "\"guards\":1", 1)), "services[0]");
+    assert_eq!(fault_path(&text.replace("16384", "true")), "limits");
+    assert_eq!(fault_path(&text.replace("\"version\":1,", "\"version\":\"1\",")), "version");
+    assert_eq!(fault_path(&text.replace("\"version\":1,", "\"version\":1.0,")), "version");
+    assert_eq!(fault_path("[]"), "configuration");
+    assert_eq!(fault_path(r#"{"version":1,"routes":{},"services":[],"limits":{}}"#), "routes");
+    assert_eq!(fault_path(r#"{"version":1,"routes":[7],"services":[],"limits":{}}"#), "routes[0]");
+}
+
+#[test]
+fn missing_fields_are_refused_with_their_place() {
+    let text = two_queues(1);
+    let route_fields = [
+        ("\"host\":\"h.example\",", "routes[0].host"),
+        ("\"path-prefix\":\"/a/\",", "routes[0].path-prefix"),
+        ("\"timeout-ms\":3000,", "routes[0].timeout-ms"),
+        ("\"target-latency-ms\":800,", "routes[0].target-latency-ms"),
+        ("\"priority\":1,", "routes[0].priority"),
+        ("\"service\":\"one\",", "routes[0].service"),
+        ("\"max-retries\":2,", "routes[0].max-retries"),
+        ("\"name\":\"a\",", "routes[0].name"),
+        (",\"extension\":2.25", "routes[0].extension"),
+        (",\"guards\":true", "services[0].guards"),
+        ("\"max-header-bytes\":16384,", "limits.max-header-bytes"),
+        ("\"version\":1,", "version"),
+    ];
+    for (field, path) in route_fields {
+        let text = text.replacen(field, "", 1);
+        assert_eq!(fault_path(&text), path);
+        assert_eq!(fault_reason(&text), FaultReason::MissingField);
+    }
+    for field in ["routes", "services", "limits"] {
+        assert_eq!(fault_path(&text.replace(&format!("\"{field}\":"), "\"else\":")), field);
+    }
+}
+
+#[test]
+fn what_the_items_say_together_is_checked() {
+    let services = [service_json("one")];
+    let both = |first: String, second: String| whole(1, &[first, second], &services);
+
+    let unknown = both(route("a", "/a/", "one"), route("b", "/b/", "none"));
+    assert_eq!(fault_path(&unknown), "routes[1].service");
+    assert_eq!(fault_reason(&unknown), FaultReason::UnknownService("none".into()));
+
+    let same_prefix = both(route("a", "/a/", "one"), route("b", "/a/", "one"));
+    assert_eq!(fault_path(&same_prefix), "routes[1].path-prefix");
+    assert_eq!(fault_reason(&same_prefix), FaultReason::SameHostAndPrefix("a".into()));
+    let other_host = same_prefix.replacen("h.example", "i.example", 1);
+    assert!(check_configuration(&other_host).is_ok());
+
+    let same_name = both(route("a", "/a/", "one"), route("a", "/b/", "one"));
+    assert_eq!(fault_path(&same_name), "routes[1].name");
+    assert_eq!(fault_reason(&same_name), FaultReason::DuplicateName);
+    let same_service = whole(1, &[], &[service_json("one"), service_json("one")]);
+    assert_eq!(fault_path(&same_service), "services[1].name");
+
+    let zero = both(route("a", "/a/", "one"), route("b", "/b/", "one").replace("3000", "0"));
+    assert_eq!(fault_path(&zero), "routes[1].timeout-ms");
+    assert_eq!(fault_reason(&zero), FaultReason::Zero);
+
+    assert_eq!(fault_path(&two_queues(0)), "version");
+    assert_eq!(fault_reason(&two_queues(0)), FaultReason::VersionNotAbove(0));
+}
+
+#[test]
+fn a_fault_reads_as_its_place_and_reason() {
+    let text = two_queues(1).replacen("\"timeout-ms\":3000", "\"timeout-ms\":0", 1);
+    let fault = check_configuration(&text).expect_err("it has a fault");
+    assert_eq!(fault.to_string(), "routes[0].timeout-ms: it must be above 0");
+}
+
+#[test]
+fn what_is_not_read_is_given_back_as_it_was_sent() {
+    let text = format!(
+        r#"{{"more":[1e+3,{{"x":"\u00e9"}}],"version":9,"routes":[{}],"services":[{}],"limits":{LIMITS},"a \"key\"":null}}"#,
+        route("a", "/a/", "one").replace("2.25", "2.250, \"big\": 123456789012345678901234567890"),
+        service_json("one"),
+    );
+    let document = read_whole(&text).expect("it can be read");
+    document.check().expect("it is valid");
+    let rendered = document.render();
+    assert!(rendered.contains("2.250, \"big\": 123456789012345678901234567890"));
+    assert!(rendered.contains("[1e+3,{\"x\":\"\\u00e9\"}]"));
+    assert_eq!(value(&rendered), value(&text));
+    assert_eq!(read_whole(&rendered).expect("it can be read"), document);
+}
+
+#[test]
+fn the_order_of_items_is_kept() {
+    let routes = [route("z", "/z/", "one"), route("a", "/a/", "one"), route("m", "/m/", "one")];
+    let text = whole(2, &routes, &[service_json("one")]);
+    assert_eq!(read_whole(&text).expect("it can be read").render(), text);
+}
+
+#[test]
+fn a_patch_adds_replaces_and_removes_by_name() {
+    let current = read_whole(&two_queues(1)).expect("it can be read");
+    let changed = route("a", "/new/", "three");
+    let patch = format!(
+        r#"{{"version":4,"upsert":{{"routes":[{changed},{}],"services":[{}]}},"remove":{{"routes":["b","absent"],"services":["two"]}}}}"#,
+        route("c", "/c/", "one"),
+        service_json("three"),
+    );
+    let document = apply_body(&current, &ConfigurationBody::Patch(patch)).expect("it can be applied");
+    let expected =
+        whole(4, &[changed, route("c", "/c/", "one")], &[service_json("one"), service_json("three")]);
+    assert_eq!(document.render(), expected);
+    assert!(document.check().is_ok());
+}
+
+#[test]
+fn a_patch_whose_result_is_invalid_is_found_out() {
+    let current = read_whole(&two_queues(1)).expect("it can be read");
+    let result = |patch: &str| apply_patch(&current, patch).and_then(|document| document.check());
+    let fault = result(r#"{"version":2,"remove":{"services":["two"]}}"#).expect_err("a route uses it");
+    assert_eq!(fault.path, "routes[1].service");
+    let taken = format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, route("c", "/b/", "one"));
+    assert_eq!(result(&taken).expect_err("the prefix is taken").path, "routes[2].path-prefix");
+    assert!(result(r#"{"version":2}"#).is_ok());
+}
+
+#[test]
+fn a_patch_that_says_something_unknown_is_refused() {
+    let current = read_whole(&two_queues(1)).expect("it can be read");
+    for (patch, path) in [
+        (r#"{"upsert":{}}"#, "version"),
+        (r#"{"version":2,"limits":{}}"#, "limits"),
+        (r#"{"version":2,"upsert":{"limits":{}}}"#, "upsert.limits"),
+        (r#"{"version":2,"remove":{"limits":[]}}"#, "remove.limits"),
+        (r#"{"version":2,"remove":{"routes":[5]}}"#, "remove.routes[0]"),
+        (r#"{"version":2,"remove":{"routes":"a"}}"#, "remove.routes"),
+        (r#"{"version":2,"remove":["a"]}"#, "remove"),
+        (r#"{"version":2,"upsert":{"routes":[{"host":"h"}]}}"#, "upsert.routes[0].name"),
+        (r#"{"version":2,"upsert":{"services":[{"name":"s"},{"name":"s"}]}}"#, "upsert.services[1].name"),
+    ] {
+        assert_eq!(apply_patch(&current, patch).expect_err("it has a fault").path, path, "{patch}");
+    }
+}
+
+#[test]
+fn a_patch_of_nothing_lacks_the_bounds() {
+    let patched = apply_patch(&Default::default(), r#"{"version":1}"#).expect("its form is good");
+    assert_eq!(patched.check().expect_err("it is not whole").path, "limits");
+}
+
+#[test]
+fn nesting_may_be_deep_without_harm() {
+    const DEPTH: usize = 200_000;
+    let deep = format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH));
+    let text = two_queues(1).replacen("\"type\":\"x\"", &format!("\"type\":{deep}"), 1);
+    assert!(check_configuration(&text).is_ok());
+    let text = two_queues(1).replacen("\"timeout-ms\":3000", &format!("\"timeout-ms\":{deep}"), 1);
+    assert!(check_configuration(&text).is_err());
+    assert!(check_configuration(&"[".repeat(DEPTH)).is_err());
+}
+
+quickcheck! {
+    fn damage_never_panics_and_what_is_taken_is_given_back(place: usize, byte: u8, insert: bool) -> bool {
+        let mut bytes = two_queues(3).into_bytes();
+        let place = place % bytes.len();
+        if insert { bytes.insert(place, byte) } else { bytes[place] = byte }
+        let Ok(text) = String::from_utf8(bytes) else { return true };
+        match read_whole(&text).and_then(|document| document.check().map(|_| document)) {
+            Ok(document) => value(&document.render()) == value(&text),
+            Err(_) => true,
+        }
+    }
+
+    fn any_text_is_read_without_panic(text: String) -> bool {
+        let _ = apply_patch(&Default::default(), &text);
+        check_configuration(&text).is_err()
+    }
+}
