System: agreement on views by two-phase ballots, and the policy that proposes them

The core needs one agreed sequence of views: who votes and who is in the chain. Each view number is an instance of Paxos whose acceptors are the voters of the view before; a view is agreed once majorities of those and of its own voters have accepted it. A voter keeps, beside its promise and acceptance, the newest agreed view (it accepts only the view that follows it, so instances never mix) and the list of founders (only a first start is told that it founds).

A promise reports the agreed view where it is newer than the accepted one: before view 1 acceptors are counted by address, and a disk in a founder's place would otherwise count as one that accepted nothing.

Ruled out: one register over all numbers with promises from the newest voters seen (a proposer could not tell whose majority had decided a view that it only found accepted); no vote at all for a disk that enters with the proposed view (four voters need three, so a fourth could not be added while one is down).

--- /dev/null
+++ b/crates/view-agreement/src/acceptor.rs
@@ -0,0 +1,76 @@
+//! The acceptor's side: which ballots and views a disk may answer, and how.
+
+use crate::vote::VoteState;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{AgreementMessage, Ballot};
+
+/// The answer to a proposer.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The vote was changed or confirmed; the message may leave once the vote is on disk.
+    Vote(AgreementMessage),
+    /// A higher ballot was promised.
+    Rejected(AgreementMessage),
+    /// This disk has no vote here, or the proposer is behind; it may be told of the newest agreed view.
+    NoVote,
+}
+
+impl VoteState {
+    /// Answers [`AgreementMessage::Prepare`].
+    pub(crate) fn prepare(&mut self, me: &Voter, ballot: Ballot) -> Verdict {
+        if !self.is_acceptor(me) {
+            return Verdict::NoVote;
+        }
+        if ballot < self.promised {
+            return self.rejected(ballot);
+        }
+        self.promised = ballot;
+        let (accepted_ballot, accepted) = self.newest_view();
+        Verdict::Vote(AgreementMessage::Promise { ballot, disk: me.disk, accepted_ballot, accepted })
+    }
+
+    /// What a promise reports: the accepted view, or the agreed one where that is newer. An agreed view may stand for
+    /// an accepted one, since no other can be chosen under its number. Reporting it keeps a proposer that is behind
+    /// from counting this disk as one that accepted nothing, which matters before view 1, where acceptors are counted
+    /// by address and a disk may have taken the place of a founder's.
+    fn newest_view(&self) -> (Ballot, View) {
+        if self.accepted.number < self.agreed.number {
+            return (self.promised, self.agreed.clone());
+        }
+        (self.accepted_ballot, self.accepted.clone())
+    }
+
+    /// Answers [`AgreementMessage::Accept`].
+    pub(crate) fn accept(&mut self, me: &Voter, ballot: Ballot, view: &View) -> Verdict {
+        if !self.may_accept(me, view) {
+            return Verdict::NoVote;
+        }
+        if ballot < self.promised {
+            return self.rejected(ballot);
+        }
+        self.promised = ballot;
+        self.accepted_ballot = ballot;
+        self.accepted = view.clone();
+        Verdict::Vote(AgreementMessage::Accepted { ballot, disk: me.disk })
+    }
+
+    /// Whether this disk is one of the acceptors of the view after the agreed one.
+    pub(crate) fn is_acceptor(&self, me: &Voter) -> bool {
+        if self.agreed.number == 0 {
+            return self.founders.contains(&me.address);
+        }
+        self.agreed.voter(me.disk).is_some()
+    }
+
+    /// Whether this disk may accept this view: it follows the agreed one, and the disk is an acceptor or enters with
+    /// it. One that enters counts for the majority of the new voters alone.
+    fn may_accept(&self, me: &Voter, view: &View) -> bool {
+        let follows = view.number == self.agreed.number + 1;
+        let enters = self.agreed.number > 0 && view.voter(me.disk).is_some();
+        follows && (self.is_acceptor(me) || enters)
+    }
+
+    fn rejected(&self, ballot: Ballot) -> Verdict {
+        Verdict::Rejected(AgreementMessage::Rejected { ballot, promised: self.promised })
+    }
+}
--- /dev/null
+++ b/crates/view-agreement/src/backoff.rs
@@ -0,0 +1,33 @@
+//! Random delays between the attempts of a proposer, so that two of them do not keep overtaking each other.
+
+/// The bound of the first delay, in milliseconds; it doubles with each attempt.
+const FIRST_DELAY_MS: u64 = 40;
+/// How often the bound doubles at most.
+const DOUBLINGS_MOST: u32 = 4;
+
+/// Draws delays. Its seed is the life of the process, which differs between processes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Backoff {
+    state: u64,
+}
+
+impl Backoff {
+    pub(crate) fn new(life: u64) -> Backoff {
+        Backoff { state: life }
+    }
+
+    /// The delay before another attempt, in milliseconds, where `attempts` were made.
+    pub(crate) fn delay_ms(&mut self, attempts: u32) -> u64 {
+        let bound = FIRST_DELAY_MS << attempts.saturating_sub(1).min(DOUBLINGS_MOST);
+        self.draw() % bound + 1
+    }
+
+    /// The next number of the SplitMix64 generator.
+    fn draw(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.state;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
--- /dev/null
+++ b/crates/view-agreement/src/policy/chain.rs
@@ -0,0 +1,85 @@
+//! The chain of the next view.
+
+use super::{wanted_chain_length, Situation};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::view::Voter;
+
+/// How long, in milliseconds, a disk may be unhealthy before it leaves the chain.
+const UNHEALTHY_AFTER_MS: u64 = 400;
+
+/// Works out the chain: members that are lost leave, disks that have caught up are appended.
+pub(super) struct ChainPlan<'a> {
+    situation: &'a Situation<'a>,
+}
+
+impl<'a> ChainPlan<'a> {
+    pub(super) fn new(situation: &'a Situation<'a>) -> ChainPlan<'a> {
+        ChainPlan { situation }
+    }
+
+    /// The chain of the next view; none while no member is known to be alive, since then nobody who is there is
+    /// certain to hold what was acknowledged.
+    pub(super) fn next(&self) -> Option<Vec<DiskId>> {
+        let remaining = self.remaining();
+        if !remaining.iter().any(|voter| self.situation.is_alive(voter)) {
+            return None;
+        }
+        let spares = self.spares();
+        let kept = self.without_unhealthy(remaining, spares.len());
+        let chain = kept.iter().map(|voter| voter.disk).collect();
+        let length = wanted_chain_length(self.voters().len(), self.situation.settings.tolerated_losses);
+        Some(spread_over_zones(chain, &spares, self.voters(), length))
+    }
+
+    fn voters(&self) -> &[Voter] {
+        &self.situation.current.voters
+    }
+
+    /// The members that are not lost, in their order.
+    fn remaining(&self) -> Vec<&'a Voter> {
+        let Situation { peers, current, now, .. } = self.situation;
+        let members = current.chain.iter().filter_map(|disk| current.voter(*disk));
+        members.filter(|voter| !peers.is_lost(voter, *now)).collect()
+    }
+
+    /// Voters outside the chain that could join it.
+    fn spares(&self) -> Vec<Voter> {
+        let Situation { peers, current, now, .. } = self.situation;
+        let outside = self.voters().iter().filter(|voter| current.position(voter.disk).is_none());
+        outside.filter(|voter| peers.could_join(voter, current.number, *now)).cloned().collect()
+    }
+
+    /// Drops members whose disk is unhealthy, if what is left, with the spares, still outlasts the tolerated losses.
+    fn without_unhealthy(&self, members: Vec<&'a Voter>, spares: usize) -> Vec<&'a Voter> {
+        let Situation { settings, peers, now, .. } = self.situation;
+        let is_usable = |voter: &&Voter| peers.unhealthy_ms(voter, *now) <= UNHEALTHY_AFTER_MS;
+        let usable: Vec<&Voter> = members.iter().copied().filter(is_usable).collect();
+        let alive = usable.iter().any(|voter| self.situation.is_alive(voter));
+        let enough = usable.len() + spares > settings.tolerated_losses;
+        if alive && enough {
+            usable
+        } else {
+            members
+        }
+    }
+}
+
+/// Appends candidates to a chain up to a length, each time one whose zone has the fewest members so far.
+pub(super) fn spread_over_zones(
+    mut chain: Vec<DiskId>,
+    candidates: &[Voter],
+    voters: &[Voter],
+    length: usize,
+) -> Vec<DiskId> {
+    while chain.len() < length {
+        let outside = candidates.iter().filter(|voter| !chain.contains(&voter.disk));
+        let next = outside.min_by_key(|voter| (members_in_zone(&chain, voters, &voter.zone), voter.disk));
+        let Some(next) = next else { break };
+        chain.push(next.disk);
+    }
+    chain
+}
+
+fn members_in_zone(chain: &[DiskId], voters: &[Voter], zone: &str) -> usize {
+    voters.iter().filter(|voter| voter.zone == zone && chain.contains(&voter.disk)).count()
+}
--- /dev/null
+++ b/crates/view-agreement/src/policy/mod.rs
@@ -0,0 +1,179 @@
+//! Which view a process should propose next, by what it hears from the other core processes.
+
+mod chain;
+mod peers;
+mod voters;
+
+use chain::ChainPlan;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use peers::{Peers, Report};
+use std::collections::BTreeSet;
+use voters::VoterPlan;
+
+use crate::quorum::is_majority;
+
+/// How long, in milliseconds, a founder waits for all the others before it founds with a majority of them.
+const FOUNDING_WAIT_MS: u64 = 600;
+/// How much longer, in milliseconds, each further process waits before it proposes what the one before it should have.
+const TURN_MS: u64 = 300;
+
+/// The figures of the policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// Milliseconds between two heartbeats of a process.
+    pub heartbeat_ms: u64,
+    /// Milliseconds of silence after which a process counts as lost.
+    pub suspect_after_ms: u64,
+    /// How many disks may be lost at once while everything acknowledged is kept.
+    pub tolerated_losses: usize,
+}
+
+/// A failure detector over the core processes, and the rules that turn what it says into the next view.
+#[derive(Clone, Debug)]
+pub struct ViewPolicy {
+    settings: PolicySettings,
+    founders: Vec<PeerAddress>,
+    peers: Peers,
+    wish: Option<Wish>,
+}
+
+/// Since when another view has been wanted in place of the view of this number.
+#[derive(Clone, Copy, Debug)]
+struct Wish {
+    replaces: u64,
+    since: Millis,
+}
+
+/// What the plans of the next view are made from.
+#[derive(Clone, Copy)]
+struct Situation<'a> {
+    settings: PolicySettings,
+    peers: &'a Peers,
+    current: &'a View,
+    now: Millis,
+}
+
+impl ViewPolicy {
+    /// Begins without having heard from anybody. `founders` are the internal addresses of all founders where this
+    /// process is one of them, and empty otherwise, as [`Agreement::founders`](crate::Agreement::founders) tells.
+    pub fn new(settings: PolicySettings, founders: Vec<PeerAddress>) -> ViewPolicy {
+        let distinct: BTreeSet<PeerAddress> = founders.into_iter().collect();
+        let founders = distinct.into_iter().collect();
+        ViewPolicy { settings, founders, peers: Peers::new(settings), wish: None }
+    }
+
+    /// Takes a heartbeat. The process's own state is told in the same way, at least as often.
+    pub fn heard(
+        &mut self,
+        voter: Voter,
+        life: u64,
+        view_number: u64,
+        disk_healthy: bool,
+        caught_up: bool,
+        now: Millis,
+    ) {
+        let report = Report { life, view_number, disk_healthy, caught_up };
+        self.peers.heard(voter, report, now);
+    }
+
+    /// Takes the hint that a connection from this address was reset: silence now counts sooner.
+    pub fn closed(&mut self, address: PeerAddress) {
+        self.peers.closed(address);
+    }
+
+    /// The view that this process should propose now; to be asked every few tens of milliseconds.
+    pub fn desired(&mut self, current: &View, me: &Voter, now: Millis) -> Option<View> {
+        self.peers.advance(me, current.number, now);
+        let situation = Situation { settings: self.settings, peers: &self.peers, current, now };
+        let next = match current.number {
+            0 => founding_view(&situation, &self.founders, me),
+            _ => next_view(&situation, me),
+        };
+        let proposers = match current.number {
+            0 => next.iter().flat_map(|view| view.voters.iter().map(|voter| voter.disk)).collect(),
+            _ => proposers(&situation),
+        };
+        self.on_turn(next, &proposers, current.number, me.disk, now)
+    }
+
+    /// Lets the first of the proposers through at once and each further one `TURN_MS` later.
+    fn on_turn(
+        &mut self,
+        next: Option<View>,
+        proposers: &[DiskId],
+        replaces: u64,
+        me: DiskId,
+        now: Millis,
+    ) -> Option<View> {
+        if next.is_none() {
+            self.wish = None;
+            return None;
+        }
+        let held = self.wish.filter(|wish| wish.replaces == replaces);
+        let since = held.map_or(now, |wish| wish.since);
+        self.wish = Some(Wish { replaces, since });
+        let rank = proposers.iter().position(|disk| *disk == me)? as u64;
+        next.filter(|_| now.since(since) >= rank * TURN_MS)
+    }
+}
+
+impl Situation<'_> {
+    /// Whether a disk's process was heard lately.
+    fn is_alive(&self, voter: &Voter) -> bool {
+        self.peers.is_alive(voter, self.now)
+    }
+
+    /// How many of these were heard lately.
+    fn count_alive(&self, voters: &[Voter]) -> usize {
+        voters.iter().filter(|voter| self.is_alive(voter)).count()
+    }
+}
+
+/// The length of the chain for so many voters: it meets every majority of them, and outlasts the tolerated losses.
+fn wanted_chain_length(voters: usize, tolerated_losses: usize) -> usize {
+    (voters / 2 + 1).max(tolerated_losses + 1).min(voters)
+}
+
+/// View 1, of the founders that were heard.
+fn founding_view(situation: &Situation, founders: &[PeerAddress], me: &Voter) -> Option<View> {
+    if !founders.contains(&me.address) {
+        return None;
+    }
+    let voters = situation.peers.founders_present(founders, situation.now);
+    let all_here = voters.len() == founders.len();
+    let waited = situation.peers.watched_ms(situation.now) >= FOUNDING_WAIT_MS;
+    let ready = is_majority(voters.len(), founders.len()) && (all_here || waited);
+    if !ready {
+        return None;
+    }
+    let length = wanted_chain_length(voters.len(), situation.settings.tolerated_losses);
+    let chain = chain::spread_over_zones(Vec::new(), &voters, &voters, length);
+    Some(View { number: 1, voters, chain })
+}
+
+/// The view after the current one, where the chain or the voters should change and a majority is there to agree.
+/// The chain goes first; voters change one at a time.
+fn next_view(situation: &Situation, me: &Voter) -> Option<View> {
+    let current = situation.current;
+    let majority_alive = is_majority(situation.count_alive(&current.voters), current.voters.len());
+    if current.voter(me.disk).is_none() || !majority_alive {
+        return None;
+    }
+    let chain = ChainPlan::new(situation).next()?;
+    if chain != current.chain {
+        return Some(View { number: current.number + 1, voters: current.voters.clone(), chain });
+    }
+    let voters = VoterPlan::new(situation).next()?;
+    Some(View { number: current.number + 1, voters, chain })
+}
+
+/// Who may propose, in the order of their turns: voters that are alive with a healthy disk, chain members first.
+fn proposers(situation: &Situation) -> Vec<DiskId> {
+    let current = situation.current;
+    let able = |voter: &&Voter| situation.is_alive(voter) && situation.peers.has_healthy_disk(voter);
+    let mut disks: Vec<DiskId> = current.voters.iter().filter(able).map(|voter| voter.disk).collect();
+    disks.sort_by_key(|disk| (current.position(*disk).unwrap_or(usize::MAX), *disk));
+    disks
+}
--- /dev/null
+++ b/crates/view-agreement/tests/simulation/checker.rs
@@ -0,0 +1,69 @@
+//! What must hold of agreed views in every run.
+
+use lupinrack_cluster_api::view::View;
+use std::collections::{BTreeMap, HashSet};
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two different views are agreed under one number.
+    TwoViews { number: u64 },
+    /// A view is agreed that nobody proposed.
+    NeverProposed { number: u64 },
+    /// A view is agreed though the disks of no majority of the voters before it, or of its own voters, hold it.
+    NotOnDisks { number: u64 },
+    /// The chain does not begin with members of the chain before it, in their order.
+    BrokenChain { number: u64 },
+}
+
+/// Collects what is proposed and agreed.
+#[derive(Debug, Default)]
+pub struct Checker {
+    proposed: HashSet<View>,
+    agreed: BTreeMap<u64, View>,
+    pub violations: Vec<Violation>,
+}
+
+impl Checker {
+    pub fn on_proposed(&mut self, view: View) {
+        self.proposed.insert(view);
+    }
+
+    /// Notes that a process takes a view for agreed; tells whether it is the first to do so.
+    pub fn on_agreed(&mut self, view: &View) -> bool {
+        let number = view.number;
+        if !self.proposed.contains(view) {
+            self.violations.push(Violation::NeverProposed { number });
+        }
+        if let Some(earlier) = self.agreed.get(&number) {
+            if earlier != view {
+                self.violations.push(Violation::TwoViews { number });
+            }
+            return false;
+        }
+        self.agreed.insert(number, view.clone());
+        true
+    }
+
+    /// Checks that a chain goes on from the one before it.
+    pub fn check_chain(&mut self, view: &View) {
+        let Some(before) = self.agreed.get(&(view.number - 1)) else { return };
+        let kept: Vec<_> = before.chain.iter().filter(|disk| view.chain.contains(disk)).collect();
+        let begins = view.chain.iter().take(kept.len()).eq(kept.iter().copied());
+        if kept.is_empty() || !begins {
+            self.violations.push(Violation::BrokenChain { number: view.number });
+        }
+    }
+
+    pub fn agreed(&self, number: u64) -> Option<&View> {
+        self.agreed.get(&number)
+    }
+
+    pub fn newest(&self) -> View {
+        self.agreed.values().next_back().cloned().unwrap_or_default()
+    }
+
+    pub fn found_two_views(&self) -> bool {
+        self.violations.iter().any(|violation| matches!(violation, Violation::TwoViews { .. }))
+    }
+}
--- /dev/null
+++ b/crates/view-agreement/tests/simulation/random_proposals.rs
@@ -0,0 +1,163 @@
+//! Processes that propose views at random, whatever they hear, several at once and over one another.
+
+use crate::checker::Violation;
+use crate::world::{Network, Plant, World, CALM, ROUGH};
+use lupinrack_cluster_api::view::{View, Voter};
+
+const VOTERS_LEAST: usize = 3;
+const ROUNDS: usize = 150;
+const ROUND_MS_MOST: u64 = 150;
+const STRIKES: f64 = 0.4;
+const PLANTED_SEEDS: std::ops::Range<u64> = 1000..1500;
+
+/// How many machines there are, and how many disks may be lost.
+#[derive(Clone, Copy)]
+struct Setup {
+    founders: usize,
+    machines: usize,
+    wipes_most: usize,
+    network: Network,
+    plant: Plant,
+}
+
+/// A view of random voters, of those that run.
+fn random_view(world: &mut World, number: u64, founders: usize) -> View {
+    let reach = if number == 1 { founders } else { world.machines.len() };
+    let mut voters: Vec<Voter> = (0..reach)
+        .filter(|index| world.is_running(*index))
+        .map(|index| world.machines[index].voter.clone())
+        .collect();
+    world.rng.shuffle(&mut voters);
+    let count = world.rng.usize(VOTERS_LEAST..=voters.len().max(VOTERS_LEAST));
+    voters.truncate(count);
+    let mut chain: Vec<_> = voters.iter().map(|voter| voter.disk).collect();
+    world.rng.shuffle(&mut chain);
+    chain.truncate(count / 2 + 1);
+    View { number, voters, chain }
+}
+
+fn propose_at_random(world: &mut World, setup: Setup) {
+    let machine = world.rng.usize(0..setup.machines);
+    let number = world.current(machine).number + 1;
+    let view = random_view(world, number, setup.founders);
+    if view.voters.len() >= VOTERS_LEAST {
+        world.propose(machine, view);
+    }
+}
+
+fn disturb(world: &mut World, setup: Setup) {
+    let machine = world.rng.usize(0..setup.machines);
+    let down_ms = world.rng.u64(1..400);
+    match world.rng.u32(0..60) {
+        0..=2 if world.is_running(machine) => world.restart(machine, down_ms),
+        3 | 4 => world.cut(),
+        5..=14 => world.heal(),
+        15 if world.wipes_left > 0 && world.is_running(machine) => world.wipe(machine, down_ms),
+        _ => {}
+    }
+}
+
+fn run_rough(seed: u64, setup: Setup) -> World {
+    let mut world = World::new(seed, setup.founders, setup.machines, setup.plant);
+    world.run_for(400);
+    world.network = setup.network;
+    world.strikes = STRIKES;
+    world.wipes_left = setup.wipes_most;
+    for _ in 0..ROUNDS {
+        propose_at_random(&mut world, setup);
+        disturb(&mut world, setup);
+        let pause = world.rng.u64(1..=ROUND_MS_MOST);
+        world.run_for(pause);
+    }
+    world
+}
+
+/// Ends all trouble and lets one voter propose; tells how many views were agreed since.
+fn run_calm(world: &mut World, founders: usize) -> u64 {
+    world.network = CALM;
+    world.strikes = 0.0;
+    world.heal();
+    world.run_for(3000);
+    let before = world.checker.newest().number;
+    for _ in 0..40 {
+        let running: Vec<usize> = (0..world.machines.len()).filter(|m| world.is_running(*m)).collect();
+        for machine in running {
+            let number = world.current(machine).number + 1;
+            let view = random_view(world, number, founders);
+            world.propose(machine, view);
+        }
+        world.run_for(150);
+    }
+    world.checker.newest().number - before
+}
+
+fn check(seeds: std::ops::Range<u64>, setup: Setup, must_progress: bool) {
+    let mut agreed = 0;
+    for seed in seeds.clone() {
+        let mut world = run_rough(seed, setup);
+        agreed += world.checker.newest().number;
+        let progress = run_calm(&mut world, setup.founders);
+        assert_eq!(world.checker.violations, Vec::<Violation>::new(), "seed {seed}");
+        assert!(progress > 0 || !must_progress, "seed {seed}: nothing was agreed once all was calm");
+    }
+    let runs = seeds.end - seeds.start;
+    println!("{agreed} views in {runs} rough runs");
+    assert!(agreed >= runs, "{agreed} views in {runs} rough runs: the runs test too little");
+}
+
+fn setup(founders: usize, machines: usize, wipes_most: usize) -> Setup {
+    Setup { founders, machines, wipes_most, network: ROUGH, plant: Plant::None }
+}
+
+#[test]
+fn three_voters_agree_on_one_view_per_number_and_go_on() {
+    check(0..60, setup(3, 5, 1), true);
+}
+
+#[test]
+fn five_voters_agree_on_one_view_per_number_and_go_on() {
+    check(100..150, setup(5, 7, 1), true);
+}
+
+#[test]
+fn nine_voters_agree_on_one_view_per_number_and_go_on() {
+    check(200..225, setup(9, 11, 1), true);
+}
+
+#[test]
+fn no_disk_lost_means_that_the_disks_hold_what_is_agreed() {
+    check(300..350, setup(3, 6, 0), true);
+}
+
+#[test]
+fn disks_lost_without_bound_never_lead_to_two_views() {
+    check(400..460, setup(3, 6, 100), false);
+}
+
+/// Asserts that the checker finds a planted fault, and nothing in the same runs without it.
+fn assert_found(setup: Setup) {
+    let sound = Setup { plant: Plant::None, ..setup };
+    for seed in PLANTED_SEEDS {
+        assert_eq!(run_rough(seed, sound).checker.violations, Vec::<Violation>::new(), "seed {seed}");
+        if run_rough(seed, setup).checker.found_two_views() {
+            println!("{:?}: two views with seed {seed}", setup.plant);
+            return;
+        }
+    }
+    panic!("{:?} was not found", setup.plant);
+}
+
+#[test]
+fn an_empty_disk_under_the_old_identity_is_found() {
+    assert_found(Setup { plant: Plant::WipedDiskKeepsIdentity, ..setup(3, 5, 100) });
+}
+
+#[test]
+fn an_answer_before_the_sync_is_found() {
+    assert_found(Setup { plant: Plant::AnswersBeforeSync, ..setup(3, 5, 0) });
+}
+
+#[test]
+fn a_quorum_of_the_new_voters_alone_is_found() {
+    assert_found(Setup { plant: Plant::CountsNewVotersOnly, ..setup(3, 7, 0) });
+}
--- /dev/null
+++ b/crates/view-agreement/tests/simulation/world.rs
@@ -0,0 +1,391 @@
+//! Machines, a network that loses, delays, reorders and repeats messages, and time.
+
+use crate::checker::{Checker, Violation};
+use crate::machine::{address, Machine, Write};
+use fastrand::Rng;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{AgreementMessage, Ballot};
+use lupinrack_view_agreement::Effect;
+use std::collections::BTreeMap;
+
+const TICK_MS: u64 = 25;
+const HEARTBEAT_MS: u64 = 150;
+const SYNC_MS_MOST: u64 = 30;
+/// How often a sync is slow, and how long such a one takes at most.
+const SLOW_SYNCS: f64 = 0.2;
+const SLOW_SYNC_MS_MOST: u64 = 300;
+/// Milliseconds that a process outside the chain needs until it has caught up.
+const CATCH_UP_MS: u64 = 400;
+
+/// A fault that is planted, to see that the checker finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    None,
+    /// A machine whose disk was lost goes on under the old disk's identity.
+    WipedDiskKeepsIdentity,
+    /// A vote is sent before it is on disk.
+    AnswersBeforeSync,
+    /// A view counts as agreed once a majority of its own voters has accepted it.
+    CountsNewVotersOnly,
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Agreement(AgreementMessage),
+    Heartbeat { voter: Voter, life: u64, view: View, disk_healthy: bool, caught_up: bool },
+}
+
+enum Event {
+    Deliver { from: PeerAddress, to: usize, message: Message },
+    Synced { machine: usize, life: u64 },
+    Tick { machine: usize, life: u64 },
+    Heartbeat { machine: usize, life: u64 },
+    Start { machine: usize },
+}
+
+/// How bad the network is.
+#[derive(Clone, Copy)]
+pub struct Network {
+    pub loss: f64,
+    pub repeats: f64,
+    pub delay_ms_most: u64,
+}
+
+pub const CALM: Network = Network { loss: 0.0, repeats: 0.0, delay_ms_most: 3 };
+pub const ROUGH: Network = Network { loss: 0.15, repeats: 0.1, delay_ms_most: 80 };
+
+pub struct World {
+    pub rng: Rng,
+    pub now: Millis,
+    pub machines: Vec<Machine>,
+    pub network: Network,
+    pub checker: Checker,
+    /// Whether processes propose by the policy.
+    pub policy_proposes: bool,
+    /// Whether to check that disks hold what is agreed; it makes no sense once a disk was lost.
+    pub check_disks: bool,
+    /// How often the process that completes an agreement is cut off at that moment, while another voter dies.
+    pub strikes: f64,
+    /// How many disks may still be lost.
+    pub wipes_left: usize,
+    plant: Plant,
+    groups: Vec<bool>,
+    asked: BTreeMap<Ballot, View>,
+    events: BTreeMap<(Millis, u64), Event>,
+    sequence: u64,
+    next_identity: u64,
+}
+
+impl World {
+    /// The first `founders` of the machines found the system; all start within 300 ms.
+    pub fn new(seed: u64, founders: usize, machines: usize, plant: Plant) -> World {
+        let mut world = World {
+            rng: Rng::with_seed(seed),
+            now: Millis(0),
+            machines: Vec::new(),
+            network: CALM,
+            checker: Checker::default(),
+            policy_proposes: false,
+            check_disks: true,
+            strikes: 0.0,
+            wipes_left: 0,
+            plant,
+            groups: vec![true; machines],
+            asked: BTreeMap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            next_identity: 1,
+        };
+        for index in 0..machines {
+            let disk = DiskId(world.draw_identity());
+            world.machines.push(Machine::new(index, disk));
+        }
+        let addresses: Vec<PeerAddress> = (0..founders).map(address).collect();
+        for index in 0..machines {
+            let list = if index < founders { addresses.clone() } else { Vec::new() };
+            world.start_with(index, list);
+        }
+        world
+    }
+
+    pub fn run_for(&mut self, milliseconds: u64) {
+        let until = self.now.plus(milliseconds);
+        while self.events.first_key_value().is_some_and(|((at, _), _)| *at <= until) {
+            if let Some(((at, _), event)) = self.events.pop_first() {
+                self.now = at;
+                self.handle(event);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Ends a process and starts it again after a while. Unsynced writes may or may not have reached the disk.
+    pub fn restart(&mut self, machine: usize, after_ms: u64) {
+        self.kill(machine);
+        self.schedule(after_ms, Event::Start { machine });
+    }
+
+    pub fn kill(&mut self, machine: usize) {
+        let survivors = self.rng.usize(0..2) * self.rng.usize(0..3);
+        self.machines[machine].kill(survivors);
+    }
+
+    pub fn start(&mut self, machine: usize) {
+        if self.machines[machine].process.is_none() {
+            self.start_with(machine, Vec::new());
+        }
+    }
+
+    /// Ends a process; it starts again on an empty disk.
+    pub fn wipe(&mut self, machine: usize, after_ms: u64) {
+        self.check_disks = false;
+        self.wipes_left = self.wipes_left.saturating_sub(1);
+        self.machines[machine].kill(0);
+        self.machines[machine].stored = Default::default();
+        if self.plant != Plant::WipedDiskKeepsIdentity {
+            self.machines[machine].voter.disk = DiskId(self.draw_identity());
+        }
+        self.schedule(after_ms, Event::Start { machine });
+    }
+
+    /// Splits the machines into two groups that do not reach each other.
+    pub fn cut(&mut self) {
+        for index in 0..self.groups.len() {
+            self.groups[index] = self.rng.bool();
+        }
+    }
+
+    pub fn isolate(&mut self, machine: usize) {
+        self.groups = vec![true; self.machines.len()];
+        self.groups[machine] = false;
+    }
+
+    pub fn heal(&mut self) {
+        self.groups = vec![true; self.machines.len()];
+    }
+
+    pub fn is_running(&self, machine: usize) -> bool {
+        self.machines[machine].process.is_some()
+    }
+
+    /// The view that a running process takes for the current one.
+    pub fn current(&self, machine: usize) -> View {
+        let process = self.machines[machine].process.as_ref();
+        process.map(|process| process.agreement.current().clone()).unwrap_or_default()
+    }
+
+    pub fn propose(&mut self, machine: usize, view: View) {
+        let now = self.now;
+        let Some(process) = &mut self.machines[machine].process else { return };
+        self.checker.on_proposed(view.clone());
+        let effects = process.agreement.propose(view, now);
+        self.perform(machine, effects);
+    }
+
+    fn start_with(&mut self, machine: usize, founders: Vec<PeerAddress>) {
+        let life = self.draw_identity() << 8;
+        self.machines[machine].start(life, founders, self.now);
+        let first_tick = self.rng.u64(0..300);
+        self.schedule(first_tick, Event::Tick { machine, life });
+        self.schedule(first_tick, Event::Heartbeat { machine, life });
+    }
+
+    fn draw_identity(&mut self) -> u64 {
+        self.next_identity += 1;
+        self.next_identity
+    }
+
+    fn schedule(&mut self, after_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.insert((self.now.plus(after_ms), self.sequence), event);
+    }
+
+    fn lives(&self, machine: usize, life: u64) -> bool {
+        self.machines[machine].process.as_ref().is_some_and(|process| process.life == life)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Deliver { from, to, message } => self.deliver(from, to, message),
+            Event::Synced { machine, life } if self.lives(machine, life) => self.synced(machine),
+            Event::Tick { machine, life } if self.lives(machine, life) => self.tick(machine, life),
+            Event::Heartbeat { machine, life } if self.lives(machine, life) => self.beat(machine, life),
+            Event::Start { machine } => self.start(machine),
+            Event::Synced { .. } | Event::Tick { .. } | Event::Heartbeat { .. } => {}
+        }
+    }
+
+    fn deliver(&mut self, from: PeerAddress, to: usize, message: Message) {
+        match message {
+            Message::Agreement(message) => {
+                self.plant_old_votes(to, &message);
+                self.receive(from, to, message);
+            }
+            Message::Heartbeat { voter, life, view, disk_healthy, caught_up } => {
+                let now = self.now;
+                let Some(process) = &mut self.machines[to].process else { return };
+                process.policy.heard(voter, life, view.number, disk_healthy, caught_up, now);
+                let effects = process.agreement.learn(view);
+                self.perform(to, effects);
+            }
+        }
+    }
+
+    fn receive(&mut self, from: PeerAddress, to: usize, message: AgreementMessage) {
+        let now = self.now;
+        let Some(process) = &mut self.machines[to].process else { return };
+        let effects = process.agreement.receive(from, message, now);
+        self.perform(to, effects);
+    }
+
+    /// Makes the votes of old voters up, so that only those of the new ones still matter.
+    fn plant_old_votes(&mut self, to: usize, message: &AgreementMessage) {
+        let AgreementMessage::Accepted { ballot, .. } = message else { return };
+        let Some(view) = self.asked.get(ballot).cloned() else { return };
+        if self.plant != Plant::CountsNewVotersOnly {
+            return;
+        }
+        let current = self.current(to);
+        for old in current.voters.iter().filter(|old| view.voter(old.disk).is_none()) {
+            self.receive(old.address, to, AgreementMessage::Accepted { ballot: *ballot, disk: old.disk });
+        }
+    }
+
+    /// The disk holds the newest of the writes; all messages that waited go out.
+    fn synced(&mut self, machine: usize) {
+        let Some(process) = &mut self.machines[machine].process else { return };
+        let writes = std::mem::take(&mut process.writes);
+        if let Some(newest) = writes.last() {
+            self.machines[machine].stored = newest.vote.clone();
+        }
+        for (to, message) in writes.into_iter().flat_map(|write| write.then) {
+            self.send(machine, to, Message::Agreement(message));
+        }
+    }
+
+    fn tick(&mut self, machine: usize, life: u64) {
+        self.schedule(TICK_MS, Event::Tick { machine, life });
+        let now = self.now;
+        let voter = self.machines[machine].voter.clone();
+        let Some(process) = &mut self.machines[machine].process else { return };
+        let effects = process.agreement.tick(now);
+        let current = process.agreement.current().clone();
+        let desired = process.policy.desired(&current, &voter, now);
+        self.perform(machine, effects);
+        if let Some(view) = desired.filter(|_| self.policy_proposes) {
+            self.propose(machine, view);
+        }
+    }
+
+    fn beat(&mut self, machine: usize, life: u64) {
+        self.schedule(HEARTBEAT_MS, Event::Heartbeat { machine, life });
+        let Machine { voter, disk_healthy, process, .. } = &self.machines[machine];
+        let Some(process) = process else { return };
+        let view = process.agreement.current().clone();
+        let in_chain = view.position(voter.disk).is_some();
+        let caught_up = in_chain || self.now.since(process.started) >= CATCH_UP_MS;
+        let (voter, disk_healthy) = (voter.clone(), *disk_healthy);
+        for to in (0..self.machines.len()).map(address) {
+            let (voter, view) = (voter.clone(), view.clone());
+            self.send(machine, to, Message::Heartbeat { voter, life, view, disk_healthy, caught_up });
+        }
+    }
+
+    fn perform(&mut self, machine: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(to, message) => self.send(machine, to, Message::Agreement(message)),
+                Effect::Persist { vote, then } => self.persist(machine, Write { vote, then }),
+                Effect::Agreed(view) => self.agreed(machine, &view),
+            }
+        }
+    }
+
+    fn persist(&mut self, machine: usize, mut write: Write) {
+        if self.plant == Plant::AnswersBeforeSync {
+            for (to, message) in std::mem::take(&mut write.then) {
+                self.send(machine, to, Message::Agreement(message));
+            }
+        }
+        let Some(process) = &mut self.machines[machine].process else { return };
+        process.writes.push(write);
+        let life = process.life;
+        let slow = self.rng.f64() < SLOW_SYNCS;
+        let sync_ms = self.rng.u64(1..=if slow { SLOW_SYNC_MS_MOST } else { SYNC_MS_MOST });
+        self.schedule(sync_ms, Event::Synced { machine, life });
+    }
+
+    fn agreed(&mut self, machine: usize, view: &View) {
+        if !self.checker.on_agreed(view) {
+            return;
+        }
+        if self.policy_proposes {
+            self.checker.check_chain(view);
+        }
+        if self.check_disks && !self.is_on_disks(view) {
+            self.checker.violations.push(Violation::NotOnDisks { number: view.number });
+        }
+        if self.rng.f64() < self.strikes {
+            self.strike(machine);
+        }
+    }
+
+    /// Cuts a machine off before it can announce anything, and ends another, perhaps with its disk.
+    fn strike(&mut self, machine: usize) {
+        self.isolate(machine);
+        let voters = self.checker.newest().voters;
+        let others = (0..self.machines.len()).filter(|index| {
+            let is_voter = voters.iter().any(|voter| voter.address == address(*index));
+            is_voter && *index != machine && self.is_running(*index)
+        });
+        let others: Vec<usize> = others.collect();
+        let Some(victim) = self.rng.choice(others) else { return };
+        let down_ms = self.rng.u64(1..100);
+        if self.wipes_left > 0 && self.rng.bool() {
+            self.wipe(victim, down_ms);
+        } else {
+            self.restart(victim, down_ms);
+        }
+    }
+
+    /// Whether majorities of the voters before it and of its own voters have the view on disk.
+    fn is_on_disks(&self, view: &View) -> bool {
+        let before = self.checker.agreed(view.number - 1);
+        let mut electorates = vec![view];
+        electorates.extend(before);
+        electorates.into_iter().all(|electorate| {
+            let holds = |voter: &Voter| {
+                let machine = self.machines.iter().find(|machine| machine.voter.disk == voter.disk);
+                machine.is_some_and(|machine| machine.stored.accepted == *view)
+            };
+            electorate.voters.iter().filter(|voter| holds(voter)).count() * 2 > electorate.voters.len()
+        })
+    }
+
+    fn send(&mut self, from: usize, to: PeerAddress, message: Message) {
+        if let Message::Agreement(AgreementMessage::Accept { ballot, view }) = &message {
+            self.asked.insert(*ballot, view.clone());
+        }
+        let Some(to) = (0..self.machines.len()).find(|index| address(*index) == to) else { return };
+        let from_address = address(from);
+        if to == from {
+            self.schedule(0, Event::Deliver { from: from_address, to, message });
+            return;
+        }
+        let lost = self.groups[from] != self.groups[to] || self.rng.f64() < self.network.loss;
+        if lost {
+            return;
+        }
+        if self.rng.f64() < self.network.repeats {
+            self.deliver_later(from_address, to, message.clone());
+        }
+        self.deliver_later(from_address, to, message);
+    }
+
+    fn deliver_later(&mut self, from: PeerAddress, to: usize, message: Message) {
+        let delay_ms = self.rng.u64(1..=self.network.delay_ms_most);
+        self.schedule(delay_ms, Event::Deliver { from, to, message });
+    }
+}
