--- /dev/null
+++ b/crates/chain/src/chain.rs
@@ -0,0 +1,259 @@
+//! The state of a replica, and what others may ask of it.
+
+use crate::effect::{Effect, Standing};
+use crate::follower::{Follower, SenderState};
+use crate::limits::{CAUGHT_UP_MS, UNCOMMITTED_ENTRIES_MOST};
+use crate::log::Log;
+use crate::membership::Entry;
+use crate::snapshot::IncomingSnapshot;
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::operation::{LogEntry, Operation};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::ChainMessage;
+use std::collections::BTreeMap;
+
+/// The barrier by which a head has every member make its standing durable. Barriers for reads follow it.
+pub(crate) const RECOVERY_BARRIER: u64 = 1;
+
+/// What a disk held when its process began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// The last index that the snapshot covers; 0 without a snapshot.
+    pub snapshot_index: u64,
+    /// The entries after the snapshot, all synced.
+    pub entries: Vec<LogEntry>,
+    /// The newest agreed view that the disk has adopted; number 0 for none.
+    pub view: View,
+    /// The standing stored last.
+    pub standing: Standing,
+}
+
+/// What this head has done in its view.
+#[derive(Debug, Default)]
+pub(crate) struct Leadership {
+    /// The last index when the view began.
+    pub(crate) base: u64,
+    /// The last barrier that has passed the chain.
+    pub(crate) barrier_passed: u64,
+    /// Whether everything up to `base` was committed in this view.
+    pub(crate) ready: bool,
+    /// Whether the process was restarted within the view and does not know what it sent before.
+    pub(crate) forgotten: bool,
+}
+
+/// What was last acknowledged to the predecessor in this view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Acknowledged {
+    pub(crate) synced: u64,
+    pub(crate) barrier: u64,
+}
+
+/// What was last asked of the predecessor in this view.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResendRequest {
+    pub(crate) have: u64,
+    pub(crate) at: Millis,
+}
+
+/// What the disk has of the log.
+#[derive(Debug, Default)]
+pub(crate) struct DiskState {
+    /// The last index that is synced.
+    pub(crate) synced: u64,
+    /// Truncations and installations under way; until they are done, reports of older writes say nothing.
+    pub(crate) rewrites: u32,
+    /// Writes of the standing under way.
+    pub(crate) standing_writes: u32,
+}
+
+/// The replica of one disk.
+#[derive(Debug)]
+pub struct Chain {
+    pub(crate) me: DiskId,
+    pub(crate) minimum_length: usize,
+    pub(crate) view: View,
+    pub(crate) log: Log,
+    pub(crate) disk: DiskState,
+    pub(crate) standing: Standing,
+    /// Up to here the log is the one of the head of this view.
+    pub(crate) verified: u64,
+    /// What others said to be committed, also beyond what this replica has.
+    pub(crate) told_committed: u64,
+    pub(crate) committed: u64,
+    /// The newest barrier of this view that was seen, or started.
+    pub(crate) barrier: u64,
+    pub(crate) leadership: Leadership,
+    pub(crate) successor: Option<Follower>,
+    /// Spares that this tail keeps fed.
+    pub(crate) joiners: BTreeMap<DiskId, Follower>,
+    /// Whether the predecessor was heard in this view, without a gap.
+    pub(crate) aligned: bool,
+    pub(crate) acknowledged: Option<Acknowledged>,
+    pub(crate) resend: Option<ResendRequest>,
+    pub(crate) joined_at: Option<Millis>,
+    /// When the tail last told this spare what is committed, in this view.
+    pub(crate) told_at: Option<Millis>,
+    pub(crate) incoming: IncomingSnapshot,
+    pub(crate) snapshot_asked: bool,
+    /// Effects of the call under way; those of the constructor wait for the first call.
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Chain {
+    /// The replica of a disk, which commits nothing while the chain has fewer than `minimum_length` members.
+    pub fn new(me: DiskId, minimum_length: usize, stored: Stored) -> Chain {
+        let log = Log::new(stored.snapshot_index, stored.entries);
+        let mut chain = Chain {
+            me,
+            minimum_length,
+            view: stored.view,
+            disk: DiskState { synced: log.last(), ..DiskState::default() },
+            log,
+            standing: stored.standing,
+            verified: stored.snapshot_index,
+            told_committed: stored.snapshot_index,
+            committed: stored.snapshot_index,
+            barrier: 0,
+            leadership: Leadership::default(),
+            successor: None,
+            joiners: BTreeMap::new(),
+            aligned: false,
+            acknowledged: None,
+            resend: None,
+            joined_at: None,
+            told_at: None,
+            incoming: IncomingSnapshot::default(),
+            snapshot_asked: false,
+            effects: Vec::new(),
+        };
+        if chain.view.number > 0 {
+            chain.enter_view(Entry::Restarted, Millis::default());
+        }
+        chain
+    }
+
+    /// Appends an operation. None where this is not the head, or it is not ready, or too much is uncommitted.
+    pub fn submit(&mut self, operation: Operation, now: Millis) -> Option<(u64, Vec<Effect>)> {
+        let uncommitted = self.log.last() - self.committed;
+        if !self.ready() || uncommitted >= UNCOMMITTED_ENTRIES_MOST {
+            return None;
+        }
+        let index = self.log.last() + 1;
+        let entry = LogEntry { index, operation };
+        self.log.push(entry.clone());
+        self.verified = index;
+        self.effects.push(Effect::Append(vec![entry]));
+        self.feed_successor(now);
+        Some((index, self.take_effects()))
+    }
+
+    /// Starts a barrier; [`Effect::Barrier`] with its number follows once every member has seen it. None where this is
+    /// not the head or it is not ready.
+    pub fn start_barrier(&mut self, now: Millis) -> Option<(u64, Vec<Effect>)> {
+        if !self.ready() {
+            return None;
+        }
+        self.barrier += 1;
+        self.feed_successor(now);
+        self.progress(now);
+        Some((self.barrier, self.take_effects()))
+    }
+
+    /// Whether this disk is the head of the newest view.
+    pub fn is_head(&self) -> bool {
+        self.view.head() == Some(self.me)
+    }
+
+    /// Whether this disk is in the chain of the newest view.
+    pub fn is_member(&self) -> bool {
+        self.view.position(self.me).is_some()
+    }
+
+    /// Whether this is the head and everything that it had when the view began was committed in the view.
+    pub fn ready(&self) -> bool {
+        self.is_head() && self.leadership.ready
+    }
+
+    /// Everything up to this index is committed and in the log or the snapshot of this disk.
+    pub fn committed(&self) -> u64 {
+        self.committed
+    }
+
+    /// The last index of the log, committed or not.
+    pub fn last_index(&self) -> u64 {
+        self.log.last()
+    }
+
+    /// The newest view that was handed in.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// Whether this is a spare that has synced everything that the tail of this view, heard lately, said is committed.
+    pub fn caught_up(&self, now: Millis) -> bool {
+        let heard = self.told_at.is_some_and(|at| now.since(at) <= CAUGHT_UP_MS);
+        heard && !self.is_member() && self.is_disk_settled() && self.disk.synced >= self.told_committed
+    }
+
+    /// Whether this disk is a member and durably has everything that was committed before this view. Only such a disk
+    /// may be the head of the next view.
+    pub fn is_complete(&self) -> bool {
+        self.is_member() && self.standing == Standing::Complete && self.disk.standing_writes == 0
+    }
+
+    /// Whether the chain stands still until a newer view, which may have the same members: its head was restarted
+    /// within the view.
+    pub fn needs_view(&self) -> bool {
+        self.is_head() && self.leadership.forgotten
+    }
+
+    /// An entry, while it is in memory.
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        self.log.get(index)
+    }
+
+    /// Drops entries from memory that a snapshot covers, save those kept for disks that join. The driver has made a
+    /// snapshot up to `index`.
+    pub fn compacted(&mut self, index: u64) {
+        self.log.compact(index.min(self.committed));
+    }
+
+    /// Whether this head acts in its view.
+    pub(crate) fn leads(&self) -> bool {
+        self.is_head() && self.is_complete() && !self.leadership.forgotten
+    }
+
+    /// Whether truncations, installations and the standing are durable.
+    pub(crate) fn is_disk_settled(&self) -> bool {
+        self.disk.rewrites == 0 && self.disk.standing_writes == 0
+    }
+
+    pub(crate) fn predecessor(&self) -> Option<DiskId> {
+        let position = self.view.position(self.me)?;
+        self.view.chain.get(position.checked_sub(1)?).copied()
+    }
+
+    pub(crate) fn send(&mut self, to: DiskId, message: ChainMessage) {
+        self.effects.push(Effect::Send(to, message));
+    }
+
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// What is told to the successor.
+    pub(crate) fn member_state(&self) -> SenderState {
+        SenderState {
+            view: self.view.number,
+            limit: self.verified,
+            committed: self.committed,
+            barrier: self.barrier,
+        }
+    }
+
+    /// What is told to a spare: committed entries only.
+    pub(crate) fn joiner_state(&self) -> SenderState {
+        SenderState { view: self.view.number, limit: self.committed, committed: self.committed, barrier: 0 }
+    }
+}
--- /dev/null
+++ b/crates/chain/src/receive.rs
@@ -0,0 +1,205 @@
+//! Messages of other replicas.
+
+use crate::chain::{Chain, ResendRequest, RECOVERY_BARRIER};
+use crate::effect::{Effect, Standing};
+use crate::follower::Follower;
+use crate::limits::{JOINER_STALLED_MS, RESEND_MS};
+use crate::snapshot::SnapshotPiece;
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::operation::LogEntry;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::wire::ChainMessage;
+
+/// The contents of an `Append` of this view.
+struct Append {
+    previous: u64,
+    entries: Vec<LogEntry>,
+    committed: u64,
+    barrier: u64,
+}
+
+impl Chain {
+    /// Takes a message. One of an older view is answered with the newer one; one of a newer view is dropped, since its
+    /// sender repeats itself. The view in an `Outdated` message is for the driver, who has it agreed and stored first.
+    pub fn receive(&mut self, from: DiskId, message: ChainMessage, now: Millis) -> Vec<Effect> {
+        let Some(view) = view_number(&message) else { return self.take_effects() };
+        if view < self.view.number {
+            self.send(from, ChainMessage::Outdated { view: self.view.clone() });
+        } else if view == self.view.number {
+            self.receive_current(from, message, now);
+        }
+        self.take_effects()
+    }
+
+    fn receive_current(&mut self, from: DiskId, message: ChainMessage, now: Millis) {
+        match message {
+            ChainMessage::Append { previous, entries, committed, barrier, .. } => {
+                self.receive_append(from, Append { previous, entries, committed, barrier }, now)
+            }
+            ChainMessage::Acknowledge { synced, barrier, .. } => {
+                self.receive_acknowledge(from, synced, barrier, now)
+            }
+            ChainMessage::Resend { have, .. } => self.receive_resend(from, have, now),
+            ChainMessage::Snapshot { index, piece, pieces, bytes, .. } => {
+                self.receive_piece(from, SnapshotPiece { index, piece, pieces, bytes }, now)
+            }
+            ChainMessage::Join { have, .. } => self.receive_join(from, have.unwrap_or(0), now),
+            ChainMessage::Outdated { .. } => {}
+        }
+    }
+
+    /// From whom this disk takes entries: a member from its predecessor, a spare from the tail.
+    pub(crate) fn source(&self) -> Option<DiskId> {
+        if self.is_member() {
+            self.predecessor()
+        } else {
+            self.view.tail()
+        }
+    }
+
+    fn receive_append(&mut self, from: DiskId, append: Append, now: Millis) {
+        if self.source() != Some(from) {
+            return;
+        }
+        if self.is_member() {
+            self.append_as_member(append, now);
+        } else {
+            self.append_as_spare(append, now);
+        }
+    }
+
+    fn append_as_member(&mut self, append: Append, now: Millis) {
+        self.trust_committed(append.committed);
+        if append.previous > self.verified {
+            self.ask_resend(self.verified, now);
+            return;
+        }
+        self.aligned = true;
+        let is_probe = append.entries.is_empty();
+        self.take_entries(append.entries);
+        self.take_barrier(append.barrier);
+        self.progress(now);
+        self.feed_successor(now);
+        if is_probe {
+            self.relay_committed(now);
+            self.acknowledge(true);
+        }
+    }
+
+    fn append_as_spare(&mut self, append: Append, now: Millis) {
+        if append.previous > self.log.last() {
+            self.ask_resend(self.log.last(), now);
+            return;
+        }
+        self.told_at = Some(now);
+        self.told_committed = self.told_committed.max(append.committed);
+        let committed = append.committed;
+        self.take_entries(append.entries.into_iter().take_while(|entry| entry.index <= committed).collect());
+        self.progress(now);
+    }
+
+    /// Compares entries with the log, and appends from the first one that differs or is new.
+    fn take_entries(&mut self, entries: Vec<LogEntry>) {
+        let verified = self.verified;
+        let mut entries = entries.into_iter().skip_while(|entry| entry.index <= verified).peekable();
+        while let Some(entry) = entries.next_if(|entry| self.log.get(entry.index) == Some(entry)) {
+            self.verified = entry.index;
+        }
+        let news: Vec<LogEntry> = entries.collect();
+        let continues = news.first().is_some_and(|entry| entry.index == self.verified + 1);
+        if !continues {
+            return;
+        }
+        self.truncate_after(self.verified);
+        for entry in &news {
+            self.log.push(entry.clone());
+        }
+        self.verified = self.log.last();
+        self.effects.push(Effect::Append(news));
+    }
+
+    /// A barrier comes behind everything that the head had when the view began.
+    fn take_barrier(&mut self, barrier: u64) {
+        self.barrier = self.barrier.max(barrier);
+        if self.barrier >= RECOVERY_BARRIER {
+            self.change_standing(Standing::Complete);
+        }
+    }
+
+    fn receive_acknowledge(&mut self, from: DiskId, synced: u64, barrier: u64, now: Millis) {
+        let Some(successor) = self.successor.as_mut().filter(|successor| successor.disk == from) else {
+            return;
+        };
+        successor.acknowledge(synced, barrier, now);
+        self.feed_successor(now);
+        self.progress(now);
+    }
+
+    fn receive_resend(&mut self, from: DiskId, have: u64, now: Millis) {
+        let limit = self.verified;
+        if let Some(successor) = self.successor.as_mut().filter(|successor| successor.disk == from) {
+            successor.rewind(have, limit, now);
+            self.probe_successor(now);
+        } else if let Some(joiner) = self.joiners.get_mut(&from) {
+            joiner.rewind(have, self.committed, now);
+            self.feed_joiner(from, true, now);
+        }
+    }
+
+    fn receive_join(&mut self, from: DiskId, have: u64, now: Millis) {
+        if self.view.tail() != Some(self.me) || self.view.position(from).is_some() {
+            return;
+        }
+        let committed = self.committed;
+        let joiner =
+            self.joiners.entry(from).or_insert_with(|| Follower::new(from, have.min(committed), now));
+        joiner.joiner_stands_at(have, committed, JOINER_STALLED_MS, now);
+        self.feed_joiner(from, true, now);
+    }
+
+    /// Snapshots are for disks that lack committed entries; a complete member lacks none.
+    fn receive_piece(&mut self, from: DiskId, piece: SnapshotPiece, now: Millis) {
+        let useful = self.standing == Standing::Joining && piece.index > self.log.last();
+        if self.source() != Some(from) || !useful {
+            return;
+        }
+        let index = piece.index;
+        if let Some(bytes) = self.incoming.take(piece) {
+            self.install(index, bytes, now);
+        }
+    }
+
+    fn install(&mut self, index: u64, bytes: Vec<u8>, now: Millis) {
+        self.log.reset(index);
+        self.disk.synced = 0;
+        self.disk.rewrites += 1;
+        self.verified = index;
+        self.committed = index;
+        self.told_committed = self.told_committed.max(index);
+        self.effects.push(Effect::Install { index, bytes });
+        self.progress(now);
+    }
+
+    /// Asks the source for entries after `have`, unless it was asked for the same a moment ago.
+    pub(crate) fn ask_resend(&mut self, have: u64, now: Millis) {
+        let Some(source) = self.source() else { return };
+        let asked = |request: &ResendRequest| request.have == have && now.since(request.at) < RESEND_MS;
+        if self.resend.as_ref().is_some_and(asked) {
+            return;
+        }
+        self.resend = Some(ResendRequest { have, at: now });
+        self.send(source, ChainMessage::Resend { view: self.view.number, have });
+    }
+}
+
+/// The sender's view; none for a message that belongs to no view.
+fn view_number(message: &ChainMessage) -> Option<u64> {
+    match message {
+        ChainMessage::Append { view, .. }
+        | ChainMessage::Acknowledge { view, .. }
+        | ChainMessage::Resend { view, .. }
+        | ChainMessage::Snapshot { view, .. }
+        | ChainMessage::Join { view, .. } => Some(*view),
+        ChainMessage::Outdated { .. } => None,
+    }
+}
