--- /dev/null
+++ b/crates/dispatch/src/settings.rs
@@ -0,0 +1,22 @@
+//! What an operator may choose.
+
+/// Settings of a [`crate::Dispatcher`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DispatchSettings {
+    /// The most tasks that run on one server at a time.
+    pub depth: usize,
+    /// The least share of one server that a backlogged stream keeps, as a part of its weight (`φmin / φ`), above 0 and
+    /// at most 1.
+    pub minimum_weight_ratio: f64,
+    /// After how many milliseconds without a waiting task the record of a stream is dropped.
+    pub stream_idle_ms: u64,
+    /// How many later tasks may be released before a task that does not fit. After that, nothing behind it is released
+    /// until it fits or is withdrawn.
+    pub passes_most: u32,
+}
+
+impl Default for DispatchSettings {
+    fn default() -> Self {
+        DispatchSettings { depth: 8, minimum_weight_ratio: 0.5, stream_idle_ms: 10_000, passes_most: 64 }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/tag.rs
@@ -0,0 +1,80 @@
+//! Tags, and the rule that sets them.
+
+/// Tags and units are kept in millionths, as integers, so that sums are exact and ties are real.
+const SCALE: f64 = 1_000_000.0;
+/// The least weight that is reckoned with.
+const LEAST_WEIGHT: f64 = 1e-6;
+/// The least `φmin / φ` that is reckoned with.
+const LEAST_RATIO: f64 = 1e-3;
+
+/// A point on the virtual time of one server, in millionths of a unit of capacity per weight.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Tag(pub u64);
+
+/// The tags of a waiting task.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Tags {
+    /// `S`: the order in which tasks are released.
+    pub start: Tag,
+    /// `F`: what the stream's next task on the same server builds on.
+    pub finish: Tag,
+}
+
+/// Units of capacity, in millionths.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Units(u64);
+
+impl Units {
+    /// Negative numbers and those that are none count as zero.
+    pub(crate) fn new(units: f64) -> Self {
+        Units((units.max(0.0) * SCALE).round() as u64)
+    }
+
+    pub(crate) fn as_f64(self) -> f64 {
+        self.0 as f64 / SCALE
+    }
+
+    pub(crate) fn plus(self, other: Units) -> Units {
+        Units(self.0.saturating_add(other.0))
+    }
+
+    pub(crate) fn minus(self, other: Units) -> Units {
+        Units(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Tag {
+    /// This tag and what `units` cost a stream of this weight.
+    fn plus(self, units: f64, weight: f64) -> Tag {
+        Tag(self.0.saturating_add((units / weight * SCALE).round() as u64))
+    }
+}
+
+/// A weight between the least one and 1; what is no positive number counts as 1.
+pub(crate) fn valid_weight(weight: f64) -> f64 {
+    if weight > 0.0 {
+        weight.clamp(LEAST_WEIGHT, 1.0)
+    } else {
+        1.0
+    }
+}
+
+/// The delay of the hybrid rule, in units of capacity.
+///
+/// `elsewhere` is `batchcost − cost`: the units that the stream was given on other servers since its last task on this
+/// one. The delay is that, but no more than `((φ/φmin − 1) / (1 − φ)) × cost`, which leaves a backlogged stream the
+/// share `φmin` of this server. A stream of weight 1 competes with nobody and has no delay.
+pub fn hybrid_delay(elsewhere: f64, cost: f64, weight: f64, minimum_weight_ratio: f64) -> f64 {
+    if weight >= 1.0 {
+        return 0.0;
+    }
+    let ratio = minimum_weight_ratio.clamp(LEAST_RATIO, 1.0);
+    let most = (1.0 / ratio - 1.0) / (1.0 - weight) * cost;
+    elsewhere.min(most).max(0.0)
+}
+
+/// The tags of a task: `S = max(v, F_prev + delay / φ)`, `F = S + cost / φ`.
+pub(crate) fn tags(virtual_time: Tag, previous_finish: Tag, delay: f64, cost: f64, weight: f64) -> Tags {
+    let start = virtual_time.max(previous_finish.plus(delay, weight));
+    Tags { start, finish: start.plus(cost, weight) }
+}
