--- /dev/null
+++ b/crates/scheduler/src/lapses.rs
@@ -0,0 +1,111 @@
+//! Runs that are over without their server's word: lives that ended, holds that ran out, starts that nobody was told of;
+//! and the runs that a new owner finds in the record.
+
+use crate::runs::{Run, RunPhase, RunTraits};
+use crate::scheduler::Scheduler;
+use lupinrack_cluster_api::identity::{JobId, ServerId, TaskId};
+use lupinrack_cluster_api::operation::{EndRecord, StartRecord};
+use lupinrack_cluster_api::server::RunEnd;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_control_state::{ControlState, JobRecord, TaskStatus};
+
+impl Scheduler {
+    /// Takes over the runs of the record, in the first round. Those of jobs that are not open any longer are among them:
+    /// they may still take room.
+    pub(crate) fn adopt(&mut self, state: &ControlState, now: Millis) {
+        if self.adopted {
+            return;
+        }
+        self.adopted = true;
+        for (job, record) in state.jobs.iter().filter(|(_, record)| record.service == self.service) {
+            let starts = assigned_starts(*job, record);
+            if !starts.is_empty() || !record.state.is_final() {
+                self.jobs.touch(*job);
+            }
+            starts.iter().for_each(|start| self.adopt_start(record, start, now));
+        }
+    }
+
+    fn adopt_start(&mut self, job: &JobRecord, start: &StartRecord, now: Millis) {
+        let Some(step) = job.spec.steps.get(start.task.step as usize) else { return };
+        let mut run = Run::proposed(start, RunTraits::new(job, step, 1.0), now);
+        run.phase = RunPhase::Recorded;
+        run.inherited = true;
+        self.runs.insert(run);
+    }
+
+    /// A life of a server is over, and all that ran in it.
+    pub(crate) fn server_gone(&mut self, server: &ServerId) {
+        self.lapse_runs(server);
+        self.withdraw_server(server);
+        self.servers.remove(server);
+        self.evidence.forget_server(server);
+    }
+
+    /// Ends the runs of servers whose hold is over. Servers without a session are forgotten then.
+    pub(crate) fn expire_servers(&mut self, now: Millis) {
+        let silence_ms = self.settings.silence_ms;
+        let over = self.servers.iter().filter(|(_, server)| {
+            now > server.hold_bound && now.since(server.last_contact) > silence_ms
+        });
+        let over: Vec<(ServerId, bool)> =
+            over.map(|(id, server)| (id.clone(), server.session.is_none())).collect();
+        for (server, detached) in over {
+            if detached {
+                self.server_gone(&server);
+            } else {
+                self.lapse_runs(&server);
+                self.withdraw_server(&server);
+            }
+        }
+    }
+
+    fn lapse_runs(&mut self, server: &ServerId) {
+        for task in self.runs.tasks_of_server(server) {
+            if self.runs.get(task).is_some_and(|run| run.phase == RunPhase::Recorded && !run.ended) {
+                self.end_early(task, RunEnd::Lapsed);
+            }
+        }
+    }
+
+    /// Has the end of a run recorded that its server did not list.
+    fn end_early(&mut self, task: TaskId, end: RunEnd) {
+        let Some(attempt) = self.runs.get(task).map(|run| run.attempt) else { return };
+        self.end_run(EndRecord { task, attempt, end, saved: String::new() });
+    }
+
+    /// Ends runs that provably never began, and those whose server is not known and cannot hold them any longer.
+    pub(crate) fn settle_runs(&mut self, now: Millis) {
+        let mut over = Vec::new();
+        for run in self.runs.iter().filter(|run| run.phase == RunPhase::Recorded && !run.ended) {
+            if run.stop.is_some() && !run.may_be_known() {
+                over.push((run.task, RunEnd::Stopped));
+            } else if self.servers.get(&run.server).is_none()
+                && (!run.inherited || now > self.takeover_bound)
+            {
+                over.push((run.task, RunEnd::Lapsed));
+            }
+        }
+        over.into_iter().for_each(|(task, end)| self.end_early(task, end));
+    }
+}
+
+/// The starts of a job that were recorded and have not ended.
+fn assigned_starts(job: JobId, record: &JobRecord) -> Vec<StartRecord> {
+    let mut starts = Vec::new();
+    for (occurrence, times) in &record.occurrences {
+        for (step, tasks) in times.steps.iter().enumerate() {
+            for (index, task) in tasks.iter().enumerate() {
+                let TaskStatus::Assigned { server } = &task.status else { continue };
+                let id = TaskId { job, occurrence: *occurrence, step: step as u32, index: index as u32 };
+                starts.push(StartRecord {
+                    task: id,
+                    attempt: task.attempt,
+                    server: server.clone(),
+                    saved: task.saved.clone(),
+                });
+            }
+        }
+    }
+    starts
+}
