--- a/crates/scheduler/src/gangs.rs
+++ b/crates/scheduler/src/gangs.rs
@@ -17,7 +17,9 @@
         let sets = self.gang_sets(demand, &tasks);
         let count = tasks.len() as u64;
         let found = sets.iter().filter_map(|set| self.finish_on(demand, set, count));
-        let Some((_, start, shares, set)) = found.min_by_key(|found| (found.0, found.2.len())) else { return };
+        let Some((_, start, shares, set)) = found.min_by_key(|found| (found.0, found.2.len())) else {
+            return;
+        };
         if start <= self.now {
             self.start_gang(demand, &tasks, &shares, set.factor);
         } else {
--- a/crates/scheduler/src/heartbeats.rs
+++ b/crates/scheduler/src/heartbeats.rs
@@ -1,6 +1,6 @@
 //! Reading of heartbeats: progress, ends, runs that no record asks for, and proofs that a stopped run never runs.
 
-use crate::runs::{Run, RunPhase};
+use crate::runs::{Run, RunPhase, StopReason};
 use crate::scheduler::Scheduler;
 use crate::servers::{ForeignRun, Server, UnreadHeartbeat};
 use lupinrack_cluster_api::agent::Heartbeat;
@@ -78,6 +78,10 @@
             if record.saved.is_empty() {
                 record.saved.clone_from(&run.saved);
             }
+            // The others of a gang cannot go on alone.
+            if record.end != RunEnd::Done && run.traits.gang {
+                self.stop_run(record.task, StopReason::GangBroken);
+            }
         }
         self.submissions.add_end(record);
     }
@@ -126,13 +130,14 @@
         if !reading.unread.of_session || heartbeat.finished.len() >= ENDS_LISTED_MOST {
             return;
         }
-        let Some(session) = self.servers.get(reading.server).and_then(|server| server.session.as_ref()) else {
+        let Some(session) = self.servers.get(reading.server).and_then(|server| server.session.as_ref())
+        else {
             return;
         };
         let proven = |run: &&Run| {
-            let seen = run.stop_sent.is_some_and(|sent| {
-                sent.session == session.id && sent.number <= heartbeat.orders_seen
-            });
+            let seen = run
+                .stop_sent
+                .is_some_and(|sent| sent.session == session.id && sent.number <= heartbeat.orders_seen);
             seen && !run.ended && !reading.listed.contains(&(run.task, run.attempt))
         };
         let stopped: Vec<_> =
@@ -146,16 +151,15 @@
     pub(crate) fn end_is_recorded(&mut self, task: TaskId, attempt: Attempt) {
         self.submissions.end_applied(task, attempt);
         self.jobs.touch(task.job);
-        match self.runs.get(task).filter(|run| run.attempt == attempt) {
-            Some(run) => {
-                let server = run.server.clone();
-                self.observe(&server, task, attempt);
-                // A member of a gang whose end another one stood for still takes room until it is listed.
-                if run.ended {
-                    self.runs.remove(task);
-                }
-            }
-            None => self.observe_anywhere(task, attempt),
+        let run = self.runs.get(task).filter(|run| run.attempt == attempt);
+        let Some((server, ended)) = run.map(|run| (run.server.clone(), run.ended)) else {
+            self.observe_anywhere(task, attempt);
+            return;
+        };
+        self.observe(&server, task, attempt);
+        // A member of a gang whose end another one stood for still takes room until its own end is listed.
+        if ended {
+            self.runs.remove(task);
         }
     }
 
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -182,7 +182,8 @@
     let Some(tasks) = record.and_then(|occurrence| occurrence.steps.get(number)) else {
         return (0..step.count).collect();
     };
-    let waits = |(_, task): &(usize, &lupinrack_control_state::TaskRecord)| task.status == TaskStatus::Waiting;
+    let waits =
+        |(_, task): &(usize, &lupinrack_control_state::TaskRecord)| task.status == TaskStatus::Waiting;
     tasks.iter().enumerate().filter(waits).map(|(index, _)| index as u32).collect()
 }
 
@@ -226,8 +227,7 @@
     fn refresh_job(&mut self, job: JobId, view: &JobView<'_>) -> bool {
         let open = |record: &&JobRecord| record.service == *view.service && !record.state.is_final();
         let Some(record) = view.state.jobs.get(&job).filter(open) else { return false };
-        let plan =
-            self.plans.entry(job).or_insert_with(|| JobPlan::new(record, &view.room, view.durations));
+        let plan = self.plans.entry(job).or_insert_with(|| JobPlan::new(record, &view.room, view.durations));
         plan.refresh(record, view.now, view.wall);
         true
     }
--- a/crates/scheduler/src/lapses.rs
+++ b/crates/scheduler/src/lapses.rs
@@ -17,7 +17,8 @@
             return;
         }
         self.adopted = true;
-        for (job, record) in state.jobs.iter().filter(|(_, record)| record.service == self.service) {
+        let service = self.service.clone();
+        for (job, record) in state.jobs.iter().filter(|(_, record)| record.service == service) {
             let starts = assigned_starts(*job, record);
             if !starts.is_empty() || !record.state.is_final() {
                 self.jobs.touch(*job);
@@ -45,9 +46,10 @@
     /// Ends the runs of servers whose hold is over. Servers without a session are forgotten then.
     pub(crate) fn expire_servers(&mut self, now: Millis) {
         let silence_ms = self.settings.silence_ms;
-        let over = self.servers.iter().filter(|(_, server)| {
-            now > server.hold_bound && now.since(server.last_contact) > silence_ms
-        });
+        let over = self
+            .servers
+            .iter()
+            .filter(|(_, server)| now > server.hold_bound && now.since(server.last_contact) > silence_ms);
         let over: Vec<(ServerId, bool)> =
             over.map(|(id, server)| (id.clone(), server.session.is_none())).collect();
         for (server, detached) in over {
@@ -80,8 +82,7 @@
         for run in self.runs.iter().filter(|run| run.phase == RunPhase::Recorded && !run.ended) {
             if run.stop.is_some() && !run.may_be_known() {
                 over.push((run.task, RunEnd::Stopped));
-            } else if self.servers.get(&run.server).is_none()
-                && (!run.inherited || now > self.takeover_bound)
+            } else if self.servers.get(&run.server).is_none() && (!run.inherited || now > self.takeover_bound)
             {
                 over.push((run.task, RunEnd::Lapsed));
             }
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -111,9 +111,9 @@
 
     fn is_renewal_due(&self, session: &Session) -> bool {
         let renew_ms = self.settings.hold_ms / RENEWAL_PART;
-        session.granted.is_none_or(|granted| {
-            session.report.received_at.since(granted.received_at) >= renew_ms
-        })
+        session
+            .granted
+            .is_none_or(|granted| session.report.received_at.since(granted.received_at) >= renew_ms)
     }
 
     /// How often a server should beat: often while something starts or ends there, or is about to.
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::runs::{RunLedger, RunTraits};
 use crate::scheduler::Scheduler;
 use crate::settings::SchedulerSettings;
+use crate::spare::Spare;
 use lupinrack_cluster_api::identity::{JobId, QueueName, ServerId, TaskId};
 use lupinrack_cluster_api::job::{Resources, Step};
 use lupinrack_cluster_api::operation::StartRecord;
@@ -116,6 +117,13 @@
         self.jobs = jobs;
     }
 
+    /// Stops runs that are better continued elsewhere or later.
+    fn make_room(&mut self, demands: &[Demand<'_>], rows: Vec<Row>, now: Millis) {
+        self.stop_stalled(now);
+        self.evacuate(&mut Spare::beside_queues(&rows), now);
+        self.preempt(demands, Spare::before_queues(rows), now);
+    }
+
     /// The steps whose turn has come, most urgent first.
     fn demands<'a>(
         &self,
@@ -211,7 +219,8 @@
         }
         let allowed = self.allowed(demand, &[task]);
         let sets = self.sets_by_affinity(demand, &allowed);
-        let best = sets.iter().filter_map(|set| self.finish_on(demand, set, 1)).min_by_key(|found| found.0)?;
+        let best =
+            sets.iter().filter_map(|set| self.finish_on(demand, set, 1)).min_by_key(|found| found.0)?;
         let (_, start, _, set) = best;
         if start <= self.now {
             return self.tightest(demand, &set.rows);
--- a/crates/scheduler/src/queueing.rs
+++ b/crates/scheduler/src/queueing.rs
@@ -1,12 +1,12 @@
 //! The queues of tasks that were placed on a server, and their release in the order of their tags.
 
+use crate::capacity::{difference, dominant_share, fits};
 use crate::estimates::NEVER_MS;
 use crate::placement::Placer;
 use crate::rows::{QueuedRoom, Row};
 use crate::runs::{Run, RunTraits};
 use crate::scheduler::Scheduler;
-use crate::capacity::{difference, dominant_share, fits};
-use lupinrack_cluster_api::identity::{JobId, QueueName, ServerId, TaskId};
+use lupinrack_cluster_api::identity::{JobId, ServerId, TaskId};
 use lupinrack_cluster_api::operation::StartRecord;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_control_state::{JobRecord, TaskRecord};
@@ -124,12 +124,12 @@
 impl Placer<'_> {
     /// Puts a task into the queue of a row's server.
     pub(crate) fn enqueue(&mut self, place: usize, task: TaskId, traits: RunTraits, affinity: &str) {
+        let expected_ms = self.expected_ms(&traits);
         let row = &mut self.rows[place];
         let cost = dominant_share(&traits.needs, &row.facts.capacity).clamp(COST_LEAST, 1.0);
         let weight = self.weights.weight(traits.priority);
         self.dispatcher.place(&row.server, &traits.queue, weight, cost, task, self.now);
         row.queued.push(QueuedRoom { priority: traits.priority, needs: traits.needs });
-        let expected_ms = self.expected_ms(&traits);
         let server = row.server.clone();
         let affinity = affinity.to_owned();
         self.queued.insert(task, QueuedTask { server, traits, expected_ms, affinity, since: self.now });
@@ -221,6 +221,3 @@
 pub fn task_record(job: &JobRecord, task: TaskId) -> Option<&TaskRecord> {
     job.task(task.occurrence, task.step, task.index)
 }
-
-/// The stream of a queue.
-pub type Stream = QueueName;
--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -194,11 +194,17 @@
     fn row(&self, id: &ServerId, server: &Server, suspects: &BTreeSet<ServerId>, now: Millis) -> Row {
         let taken = sum(&self.runs.used(id), &server.foreign_use());
         let queued = self.dispatcher.queued(id).filter_map(|task| self.queued.get(task));
-        let queued = queued.map(|task| QueuedRoom { priority: task.traits.priority, needs: task.traits.needs });
-        let mut freed: Vec<FreedRoom> = self.runs.of_server(id).filter(|run| !run.ended).map(|run| FreedRoom {
-            at: now.plus(rest_ms(run, &self.durations, &self.settings, now)),
-            room: run.traits.needs,
-        }).collect();
+        let queued =
+            queued.map(|task| QueuedRoom { priority: task.traits.priority, needs: task.traits.needs });
+        let mut freed: Vec<FreedRoom> = self
+            .runs
+            .of_server(id)
+            .filter(|run| !run.ended)
+            .map(|run| FreedRoom {
+                at: now.plus(rest_ms(run, &self.durations, &self.settings, now)),
+                room: run.traits.needs,
+            })
+            .collect();
         freed.sort_by_key(|freed| freed.at);
         Row {
             server: id.clone(),
--- a/crates/scheduler/src/runs.rs
+++ b/crates/scheduler/src/runs.rs
@@ -56,6 +56,8 @@
     pub estimate_ms: u64,
     /// How many times as long it takes where it runs.
     pub distance_factor: f64,
+    /// The label that its server must have; empty for none.
+    pub requires: String,
     /// Whether it saves its progress.
     pub checkpoints: bool,
     /// Whether it runs until its job is cancelled.
@@ -73,6 +75,7 @@
             queue: job.queue.clone(),
             estimate_ms: step.estimate_ms,
             distance_factor,
+            requires: step.requires.clone(),
             checkpoints: step.checkpoints,
             long_running: step.long_running,
             gang: step.gang,
@@ -87,6 +90,7 @@
             queue: QueueName(String::new()),
             estimate_ms: 0,
             distance_factor: 1.0,
+            requires: String::new(),
             checkpoints: false,
             long_running: false,
             gang: false,
@@ -271,9 +275,4 @@
     pub fn iter(&self) -> impl Iterator<Item = &Run> {
         self.runs.values()
     }
-
-    /// The servers that have runs.
-    pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
-        self.by_server.keys()
-    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -9,7 +9,9 @@
 use crate::settings::SchedulerSettings;
 use crate::submissions::Submissions;
 use lupinrack_cluster_api::agent::{AgentMessage, Heartbeat, OwnerMessage};
-use lupinrack_cluster_api::identity::{FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName, TaskId};
+use lupinrack_cluster_api::identity::{
+    FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName, TaskId,
+};
 use lupinrack_cluster_api::operation::{Operation, OperationResult, StartRecord};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_control_state::ControlState;
@@ -144,10 +146,10 @@
                     self.starts_applied(starts, taken, now);
                 }
             }
-            Operation::RecordEnds { service, ends, .. } if *service == self.service => {
-                if !matches!(result, OperationResult::Refused(_)) {
-                    ends.iter().for_each(|end| self.end_is_recorded(end.task, end.attempt));
-                }
+            Operation::RecordEnds { service, ends, .. }
+                if *service == self.service && !matches!(result, OperationResult::Refused(_)) =>
+            {
+                ends.iter().for_each(|end| self.end_is_recorded(end.task, end.attempt));
             }
             _ => {}
         }
--- a/crates/scheduler/src/servers.rs
+++ b/crates/scheduler/src/servers.rs
@@ -66,8 +66,8 @@
     pub agent: PeerAddress,
     /// The connection to its agent, while there is one.
     pub session: Option<Session>,
-    /// Whether it drains.
-    pub draining: bool,
+    /// Since when it drains, if it does.
+    pub draining_since: Option<Millis>,
     /// While it drains, until when it stays at least.
     pub leaves_at: Option<Millis>,
     /// The newest heartbeat, until a round has read it; with whether it belongs to the session's orders.
@@ -94,11 +94,6 @@
 }
 
 impl Server {
-    /// The label of its rack; empty where it has none.
-    pub fn rack(&self) -> &str {
-        rack_of(&self.facts)
-    }
-
     /// What the runs take that no record asks for.
     pub fn foreign_use(&self) -> Resources {
         self.foreign.values().fold(Resources::default(), |total, run| sum(&total, &run.needs))
@@ -114,7 +109,7 @@
 
     /// Notes a heartbeat for the next round.
     pub fn take_heartbeat(&mut self, heartbeat: Heartbeat, of_session: bool, received_at: Millis) {
-        self.draining = heartbeat.draining;
+        self.draining_since = heartbeat.draining.then(|| self.draining_since.unwrap_or(received_at));
         self.leaves_at = heartbeat.remaining_ms.map(|left| received_at.plus(left));
         self.unread = Some(UnreadHeartbeat { heartbeat, of_session, received_at });
     }
@@ -122,7 +117,7 @@
     /// Whether it may be given something new.
     pub fn is_placeable(&self, now: Millis, silence_ms: u64) -> bool {
         let ordered = self.session.as_ref().is_some_and(|session| session.granted.is_some());
-        ordered && !self.draining && now.since(self.last_contact) <= silence_ms
+        ordered && self.draining_since.is_none() && now.since(self.last_contact) <= silence_ms
     }
 }
 
@@ -164,7 +159,7 @@
             facts: facts.clone(),
             agent,
             session: None,
-            draining: false,
+            draining_since: None,
             leaves_at: None,
             unread: None,
             foreign: BTreeMap::new(),
--- a/crates/scheduler/src/submissions.rs
+++ b/crates/scheduler/src/submissions.rs
@@ -11,7 +11,7 @@
 
 /// Ends in one operation at most.
 const ENDS_MOST: usize = 256;
-/// Bytes of checkpoint texts in one operation at most, roughly.
+/// Starts in one operation at most, where a gang is not larger.
 const STARTS_MOST: usize = 256;
 
 #[derive(Clone, Debug)]
@@ -62,11 +62,6 @@
         self.ends.entry(key).or_insert(PendingEnd { record, submitted_at: None });
     }
 
-    /// Whether this end waits to be applied.
-    pub fn has_end(&self, task: TaskId, attempt: Attempt) -> bool {
-        self.ends.contains_key(&(task, attempt))
-    }
-
     /// Notes that these starts were applied.
     pub fn starts_applied(&mut self, starts: &[StartRecord]) {
         self.starts.retain(|batch| batch.starts != starts);
@@ -77,11 +72,6 @@
         self.ends.remove(&(task, attempt));
     }
 
-    /// How many operations of starts are on their way.
-    pub fn start_batches(&self) -> usize {
-        self.starts.len()
-    }
-
     /// The operations that are to be submitted now: new ones, and those that were not applied in time. Ends go first,
     /// since the starts may need them.
     pub fn due(&mut self, now: Millis, wall: WallMillis) -> Vec<Operation> {
