System: read settings files and jobs' JSON into typed, checked structs

Bounds come out in milliseconds from either unit and either spelling; a bound that the file does not give has a documented default, since a process that refuses to start serves nobody.

cluster-json parses jobs straight into structs and checks them against JobLimits. Derived serde implementations also take arrays for structs; a small visitor admits objects alone. Repeated fields, nulls and wrong types are faults.

Ruled out: java-properties (brings regex, reads ':' and '\' as syntax), rust-ini (brings a random-state table for one small file), serde_json::Value (a tree of values per submission).

--- /dev/null
+++ b/crates/cluster-json/tests/paths_and_answers.rs
@@ -0,0 +1,70 @@
+//! Paths of jobs and queues, and the bodies of answers.
+
+use lupinrack_cluster_api::identity::JobId;
+use lupinrack_cluster_api::job::JobState;
+use lupinrack_cluster_json::{
+    job_state_body, parse_job_state, parse_pending, pending_body, target_of, JobTarget,
+};
+use quickcheck::quickcheck;
+
+const ID: JobId = JobId(0x5c0e_7a21_d94b_36f8);
+
+#[test]
+fn a_job_is_named_by_the_last_sixteen_digits() {
+    let expected = JobTarget { prefix: "/orders/", job: Some(ID) };
+    assert_eq!(target_of("/orders/5c0e7a21d94b36f8"), expected);
+    assert_eq!(target_of("/orders/5c0e7a21d94b36f8?again=1"), expected);
+    assert_eq!(target_of("/orders5c0e7a21d94b36f8"), JobTarget { prefix: "/orders", job: Some(ID) });
+    assert_eq!(target_of("/a/b/5c0e7a21d94b36f8"), JobTarget { prefix: "/a/b/", job: Some(ID) });
+}
+
+#[test]
+fn every_other_path_is_taken_for_a_queue() {
+    for path in ["", "/", "/orders/", "/orders", "/orders/5c0e7a21d94b36f", "/orders/5c0e7a21d94b36fg"] {
+        assert_eq!(target_of(path), JobTarget { prefix: path, job: None });
+    }
+    for path in ["/5c0e7a2/1d94b36f8", "/5c0e7a21d94b36f8/", "/orders/+c0e7a21d94b36f8", "/é0e7a21d94b36f8"]
+    {
+        assert_eq!(target_of(path), JobTarget { prefix: path, job: None });
+    }
+}
+
+#[test]
+fn states_are_stated_in_their_words() {
+    assert_eq!(job_state_body(JobState::Running), r#"{"state":"running"}"#);
+    assert_eq!(pending_body(12), r#"{"pending":12}"#);
+}
+
+#[test]
+fn states_come_back() {
+    let states =
+        [JobState::Queued, JobState::Running, JobState::Succeeded, JobState::Failed, JobState::Cancelled];
+    for state in states {
+        assert_eq!(parse_job_state(job_state_body(state).as_bytes()), Ok(state));
+    }
+}
+
+#[test]
+fn other_answers_are_not_states() {
+    for body in ["", "{}", r#"{"state":"gone"}"#, r#"{"state":1}"#, r#"["running"]"#] {
+        assert!(parse_job_state(body.as_bytes()).is_err(), "{body}");
+    }
+    for body in ["", "{}", r#"{"pending":-1}"#, "[1]"] {
+        assert!(parse_pending(body.as_bytes()).is_err(), "{body}");
+    }
+}
+
+quickcheck! {
+    fn a_prefix_and_a_job_are_taken_apart(words: Vec<u16>, id: u64) -> bool {
+        let prefix: String = words.iter().map(|word| format!("/w{word}")).chain(["/".to_string()]).collect();
+        target_of(&format!("{prefix}{}", JobId(id))) == JobTarget { prefix: &prefix, job: Some(JobId(id)) }
+    }
+
+    fn no_path_makes_it_panic(path: String) -> bool {
+        target_of(&path).prefix.len() <= path.len()
+    }
+
+    fn a_count_comes_back(pending: u64) -> bool {
+        parse_pending(pending_body(pending).as_bytes()) == Ok(pending)
+    }
+}
--- a/crates/cluster-settings/src/lib.rs
+++ b/crates/cluster-settings/src/lib.rs
@@ -1,1 +1,16 @@
 //! The settings file of a process of the cluster scheduler.
+//!
+//! A settings file consists of lines of the form `a.b=value`, with lists joined by commas. [`NodeSettings::load`] reads
+//! one and checks it whole: every fault is named with its key, not only the first. Keys that are not known are ignored.
+
+mod bounds;
+mod error;
+mod file;
+mod limits;
+mod reader;
+mod settings;
+
+pub use bounds::Bounds;
+pub use error::{Faults, SettingsError, SettingsFault};
+pub use limits::{FaultTolerance, MachineLimits};
+pub use settings::{settings_path, Commands, NodeSettings, Serves, DEFAULT_PATH, PATH_VARIABLE};
