System: log of a process by spdlog, one line an event, levels by module

The library filters by logger, not by module; a sink in front of its standard-error sink does, by the source location that the macros record. Line ends in messages are escaped, so that an event stays one line.

--- /dev/null
+++ b/crates/cluster-log/src/lib.rs
@@ -0,0 +1,17 @@
+//! The log of a process of the cluster scheduler: one line an event on standard error, with time, level, module and
+//! message.
+//!
+//! Events are logged with the macros of `spdlog` (`spdlog::info!` and its kin) once [`init_from_environment`] has set
+//! the default logger. Which events are written follows from [`Levels`], by module.
+
+mod error_chain;
+mod levels;
+mod line;
+mod sink;
+mod start;
+
+pub use error_chain::error_chain;
+pub use levels::{Levels, MalformedLevels};
+pub use line::LineFormatter;
+pub use sink::ModuleSink;
+pub use start::{init, init_from_environment, logger, LogError, LEVEL_VARIABLE};
