Worker agent: the state machine beside a server, and the JSON of heartbeats

The agent keeps what the owner wants as desired state and compares it with every heartbeat, so a start or a stop is repeated until the server's own list shows it. Ends and stops are remembered per task, by the highest attempt, within a bound, so no late order starts a run again.

Ruled out: orders kept as a queue of one-time commands, which a lost answer would swallow; a hold that only ever grows, since the owner after the next does not count on what the one before it granted; taking any first message after an attach, since the numbers of an earlier session's messages would then vouch for orders that were never answered.

--- /dev/null
+++ b/crates/worker-agent/src/agent.rs
@@ -0,0 +1,350 @@
+//! The state machine of the agent.
+
+use crate::answer::{HeartbeatAnswer, StopOrder};
+use crate::heartbeat_json::{ServerHeartbeat, UnknownRun};
+use crate::hold::Hold;
+use crate::orders::Orders;
+use crate::reporter::{ReportKind, Reporter};
+use crate::session::{RefusedMessage, Session};
+use crate::settings::AgentSettings;
+use lupinrack_cluster_api::agent::{AgentMessage, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::identity::{FencingToken, ServerId};
+use lupinrack_cluster_api::server::ServerFacts;
+use lupinrack_cluster_api::time::Millis;
+use std::collections::VecDeque;
+
+/// How many ends a server lists at once. A list of that length may lack others, so nothing follows from a run's absence.
+pub const FINISHED_LIST_MOST: usize = 500;
+
+/// A server that is this much later, in milliseconds, than it was asked to beat counts as silent.
+pub const SILENCE_SLACK_MS: u64 = 600;
+
+/// How many earlier lives of the server are remembered, so that their late heartbeats are known for what they are.
+const PAST_LIVES_MOST: usize = 16;
+
+/// The life of the server that beats now.
+#[derive(Clone, Debug)]
+struct Life {
+    facts: ServerFacts,
+    /// Its newest heartbeat.
+    heartbeat: Heartbeat,
+    /// The owner's newest message with orders that the heartbeat's `orders_seen` covers.
+    orders_answered: u64,
+    /// Whether the heartbeat lists every end that was not observed.
+    all_ends_listed: bool,
+    /// Whether it has said that it drains; that does not end.
+    draining: bool,
+    /// Ends up to this number may be forgotten.
+    observed: u64,
+    /// After this moment it counts as silent.
+    expected_by: Millis,
+}
+
+/// The agent on a server's machine.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    settings: AgentSettings,
+    life: Option<Life>,
+    past_lives: VecDeque<ServerId>,
+    /// Lives that have left in order, of which the owner of this session was not told yet.
+    unreported_leaves: Vec<ServerId>,
+    /// Lives that have left in order, to be told to each new owner.
+    leaves: VecDeque<ServerId>,
+    token: FencingToken,
+    hold: Hold,
+    orders: Orders,
+    session: Option<Session>,
+    reporter: Reporter,
+    /// When the agent last sent anything, in any session.
+    last_sent: Option<Millis>,
+}
+
+impl Agent {
+    /// An agent that knows of no server and no owner.
+    pub fn new(settings: AgentSettings, _now: Millis) -> Agent {
+        Agent {
+            settings,
+            life: None,
+            past_lives: VecDeque::new(),
+            unreported_leaves: Vec::new(),
+            leaves: VecDeque::new(),
+            token: FencingToken::default(),
+            hold: Hold::default(),
+            orders: Orders::default(),
+            session: None,
+            reporter: Reporter::default(),
+            last_sent: None,
+        }
+    }
+
+    /// What the server that beats here says of itself.
+    pub fn server(&self) -> Option<&ServerFacts> {
+        self.life.as_ref().map(|life| &life.facts)
+    }
+
+    /// The highest token that was seen.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Takes a heartbeat that arrived at `now` and answers it. A heartbeat that is late, repeated or of an earlier life
+    /// is acknowledged without any order.
+    pub fn heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> HeartbeatAnswer {
+        if self.is_late(&beat) {
+            return HeartbeatAnswer::default();
+        }
+        if self.server().is_none_or(|known| known.id != beat.facts.id) {
+            self.end_life();
+        }
+        self.orders.note_ends(&beat.heartbeat.finished);
+        let unknown_runs = self.update_life(beat);
+        let answer = self.answer(&unknown_runs, now);
+        if let Some(life) = &mut self.life {
+            life.expected_by = now.plus(answer.beat_after_ms + SILENCE_SLACK_MS);
+        }
+        answer
+    }
+
+    /// Takes note that a server has left in order.
+    pub fn leave(&mut self, server: ServerId, _now: Millis) {
+        if self.leaves.contains(&server) {
+            return;
+        }
+        if self.server().is_some_and(|known| known.id == server) {
+            self.end_life();
+        } else {
+            remember(&mut self.past_lives, server.clone());
+        }
+        self.unreported_leaves.push(server.clone());
+        remember(&mut self.leaves, server);
+    }
+
+    /// Takes note that there is a connection to the owner. It replaces an earlier one; what was ordered stays.
+    pub fn owner_connected(&mut self, connection: u64) {
+        self.session = Some(Session::new(connection));
+        self.unreported_leaves = self.leaves.iter().cloned().collect();
+        self.forget_orders_seen();
+    }
+
+    /// Takes note that a connection has ended; what was ordered stays.
+    pub fn owner_lost(&mut self, connection: u64) {
+        if self.session.as_ref().is_some_and(|session| session.connection() == connection) {
+            self.session = None;
+            self.forget_orders_seen();
+        }
+    }
+
+    /// Takes a message of an owner.
+    pub fn owner_message(
+        &mut self,
+        connection: u64,
+        message: OwnerMessage,
+        _now: Millis,
+    ) -> Result<(), RefusedMessage> {
+        let session = self.session.as_mut().filter(|session| session.connection() == connection);
+        let session = session.ok_or(RefusedMessage::OtherConnection)?;
+        let life = self.life.as_mut().filter(|life| life.facts.id == message.server);
+        let life = life.ok_or(RefusedMessage::OtherLife)?;
+        if message.token < self.token {
+            return Err(RefusedMessage::LowerToken);
+        }
+        if let Err(refused) = session.take(&message) {
+            if refused == RefusedMessage::Gap {
+                session.restart();
+                self.forget_orders_seen();
+            }
+            return Err(refused);
+        }
+        life.observed = life.observed.max(message.observed);
+        self.token = message.token;
+        self.take_hold(&message);
+        self.orders.apply(message);
+        Ok(())
+    }
+
+    /// What to send to the owner on the session's connection. To be called after each other call, and when
+    /// [`Agent::next_poll`] says so.
+    pub fn poll(&mut self, now: Millis) -> Vec<AgentMessage> {
+        if self.session.is_none() {
+            return Vec::new();
+        }
+        let mut messages = Vec::new();
+        messages.extend(self.poll_attach(now));
+        messages.extend(self.poll_leaves());
+        messages.extend(self.poll_report(now));
+        if !messages.is_empty() {
+            self.last_sent = Some(now);
+        }
+        messages
+    }
+
+    /// When [`Agent::poll`] should be called if nothing else happens.
+    pub fn next_poll(&self) -> Option<Millis> {
+        let session = self.session.as_ref()?;
+        let life = self.life.as_ref()?;
+        let report = self.reporter.next_due(&life.heartbeat, life.orders_answered);
+        let attach = session.attach_due().map(|due| due.max(self.attach_earliest()));
+        let due = if session.is_attached() { attach.map_or(report, |due| due.min(report)) } else { attach? };
+        (due <= life.expected_by).then_some(due)
+    }
+
+    fn is_late(&self, beat: &ServerHeartbeat) -> bool {
+        let repeated = |life: &Life| {
+            life.facts.id == beat.facts.id && beat.heartbeat.sequence <= life.heartbeat.sequence
+        };
+        self.past_lives.contains(&beat.facts.id) || self.life.as_ref().is_some_and(repeated)
+    }
+
+    /// Drops everything that belongs to the present life.
+    fn end_life(&mut self) {
+        if let Some(life) = self.life.take() {
+            remember(&mut self.past_lives, life.facts.id);
+        }
+        self.orders = Orders::default();
+        self.hold.clear();
+        if let Some(session) = &mut self.session {
+            session.restart();
+        }
+    }
+
+    /// Keeps what a heartbeat tells, and returns the runs that are none of ours.
+    fn update_life(&mut self, beat: ServerHeartbeat) -> Vec<UnknownRun> {
+        let ServerHeartbeat { facts, mut heartbeat, unknown_runs, ends_listed, .. } = beat;
+        if self.server().is_some_and(|known| *known != facts) {
+            self.restart_session();
+        }
+        let answered = self.session.as_ref().map(Session::answered).unwrap_or_default();
+        let all_ends_listed = ends_listed < FINISHED_LIST_MOST;
+        heartbeat.orders_seen = if all_ends_listed { answered.newest } else { 0 };
+        let before = self.life.take();
+        self.life = Some(Life {
+            facts,
+            orders_answered: if all_ends_listed { answered.newest_with_orders } else { 0 },
+            all_ends_listed,
+            draining: heartbeat.draining || before.as_ref().is_some_and(|life| life.draining),
+            observed: before.map_or(0, |life| life.observed),
+            expected_by: Millis::default(),
+            heartbeat,
+        });
+        unknown_runs
+    }
+
+    fn answer(&mut self, unknown_runs: &[UnknownRun], now: Millis) -> HeartbeatAnswer {
+        let Some(life) = &self.life else {
+            return HeartbeatAnswer::default();
+        };
+        let running = &life.heartbeat.running;
+        let hold_ms = self.hold.for_answer(now, self.settings.hold_max_ms);
+        let may_start = hold_ms.is_some() && !life.draining && life.all_ends_listed;
+        let missing = self.orders.missing_starts(running, may_start);
+        let unknown = unknown_runs.iter().map(stop_unknown);
+        let stops: Vec<StopOrder> = self.orders.stops(running).chain(unknown).collect();
+        let busy = !missing.starts.is_empty() || !stops.is_empty() || self.has_unobserved_ends(life);
+        if let Some(session) = self.session.as_mut().filter(|_| life.draining || !missing.withheld) {
+            session.all_answered();
+        }
+        HeartbeatAnswer {
+            starts: missing.starts,
+            stops,
+            observed: life.observed,
+            token: self.token,
+            hold_ms: hold_ms.unwrap_or(0),
+            beat_after_ms: self.beat_after_ms(busy),
+        }
+    }
+
+    fn has_unobserved_ends(&self, life: &Life) -> bool {
+        life.heartbeat.finished.iter().any(|end| end.number > life.observed)
+    }
+
+    /// How soon the next heartbeat is wanted. Without an owner nothing comes of it, however busy the server is.
+    fn beat_after_ms(&self, busy: bool) -> u64 {
+        let wanted =
+            self.session.as_ref().and_then(Session::beat_after_ms).unwrap_or(self.settings.idle_beat_ms);
+        let busy = busy && self.session.is_some();
+        let beat_after_ms = if busy { wanted.min(self.settings.busy_beat_ms) } else { wanted };
+        beat_after_ms.min(self.settings.heartbeat_ms).max(1)
+    }
+
+    /// Takes the hold that a message grants. It counts from a moment at which the agent did send something.
+    fn take_hold(&mut self, message: &OwnerMessage) {
+        let from = message.hold_from.min(self.last_sent.unwrap_or_default());
+        if message.whole {
+            self.hold.replace(from, message.hold_ms);
+        } else {
+            self.hold.extend(from, message.hold_ms);
+        }
+    }
+
+    fn poll_attach(&mut self, now: Millis) -> Option<AgentMessage> {
+        let session = self.session.as_ref()?;
+        let life = self.life.as_ref()?;
+        let due = session.needs_attach(now) && self.attach_earliest() <= now && now <= life.expected_by;
+        if !due {
+            return None;
+        }
+        self.forget_orders_seen();
+        let session = self.session.as_mut()?;
+        let life = self.life.as_ref()?;
+        session.attached(now);
+        self.reporter = Reporter::default();
+        self.reporter.sent_heartbeat(&life.heartbeat, life.orders_answered, now);
+        Some(AgentMessage::Attach {
+            facts: life.facts.clone(),
+            token: self.token,
+            heartbeat: life.heartbeat.clone(),
+            sent_at: now,
+        })
+    }
+
+    /// An attach is later than every earlier message: so the owner's `hold_from` tells which attach it answers.
+    fn attach_earliest(&self) -> Millis {
+        self.last_sent.map_or(Millis::default(), |at| at.plus(1))
+    }
+
+    fn poll_leaves(&mut self) -> impl Iterator<Item = AgentMessage> {
+        std::mem::take(&mut self.unreported_leaves).into_iter().map(|server| AgentMessage::Leave { server })
+    }
+
+    fn poll_report(&mut self, now: Millis) -> Option<AgentMessage> {
+        let attached = self.session.as_ref().is_some_and(Session::is_attached);
+        let life = self.life.as_ref().filter(|life| attached && now <= life.expected_by)?;
+        let kind = self.reporter.due(&life.heartbeat, life.orders_answered, now)?;
+        let heartbeat = match kind {
+            ReportKind::Heartbeat => {
+                self.reporter.sent_heartbeat(&life.heartbeat, life.orders_answered, now);
+                Some(life.heartbeat.clone())
+            }
+            ReportKind::NoChange => {
+                self.reporter.sent(now);
+                None
+            }
+        };
+        Some(AgentMessage::Report { heartbeat, sent_at: now })
+    }
+
+    fn restart_session(&mut self) {
+        if let Some(session) = &mut self.session {
+            session.restart();
+        }
+    }
+
+    /// The numbers of an earlier session's messages mean nothing in the next one.
+    fn forget_orders_seen(&mut self) {
+        if let Some(life) = &mut self.life {
+            life.heartbeat.orders_seen = 0;
+            life.orders_answered = 0;
+        }
+    }
+}
+
+fn stop_unknown(run: &UnknownRun) -> StopOrder {
+    StopOrder { task: run.task.clone(), attempt: run.attempt }
+}
+
+fn remember(lives: &mut VecDeque<ServerId>, server: ServerId) {
+    lives.push_back(server);
+    if lives.len() > PAST_LIVES_MOST {
+        lives.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/worker-agent/src/heartbeat_json.rs
@@ -0,0 +1,8 @@
+//! The JSON of heartbeats and of their answers.
+
+mod fields;
+mod parse;
+mod render;
+
+pub use parse::{parse, HeartbeatFault, ServerHeartbeat, UnknownRun};
+pub use render::render;
--- a/crates/worker-agent/src/lib.rs
+++ b/crates/worker-agent/src/lib.rs
@@ -1,1 +1,24 @@
 //! The agent beside each server: heartbeats in, starts and stops out.
+//!
+//! [`Agent`] is a pure state machine: it reads no clock and makes no I/O. Its driver hands it the server's heartbeats and
+//! the messages of the owner of the server's shard, and carries its answers and messages. What the owner wants is kept
+//! as desired state and compared with every heartbeat, so orders survive any number of lost answers. The agent keeps
+//! nothing on a disk: after its own restart, the owner's first message of the next session holds everything again.
+//!
+//! [`heartbeat_json`] reads the bodies of heartbeats and writes the bodies of their answers.
+
+pub mod agent;
+pub mod answer;
+pub mod attempt_marks;
+pub mod heartbeat_json;
+pub mod hold;
+pub mod orders;
+pub mod reporter;
+pub mod session;
+pub mod settings;
+
+pub use agent::Agent;
+pub use answer::{HeartbeatAnswer, StopOrder};
+pub use heartbeat_json::{HeartbeatFault, ServerHeartbeat};
+pub use session::RefusedMessage;
+pub use settings::AgentSettings;
--- /dev/null
+++ b/crates/worker-agent/tests/heartbeat_json.rs
@@ -0,0 +1,157 @@
+//! The JSON of heartbeats and of their answers.
+
+use lupinrack_cluster_api::agent::Assignment;
+use lupinrack_cluster_api::identity::{FencingToken, JobId, ServiceName, TaskId};
+use lupinrack_cluster_api::job::Resources;
+use lupinrack_cluster_api::server::RunEnd;
+use lupinrack_worker_agent::heartbeat_json::{parse, render, HeartbeatFault};
+use lupinrack_worker_agent::{HeartbeatAnswer, ServerHeartbeat, StopOrder};
+use quickcheck::quickcheck;
+use serde_json::{json, Value};
+
+const TASK: &str = "00000000000000ab.0.1.2";
+
+fn task() -> TaskId {
+    TaskId { job: JobId(0xab), occurrence: 0, step: 1, index: 2 }
+}
+
+/// A body that holds what is required, and these fields.
+fn body(fields: Value) -> Vec<u8> {
+    let mut body = json!({"service": "search", "state": "ready", "sequence": 7});
+    let fields = fields.as_object().expect("an object").clone();
+    body.as_object_mut().expect("an object").extend(fields);
+    body.to_string().into_bytes()
+}
+
+fn read(fields: Value) -> ServerHeartbeat {
+    parse("server-1", &body(fields)).expect("a heartbeat")
+}
+
+fn is_fault(fields: Value) -> bool {
+    matches!(parse("server-1", &body(fields)), Err(HeartbeatFault::Body(_)))
+}
+
+#[test]
+fn reads_every_field() {
+    let beat = read(json!({
+        "address": "127.0.0.1:80", "zone": "north", "version": "v3", "slots": 8, "state": "draining",
+        "cold-remaining-ms": 12, "remaining-ms": 3400, "clock-ms": 99, "labels": ["big", "rack-2"],
+        "capacity": {"cpu": 16000, "mem-mb": 32768, "gpu": 1},
+        "running": [[TASK, 2, "0f0f", 41]],
+        "finished": [[58, TASK, 1, "done", "0e0e"]],
+    }));
+    assert_eq!(beat.facts.service, ServiceName("search".into()));
+    assert_eq!((beat.facts.zone.as_str(), beat.facts.version.as_str()), ("north", "v3"));
+    assert_eq!(beat.facts.capacity, Resources { cpu: 16000, memory_mb: 32768, gpu: 1 });
+    assert_eq!(beat.facts.labels, ["big", "rack-2"]);
+    assert_eq!(beat.facts.id, beat.heartbeat.server);
+    assert_eq!((beat.heartbeat.sequence, beat.heartbeat.draining), (7, true));
+    assert_eq!(beat.heartbeat.remaining_ms, Some(3400));
+    let run = &beat.heartbeat.running[0];
+    assert_eq!((run.task, run.attempt, run.saved.as_str(), run.percent), (task(), 2, "0f0f", 41));
+    let end = &beat.heartbeat.finished[0];
+    assert_eq!((end.number, end.task, end.attempt, end.end), (58, task(), 1, RunEnd::Done));
+    assert_eq!(end.saved, "0e0e");
+    assert_eq!((beat.address.as_str(), beat.slots, beat.cold_remaining_ms), ("127.0.0.1:80", 8, 12));
+    assert_eq!((beat.clock_ms, beat.ends_listed), (99, 1));
+}
+
+#[test]
+fn absent_lists_are_empty_and_unknown_keys_are_skipped() {
+    let beat = read(json!({"mood": {"good": [1, 2]}}));
+    assert!(beat.heartbeat.running.is_empty() && beat.heartbeat.finished.is_empty());
+    assert_eq!(beat.heartbeat.remaining_ms, None);
+    assert!(!beat.heartbeat.draining);
+}
+
+#[test]
+fn rows_may_lack_or_add_fields_at_their_end() {
+    let beat = read(json!({
+        "running": [[TASK, 1], [TASK, 2, ""], [TASK, 3, null, 12.7, "more"]],
+        "finished": [[1, TASK, 1, "stopped"], [2, TASK, 2, "lapsed", "0f", 5]],
+    }));
+    let percents: Vec<u32> = beat.heartbeat.running.iter().map(|run| run.percent).collect();
+    assert_eq!(percents, [0, 0, 12]);
+    let saved: Vec<&str> = beat.heartbeat.finished.iter().map(|end| end.saved.as_str()).collect();
+    assert_eq!(saved, ["", "0f"]);
+}
+
+#[test]
+fn every_word_for_an_end_is_known_and_no_other() {
+    let words = [
+        ("done", RunEnd::Done),
+        ("failed", RunEnd::Failed),
+        ("stopped", RunEnd::Stopped),
+        ("lapsed", RunEnd::Lapsed),
+        ("broken", RunEnd::Broken),
+        ("alone", RunEnd::Alone),
+        ("refused", RunEnd::Refused),
+    ];
+    for (word, end) in words {
+        assert_eq!(read(json!({"finished": [[1, TASK, 1, word, ""]]})).heartbeat.finished[0].end, end);
+    }
+    assert!(is_fault(json!({"finished": [[1, TASK, 1, "vanished", ""]]})));
+}
+
+#[test]
+fn names_of_others_are_kept_apart() {
+    let upper = TASK.to_uppercase();
+    let beat = read(json!({
+        "running": [["other", 3, "", 1], [TASK, 1, "", 2], [upper, 4, "", 0]],
+        "finished": [[1, "other", 2, "done", ""], [2, TASK, 1, "done", ""]],
+    }));
+    assert_eq!(beat.heartbeat.running.len(), 1);
+    let unknown: Vec<&str> = beat.unknown_runs.iter().map(|run| run.task.as_str()).collect();
+    assert_eq!(unknown, ["other", upper.as_str()]);
+    assert_eq!((beat.heartbeat.finished.len(), beat.ends_listed), (1, 2));
+}
+
+#[test]
+fn faults_are_told() {
+    assert!(is_fault(json!({"state": "asleep"})));
+    assert!(is_fault(json!({"sequence": "seven"})));
+    assert!(is_fault(json!({"running": [[TASK]]})));
+    assert!(is_fault(json!({"running": [[TASK, "x"]]})));
+    assert!(is_fault(json!({"running": {}})));
+    assert!(matches!(parse("server-1", b"{\"service\":"), Err(HeartbeatFault::Body(_))));
+    assert!(matches!(parse("server-1", b"{}"), Err(HeartbeatFault::Body(_))));
+    assert!(matches!(parse("", &body(json!({}))), Err(HeartbeatFault::Identity)));
+}
+
+#[test]
+fn an_empty_answer_is_an_empty_object() {
+    assert_eq!(render(&HeartbeatAnswer::default()), "{}");
+}
+
+#[test]
+fn an_answer_holds_what_is_set() {
+    let start = Assignment { task: task(), attempt: 1, spec: "say \"hello\"\n".into(), saved: String::new() };
+    let answer = HeartbeatAnswer {
+        starts: vec![start],
+        stops: vec![StopOrder { task: "other".into(), attempt: 2 }],
+        observed: 58,
+        token: FencingToken(7),
+        hold_ms: 4000,
+        beat_after_ms: 200,
+    };
+    let written: Value = serde_json::from_str(&render(&answer)).expect("JSON");
+    let expected = json!({
+        "hold-ms": 4000, "observed": 58, "fence-token": 7,
+        "start": [[TASK, 1, "say \"hello\"\n", ""]], "stop": [["other", 2]], "retry-after-ms": 200,
+    });
+    assert_eq!(written, expected);
+}
+
+quickcheck! {
+    fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
+        let _ = parse("server-1", &bytes);
+        true
+    }
+
+    fn any_text_survives_a_start(spec: String, saved: String) -> bool {
+        let start = Assignment { task: task(), attempt: 3, spec: spec.clone(), saved: saved.clone() };
+        let answer = HeartbeatAnswer { starts: vec![start], ..HeartbeatAnswer::default() };
+        let written: Value = serde_json::from_str(&render(&answer)).expect("JSON");
+        written["start"][0] == json!([TASK, 3, spec, saved])
+    }
+}
--- /dev/null
+++ b/crates/worker-agent/tests/support/mod.rs
@@ -0,0 +1,82 @@
+//! Small makers of what the tests hand to an agent.
+
+// Each test file uses some of them.
+#![allow(dead_code)]
+
+use lupinrack_cluster_api::agent::{Assignment, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::identity::{Attempt, FencingToken, JobId, ServerId, ServiceName, TaskId};
+use lupinrack_cluster_api::job::Resources;
+use lupinrack_cluster_api::server::{FinishedTask, RunEnd, RunningTask, ServerFacts};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_worker_agent::{AgentSettings, ServerHeartbeat};
+
+/// The connection of the first session.
+pub const CONNECTION: u64 = 1;
+
+pub fn settings() -> AgentSettings {
+    AgentSettings { hold_max_ms: 6_000, heartbeat_ms: 1_500, idle_beat_ms: 400, busy_beat_ms: 80 }
+}
+
+pub fn task(index: u32) -> TaskId {
+    TaskId { job: JobId(7), occurrence: 0, step: 0, index }
+}
+
+pub fn assignment(index: u32, attempt: Attempt) -> Assignment {
+    Assignment { task: task(index), attempt, spec: format!("work {index}"), saved: String::new() }
+}
+
+pub fn running(index: u32, attempt: Attempt) -> RunningTask {
+    RunningTask { task: task(index), attempt, saved: String::new(), percent: 0 }
+}
+
+pub fn finished(number: u64, index: u32, attempt: Attempt, end: RunEnd) -> FinishedTask {
+    FinishedTask { number, task: task(index), attempt, end, saved: String::new() }
+}
+
+/// A message that changes nothing and grants a hold from 11 to 3011.
+pub fn message(number: u64, server: &str, token: u64) -> OwnerMessage {
+    OwnerMessage {
+        token: FencingToken(token),
+        server: ServerId(server.into()),
+        number,
+        whole: false,
+        assign: Vec::new(),
+        stop: Vec::new(),
+        observed: 0,
+        hold_from: Millis(11),
+        hold_ms: 3_000,
+        beat_after_ms: 200,
+    }
+}
+
+/// A heartbeat of a server on which nothing runs.
+pub fn beat(server: &str, sequence: u64) -> ServerHeartbeat {
+    let id = ServerId(server.into());
+    let heartbeat = Heartbeat {
+        server: id.clone(),
+        sequence,
+        draining: false,
+        remaining_ms: None,
+        running: Vec::new(),
+        finished: Vec::new(),
+        orders_seen: 0,
+    };
+    let facts = ServerFacts {
+        id,
+        service: ServiceName("search".into()),
+        version: "v1".into(),
+        zone: "north".into(),
+        capacity: Resources { cpu: 4_000, memory_mb: 8_192, gpu: 0 },
+        labels: Vec::new(),
+    };
+    ServerHeartbeat {
+        facts,
+        heartbeat,
+        unknown_runs: Vec::new(),
+        ends_listed: 0,
+        address: String::new(),
+        slots: 8,
+        cold_remaining_ms: 0,
+        clock_ms: 0,
+    }
+}
