Node: joined with its parts; heartbeats tell what a replica is good for

A heartbeat now says whether a replica is complete and whether its head needs a new view, which the chain's safety asks of the policy (the head of a view must have been complete in the one before; a restarted head stays silent in its view); the disk keeps that standing.

--- a/crates/cluster-api/src/wire.rs
+++ b/crates/cluster-api/src/wire.rs
@@ -159,6 +159,17 @@
     },
 }
 
+/// What a core process says of its replica, in the view of the heartbeat that it comes with.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ReplicaReport {
+    /// A spare that has everything that is committed, as far as it knows, and could join the chain.
+    pub caught_up: bool,
+    /// A disk that is known to have everything that was committed before this view: it may be the head of the next one.
+    pub complete: bool,
+    /// The head was restarted within this view and cannot go on in it.
+    pub needs_view: bool,
+}
+
 /// One frame.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Frame {
@@ -188,8 +199,8 @@
         view: View,
         /// Whether its disk answers in time.
         disk_healthy: bool,
-        /// Whether it has everything that is committed, as far as it knows, and could join the chain.
-        caught_up: bool,
+        /// What its replica is good for in that view.
+        replica: ReplicaReport,
     },
     /// The agreement on views.
     Agreement(AgreementMessage),
--- a/crates/cluster-node/src/control_api.rs
+++ b/crates/cluster-node/src/control_api.rs
@@ -5,7 +5,10 @@
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
+use lupinrack_cluster_net::listen;
+use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
 const CONFIGURATION_PATH: &str = "/lupinrack/config";
@@ -13,7 +16,7 @@
 /// How long a call to the head may take, in milliseconds. Callers go on to another process after a second of silence.
 const CALL_MS: u64 = 3_000;
 /// The largest body that an operator may send, in bytes.
-const BODY_BYTES_MOST: usize = 4 * 1024 * 1024;
+const BODY_BYTES_MOST: u64 = 4 * 1024 * 1024;
 
 /// A call of this process to the head.
 #[derive(Debug)]
@@ -29,13 +32,13 @@
 /// Serves at the control address.
 pub fn serve(settings: &NodeSettings, calls: mpsc::Sender<ControlCall>) -> Result<ServerHandle, NodeError> {
     let address = settings.control.ok_or(NodeError::NoAddress)?;
-    let listener = http_server::bind(address)?;
+    let listener = listen::bind_once(address)?;
     let limits = HttpLimits { max_body_bytes: BODY_BYTES_MOST, ..HttpLimits::default() };
     let handler = move |call: HttpCall| {
         let calls = calls.clone();
         async move { answer(call, calls).await }
     };
-    Ok(http_server::serve(listener, limits, handler)?)
+    Ok(http_server::serve(listener, Arc::new(Snapshot::new(limits)), handler)?)
 }
 
 async fn answer(call: HttpCall, calls: mpsc::Sender<ControlCall>) -> HttpAnswer {
@@ -45,8 +48,8 @@
     };
     match ask(&calls, request, CALL_MS).await {
         Reply::Done | Reply::Job(_) | Reply::Pending(_) => HttpAnswer::empty(200),
-        Reply::ConfigurationDocument(document) => HttpAnswer::json(200, document),
-        Reply::Status(text) => HttpAnswer::json(200, text),
+        Reply::ConfigurationDocument(document) => HttpAnswer::json(document),
+        Reply::Status(text) => HttpAnswer::json(text),
         Reply::Error(kind) => HttpAnswer::error(kind),
         Reply::NotHead(_) => HttpAnswer::error(ErrorKind::InDoubt),
     }
--- a/crates/cluster-node/src/core/calls.rs
+++ b/crates/cluster-node/src/core/calls.rs
@@ -40,7 +40,7 @@
             let unknown = || Step::Answer(Reply::Error(unknown_queue(state)));
             operation_on_job(state, request, wall).map_or_else(unknown, Step::Submit)
         }
-        Request::ReadConfiguration => Step::Answer(Reply::ConfigurationDocument(state.render())),
+        Request::ReadConfiguration => Step::Answer(Reply::ConfigurationDocument(state.document_json())),
         Request::ReadJob { target, job } => {
             let known = state.job(*job).filter(|record| Some(&record.queue) == queue_of(state, target));
             Step::Answer(match known {
--- a/crates/cluster-node/src/core/disk.rs
+++ b/crates/cluster-node/src/core/disk.rs
@@ -20,6 +20,10 @@
     SendVotes(Vec<(PeerAddress, AgreementMessage)>),
     /// The chain's entries up to this index are on the disk.
     EntriesWritten(u64),
+    /// The log was cut after this index.
+    Truncated(u64),
+    /// What the log is worth is on the disk.
+    StandingStored,
     /// A state received from another member is on the disk.
     StateInstalled(u64),
 }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -13,14 +13,14 @@
 use crate::signals::Signals;
 use crate::NodeError;
 use borsh::BorshDeserialize;
-use lupinrack_chain::{Chain, Effect as ChainEffect};
+use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored};
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
-use lupinrack_cluster_api::wire::{AgreementMessage, Frame, Hello, Role};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeersSettings};
+use lupinrack_cluster_api::wire::{AgreementMessage, Frame, Hello, ReplicaReport, Role};
+use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
@@ -84,20 +84,20 @@
     let disk_id = recovered.disk.unwrap_or_else(|| DiskId(draw()));
     let vote = read_or_default::<VoteState>(&recovered.vote)?;
     let view = read_or_default::<View>(&recovered.view)?;
+    let standing = read_or_default::<Standing>(&recovered.standing)?;
     let life = draw();
-    let address = settings.internal_address();
+    let address = PeerAddress(settings.internal_address);
     let me = Voter { disk: disk_id, address, zone: settings.zone.clone() };
     let hello = Hello { address, role: Role::Core, zone: settings.zone.clone(), life, disk: Some(disk_id) };
-    let (peers, mut peer_events) = Peers::start(address.0, hello, PeersSettings::default())?;
+    let (peers, mut peer_events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let (outcomes_in, mut outcomes) = mpsc::unbounded_channel::<WriteOutcome>();
     let writer = Writer::spawn(store, move |outcome| {
         // The process ends with its receiver; nobody is left to tell then.
         let _ = outcomes_in.send(outcome);
-    });
+    })?;
     let founders = if settings.is_founder() { settings.seed_internal() } else { Vec::new() };
     let minimum_length = settings.tolerance.machines as usize + 1;
-    let mut replica = Replica::load(recovered.snapshot_index, &recovered.snapshot)?;
-    replica.applied = recovered.snapshot_index;
+    let replica = Replica::load(recovered.snapshot_index, &recovered.snapshot)?;
     let mut process = CoreProcess {
         agreement: Agreement::new(me.clone(), life, vote, founders.clone()),
         policy: ViewPolicy::new(
@@ -111,10 +111,12 @@
         chain: Chain::new(
             disk_id,
             minimum_length,
-            recovered.snapshot_index,
-            recovered.entries,
-            recovered.committed,
-            view.clone(),
+            Stored {
+                snapshot_index: recovered.snapshot_index,
+                entries: recovered.entries,
+                view: view.clone(),
+                standing,
+            },
         ),
         replica,
         disk: Disk::new(writer),
@@ -159,7 +161,7 @@
         }
         process.settle();
         if process.has_left() {
-            http.stop();
+            drop(http);
             return Ok(());
         }
     }
@@ -200,7 +202,7 @@
             PeerEvent::Closed { from, connection, .. } => {
                 self.subscribers.closed(connection);
                 self.shards.disconnected(from, connection, now);
-                self.policy.closed(from, now);
+                self.policy.closed(from);
                 let outgoing = self.client.closed(from, now);
                 self.send_all(outgoing);
             }
@@ -209,11 +211,11 @@
 
     fn on_frame(&mut self, from: PeerAddress, life: u64, connection: u64, frame: Frame, now: Millis) {
         match frame {
-            Frame::Heartbeat { voter, view, disk_healthy, caught_up } => {
+            Frame::Heartbeat { voter, view, disk_healthy, replica } => {
                 self.note_core(from);
                 let effects = self.agreement.learn(view.clone());
                 self.carry_out_agreement(effects, now);
-                self.policy.heard(voter, life, view.number, disk_healthy, caught_up, now);
+                self.policy.heard(voter, life, view.number, disk_healthy, replica, now);
             }
             Frame::Agreement(message) => {
                 let effects = self.agreement.receive(from, message, now);
@@ -292,6 +294,14 @@
                     let effects = self.chain.written(index, now);
                     self.carry_out_chain(effects, now);
                 }
+                AfterWrite::Truncated(index) => {
+                    let effects = self.chain.truncated(index, now);
+                    self.carry_out_chain(effects, now);
+                }
+                AfterWrite::StandingStored => {
+                    let effects = self.chain.standing_stored(now);
+                    self.carry_out_chain(effects, now);
+                }
                 AfterWrite::StateInstalled(index) => {
                     let effects = self.chain.installed(index, now);
                     self.carry_out_chain(effects, now);
@@ -374,7 +384,7 @@
         let outgoing = self.client.learn(&view, now);
         self.send_all(outgoing);
         for call in self.waiting.view_changed() {
-            self.own_or_turn_away(call, now);
+            self.take_call(call, now);
         }
         self.authority_until = Millis(0);
         self.confirmation = None;
@@ -388,17 +398,17 @@
         self.follow_view(now);
     }
 
-    fn own_or_turn_away(&mut self, call: WaitingCall, now: Millis) {
-        self.take_call(call, now);
-    }
-
     fn send_heartbeats(&mut self, now: Millis) {
         self.last_heartbeat = now;
         let view = self.agreement.current().clone();
         let disk_healthy = self.leaving_since.is_none() && self.disk.is_healthy(now);
-        let caught_up = self.chain.caught_up(now);
-        self.policy.heard(self.me.clone(), self.life, view.number, disk_healthy, caught_up, now);
-        let frame = Frame::Heartbeat { voter: self.me.clone(), view: view.clone(), disk_healthy, caught_up };
+        let replica = ReplicaReport {
+            caught_up: self.chain.caught_up(now),
+            complete: self.chain.is_complete(),
+            needs_view: self.chain.needs_view(),
+        };
+        self.policy.heard(self.me.clone(), self.life, view.number, disk_healthy, replica, now);
+        let frame = Frame::Heartbeat { voter: self.me.clone(), view: view.clone(), disk_healthy, replica };
         for address in self.core_addresses(&view) {
             self.peers.send(address, frame.clone());
         }
@@ -446,13 +456,17 @@
                 }
                 ChainEffect::TruncateAfter(index) => {
                     let batch = Batch { truncate_after: Some(index), ..Batch::default() };
-                    self.disk.write(batch, AfterWrite::Nothing, now);
+                    self.disk.write(batch, AfterWrite::Truncated(index), now);
+                }
+                ChainEffect::StoreStanding(standing) => {
+                    let batch = Batch { standing: Some(to_bytes(&standing)), ..Batch::default() };
+                    self.disk.write(batch, AfterWrite::StandingStored, now);
                 }
                 ChainEffect::Install { index, bytes } => self.install(index, bytes, now),
                 ChainEffect::Commit(index) => self.apply_up_to(index, now),
                 ChainEffect::Barrier(number) => self.barrier_passed(number, now),
                 ChainEffect::NeedSnapshot => {
-                    let (index, bytes) = (self.replica.applied, self.replica.state.to_bytes());
+                    let (index, bytes) = (self.replica.applied, self.replica.bytes());
                     work.extend(self.chain.provide_snapshot(index, bytes, now));
                 }
             }
@@ -467,7 +481,12 @@
                 return;
             }
         }
-        let batch = Batch { snapshot: Some((index, bytes)), committed: Some(index), ..Batch::default() };
+        let batch = Batch {
+            truncate_after: Some(index),
+            snapshot: Some((index, bytes)),
+            committed: Some(index),
+            ..Batch::default()
+        };
         self.disk.write(batch, AfterWrite::StateInstalled(index), now);
     }
 
@@ -624,8 +643,8 @@
             for operation in round.operations {
                 self.submit_anywhere(operation, now);
             }
-            for (_, connection, message) in round.messages {
-                self.peers.send_on(connection, Frame::Owner(message));
+            for order in round.messages {
+                self.peers.send_on(order.connection, Frame::Owner(order.message));
             }
         }
     }
--- a/crates/cluster-node/src/core/replica.rs
+++ b/crates/cluster-node/src/core/replica.rs
@@ -1,7 +1,7 @@
 //! This disk's replica of the control state: what is applied, and how it is kept small.
 
 use lupinrack_cluster_api::operation::{LogEntry, OperationResult};
-use lupinrack_control_state::ControlState;
+use lupinrack_control_state::{ControlState, SnapshotFault};
 
 /// Entries after which the state is written as a new snapshot.
 const SNAPSHOT_AFTER_ENTRIES: u64 = 4_000;
@@ -18,7 +18,7 @@
 
 impl Replica {
     /// From the snapshot on the disk; empty bytes stand for the empty state.
-    pub fn load(index: u64, bytes: &[u8]) -> Result<Replica, std::io::Error> {
+    pub fn load(index: u64, bytes: &[u8]) -> Result<Replica, SnapshotFault> {
         let state = if bytes.is_empty() { ControlState::default() } else { ControlState::from_bytes(bytes)? };
         Ok(Replica { state, applied: index, snapshot_index: index })
     }
@@ -38,6 +38,11 @@
     /// The state as bytes, under the index that it covers.
     pub fn snapshot(&mut self) -> (u64, Vec<u8>) {
         self.snapshot_index = self.applied;
-        (self.applied, self.state.to_bytes())
+        (self.applied, self.bytes())
+    }
+
+    /// The state as bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        self.state.to_bytes().unwrap_or_default()
     }
 }
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -8,13 +8,14 @@
 use crate::NodeError;
 use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::JobId;
+use lupinrack_cluster_api::identity::{JobId, PeerAddress};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
-use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeersSettings};
+use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
+use lupinrack_cluster_net::listen;
+use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
 use std::sync::Arc;
@@ -57,10 +58,10 @@
 
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
-    let address = settings.internal_address();
+    let address = PeerAddress(settings.internal_address);
     let hello =
         Hello { address, role: Role::Frontend, zone: settings.zone.clone(), life: draw(), disk: None };
-    let (peers, mut events) = Peers::start(address.0, hello, PeersSettings::default())?;
+    let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let table = Arc::new(Snapshot::new(FrontTable::default()));
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(1024);
     let front_server = serve_jobs(&settings, &table, calls_in, clock)?;
@@ -95,15 +96,23 @@
         let waited = clock.now().since(since);
         if !drained && waited >= grace_ms * SERVE_ON_PERCENT / 100 {
             drained = true;
-            front_server.stop();
+            let server = front_server.clone();
+            tokio::spawn(async move { server.drain(drain_times(grace_ms)).await });
         }
-        if (drained && front_server.is_idle()) || waited >= grace_ms * END_PERCENT / 100 {
-            readiness_server.stop();
+        let idle = drained && front_server.open_connections() == 0;
+        if idle || waited >= grace_ms * END_PERCENT / 100 {
+            drop(readiness_server);
             return Ok(());
         }
     }
 }
 
+/// How the front's server ends once the front has served on for long enough.
+fn drain_times(grace_ms: u64) -> DrainTimes {
+    let left = grace_ms * (END_PERCENT - SERVE_ON_PERCENT) / 100;
+    DrainTimes { accept_for: Duration::from_millis(left / 4), answer_within: Duration::from_millis(left / 2) }
+}
+
 impl Front {
     fn on_peer_event(&mut self, event: PeerEvent) {
         let now = self.clock.now();
@@ -193,13 +202,13 @@
     clock: Clock,
 ) -> Result<http_server::ServerHandle, NodeError> {
     let address = settings.readiness.ok_or(NodeError::NoAddress)?;
-    let listener = http_server::bind(address)?;
+    let listener = listen::bind_once(address)?;
     let table = table.clone();
     let handler = move |_call: HttpCall| {
         let ready = is_ready(&table.load(), clock.now());
         async move { HttpAnswer::empty(if ready { 200 } else { 503 }) }
     };
-    Ok(http_server::serve(listener, HttpLimits::default(), handler)?)
+    Ok(http_server::serve(listener, Arc::new(Snapshot::new(HttpLimits::default())), handler)?)
 }
 
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
@@ -214,14 +223,14 @@
     clock: Clock,
 ) -> Result<http_server::ServerHandle, NodeError> {
     let address = settings.front.ok_or(NodeError::NoAddress)?;
-    let listener = http_server::bind(address)?;
+    let listener = listen::bind_once(address)?;
     let table = table.clone();
     let handler = move |call: HttpCall| {
         let table = table.load();
         let calls = calls.clone();
         async move { answer(call, table, calls, clock).await }
     };
-    Ok(http_server::serve(listener, HttpLimits::default(), handler)?)
+    Ok(http_server::serve(listener, Arc::new(Snapshot::new(HttpLimits::default())), handler)?)
 }
 
 async fn answer(
@@ -242,8 +251,8 @@
 
 fn answer_of(reply: Reply) -> HttpAnswer {
     match reply {
-        Reply::Job(state) => HttpAnswer::json(200, job_state_body(state)),
-        Reply::Pending(count) => HttpAnswer::json(200, pending_body(count)),
+        Reply::Job(state) => HttpAnswer::json(job_state_body(state)),
+        Reply::Pending(count) => HttpAnswer::json(pending_body(count)),
         Reply::Done => HttpAnswer::empty(200),
         Reply::Error(kind) => HttpAnswer::error(kind),
         Reply::ConfigurationDocument(_) | Reply::Status(_) | Reply::NotHead(_) => {
@@ -259,7 +268,7 @@
     if !known && fresh {
         return Err(ErrorKind::UnknownQueue);
     }
-    let job = target_of(&call.path);
+    let job = target_of(&call.path).job;
     match (call.method.as_str(), job) {
         ("POST", Some(job)) => submission(target, job, call),
         ("GET", Some(job)) => Ok(Request::ReadJob { target, job }),
@@ -270,7 +279,7 @@
 }
 
 fn submission(target: Target, job: JobId, call: &HttpCall) -> Result<Request, ErrorKind> {
-    match parse_job(&call.body, &JobLimits::default()) {
+    match parse_job(&call.body, JobLimits::default()) {
         Ok(spec) => Ok(Request::SubmitJob { target, job, spec }),
         Err(fault) => {
             spdlog::debug!("job {job} is malformed: {fault}");
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -29,6 +29,8 @@
     Damaged(std::io::Error),
     /// input or output failed: {0}
     Io(std::io::Error),
+    /// the state on the disk cannot be read: {0}
+    State(lupinrack_control_state::SnapshotFault),
     /// the disk: {0}
     Store(lupinrack_control_store::StoreError),
 }
@@ -41,6 +43,12 @@
     }
 }
 
+impl From<lupinrack_control_state::SnapshotFault> for NodeError {
+    fn from(fault: lupinrack_control_state::SnapshotFault) -> Self {
+        NodeError::State(fault)
+    }
+}
+
 impl From<lupinrack_control_store::StoreError> for NodeError {
     fn from(error: lupinrack_control_store::StoreError) -> Self {
         NodeError::Store(error)
@@ -69,9 +77,9 @@
 }
 
 async fn serve(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
-    if settings.serves.contains(&Serves::ControlPlane) {
+    if settings.serves(Serves::ControlPlane) {
         core::run(settings, clock).await
-    } else if settings.serves.contains(&Serves::Side) {
+    } else if settings.serves(Serves::Side) {
         side::run(settings, clock).await
     } else {
         front::run(settings, clock).await
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -12,9 +12,13 @@
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeersSettings};
+use lupinrack_cluster_net::listen;
+use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
-use lupinrack_worker_agent::{parse_heartbeat, render_answer, Agent, AgentSettings, ParsedHeartbeat};
+use lupinrack_worker_agent::heartbeat_json::{parse, render};
+use lupinrack_worker_agent::{Agent, AgentSettings, ServerHeartbeat};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -24,10 +28,14 @@
 const SUBSCRIBE_MS: u64 = 1_500;
 /// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
 const OWNER_SILENT_MS: u64 = 600;
+/// Between heartbeats of a server on which nothing happens, in milliseconds.
+const IDLE_BEAT_MS: u64 = 400;
+/// Between heartbeats of a server on which runs start or end, in milliseconds.
+const BUSY_BEAT_MS: u64 = 100;
 const INSTANCES_PATH: &str = "/lupinrack/instances/";
 
 enum ServerCall {
-    Heartbeat { parsed: Box<ParsedHeartbeat>, answerer: oneshot::Sender<String> },
+    Heartbeat { parsed: Box<ServerHeartbeat>, answerer: oneshot::Sender<String> },
     Leave { server: ServerId, answerer: oneshot::Sender<String> },
 }
 
@@ -45,16 +53,17 @@
 
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
-    let address = settings.internal_address();
+    let address = PeerAddress(settings.internal_address);
     let hello = Hello { address, role: Role::Agent, zone: settings.zone.clone(), life: draw(), disk: None };
-    let (peers, mut events) = Peers::start(address.0, hello, PeersSettings::default())?;
+    let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let (calls_in, mut calls) = mpsc::channel::<ServerCall>(64);
     let server = serve(&settings, calls_in)?;
     let now = clock.now();
     let agent_settings = AgentSettings {
         hold_max_ms: settings.bounds.hold_max_ms,
         heartbeat_ms: settings.heartbeat_ms,
-        ..AgentSettings::default()
+        idle_beat_ms: IDLE_BEAT_MS,
+        busy_beat_ms: BUSY_BEAT_MS,
     };
     let mut side = Side {
         clock,
@@ -76,7 +85,7 @@
             Some(call) = calls.recv() => side.on_server_call(call),
             _ = timer.tick() => side.on_tick(),
             () = signals.terminated() => {
-                server.stop();
+                drop(server);
                 return Ok(());
             }
         }
@@ -92,7 +101,9 @@
                     if Some(from) == self.owner {
                         self.owner_heard = now;
                         self.subscription.heard_news(now);
-                        self.agent.owner_message(self.session, message, now);
+                        if let Err(refused) = self.agent.owner_message(self.session, message, now) {
+                            spdlog::debug!("an order was refused: {refused}");
+                        }
                     }
                     let _ = connection;
                 }
@@ -142,7 +153,7 @@
                     self.find_owner(now);
                 }
                 let answer = self.agent.heartbeat(*parsed, now);
-                let _ = answerer.send(render_answer(&answer));
+                let _ = answerer.send(render(&answer));
             }
             ServerCall::Leave { server, answerer } => {
                 self.agent.leave(server, now);
@@ -178,13 +189,13 @@
 
 fn serve(settings: &NodeSettings, calls: mpsc::Sender<ServerCall>) -> Result<ServerHandle, NodeError> {
     let address = settings.control.ok_or(NodeError::NoAddress)?;
-    let listener = http_server::bind(address)?;
+    let listener = listen::bind_once(address)?;
     let limits = HttpLimits { max_body_bytes: 4 * 1024 * 1024, ..HttpLimits::default() };
     let handler = move |call: HttpCall| {
         let calls = calls.clone();
         async move { answer(call, calls).await }
     };
-    Ok(http_server::serve(listener, limits, handler)?)
+    Ok(http_server::serve(listener, Arc::new(Snapshot::new(limits)), handler)?)
 }
 
 async fn answer(call: HttpCall, calls: mpsc::Sender<ServerCall>) -> HttpAnswer {
@@ -194,7 +205,7 @@
     let server = ServerId(id.to_owned());
     let (answerer, reply) = oneshot::channel();
     let server_call = match call.method.as_str() {
-        "PUT" => match parse_heartbeat(server, &call.body) {
+        "PUT" => match parse(id, &call.body) {
             Ok(parsed) => ServerCall::Heartbeat { parsed: Box::new(parsed), answerer },
             Err(fault) => {
                 spdlog::warn!("a heartbeat cannot be read: {fault}");
@@ -209,7 +220,7 @@
     }
     match reply.await {
         Ok(body) if body.is_empty() => HttpAnswer::empty(200),
-        Ok(body) => HttpAnswer::json(200, body),
+        Ok(body) => HttpAnswer::json(body),
         Err(_) => HttpAnswer::error(ErrorKind::ShuttingDown),
     }
 }
--- a/crates/view-agreement/src/policy/peers.rs
+++ b/crates/view-agreement/src/policy/peers.rs
@@ -4,6 +4,7 @@
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::Voter;
+use lupinrack_cluster_api::wire::ReplicaReport;
 use std::collections::BTreeMap;
 
 /// How long, in milliseconds, a process has to be there before it is made a voter.
@@ -19,7 +20,7 @@
     pub(super) life: u64,
     pub(super) view_number: u64,
     pub(super) disk_healthy: bool,
-    pub(super) caught_up: bool,
+    pub(super) replica: ReplicaReport,
 }
 
 /// The process at an address.
@@ -76,22 +77,22 @@
         let started = *self.started.get_or_insert(now);
         let gap = now.since(self.last_look.max(started));
         if gap > STALL_HEARTBEATS * self.settings.heartbeat_ms {
-            self.forgive(gap, now);
+            self.exclude_stall(gap, now);
         }
         self.last_look = now;
-        self.hear_self(me, view_number, now);
+        self.record_self(me, view_number, now);
     }
 
-    fn forgive(&mut self, gap: u64, now: Millis) {
+    fn exclude_stall(&mut self, gap: u64, now: Millis) {
         for peer in self.by_address.values_mut() {
             peer.last_heard = peer.last_heard.plus(gap).min(now);
         }
     }
 
     /// This process hears itself whenever it looks.
-    fn hear_self(&mut self, me: &Voter, view_number: u64, now: Millis) {
+    fn record_self(&mut self, me: &Voter, view_number: u64, now: Millis) {
         let known = self.by_address.get(&me.address).filter(|peer| peer.voter.disk == me.disk);
-        let unknown = Report { life: 0, view_number, disk_healthy: true, caught_up: false };
+        let unknown = Report { life: 0, view_number, disk_healthy: true, replica: ReplicaReport::default() };
         let report = known.map_or(unknown, |peer| Report { view_number, ..peer.report });
         self.heard(me.clone(), report, now);
     }
@@ -133,10 +134,36 @@
 
     /// Whether this disk could join the chain of this view at once.
     pub(super) fn could_join(&self, voter: &Voter, view_number: u64, now: Millis) -> bool {
-        let ready = |peer: &Peer| peer.report.caught_up && peer.report.view_number == view_number;
+        let ready = |peer: &Peer| peer.report.replica.caught_up && peer.report.view_number == view_number;
         self.is_alive(voter, now) && self.has_healthy_disk(voter) && self.peer(voter).is_some_and(ready)
     }
 
+    /// Whether this disk is known to have everything that was committed before this view.
+    pub(super) fn is_complete(&self, voter: &Voter, view_number: u64) -> bool {
+        self.replica_in(voter, view_number).is_some_and(|replica| replica.complete)
+    }
+
+    /// Whether this disk's process, the head, cannot go on in this view.
+    pub(super) fn needs_view(&self, voter: &Voter, view_number: u64) -> bool {
+        self.replica_in(voter, view_number).is_some_and(|replica| replica.needs_view)
+    }
+
+    fn replica_in(&self, voter: &Voter, view_number: u64) -> Option<ReplicaReport> {
+        let peer = self.peer(voter).filter(|peer| peer.report.view_number == view_number)?;
+        Some(peer.report.replica)
+    }
+
+    /// The disk whose process listens at an address.
+    pub(super) fn disk_at(&self, address: PeerAddress) -> Option<DiskId> {
+        self.by_address.get(&address).map(|peer| peer.voter.disk)
+    }
+
+    /// Where a disk's process listens.
+    pub(super) fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
+        let peer = self.by_address.values().find(|peer| is_disk(peer, disk))?;
+        Some(peer.voter.address)
+    }
+
     /// The disk that has taken this voter's address and could become a voter in its place.
     pub(super) fn replacement(&self, voter: &Voter, view_number: u64, now: Millis) -> Option<&Voter> {
         let peer = self.by_address.get(&voter.address)?;
