--- a/crates/cluster-settings/src/error.rs
+++ b/crates/cluster-settings/src/error.rs
@@ -2,6 +2,7 @@
 
 use displaydoc::Display;
 use std::fmt;
+use std::path::Path;
 
 /// Why a settings file cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
@@ -21,6 +22,21 @@
 
 impl std::error::Error for SettingsError {}
 
+impl SettingsError {
+    /// The error with the file that it concerns; of several faults each one stands on a line of its own.
+    pub fn told_of(&self, path: &Path) -> String {
+        let path = path.display();
+        match self {
+            SettingsError::Unreadable { .. } => self.to_string(),
+            SettingsError::Syntax(_) => format!("{path}: {self}"),
+            SettingsError::Invalid(Faults(faults)) => {
+                let lines: Vec<String> = faults.iter().map(|fault| format!("{path}: {fault}")).collect();
+                lines.join("\n")
+            }
+        }
+    }
+}
+
 /// All faults of a file, in the order in which they were found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Faults(pub Vec<SettingsFault>);
--- a/crates/cluster-settings/tests/settings.rs
+++ b/crates/cluster-settings/tests/settings.rs
@@ -389,3 +389,16 @@
         given(format!("bounds.gang_ms={}", u32::from(seconds) * 1000)) == given(format!("bounds.gang-s={seconds}"))
     }
 }
+
+#[test]
+fn an_error_is_told_with_its_file_a_fault_a_line() {
+    let path = Path::new("local.conf");
+    let faulty = with_line(&with_line(SIDE, "zone", ""), "heartbeat-ms", "heartbeat-ms=often");
+    let told = |text: &str| NodeSettings::parse(text).expect_err("faults").told_of(path);
+    let expected = "local.conf: zone: lacking or empty\nlocal.conf: heartbeat-ms: \"often\" is not a number";
+    assert_eq!(told(&faulty), expected);
+    assert!(told("=value").starts_with("local.conf: the file does not consist of lines"));
+    let unreadable =
+        NodeSettings::load(&Path::new(env!("CARGO_MANIFEST_DIR")).join("none")).expect_err("no file");
+    assert_eq!(unreadable.told_of(path), unreadable.to_string());
+}
--- a/crates/lupinrack/src/cli.rs
+++ b/crates/lupinrack/src/cli.rs
@@ -2,10 +2,11 @@
 //!
 //! Exit codes: 0 good, 1 failed while running (or a promise was broken), 2 wrong input.
 
+use crate::cluster;
 use crate::commands::{ask, buffer, check, demo, extents, fleet, lab, overload};
 use crate::ended::Ended;
 use crate::serve;
-use clap::{Args, Parser, Subcommand, ValueEnum};
+use clap::{Args, CommandFactory, FromArgMatches, Parser, Subcommand, ValueEnum};
 use lupinrack_config::{Format, Log, Operator};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -83,6 +84,21 @@
     operator: Option<PathBuf>,
 }
 
+/// Reads the process's arguments and runs the command that they name.
+///
+/// The commands of the cluster scheduler are read from a small tree of their own: a process of the scheduler starts
+/// often and on little processor time.
+pub fn run_from_arguments() -> ExitCode {
+    if let Some(code) = std::env::args_os().nth(1).and_then(|name| cluster::run_by_name(&name)) {
+        return code;
+    }
+    let matches = cluster::add_to(Cli::command()).get_matches();
+    cluster::run(&matches).unwrap_or_else(|| {
+        let cli = Cli::from_arg_matches(&matches).unwrap_or_else(|error| error.exit());
+        run(cli)
+    })
+}
+
 /// Runs a command to its exit code.
 pub fn run(cli: Cli) -> ExitCode {
     let format = cli.log_format.map(|f| match f {
@@ -102,15 +118,10 @@
         Some(Command::Lab(what)) => quiet(format).and_then(|()| lab::run(&what)),
         Some(Command::Extents(what)) => quiet(format).and_then(|()| extents::run(&what)),
     };
-    let (code, why) = match ended {
-        Ok(()) => return ExitCode::SUCCESS,
-        Err(Ended::Failed(why)) => (1, why),
-        Err(Ended::Wrong(why)) => (2, why),
-    };
-    if !why.is_empty() {
-        eprintln!("lupinrack: {why}");
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(ended) => ended.report(),
     }
-    ExitCode::from(code)
 }
 
 /// Reads what a front needs and serves until it is told to end.
--- a/crates/lupinrack/src/ended.rs
+++ b/crates/lupinrack/src/ended.rs
@@ -1,6 +1,12 @@
 //! How a command ended.
 
 use std::fmt::Display;
+use std::process::ExitCode;
+
+/// The exit code of a command that failed while running.
+const FAILED: u8 = 1;
+/// The exit code of a command whose input cannot be used.
+const WRONG: u8 = 2;
 
 /// How a command ended, where it did not end well.
 #[derive(Debug)]
@@ -21,4 +27,16 @@
     pub fn failed(why: impl Display) -> Ended {
         Ended::Failed(why.to_string())
     }
+
+    /// Says why on standard error, where there is something to say, and gives the exit code.
+    pub fn report(self) -> ExitCode {
+        let (code, why) = match self {
+            Ended::Failed(why) => (FAILED, why),
+            Ended::Wrong(why) => (WRONG, why),
+        };
+        if !why.is_empty() {
+            eprintln!("lupinrack: {why}");
+        }
+        ExitCode::from(code)
+    }
 }
--- a/crates/lupinrack/src/lib.rs
+++ b/crates/lupinrack/src/lib.rs
@@ -2,6 +2,7 @@
 //! puts them together.
 
 pub mod cli;
+mod cluster;
 pub mod commands;
 pub mod ended;
 pub mod serve;
--- a/crates/lupinrack/src/main.rs
+++ b/crates/lupinrack/src/main.rs
@@ -1,9 +1,8 @@
-//! lupinrack: the command line. `lupinrack serve`, or no command at all, runs a front.
+//! lupinrack: the command line. `lupinrack serve`, or no command at all, runs a front; `lupinrack node` runs a process of
+//! the cluster scheduler.
 
-use clap::Parser;
-use lupinrack::cli::Cli;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    lupinrack::cli::run(Cli::parse())
+    lupinrack::cli::run_from_arguments()
 }
