--- a/crates/control-state/src/json_text.rs
+++ b/crates/control-state/src/json_text.rs
@@ -1,9 +1,9 @@
 //! JSON texts, split into the texts of their parts.
 //!
 //! A configuration is given back as it was sent, so the text of every item is kept, with fields and forms of numbers
-//! that nothing here reads. `nanoserde` has no type for such a text, takes more than JSON (comments, text after the
-//! end), and does not return from some texts that are cut short. So `serde_json` splits a body into raw values, which
-//! also settles that all of it is well-formed, and `nanoserde` reads the fields that have a meaning.
+//! that nothing here reads. `nanoserde` has no type for such a text, takes more than JSON (comments), and on fields that
+//! it skips it panics at a missing value and never returns from an unclosed list. So `serde_json` splits a body into
+//! raw values, which also settles that all of it is well-formed, and `nanoserde` reads the fields that have a meaning.
 
 use crate::configuration_fault::{ConfigurationFault, FaultReason};
 use nanoserde::{DeJson, DeJsonErr, DeJsonErrReason};
