--- a/crates/cluster-net/src/http_server/accept.rs
+++ b/crates/cluster-net/src/http_server/accept.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{timeout_at, Instant};
 
 /// The wait after an accept that failed, as it does when descriptors run out.
 const RETRY: Duration = Duration::from_millis(20);
@@ -36,8 +37,11 @@
         }
     }
     // Closing the socket would reset what the kernel has accepted already.
-    while let Ok(Ok((stream, _))) = tokio::time::timeout(LAST_LOOK, listener.accept()).await {
-        serve(stream);
+    let until = Instant::now() + LAST_LOOK;
+    while Instant::now() < until {
+        if let Ok(Ok((stream, _))) = timeout_at(until, listener.accept()).await {
+            serve(stream);
+        }
     }
     drop(listener);
     server.accepting_ended.notify_one();
--- a/crates/cluster-net/src/lib.rs
+++ b/crates/cluster-net/src/lib.rs
@@ -4,6 +4,7 @@
 //! between processes, [`http_server`] and [`http_client`] speak HTTP/1.1, and [`snapshot`] shares values that are
 //! replaced whole.
 
+pub mod http_client;
 pub mod http_server;
 pub mod listen;
 pub mod peers;
--- /dev/null
+++ b/crates/cluster-net/tests/http/client.rs
@@ -0,0 +1,99 @@
+//! The HTTP client against the HTTP server, and against servers that fail.
+
+use crate::support::{server, within, ANY};
+use bytes::Bytes;
+use http::{header, Method, Request};
+use lupinrack_cluster_net::http_client::{call, CallError};
+use lupinrack_cluster_net::http_server::{HttpAnswer, HttpLimits, DEADLINE_REMAINING};
+use lupinrack_cluster_net::listen::bind_once;
+use std::future::pending;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn version_4(address: SocketAddr) -> SocketAddrV4 {
+    match address {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => panic!("not IPv4"),
+    }
+}
+
+fn get(path: &str) -> Request<Bytes> {
+    Request::get(path).body(Bytes::new()).unwrap()
+}
+
+#[tokio::test]
+async fn a_call_is_answered() {
+    let server = server(HttpLimits::default(), |call| async move {
+        assert_eq!((call.method, call.if_match), (Method::PUT, Some(4)));
+        assert_eq!((call.host.as_str(), call.deadline_remaining_ms), ("127.0.0.1", Some(9)));
+        HttpAnswer { body: call.body, ..HttpAnswer::redirect(call.path) }
+    });
+    let address = version_4(server.local_address());
+    let request = Request::put("/there").header(header::IF_MATCH, "4").header(DEADLINE_REMAINING, "9");
+    let response = call(address, request.body(Bytes::from("text")).unwrap(), TIMEOUT).await.unwrap();
+    assert_eq!(
+        (response.status().as_u16(), response.headers()[header::LOCATION].as_bytes()),
+        (307, &b"/there"[..])
+    );
+    assert_eq!(response.body(), "text");
+}
+
+#[tokio::test]
+async fn the_host_of_the_request_is_kept() {
+    let server = server(HttpLimits::default(), |call| async move { HttpAnswer::json(call.host) });
+    let request = Request::get("/").header(header::HOST, "some.example").body(Bytes::new()).unwrap();
+    let response = call(version_4(server.local_address()), request, TIMEOUT).await.unwrap();
+    assert_eq!(response.body(), "some.example");
+}
+
+#[tokio::test]
+async fn a_dead_port_is_told_apart() {
+    let listener = bind_once(ANY).unwrap();
+    let address = version_4(listener.local_addr().unwrap());
+    drop(listener);
+    let result = call(address, get("/"), TIMEOUT).await;
+    assert!(matches!(result, Err(CallError::Connect(_))), "{result:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn silence_ends_the_call() {
+    let server = server(HttpLimits::default(), |_| pending());
+    let result = call(version_4(server.local_address()), get("/"), TIMEOUT).await;
+    assert!(matches!(result, Err(CallError::TimedOut)), "{result:?}");
+}
+
+/// What a call comes to whose request is answered with these bytes and the end of the connection.
+async fn answered_with(bytes: &'static [u8]) -> Result<http::Response<Bytes>, CallError> {
+    let listener = TcpListener::bind(ANY).await.unwrap();
+    let address = version_4(listener.local_addr().unwrap());
+    let answer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_buf(&mut Vec::with_capacity(4096)).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+    };
+    let (result, ()) = within(async { tokio::join!(call(address, get("/"), TIMEOUT), answer) }).await;
+    result
+}
+
+#[tokio::test]
+async fn an_answer_that_breaks_off_is_none() {
+    for bytes in [
+        &b""[..],
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+        b"nonsense\r\n\r\n",
+    ] {
+        let result = answered_with(bytes).await;
+        assert!(matches!(result, Err(CallError::Http(_))), "{result:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_may_end_with_its_connection() {
+    let response = answered_with(b"HTTP/1.1 200 OK\r\n\r\nabc").await.unwrap();
+    assert_eq!(response.body(), "abc");
+}
--- a/crates/cluster-net/tests/drain.rs
+++ b/crates/cluster-net/tests/http/drain.rs
@@ -1,9 +1,7 @@
 //! How the HTTP server ends, and how its address is taken over.
 
-mod http_support;
-
+use crate::support::{echo, request, server, within, Client, ANY};
 use http::Method;
-use http_support::{echo, request, server, within, Client, ANY};
 use lupinrack_cluster_net::http_server::{DrainOutcome, DrainTimes, HttpAnswer, HttpLimits};
 use lupinrack_cluster_net::listen::{bind, bind_once};
 use std::future::pending;
--- /dev/null
+++ b/crates/cluster-net/tests/http/server.rs
@@ -0,0 +1,210 @@
+//! Calls as handlers get them, and answers as clients get them.
+
+use crate::support::{echo, request, server, within, Client};
+use http::Method;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_net::http_server::{HttpAnswer, HttpCall, HttpLimits};
+use std::sync::{Arc, Mutex};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::{mpsc, Notify};
+
+/// What the handler gets of a request's text.
+async fn call_of(text: &str) -> HttpCall {
+    let seen = Arc::new(Mutex::new(None));
+    let keep = seen.clone();
+    let server = server(HttpLimits::default(), move |call| {
+        *keep.lock().unwrap() = Some(call);
+        async { HttpAnswer::empty(200) }
+    });
+    let mut client = Client::connect(&server).await;
+    client.send(text).await;
+    assert_eq!(client.answer().await.status, 200);
+    let call = seen.lock().unwrap().take();
+    call.unwrap()
+}
+
+#[tokio::test]
+async fn a_call_holds_what_was_asked() {
+    let call = call_of(
+        "PUT /a/b?c=d HTTP/1.1\r\nHost: Some.Example:8080\r\nIf-Match: 5\r\nLupinrack-Deadline-Remaining: 250\r\n\
+         Content-Length: 2\r\n\r\n{}",
+    )
+    .await;
+    let expected = HttpCall {
+        method: Method::PUT,
+        path: "/a/b".into(),
+        host: "some.example".into(),
+        if_match: Some(5),
+        if_match_malformed: false,
+        deadline_remaining_ms: Some(250),
+        body: "{}".into(),
+    };
+    assert_eq!(call, expected);
+}
+
+#[tokio::test]
+async fn a_call_without_headers_has_none() {
+    let call = call_of("GET / HTTP/1.1\r\n\r\n").await;
+    assert_eq!((call.host.as_str(), call.if_match, call.if_match_malformed), ("", None, false));
+    assert_eq!((call.deadline_remaining_ms, call.body.len()), (None, 0));
+}
+
+#[tokio::test]
+async fn the_host_of_an_absolute_target_counts() {
+    let call = call_of("GET http://One.example:1/x HTTP/1.1\r\nHost: two.example\r\n\r\n").await;
+    assert_eq!((call.host.as_str(), call.path.as_str()), ("one.example", "/x"));
+}
+
+#[tokio::test]
+async fn if_match_may_stand_in_quotes_and_is_one_number() {
+    let cases = [
+        ("If-Match: \"7\"\r\n", Some(7), false),
+        ("If-Match:  7 \r\n", Some(7), false),
+        ("If-Match: 0\r\n", Some(0), false),
+        ("If-Match: 18446744073709551615\r\n", Some(u64::MAX), false),
+        ("If-Match: 18446744073709551616\r\n", None, true),
+        ("If-Match: \"7\r\n", None, true),
+        ("If-Match: +7\r\n", None, true),
+        ("If-Match: -7\r\n", None, true),
+        ("If-Match: \r\n", None, true),
+        ("If-Match: \"\"\r\n", None, true),
+        ("If-Match: *\r\n", None, true),
+        ("If-Match: 7, 8\r\n", None, true),
+        ("If-Match: 7\r\nIf-Match: 7\r\n", None, true),
+    ];
+    for (header, number, malformed) in cases {
+        let call = call_of(&format!("GET / HTTP/1.1\r\nHost: h\r\n{header}\r\n")).await;
+        assert_eq!((call.if_match, call.if_match_malformed), (number, malformed), "{header}");
+    }
+}
+
+#[tokio::test]
+async fn a_body_in_chunks_is_put_together() {
+    let call = call_of(
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+    )
+    .await;
+    assert_eq!(call.body, "abcde");
+}
+
+#[tokio::test]
+async fn answers_are_sent_with_their_headers() {
+    let server = server(HttpLimits::default(), |call| async move {
+        match call.path.as_str() {
+            "/empty" => HttpAnswer::empty(204),
+            "/json" => HttpAnswer::json("{}"),
+            "/there" => HttpAnswer::redirect("http://10.0.0.4:8080/there"),
+            _ => HttpAnswer::error(ErrorKind::NotTaken),
+        }
+    });
+    let mut client = Client::connect(&server).await;
+    let empty = client.ask(Method::GET, "/empty", "").await;
+    assert_eq!((empty.status, empty.header("content-type"), empty.is_last()), (204, None, false));
+    let json = client.ask(Method::GET, "/json", "").await;
+    assert_eq!((json.status, json.header("content-type")), (200, Some("application/json")));
+    let there = client.ask(Method::GET, "/there", "").await;
+    assert_eq!((there.status, there.header("location")), (307, Some("http://10.0.0.4:8080/there")));
+    let error = client.ask(Method::GET, "/error", "").await;
+    assert_eq!((error.status, error.header("retry-after")), (503, Some("1")));
+    assert_eq!(error.body, format!("{{\"error\":\"{}\"}}", ErrorKind::NotTaken));
+}
+
+#[test]
+fn every_error_kind_has_its_answer() {
+    for kind in ErrorKind::ALL {
+        let answer = HttpAnswer::error(kind);
+        assert_eq!(
+            (answer.status, answer.retry_after_s),
+            (kind.answer().status, kind.answer().retry_after_s)
+        );
+        assert!(!kind.to_string().contains(['"', '\\']));
+    }
+}
+
+#[tokio::test]
+async fn requests_follow_each_other_on_a_connection() {
+    let server = echo(HttpLimits::default());
+    let mut client = Client::connect(&server).await;
+    assert_eq!(client.ask(Method::POST, "/1", "a").await.body, "POST /1 a");
+    assert_eq!(client.ask(Method::GET, "/2", "").await.body, "GET /2 ");
+    assert_eq!(server.open_connections(), 1);
+}
+
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let server = echo(HttpLimits::default());
+    let mut client = Client::connect(&server).await;
+    let text: String = (0..40).map(|n| request(Method::POST, &format!("/{n}"), "body")).collect();
+    client.send(&text).await;
+    for n in 0..40 {
+        assert_eq!(client.answer().await.body, format!("POST /{n} body"));
+    }
+}
+
+#[tokio::test]
+async fn a_client_that_ended_its_output_gets_its_answer() {
+    let go = Arc::new(Notify::new());
+    let wait = go.clone();
+    let server = server(HttpLimits::default(), move |_| {
+        let wait = wait.clone();
+        async move {
+            wait.notified().await;
+            HttpAnswer::json("late")
+        }
+    });
+    let mut client = Client::connect(&server).await;
+    client.send(&request(Method::GET, "/", "")).await;
+    client.stream.shutdown().await.unwrap();
+    go.notify_one();
+    assert_eq!(client.answer().await.body, "late");
+    assert!(client.is_closed().await);
+}
+
+#[tokio::test]
+async fn a_client_that_has_gone_leaves_no_connection() {
+    let go = Arc::new(Notify::new());
+    let (wait, (begun, mut begins)) = (go.clone(), mpsc::channel(1));
+    let server = server(HttpLimits::default(), move |_| {
+        let (wait, begun) = (wait.clone(), begun.clone());
+        async move {
+            begun.send(()).await.unwrap();
+            wait.notified().await;
+            HttpAnswer::empty(200)
+        }
+    });
+    let mut client = Client::connect(&server).await;
+    client.send(&request(Method::GET, "/", "")).await;
+    within(begins.recv()).await;
+    drop(client);
+    go.notify_one();
+    while server.open_connections() > 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn what_is_no_request_is_refused() {
+    let server = echo(HttpLimits::default());
+    for text in [
+        "nonsense\r\n\r\n",
+        "GET / HTTP/1.1\r\nbad header\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+    ] {
+        let mut client = Client::connect(&server).await;
+        client.send(text).await;
+        assert_eq!(client.answer().await.status, 400, "{text}");
+        assert!(client.is_closed().await);
+    }
+}
+
+#[tokio::test]
+async fn a_body_that_breaks_off_reaches_no_handler() {
+    let server = server(HttpLimits::default(), |_| async { panic!("half a request was handled") });
+    let mut client = Client::connect(&server).await;
+    client.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc").await;
+    client.stream.shutdown().await.unwrap();
+    let mut rest = String::new();
+    within(client.stream.read_to_string(&mut rest)).await.unwrap();
+    assert!(rest.is_empty() || rest.starts_with("HTTP/1.1 400"), "{rest}");
+}
--- /dev/null
+++ b/crates/cluster-net/tests/peers/main.rs
@@ -0,0 +1,7 @@
+//! Internal connections between processes on loopback.
+
+mod bounds;
+mod connections;
+mod properties;
+mod protocol;
+mod support;
--- /dev/null
+++ b/crates/cluster-net/tests/snapshot.rs
@@ -0,0 +1,152 @@
+//! Snapshots: what readers and writers of several threads see, in every interleaving.
+
+use lupinrack_cluster_net::snapshot::{Snapshot, SnapshotCell};
+use shuttle::scheduler::DfsScheduler;
+use shuttle::{thread, Config, Runner};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// A cell whose operations are one step each, as those of the usual cell are. Before each step every other thread may
+/// have its turn, so the schedules that shuttle explores are all orders of the steps.
+struct InterleavedCell<T>(Mutex<Arc<T>>);
+
+impl<T> InterleavedCell<T> {
+    fn step(&self) -> MutexGuard<'_, Arc<T>> {
+        thread::yield_now();
+        self.0.lock().unwrap()
+    }
+}
+
+impl<T> SnapshotCell<T> for InterleavedCell<T> {
+    fn new(value: Arc<T>) -> Self {
+        InterleavedCell(Mutex::new(value))
+    }
+
+    fn load(&self) -> Arc<T> {
+        self.step().clone()
+    }
+
+    fn store(&self, value: Arc<T>) {
+        *self.step() = value;
+    }
+
+    fn compare_and_swap(&self, current: &Arc<T>, next: Arc<T>) -> bool {
+        let mut held = self.step();
+        let same = Arc::ptr_eq(&held, current);
+        if same {
+            *held = next;
+        }
+        same
+    }
+}
+
+/// A value whose parts belong together.
+struct Pair {
+    left: u64,
+    right: u64,
+}
+
+impl Pair {
+    fn of(number: u64) -> Self {
+        Pair { left: number, right: number * 10 }
+    }
+
+    fn number(&self) -> u64 {
+        assert_eq!(self.right, self.left * 10, "a mix of two values");
+        self.left
+    }
+}
+
+type Interleaved = Snapshot<Pair, InterleavedCell<Pair>>;
+
+/// More schedules than there are.
+const SCHEDULES_MOST: usize = 1_000_000;
+
+/// Explores all schedules.
+fn all_schedules(test: impl Fn() + Send + Sync + 'static) {
+    let scheduler = DfsScheduler::new(Some(SCHEDULES_MOST), false);
+    let played = Runner::new(scheduler, Config::default()).run(test);
+    assert!(played < SCHEDULES_MOST, "some schedules were left out");
+}
+
+/// Loads twice and checks that the second value is no older than the first.
+fn read_twice<C: SnapshotCell<Pair>>(snapshot: &Snapshot<Pair, C>) {
+    let first = snapshot.load().number();
+    let second = snapshot.load().number();
+    assert!(second >= first, "went back from {first} to {second}");
+}
+
+#[test]
+fn readers_see_whole_values_and_never_go_back() {
+    all_schedules(|| {
+        let snapshot = Arc::new(Interleaved::new(Pair::of(0)));
+        let shared = snapshot.clone();
+        let writer = thread::spawn(move || {
+            shared.replace(Arc::new(Pair::of(1)));
+            shared.replace(Arc::new(Pair::of(2)));
+        });
+        let shared = snapshot.clone();
+        let reader = thread::spawn(move || read_twice(&shared));
+        read_twice(&snapshot);
+        writer.join().unwrap();
+        reader.join().unwrap();
+        assert_eq!(snapshot.load().number(), 2);
+    });
+}
+
+#[test]
+fn no_update_is_lost() {
+    all_schedules(|| {
+        let snapshot = Arc::new(Interleaved::new(Pair::of(0)));
+        let writers: Vec<_> = (0..2)
+            .map(|_| {
+                let shared = snapshot.clone();
+                thread::spawn(move || assert!(shared.update(|pair| Some(Pair::of(pair.number() + 1)))))
+            })
+            .collect();
+        read_twice(&snapshot);
+        writers.into_iter().for_each(|writer| writer.join().unwrap());
+        assert_eq!(snapshot.load().number(), 2);
+    });
+}
+
+/// Puts a value in unless a newer one is there.
+fn advance<C: SnapshotCell<Pair>>(snapshot: &Snapshot<Pair, C>, number: u64) -> bool {
+    snapshot.update(|pair| (pair.number() < number).then(|| Pair::of(number)))
+}
+
+#[test]
+fn the_newest_of_two_writers_stays() {
+    all_schedules(|| {
+        let snapshot = Arc::new(Interleaved::new(Pair::of(0)));
+        let shared = snapshot.clone();
+        let writer = thread::spawn(move || assert!(advance(&shared, 2)));
+        let shared = snapshot.clone();
+        let reader = thread::spawn(move || read_twice(&shared));
+        advance(&snapshot, 1);
+        writer.join().unwrap();
+        reader.join().unwrap();
+        assert_eq!(snapshot.load().number(), 2);
+    });
+}
+
+#[test]
+fn the_usual_cell_keeps_the_same_promises() {
+    const UPDATES: u64 = 1000;
+    let snapshot: Arc<Snapshot<Pair>> = Arc::new(Snapshot::new(Pair::of(0)));
+    let writers: Vec<_> = (0..3)
+        .map(|_| {
+            let shared = snapshot.clone();
+            std::thread::spawn(move || {
+                for _ in 0..UPDATES {
+                    assert!(shared.update(|pair| Some(Pair::of(pair.number() + 1))));
+                    read_twice(&shared);
+                }
+            })
+        })
+        .collect();
+    writers.into_iter().for_each(|writer| writer.join().unwrap());
+    assert_eq!(snapshot.load().number(), 3 * UPDATES);
+    assert!(!advance(&snapshot, 1));
+    snapshot.replace(Arc::new(Pair::of(1)));
+    assert_eq!(snapshot.load().number(), 1);
+}
