--- a/crates/view-agreement/src/acceptor.rs
+++ b/crates/view-agreement/src/acceptor.rs
@@ -6,7 +6,7 @@
 
 /// The answer to a proposer.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum Verdict {
+pub(crate) enum Response {
     /// The vote was changed or confirmed; the message may leave once the vote is on disk.
     Vote(AgreementMessage),
     /// A higher ballot was promised.
@@ -16,17 +16,17 @@
 }
 
 impl VoteState {
-    /// Answers [`AgreementMessage::Prepare`].
-    pub(crate) fn prepare(&mut self, me: &Voter, ballot: Ballot) -> Verdict {
+    /// Responders [`AgreementMessage::Prepare`].
+    pub(crate) fn prepare(&mut self, me: &Voter, ballot: Ballot) -> Response {
         if !self.is_acceptor(me) {
-            return Verdict::NoVote;
+            return Response::NoVote;
         }
         if ballot < self.promised {
             return self.rejected(ballot);
         }
         self.promised = ballot;
         let (accepted_ballot, accepted) = self.newest_view();
-        Verdict::Vote(AgreementMessage::Promise { ballot, disk: me.disk, accepted_ballot, accepted })
+        Response::Vote(AgreementMessage::Promise { ballot, disk: me.disk, accepted_ballot, accepted })
     }
 
     /// What a promise reports: the accepted view, or the agreed one where that is newer. An agreed view may stand for
@@ -40,10 +40,10 @@
         (self.accepted_ballot, self.accepted.clone())
     }
 
-    /// Answers [`AgreementMessage::Accept`].
-    pub(crate) fn accept(&mut self, me: &Voter, ballot: Ballot, view: &View) -> Verdict {
+    /// Responders [`AgreementMessage::Accept`].
+    pub(crate) fn accept(&mut self, me: &Voter, ballot: Ballot, view: &View) -> Response {
         if !self.may_accept(me, view) {
-            return Verdict::NoVote;
+            return Response::NoVote;
         }
         if ballot < self.promised {
             return self.rejected(ballot);
@@ -51,7 +51,7 @@
         self.promised = ballot;
         self.accepted_ballot = ballot;
         self.accepted = view.clone();
-        Verdict::Vote(AgreementMessage::Accepted { ballot, disk: me.disk })
+        Response::Vote(AgreementMessage::Accepted { ballot, disk: me.disk })
     }
 
     /// Whether this disk is one of the acceptors of the view after the agreed one.
@@ -70,7 +70,7 @@
         follows && (self.is_acceptor(me) || enters)
     }
 
-    fn rejected(&self, ballot: Ballot) -> Verdict {
-        Verdict::Rejected(AgreementMessage::Rejected { ballot, promised: self.promised })
+    fn rejected(&self, ballot: Ballot) -> Response {
+        Response::Rejected(AgreementMessage::Rejected { ballot, promised: self.promised })
     }
 }
--- a/crates/view-agreement/src/agreement.rs
+++ b/crates/view-agreement/src/agreement.rs
@@ -1,10 +1,10 @@
 //! The register that holds the view.
 
-use crate::acceptor::Verdict;
+use crate::acceptor::Response;
 use crate::backoff::Backoff;
 use crate::effect::Effect;
 use crate::proposal::{Phase, Promises, Proposal, Timers};
-use crate::quorum::{is_well_formed, Answers};
+use crate::quorum::{is_well_formed, Responders};
 use crate::vote::VoteState;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
@@ -124,23 +124,23 @@
 
     fn on_prepare(&mut self, from: PeerAddress, ballot: Ballot) -> Vec<Effect> {
         self.round = self.round.max(ballot.round);
-        let verdict = self.vote.prepare(&self.me, ballot);
-        self.answer(from, verdict)
+        let response = self.vote.prepare(&self.me, ballot);
+        self.answer(from, response)
     }
 
     fn on_accept(&mut self, from: PeerAddress, ballot: Ballot, view: &View) -> Vec<Effect> {
         self.round = self.round.max(ballot.round);
-        let verdict = self.vote.accept(&self.me, ballot, view);
-        self.answer(from, verdict)
+        let response = self.vote.accept(&self.me, ballot, view);
+        self.answer(from, response)
     }
 
-    /// Sends a verdict, after the newest agreed view: the proposer may not know it.
-    fn answer(&mut self, to: PeerAddress, verdict: Verdict) -> Vec<Effect> {
+    /// Sends a response, after the newest agreed view: the proposer may not know it.
+    fn answer(&mut self, to: PeerAddress, response: Response) -> Vec<Effect> {
         let mut effects = self.tell_current(to);
-        match verdict {
-            Verdict::Vote(message) => effects.push(self.persist(vec![(to, message)])),
-            Verdict::Rejected(message) => effects.push(Effect::Send(to, message)),
-            Verdict::NoVote => {}
+        match response {
+            Response::Vote(message) => effects.push(self.persist(vec![(to, message)])),
+            Response::Rejected(message) => effects.push(Effect::Send(to, message)),
+            Response::NoVote => {}
         }
         effects
     }
@@ -189,11 +189,11 @@
     }
 
     /// Whether these are a majority of the acceptors of the next view.
-    fn are_quorum(&self, answers: &Answers) -> bool {
+    fn are_quorum(&self, responders: &Responders) -> bool {
         if self.current().number == 0 {
-            return answers.are_majority_of_addresses(&self.vote.founders);
+            return responders.are_majority_of_addresses(&self.vote.founders);
         }
-        answers.are_majority_of(self.current())
+        responders.are_majority_of(self.current())
     }
 
     /// Goes on to the second phase once enough have promised.
@@ -207,7 +207,7 @@
         }
         let view = promises.bound_view().unwrap_or(wanted).clone();
         let (ballot, timers) = (*ballot, Timers::start(now));
-        self.set_phase(Phase::Accepting { ballot, timers, view, accepted_by: Answers::default() });
+        self.set_phase(Phase::Accepting { ballot, timers, view, accepted_by: Responders::default() });
         self.send_phase()
     }
 
@@ -232,10 +232,10 @@
             return Vec::new();
         }
         let view = view.clone();
-        let audience = self.audience(&view);
+        let recipients = self.recipients(&view);
         let mut effects = self.learn(view.clone());
         let announce = |address| Effect::Send(address, AgreementMessage::Agreed { view: view.clone() });
-        effects.extend(audience.into_iter().filter(|address| *address != self.me.address).map(announce));
+        effects.extend(recipients.into_iter().filter(|address| *address != self.me.address).map(announce));
         effects
     }
 
@@ -301,16 +301,16 @@
     /// which a process that lags could not answer.
     fn send_phase(&self) -> Vec<Effect> {
         let Some(Proposal { phase, .. }) = &self.proposal else { return Vec::new() };
-        let (message, audience) = match phase {
+        let (message, recipients) = match phase {
             Phase::Waiting { .. } => return Vec::new(),
             Phase::Preparing { ballot, .. } => {
                 (AgreementMessage::Prepare { ballot: *ballot }, self.acceptor_addresses())
             }
             Phase::Accepting { ballot, view, .. } => {
-                (AgreementMessage::Accept { ballot: *ballot, view: view.clone() }, self.audience(view))
+                (AgreementMessage::Accept { ballot: *ballot, view: view.clone() }, self.recipients(view))
             }
         };
-        let silent = audience.into_iter().filter(|address| !phase.has_answer_of(*address));
+        let silent = recipients.into_iter().filter(|address| !phase.has_answer_of(*address));
         silent.flat_map(|address| self.tell_and_ask(address, message.clone())).collect()
     }
 
@@ -329,7 +329,7 @@
     }
 
     /// Where the acceptors of a view and its own voters are.
-    fn audience(&self, view: &View) -> BTreeSet<PeerAddress> {
+    fn recipients(&self, view: &View) -> BTreeSet<PeerAddress> {
         let mut addresses = self.acceptor_addresses();
         addresses.extend(view.voters.iter().map(|voter| voter.address));
         addresses
--- a/crates/view-agreement/src/policy/chain.rs
+++ b/crates/view-agreement/src/policy/chain.rs
@@ -1,6 +1,6 @@
 //! The chain of the next view.
 
-use super::{wanted_chain_length, Situation};
+use super::{wanted_chain_length, ClusterSnapshot};
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::view::Voter;
 
@@ -9,52 +9,52 @@
 
 /// Works out the chain: members that are lost leave, disks that have caught up are appended.
 pub(super) struct ChainPlan<'a> {
-    situation: &'a Situation<'a>,
+    snapshot: &'a ClusterSnapshot<'a>,
 }
 
 impl<'a> ChainPlan<'a> {
-    pub(super) fn new(situation: &'a Situation<'a>) -> ChainPlan<'a> {
-        ChainPlan { situation }
+    pub(super) fn new(snapshot: &'a ClusterSnapshot<'a>) -> ChainPlan<'a> {
+        ChainPlan { snapshot }
     }
 
     /// The chain of the next view; none while no member is known to be alive, since then nobody who is there is
     /// certain to hold what was acknowledged.
     pub(super) fn next(&self) -> Option<Vec<DiskId>> {
         let remaining = self.remaining();
-        if !remaining.iter().any(|voter| self.situation.is_alive(voter)) {
+        if !remaining.iter().any(|voter| self.snapshot.is_alive(voter)) {
             return None;
         }
         let spares = self.spares();
         let kept = self.without_unhealthy(remaining, spares.len());
         let chain = kept.iter().map(|voter| voter.disk).collect();
-        let length = wanted_chain_length(self.voters().len(), self.situation.settings.tolerated_losses);
+        let length = wanted_chain_length(self.voters().len(), self.snapshot.settings.tolerated_losses);
         Some(spread_over_zones(chain, &spares, self.voters(), length))
     }
 
     fn voters(&self) -> &[Voter] {
-        &self.situation.current.voters
+        &self.snapshot.current.voters
     }
 
     /// The members that are not lost, in their order.
     fn remaining(&self) -> Vec<&'a Voter> {
-        let Situation { peers, current, now, .. } = self.situation;
+        let ClusterSnapshot { peers, current, now, .. } = self.snapshot;
         let members = current.chain.iter().filter_map(|disk| current.voter(*disk));
         members.filter(|voter| !peers.is_lost(voter, *now)).collect()
     }
 
     /// Voters outside the chain that could join it.
     fn spares(&self) -> Vec<Voter> {
-        let Situation { peers, current, now, .. } = self.situation;
+        let ClusterSnapshot { peers, current, now, .. } = self.snapshot;
         let outside = self.voters().iter().filter(|voter| current.position(voter.disk).is_none());
         outside.filter(|voter| peers.could_join(voter, current.number, *now)).cloned().collect()
     }
 
     /// Drops members whose disk is unhealthy, if what is left, with the spares, still outlasts the tolerated losses.
     fn without_unhealthy(&self, members: Vec<&'a Voter>, spares: usize) -> Vec<&'a Voter> {
-        let Situation { settings, peers, now, .. } = self.situation;
+        let ClusterSnapshot { settings, peers, now, .. } = self.snapshot;
         let is_usable = |voter: &&Voter| peers.unhealthy_ms(voter, *now) <= UNHEALTHY_AFTER_MS;
         let usable: Vec<&Voter> = members.iter().copied().filter(is_usable).collect();
-        let alive = usable.iter().any(|voter| self.situation.is_alive(voter));
+        let alive = usable.iter().any(|voter| self.snapshot.is_alive(voter));
         let enough = usable.len() + spares > settings.tolerated_losses;
         if alive && enough {
             usable
--- a/crates/view-agreement/src/policy/mod.rs
+++ b/crates/view-agreement/src/policy/mod.rs
@@ -18,6 +18,8 @@
 const FOUNDING_WAIT_MS: u64 = 600;
 /// How much longer, in milliseconds, each further process waits before it proposes what the one before it should have.
 const TURN_MS: u64 = 300;
+/// How much longer still, in milliseconds, a process outside the chain waits while a member could propose.
+const SPARE_DELAY_MS: u64 = 3000;
 
 /// The figures of the policy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,19 +38,19 @@
     settings: PolicySettings,
     founders: Vec<PeerAddress>,
     peers: Peers,
-    wish: Option<Wish>,
+    pending: Option<PendingChange>,
 }
 
 /// Since when another view has been wanted in place of the view of this number.
 #[derive(Clone, Copy, Debug)]
-struct Wish {
+struct PendingChange {
     replaces: u64,
     since: Millis,
 }
 
 /// What the plans of the next view are made from.
 #[derive(Clone, Copy)]
-struct Situation<'a> {
+struct ClusterSnapshot<'a> {
     settings: PolicySettings,
     peers: &'a Peers,
     current: &'a View,
@@ -61,7 +63,7 @@
     pub fn new(settings: PolicySettings, founders: Vec<PeerAddress>) -> ViewPolicy {
         let distinct: BTreeSet<PeerAddress> = founders.into_iter().collect();
         let founders = distinct.into_iter().collect();
-        ViewPolicy { settings, founders, peers: Peers::new(settings), wish: None }
+        ViewPolicy { settings, founders, peers: Peers::new(settings), pending: None }
     }
 
     /// Takes a heartbeat. The process's own state is told in the same way, at least as often.
@@ -83,43 +85,37 @@
         self.peers.closed(address);
     }
 
-    /// The view that this process should propose now; to be asked every few tens of milliseconds.
+    /// The view that this process should propose now; to be asked every few tens of milliseconds, as longer breaks are
+    /// taken for this process standing still. Nothing is wanted of a process that is no voter or has an unhealthy disk.
     pub fn desired(&mut self, current: &View, me: &Voter, now: Millis) -> Option<View> {
         self.peers.advance(me, current.number, now);
-        let situation = Situation { settings: self.settings, peers: &self.peers, current, now };
+        let snapshot = ClusterSnapshot { settings: self.settings, peers: &self.peers, current, now };
         let next = match current.number {
-            0 => founding_view(&situation, &self.founders, me),
-            _ => next_view(&situation, me),
+            0 => founding_view(&snapshot, &self.founders, me),
+            _ => next_view(&snapshot, me),
         };
-        let proposers = match current.number {
-            0 => next.iter().flat_map(|view| view.voters.iter().map(|voter| voter.disk)).collect(),
-            _ => proposers(&situation),
+        let delay_ms = match (&next, current.number) {
+            (Some(first_view), 0) => founder_delay_ms(first_view, me),
+            _ => proposer_delay_ms(&snapshot, me),
         };
-        self.on_turn(next, &proposers, current.number, me.disk, now)
+        let waited_ms = self.waited_ms(next.is_some(), current.number, now);
+        next.filter(|_| delay_ms.is_some_and(|delay_ms| waited_ms >= delay_ms))
     }
 
-    /// Lets the first of the proposers through at once and each further one `TURN_MS` later.
-    fn on_turn(
-        &mut self,
-        next: Option<View>,
-        proposers: &[DiskId],
-        replaces: u64,
-        me: DiskId,
-        now: Millis,
-    ) -> Option<View> {
-        if next.is_none() {
-            self.wish = None;
-            return None;
+    /// For how long, in milliseconds, a change of the view of this number has been wanted without a break.
+    fn waited_ms(&mut self, wanted: bool, replaces: u64, now: Millis) -> u64 {
+        if !wanted {
+            self.pending = None;
+            return 0;
         }
-        let held = self.wish.filter(|wish| wish.replaces == replaces);
-        let since = held.map_or(now, |wish| wish.since);
-        self.wish = Some(Wish { replaces, since });
-        let rank = proposers.iter().position(|disk| *disk == me)? as u64;
-        next.filter(|_| now.since(since) >= rank * TURN_MS)
+        let held = self.pending.filter(|pending| pending.replaces == replaces);
+        let since = held.map_or(now, |pending| pending.since);
+        self.pending = Some(PendingChange { replaces, since });
+        now.since(since)
     }
 }
 
-impl Situation<'_> {
+impl ClusterSnapshot<'_> {
     /// Whether a disk's process was heard lately.
     fn is_alive(&self, voter: &Voter) -> bool {
         self.peers.is_alive(voter, self.now)
@@ -137,42 +133,59 @@
 }
 
 /// View 1, of the founders that were heard.
-fn founding_view(situation: &Situation, founders: &[PeerAddress], me: &Voter) -> Option<View> {
+fn founding_view(snapshot: &ClusterSnapshot, founders: &[PeerAddress], me: &Voter) -> Option<View> {
     if !founders.contains(&me.address) {
         return None;
     }
-    let voters = situation.peers.founders_present(founders, situation.now);
+    let voters = snapshot.peers.founders_present(founders, snapshot.now);
     let all_here = voters.len() == founders.len();
-    let waited = situation.peers.watched_ms(situation.now) >= FOUNDING_WAIT_MS;
+    let waited = snapshot.peers.watched_ms(snapshot.now) >= FOUNDING_WAIT_MS;
     let ready = is_majority(voters.len(), founders.len()) && (all_here || waited);
     if !ready {
         return None;
     }
-    let length = wanted_chain_length(voters.len(), situation.settings.tolerated_losses);
+    let length = wanted_chain_length(voters.len(), snapshot.settings.tolerated_losses);
     let chain = chain::spread_over_zones(Vec::new(), &voters, &voters, length);
     Some(View { number: 1, voters, chain })
 }
 
 /// The view after the current one, where the chain or the voters should change and a majority is there to agree.
 /// The chain goes first; voters change one at a time.
-fn next_view(situation: &Situation, me: &Voter) -> Option<View> {
-    let current = situation.current;
-    let majority_alive = is_majority(situation.count_alive(&current.voters), current.voters.len());
+fn next_view(snapshot: &ClusterSnapshot, me: &Voter) -> Option<View> {
+    let current = snapshot.current;
+    let majority_alive = is_majority(snapshot.count_alive(&current.voters), current.voters.len());
     if current.voter(me.disk).is_none() || !majority_alive {
         return None;
     }
-    let chain = ChainPlan::new(situation).next()?;
+    let chain = ChainPlan::new(snapshot).next()?;
     if chain != current.chain {
         return Some(View { number: current.number + 1, voters: current.voters.clone(), chain });
     }
-    let voters = VoterPlan::new(situation).next()?;
+    let voters = VoterPlan::new(snapshot).next()?;
     Some(View { number: current.number + 1, voters, chain })
 }
 
+/// How long, in milliseconds, a founder leaves the founding to others: one turn for each disk below its own.
+fn founder_delay_ms(first_view: &View, me: &Voter) -> Option<u64> {
+    let rank = first_view.voters.iter().position(|voter| voter.disk == me.disk)?;
+    Some(rank as u64 * TURN_MS)
+}
+
+/// How long, in milliseconds, a process leaves a change to others: one turn for each that goes before it, and longer
+/// outside the chain while a member could propose. Two processes that do not hear each other would otherwise take
+/// turns in removing the other from the chain.
+fn proposer_delay_ms(snapshot: &ClusterSnapshot, me: &Voter) -> Option<u64> {
+    let proposers = proposers(snapshot);
+    let rank = proposers.iter().position(|disk| *disk == me.disk)?;
+    let is_member = |disk: &DiskId| snapshot.current.position(*disk).is_some();
+    let left_to_members = !is_member(&me.disk) && proposers.iter().any(is_member);
+    Some(rank as u64 * TURN_MS + if left_to_members { SPARE_DELAY_MS } else { 0 })
+}
+
 /// Who may propose, in the order of their turns: voters that are alive with a healthy disk, chain members first.
-fn proposers(situation: &Situation) -> Vec<DiskId> {
-    let current = situation.current;
-    let able = |voter: &&Voter| situation.is_alive(voter) && situation.peers.has_healthy_disk(voter);
+fn proposers(snapshot: &ClusterSnapshot) -> Vec<DiskId> {
+    let current = snapshot.current;
+    let able = |voter: &&Voter| snapshot.is_alive(voter) && snapshot.peers.has_healthy_disk(voter);
     let mut disks: Vec<DiskId> = current.voters.iter().filter(able).map(|voter| voter.disk).collect();
     disks.sort_by_key(|disk| (current.position(*disk).unwrap_or(usize::MAX), *disk));
     disks
--- a/crates/view-agreement/src/policy/peers.rs
+++ b/crates/view-agreement/src/policy/peers.rs
@@ -76,20 +76,20 @@
         let started = *self.started.get_or_insert(now);
         let gap = now.since(self.last_look.max(started));
         if gap > STALL_HEARTBEATS * self.settings.heartbeat_ms {
-            self.forgive(gap, now);
+            self.exclude_stall(gap, now);
         }
         self.last_look = now;
-        self.hear_self(me, view_number, now);
+        self.record_self(me, view_number, now);
     }
 
-    fn forgive(&mut self, gap: u64, now: Millis) {
+    fn exclude_stall(&mut self, gap: u64, now: Millis) {
         for peer in self.by_address.values_mut() {
             peer.last_heard = peer.last_heard.plus(gap).min(now);
         }
     }
 
     /// This process hears itself whenever it looks.
-    fn hear_self(&mut self, me: &Voter, view_number: u64, now: Millis) {
+    fn record_self(&mut self, me: &Voter, view_number: u64, now: Millis) {
         let known = self.by_address.get(&me.address).filter(|peer| peer.voter.disk == me.disk);
         let unknown = Report { life: 0, view_number, disk_healthy: true, caught_up: false };
         let report = known.map_or(unknown, |peer| Report { view_number, ..peer.report });
--- a/crates/view-agreement/src/policy/voters.rs
+++ b/crates/view-agreement/src/policy/voters.rs
@@ -1,8 +1,7 @@
-//! The voters of the next view. They change one at a time, and only in ways that do not make the loss of the majority
-//! more likely.
+//! The voters of the next view. They change one at a time: who enters is alive and who leaves is not, so a majority that
+//! was alive before is alive after.
 
-use super::Situation;
-use crate::quorum::is_majority;
+use super::ClusterSnapshot;
 use lupinrack_cluster_api::view::{View, Voter};
 
 /// How many voters there are at most.
@@ -15,29 +14,27 @@
 /// Works out the voters: a new disk takes the place of the old one at its address, new processes are added, and those
 /// that have been gone for long are removed.
 pub(super) struct VoterPlan<'a> {
-    situation: &'a Situation<'a>,
+    snapshot: &'a ClusterSnapshot<'a>,
 }
 
 impl<'a> VoterPlan<'a> {
-    pub(super) fn new(situation: &'a Situation<'a>) -> VoterPlan<'a> {
-        VoterPlan { situation }
+    pub(super) fn new(snapshot: &'a ClusterSnapshot<'a>) -> VoterPlan<'a> {
+        VoterPlan { snapshot }
     }
 
     /// The voters of the next view; none where they should stay as they are.
     pub(super) fn next(&self) -> Option<Vec<Voter>> {
-        let change = self.swapped().or_else(|| self.extended()).or_else(|| self.reduced())?;
-        let majority = is_majority(self.situation.count_alive(&change), change.len());
-        majority.then_some(change)
+        self.swapped().or_else(|| self.extended()).or_else(|| self.reduced())
     }
 
     fn current(&self) -> &'a View {
-        self.situation.current
+        self.snapshot.current
     }
 
     /// With a new disk in the place of the one that was at its address. A member of the chain stays: it leaves the
     /// chain first.
     fn swapped(&self) -> Option<Vec<Voter>> {
-        let Situation { peers, current, now, .. } = self.situation;
+        let ClusterSnapshot { peers, current, now, .. } = self.snapshot;
         let outside = current.voters.iter().filter(|voter| current.position(voter.disk).is_none());
         let (old, new) = outside
             .filter_map(|old| Some((old, peers.replacement(old, current.number, *now)?)))
@@ -48,7 +45,7 @@
 
     /// With one more process.
     fn extended(&self) -> Option<Vec<Voter>> {
-        let Situation { peers, current, now, .. } = self.situation;
+        let ClusterSnapshot { peers, current, now, .. } = self.snapshot;
         if current.voters.len() >= VOTERS_MOST {
             return None;
         }
@@ -66,7 +63,7 @@
     /// Without one that has been gone for long. Only an even number is reduced: there the majority becomes smaller,
     /// while an odd number's would stay as large as it is and the chance of a return would be given away for nothing.
     fn reduced(&self) -> Option<Vec<Voter>> {
-        let Situation { settings, current, .. } = self.situation;
+        let ClusterSnapshot { settings, current, .. } = self.snapshot;
         let least = VOTERS_LEAST.max(2 * settings.tolerated_losses + 1);
         let count = current.voters.len();
         if count % 2 == 1 || count <= least {
@@ -77,7 +74,7 @@
     }
 
     fn is_long_gone(&self, voter: &Voter) -> bool {
-        let Situation { peers, current, now, .. } = self.situation;
+        let ClusterSnapshot { peers, current, now, .. } = self.snapshot;
         let silent = peers.is_lost(voter, *now) && peers.silent_ms(voter, *now) > REMOVED_AFTER_MS;
         silent && current.position(voter.disk).is_none()
     }
--- a/crates/view-agreement/src/proposal.rs
+++ b/crates/view-agreement/src/proposal.rs
@@ -1,6 +1,6 @@
 //! The proposer's side: one proposal, and the ballot that it runs.
 
-use crate::quorum::Answers;
+use crate::quorum::Responders;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
@@ -48,7 +48,7 @@
         /// The view, which is not always the one that was wanted.
         view: View,
         /// Who has accepted.
-        accepted_by: Answers,
+        accepted_by: Responders,
     },
 }
 
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Promises {
     /// Who has promised.
-    pub(crate) given_by: Answers,
+    pub(crate) given_by: Responders,
     highest: Option<(Ballot, View)>,
 }
 
--- a/crates/view-agreement/src/quorum.rs
+++ b/crates/view-agreement/src/quorum.rs
@@ -6,9 +6,9 @@
 
 /// The disks that gave the same answer, and where each of them is.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Answers(BTreeMap<DiskId, PeerAddress>);
+pub(crate) struct Responders(BTreeMap<DiskId, PeerAddress>);
 
-impl Answers {
+impl Responders {
     /// Adds one; the same disk counts once.
     pub(crate) fn add(&mut self, disk: DiskId, from: PeerAddress) {
         self.0.insert(disk, from);
--- /dev/null
+++ b/crates/view-agreement/tests/policy.rs
@@ -0,0 +1,313 @@
+//! The rules by which views are proposed, one by one.
+
+mod common;
+
+use common::{address, disk, view, voter, voters};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_view_agreement::{PolicySettings, ViewPolicy};
+use std::collections::BTreeMap;
+
+const SETTINGS: PolicySettings =
+    PolicySettings { heartbeat_ms: 150, suspect_after_ms: 700, tolerated_losses: 1 };
+const STEP_MS: u64 = 50;
+
+/// What one machine says of itself.
+#[derive(Clone)]
+struct Heartbeat {
+    voter: Voter,
+    view_number: u64,
+    healthy: bool,
+    caught_up: bool,
+}
+
+/// A policy at one machine, and what the others say.
+struct Watch {
+    policy: ViewPolicy,
+    me: u8,
+    current: View,
+    heartbeats: BTreeMap<u8, Heartbeat>,
+    now: Millis,
+}
+
+impl Watch {
+    fn new(me: u8, current: View, founders: &[u8]) -> Watch {
+        let founders = founders.iter().map(|index| address(*index)).collect();
+        let policy = ViewPolicy::new(SETTINGS, founders);
+        Watch { policy, me, current, heartbeats: BTreeMap::new(), now: Millis(5000) }
+    }
+
+    /// Machines that are there, healthy, and in step with the current view; those in the chain have caught up.
+    fn with(mut self, indices: &[u8]) -> Watch {
+        for index in indices {
+            self.add(*index);
+        }
+        self
+    }
+
+    fn add(&mut self, index: u8) {
+        let caught_up = self.current.position(disk(index)).is_some();
+        let heartbeat =
+            Heartbeat { voter: voter(index), view_number: self.current.number, healthy: true, caught_up };
+        self.heartbeats.insert(index, heartbeat);
+    }
+
+    fn heartbeat(&mut self, index: u8) -> &mut Heartbeat {
+        self.heartbeats.get_mut(&index).expect("the machine is there")
+    }
+
+    fn look(&mut self) -> Option<View> {
+        self.policy.desired(&self.current, &voter(self.me), self.now)
+    }
+
+    /// Lets time pass, with heartbeats of all who are there; gives what is wanted at its end.
+    fn pass(&mut self, milliseconds: u64) -> Option<View> {
+        let mut wanted = None;
+        for _ in 0..milliseconds / STEP_MS {
+            self.now = self.now.plus(STEP_MS);
+            for (index, heartbeat) in &self.heartbeats {
+                let Heartbeat { voter, view_number, healthy, caught_up } = heartbeat.clone();
+                let life = u64::from(*index) + 1;
+                self.policy.heard(voter, life, view_number, healthy, caught_up, self.now);
+            }
+            wanted = self.look();
+        }
+        wanted
+    }
+}
+
+fn of_three() -> View {
+    view(4, &[0, 1, 2], &[0, 1])
+}
+
+#[test]
+fn nothing_is_wanted_while_all_is_well() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    assert_eq!(watch.pass(30_000), None);
+}
+
+#[test]
+fn founding_begins_at_once_when_all_founders_are_there() {
+    let mut watch = Watch::new(0, View::default(), &[0, 1, 2]).with(&[0, 1]);
+    assert_eq!(watch.pass(300), None);
+    watch.add(2);
+    assert_eq!(watch.pass(STEP_MS), Some(view(1, &[0, 1, 2], &[0, 1])));
+}
+
+#[test]
+fn founding_goes_on_without_a_minority_after_a_while() {
+    let mut watch = Watch::new(0, View::default(), &[0, 1, 2]).with(&[0, 1]);
+    assert_eq!(watch.pass(500), None);
+    assert_eq!(watch.pass(200), Some(view(1, &[0, 1], &[0, 1])));
+    let mut alone = Watch::new(0, View::default(), &[0, 1, 2]).with(&[0]);
+    assert_eq!(alone.pass(30_000), None);
+}
+
+#[test]
+fn founding_is_for_founders() {
+    let mut stranger = Watch::new(3, View::default(), &[0, 1, 2]).with(&[0, 1, 2, 3]);
+    assert_eq!(stranger.pass(2000), None);
+    let mut replaced = Watch::new(0, View::default(), &[]).with(&[0, 1, 2]);
+    assert_eq!(replaced.pass(2000), None);
+}
+
+#[test]
+fn a_founding_chain_is_spread_over_zones() {
+    let mut watch = Watch::new(0, View::default(), &[0, 1, 2, 3, 4]).with(&[0, 1, 2, 3, 4]);
+    watch.heartbeat(1).voter.zone = "zone-0".to_string();
+    let chain = watch.pass(STEP_MS).expect("all founders are there").chain;
+    assert_eq!(chain, [0, 2, 4].map(disk));
+}
+
+#[test]
+fn a_silent_member_leaves_the_chain() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.heartbeats.remove(&1);
+    assert_eq!(watch.pass(SETTINGS.suspect_after_ms - STEP_MS), None);
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0])));
+}
+
+#[test]
+fn a_spare_that_has_caught_up_joins_in_the_same_view() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(2).caught_up = true;
+    watch.pass(1000);
+    watch.heartbeats.remove(&1);
+    assert_eq!(watch.pass(1000), Some(view(5, &[0, 1, 2], &[0, 2])));
+}
+
+#[test]
+fn a_spare_joins_only_when_it_has_caught_up_in_the_current_view() {
+    let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
+    assert_eq!(watch.pass(1000), None);
+    *watch.heartbeat(2) = Heartbeat { caught_up: true, view_number: 3, ..watch.heartbeat(2).clone() };
+    assert_eq!(watch.pass(1000), None);
+    watch.heartbeat(2).view_number = 4;
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0, 2])));
+}
+
+#[test]
+fn a_spare_of_another_zone_is_preferred() {
+    let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(1).caught_up = true;
+    watch.heartbeat(2).caught_up = true;
+    for voter in &mut watch.current.voters[..2] {
+        voter.zone = "zone-0".to_string();
+    }
+    assert_eq!(watch.pass(STEP_MS).expect("a spare joins").chain, [0, 2].map(disk));
+}
+
+#[test]
+fn a_closed_connection_shortens_the_suspicion() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.heartbeats.remove(&1);
+    watch.policy.closed(address(1));
+    assert_eq!(watch.pass(300), None);
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0])));
+}
+
+#[test]
+fn a_process_that_just_began_suspects_nobody() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 2]);
+    assert_eq!(watch.pass(SETTINGS.suspect_after_ms), None);
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0])));
+}
+
+#[test]
+fn a_process_that_stood_still_suspects_nobody() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.now = watch.now.plus(5000);
+    assert_eq!(watch.look(), None);
+    watch.heartbeats.remove(&1);
+    assert_eq!(watch.pass(400), None);
+    assert!(watch.pass(400).is_some());
+}
+
+#[test]
+fn without_a_majority_nothing_is_wanted() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.heartbeats.remove(&1);
+    watch.heartbeats.remove(&2);
+    assert_eq!(watch.pass(60_000), None);
+}
+
+#[test]
+fn without_any_member_of_the_chain_nothing_is_wanted() {
+    let mut watch = Watch::new(1, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(1).caught_up = true;
+    watch.heartbeat(2).caught_up = true;
+    watch.current.chain = vec![disk(0)];
+    watch.heartbeats.remove(&0);
+    assert_eq!(watch.pass(60_000), None);
+}
+
+#[test]
+fn who_is_no_voter_or_has_an_unhealthy_disk_proposes_nothing() {
+    let mut stranger = Watch::new(3, of_three(), &[]).with(&[0, 2, 3]);
+    assert_eq!(stranger.pass(5000), None);
+    let mut unhealthy = Watch::new(0, of_three(), &[]).with(&[0, 2]);
+    unhealthy.heartbeat(0).healthy = false;
+    assert_eq!(unhealthy.pass(5000), None);
+}
+
+#[test]
+fn proposers_take_turns_by_their_place_in_the_chain() {
+    let turn_of = |me: u8| {
+        let mut watch = Watch::new(me, view(4, &[0, 1, 2, 3, 4], &[2, 0, 1]), &[]).with(&[0, 1, 3, 4]);
+        let mut waited = 0;
+        while watch.pass(STEP_MS).is_none() {
+            waited += STEP_MS;
+        }
+        waited
+    };
+    let first = turn_of(0);
+    assert_eq!([1, 3, 4].map(|me| turn_of(me) - first), [300, 3600, 3900]);
+}
+
+#[test]
+fn a_process_outside_the_chain_proposes_at_once_where_no_member_can() {
+    let mut watch = Watch::new(2, of_three(), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(0).healthy = false;
+    watch.pass(1000);
+    watch.heartbeats.remove(&1);
+    assert_eq!(watch.pass(SETTINGS.suspect_after_ms), Some(view(5, &[0, 1, 2], &[0, 2])));
+}
+
+#[test]
+fn an_unhealthy_disk_leaves_only_while_enough_remain() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(1).healthy = false;
+    assert_eq!(watch.pass(5000), None);
+    watch.heartbeat(2).caught_up = true;
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0, 2])));
+
+    let mut longer = Watch::new(0, view(4, &[0, 1, 2, 3, 4], &[0, 1, 2]), &[]).with(&[0, 1, 2, 3, 4]);
+    longer.heartbeat(1).healthy = false;
+    assert_eq!(longer.pass(400), None);
+    assert_eq!(longer.pass(100).map(|view| view.chain), Some([0, 2].map(disk).to_vec()));
+}
+
+#[test]
+fn new_processes_are_added_one_at_a_time_once_they_have_settled() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2, 3, 4]);
+    assert_eq!(watch.pass(500), None);
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2, 3], &[0, 1])));
+}
+
+#[test]
+fn a_new_process_is_added_while_another_is_gone() {
+    let mut watch = Watch::new(0, view(4, &[0, 1, 2, 3], &[0, 1, 2]), &[]).with(&[0, 1, 2, 4]);
+    assert_eq!(watch.pass(1000).map(|view| view.voters.len()), Some(5));
+}
+
+#[test]
+fn there_are_never_more_than_nine_voters() {
+    let nine: Vec<u8> = (0..9).collect();
+    let ten: Vec<u8> = (0..10).collect();
+    let mut watch = Watch::new(0, view(4, &nine, &nine[..5]), &[]).with(&ten);
+    assert_eq!(watch.pass(5000), None);
+}
+
+#[test]
+fn a_new_disk_takes_the_place_of_the_old_one_at_its_address() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    let new = Voter { disk: DiskId(77), ..voter(2) };
+    watch.heartbeat(2).voter = new.clone();
+    let wanted = watch.pass(1000).expect("the disk is exchanged");
+    assert_eq!(wanted.voters, [voter(0), voter(1), new]);
+    assert_eq!(wanted.chain, [0, 1].map(disk));
+}
+
+#[test]
+fn a_member_of_the_chain_whose_disk_is_new_leaves_the_chain_first() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.heartbeat(1).voter.disk = DiskId(77);
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0])));
+    watch.current = view(5, &[0, 1, 2], &[0]);
+    for index in 0..3 {
+        watch.heartbeat(index).view_number = 5;
+    }
+    let wanted = watch.pass(1000).expect("the disk is exchanged");
+    assert_eq!(wanted.voter(DiskId(77)).map(|voter| voter.address), Some(address(1)));
+    assert_eq!(wanted.voter(disk(1)), None);
+}
+
+#[test]
+fn voters_that_are_long_gone_leave_an_even_number_of_at_least_four() {
+    let mut four = Watch::new(0, view(4, &[0, 1, 2, 3], &[0, 1, 2]), &[]).with(&[0, 1, 2]);
+    four.pass(STEP_MS);
+    assert_eq!(four.pass(20_000), None);
+    assert_eq!(four.pass(STEP_MS).map(|view| view.voters), Some(voters(&[0, 1, 2])));
+    let mut five = Watch::new(0, view(4, &[0, 1, 2, 3, 4], &[0, 1, 2]), &[]).with(&[0, 1, 2, 3]);
+    assert_eq!(five.pass(60_000), None);
+    let mut three = Watch::new(0, of_three(), &[]).with(&[0, 1]);
+    assert_eq!(three.pass(60_000), None);
+}
--- /dev/null
+++ b/crates/view-agreement/tests/simulation/links.rs
@@ -0,0 +1,42 @@
+//! Which machines reach each other.
+
+use fastrand::Rng;
+
+/// Two groups of machines, and perhaps one link within them that is broken.
+pub struct Links {
+    groups: Vec<bool>,
+    broken: Option<(usize, usize)>,
+}
+
+impl Links {
+    pub fn whole(machines: usize) -> Links {
+        Links { groups: vec![true; machines], broken: None }
+    }
+
+    /// Splits the machines into two groups at random.
+    pub fn cut(&mut self, rng: &mut Rng) {
+        for group in &mut self.groups {
+            *group = rng.bool();
+        }
+    }
+
+    /// Cuts one machine off from all others.
+    pub fn isolate(&mut self, machine: usize) {
+        self.heal();
+        self.groups[machine] = false;
+    }
+
+    /// Breaks the link between two machines; both reach all others.
+    pub fn break_one(&mut self, one: usize, other: usize) {
+        self.broken = Some((one, other));
+    }
+
+    pub fn heal(&mut self) {
+        *self = Links::whole(self.groups.len());
+    }
+
+    pub fn connect(&self, from: usize, to: usize) -> bool {
+        let broken = [Some((from, to)), Some((to, from))].contains(&self.broken);
+        self.groups[from] == self.groups[to] && !broken
+    }
+}
--- a/crates/view-agreement/tests/simulation/main.rs
+++ b/crates/view-agreement/tests/simulation/main.rs
@@ -1,6 +1,7 @@
 //! Seeded simulations of the agreement, with proposals at random and by the policy.
 
 mod checker;
+mod links;
 mod machine;
 mod random_proposals;
 mod with_policy;
--- a/crates/view-agreement/tests/simulation/random_proposals.rs
+++ b/crates/view-agreement/tests/simulation/random_proposals.rs
@@ -1,13 +1,13 @@
 //! Processes that propose views at random, whatever they hear, several at once and over one another.
 
 use crate::checker::Violation;
-use crate::world::{Network, Plant, World, CALM, ROUGH};
+use crate::world::{Network, PlantedFault, World, CALM, ROUGH};
 use lupinrack_cluster_api::view::{View, Voter};
 
 const VOTERS_LEAST: usize = 3;
 const ROUNDS: usize = 150;
 const ROUND_MS_MOST: u64 = 150;
-const STRIKES: f64 = 0.4;
+const TARGETED_FAULTS: f64 = 0.4;
 const PLANTED_SEEDS: std::ops::Range<u64> = 1000..1500;
 
 /// How many machines there are, and how many disks may be lost.
@@ -17,7 +17,7 @@
     machines: usize,
     wipes_most: usize,
     network: Network,
-    plant: Plant,
+    planted: PlantedFault,
 }
 
 /// A view of random voters, of those that run.
@@ -50,18 +50,18 @@
     let down_ms = world.rng.u64(1..400);
     match world.rng.u32(0..60) {
         0..=2 if world.is_running(machine) => world.restart(machine, down_ms),
-        3 | 4 => world.cut(),
-        5..=14 => world.heal(),
+        3 | 4 => world.links.cut(&mut world.rng),
+        5..=14 => world.links.heal(),
         15 if world.wipes_left > 0 && world.is_running(machine) => world.wipe(machine, down_ms),
         _ => {}
     }
 }
 
 fn run_rough(seed: u64, setup: Setup) -> World {
-    let mut world = World::new(seed, setup.founders, setup.machines, setup.plant);
+    let mut world = World::new(seed, setup.founders, setup.machines, setup.planted);
     world.run_for(400);
     world.network = setup.network;
-    world.strikes = STRIKES;
+    world.targeted_faults = TARGETED_FAULTS;
     world.wipes_left = setup.wipes_most;
     for _ in 0..ROUNDS {
         propose_at_random(&mut world, setup);
@@ -75,8 +75,8 @@
 /// Ends all trouble and lets one voter propose; tells how many views were agreed since.
 fn run_calm(world: &mut World, founders: usize) -> u64 {
     world.network = CALM;
-    world.strikes = 0.0;
-    world.heal();
+    world.targeted_faults = 0.0;
+    world.links.heal();
     world.run_for(3000);
     let before = world.checker.newest().number;
     for _ in 0..40 {
@@ -106,7 +106,7 @@
 }
 
 fn setup(founders: usize, machines: usize, wipes_most: usize) -> Setup {
-    Setup { founders, machines, wipes_most, network: ROUGH, plant: Plant::None }
+    Setup { founders, machines, wipes_most, network: ROUGH, planted: PlantedFault::None }
 }
 
 #[test]
@@ -136,28 +136,28 @@
 
 /// Asserts that the checker finds a planted fault, and nothing in the same runs without it.
 fn assert_found(setup: Setup) {
-    let sound = Setup { plant: Plant::None, ..setup };
+    let sound = Setup { planted: PlantedFault::None, ..setup };
     for seed in PLANTED_SEEDS {
         assert_eq!(run_rough(seed, sound).checker.violations, Vec::<Violation>::new(), "seed {seed}");
         if run_rough(seed, setup).checker.found_two_views() {
-            println!("{:?}: two views with seed {seed}", setup.plant);
+            println!("{:?}: two views with seed {seed}", setup.planted);
             return;
         }
     }
-    panic!("{:?} was not found", setup.plant);
+    panic!("{:?} was not found", setup.planted);
 }
 
 #[test]
 fn an_empty_disk_under_the_old_identity_is_found() {
-    assert_found(Setup { plant: Plant::WipedDiskKeepsIdentity, ..setup(3, 5, 100) });
+    assert_found(Setup { planted: PlantedFault::WipedDiskKeepsIdentity, ..setup(3, 5, 100) });
 }
 
 #[test]
 fn an_answer_before_the_sync_is_found() {
-    assert_found(Setup { plant: Plant::AnswersBeforeSync, ..setup(3, 5, 0) });
+    assert_found(Setup { planted: PlantedFault::AnswersBeforeSync, ..setup(3, 5, 0) });
 }
 
 #[test]
 fn a_quorum_of_the_new_voters_alone_is_found() {
-    assert_found(Setup { plant: Plant::CountsNewVotersOnly, ..setup(3, 7, 0) });
+    assert_found(Setup { planted: PlantedFault::CountsNewVotersOnly, ..setup(3, 7, 0) });
 }
--- a/crates/view-agreement/tests/simulation/with_policy.rs
+++ b/crates/view-agreement/tests/simulation/with_policy.rs
@@ -2,11 +2,11 @@
 
 use crate::checker::Violation;
 use crate::machine::POLICY;
-use crate::world::{Plant, World, ROUGH};
+use crate::world::{PlantedFault, World, ROUGH};
 use lupinrack_cluster_api::view::View;
 
 fn founded(seed: u64, founders: usize, machines: usize) -> World {
-    let mut world = World::new(seed, founders, machines, Plant::None);
+    let mut world = World::new(seed, founders, machines, PlantedFault::None);
     world.policy_proposes = true;
     world.run_for(6000);
     world
@@ -110,7 +110,7 @@
 #[test]
 fn a_kill_in_the_middle_of_founding_does_not_end_it() {
     for seed in 0..40 {
-        let mut world = World::new(seed, 3, 3, Plant::None);
+        let mut world = World::new(seed, 3, 3, PlantedFault::None);
         world.policy_proposes = true;
         world.run_for(340 + seed * 10);
         for machine in 0..3 {
@@ -126,9 +126,9 @@
     for seed in 0..20 {
         let mut world = founded(seed, 3, 4);
         for machine in 0..4 {
-            world.isolate(machine);
+            world.links.isolate(machine);
             world.run_for(4000);
-            world.heal();
+            world.links.heal();
             world.run_for(4000);
             let view = assert_settled(&world, seed);
             assert_eq!(view.voters.len(), 4, "seed {seed}");
@@ -157,15 +157,31 @@
             let machine = world.rng.usize(0..machines);
             match world.rng.u32(0..6) {
                 0 if world.is_running(machine) => world.restart(machine, 800),
-                1 => world.isolate(machine),
-                2 => world.heal(),
+                1 => world.links.isolate(machine),
+                2 => world.links.heal(),
                 _ => {}
             }
             world.run_for(200);
         }
         world.network = crate::world::CALM;
-        world.heal();
+        world.links.heal();
         world.run_for(8000);
         assert_settled(&world, seed);
     }
 }
+
+#[test]
+fn two_machines_that_do_not_reach_each_other_change_the_view_seldom() {
+    for (one, other) in [(0, 1), (1, 2), (0, 2)] {
+        let mut world = founded(1, 3, 3);
+        let before = world.checker.newest().number;
+        world.links.break_one(one, other);
+        world.run_for(20_000);
+        let views = world.checker.newest().number - before;
+        println!("{views} views in 20 s without the link between {one} and {other}");
+        assert!(views <= 8, "{views} views in 20 s");
+        world.links.heal();
+        world.run_for(4000);
+        assert_settled(&world, 1);
+    }
+}
--- a/crates/view-agreement/tests/simulation/world.rs
+++ b/crates/view-agreement/tests/simulation/world.rs
@@ -1,6 +1,7 @@
 //! Machines, a network that loses, delays, reorders and repeats messages, and time.
 
 use crate::checker::{Checker, Violation};
+use crate::links::Links;
 use crate::machine::{address, Machine, Write};
 use fastrand::Rng;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
@@ -21,7 +22,7 @@
 
 /// A fault that is planted, to see that the checker finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Plant {
+pub enum PlantedFault {
     None,
     /// A machine whose disk was lost goes on under the old disk's identity.
     WipedDiskKeepsIdentity,
@@ -61,17 +62,17 @@
     pub now: Millis,
     pub machines: Vec<Machine>,
     pub network: Network,
+    pub links: Links,
     pub checker: Checker,
     /// Whether processes propose by the policy.
     pub policy_proposes: bool,
     /// Whether to check that disks hold what is agreed; it makes no sense once a disk was lost.
     pub check_disks: bool,
     /// How often the process that completes an agreement is cut off at that moment, while another voter dies.
-    pub strikes: f64,
+    pub targeted_faults: f64,
     /// How many disks may still be lost.
     pub wipes_left: usize,
-    plant: Plant,
-    groups: Vec<bool>,
+    planted: PlantedFault,
     asked: BTreeMap<Ballot, View>,
     events: BTreeMap<(Millis, u64), Event>,
     sequence: u64,
@@ -80,7 +81,7 @@
 
 impl World {
     /// The first `founders` of the machines found the system; all start within 300 ms.
-    pub fn new(seed: u64, founders: usize, machines: usize, plant: Plant) -> World {
+    pub fn new(seed: u64, founders: usize, machines: usize, planted: PlantedFault) -> World {
         let mut world = World {
             rng: Rng::with_seed(seed),
             now: Millis(0),
@@ -89,10 +90,10 @@
             checker: Checker::default(),
             policy_proposes: false,
             check_disks: true,
-            strikes: 0.0,
+            targeted_faults: 0.0,
             wipes_left: 0,
-            plant,
-            groups: vec![true; machines],
+            planted,
+            links: Links::whole(machines),
             asked: BTreeMap::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -144,28 +145,12 @@
         self.wipes_left = self.wipes_left.saturating_sub(1);
         self.machines[machine].kill(0);
         self.machines[machine].stored = Default::default();
-        if self.plant != Plant::WipedDiskKeepsIdentity {
+        if self.planted != PlantedFault::WipedDiskKeepsIdentity {
             self.machines[machine].voter.disk = DiskId(self.draw_identity());
         }
         self.schedule(after_ms, Event::Start { machine });
     }
 
-    /// Splits the machines into two groups that do not reach each other.
-    pub fn cut(&mut self) {
-        for index in 0..self.groups.len() {
-            self.groups[index] = self.rng.bool();
-        }
-    }
-
-    pub fn isolate(&mut self, machine: usize) {
-        self.groups = vec![true; self.machines.len()];
-        self.groups[machine] = false;
-    }
-
-    pub fn heal(&mut self) {
-        self.groups = vec![true; self.machines.len()];
-    }
-
     pub fn is_running(&self, machine: usize) -> bool {
         self.machines[machine].process.is_some()
     }
@@ -244,7 +229,7 @@
     fn plant_old_votes(&mut self, to: usize, message: &AgreementMessage) {
         let AgreementMessage::Accepted { ballot, .. } = message else { return };
         let Some(view) = self.asked.get(ballot).cloned() else { return };
-        if self.plant != Plant::CountsNewVotersOnly {
+        if self.planted != PlantedFault::CountsNewVotersOnly {
             return;
         }
         let current = self.current(to);
@@ -304,7 +289,7 @@
     }
 
     fn persist(&mut self, machine: usize, mut write: Write) {
-        if self.plant == Plant::AnswersBeforeSync {
+        if self.planted == PlantedFault::AnswersBeforeSync {
             for (to, message) in std::mem::take(&mut write.then) {
                 self.send(machine, to, Message::Agreement(message));
             }
@@ -327,14 +312,14 @@
         if self.check_disks && !self.is_on_disks(view) {
             self.checker.violations.push(Violation::NotOnDisks { number: view.number });
         }
-        if self.rng.f64() < self.strikes {
-            self.strike(machine);
+        if self.rng.f64() < self.targeted_faults {
+            self.fail_around(machine);
         }
     }
 
     /// Cuts a machine off before it can announce anything, and ends another, perhaps with its disk.
-    fn strike(&mut self, machine: usize) {
-        self.isolate(machine);
+    fn fail_around(&mut self, machine: usize) {
+        self.links.isolate(machine);
         let voters = self.checker.newest().voters;
         let others = (0..self.machines.len()).filter(|index| {
             let is_voter = voters.iter().any(|voter| voter.address == address(*index));
@@ -374,7 +359,7 @@
             self.schedule(0, Event::Deliver { from: from_address, to, message });
             return;
         }
-        let lost = self.groups[from] != self.groups[to] || self.rng.f64() < self.network.loss;
+        let lost = !self.links.connect(from, to) || self.rng.f64() < self.network.loss;
         if lost {
             return;
         }
