View agreement: a replica's report counts only in the view that it was made in

Cause: a process took its own last report along into the next view, so a replica that was complete before view n counted as complete before view n + 1; and a head whose heartbeat from the new view had not come yet counted as incomplete, so a member would have asked for another order. Now a report holds for its own view, and a head that has not spoken in the current view is waited for (it speaks within a heartbeat, or counts as lost after the time of suspicion).

Ruled out: to take a missing report for a complete one, which could make a replica head that lacks committed entries.

The tests of this crate are carried over to ReplicaReport; four are new (order, waiting, own report, a head that needs a view).

--- a/crates/view-agreement/src/acceptor.rs
+++ b/crates/view-agreement/src/acceptor.rs
@@ -16,7 +16,7 @@
 }
 
 impl VoteState {
-    /// Responders [`AgreementMessage::Prepare`].
+    /// Responds to [`AgreementMessage::Prepare`].
     pub(crate) fn prepare(&mut self, me: &Voter, ballot: Ballot) -> Response {
         if !self.is_acceptor(me) {
             return Response::NoVote;
@@ -40,7 +40,7 @@
         (self.accepted_ballot, self.accepted.clone())
     }
 
-    /// Responders [`AgreementMessage::Accept`].
+    /// Responds to [`AgreementMessage::Accept`].
     pub(crate) fn accept(&mut self, me: &Voter, ballot: Ballot, view: &View) -> Response {
         if !self.may_accept(me, view) {
             return Response::NoVote;
--- a/crates/view-agreement/src/policy/chain.rs
+++ b/crates/view-agreement/src/policy/chain.rs
@@ -26,11 +26,24 @@
         }
         let spares = self.spares();
         let kept = self.without_unhealthy(remaining, spares.len());
-        let chain = kept.iter().map(|voter| voter.disk).collect();
+        let chain = self.headed_by_complete(kept)?;
         let length = wanted_chain_length(self.voters().len(), self.snapshot.settings.tolerated_losses);
         Some(spread_over_zones(chain, &spares, self.voters(), length))
     }
 
+    /// The members with the first at the head that has everything that was committed before the current view; none
+    /// where there is no such member, or where one before it has not told yet in this view whether it is one.
+    fn headed_by_complete(&self, members: Vec<&Voter>) -> Option<Vec<DiskId>> {
+        let ClusterSnapshot { peers, current, .. } = self.snapshot;
+        let told = |voter: &&Voter| peers.is_complete(voter, current.number);
+        let head = members.iter().position(|voter| told(voter) != Some(false))?;
+        told(&members[head])?;
+        let mut chain: Vec<DiskId> = members.iter().map(|voter| voter.disk).collect();
+        let disk = chain.remove(head);
+        chain.insert(0, disk);
+        Some(chain)
+    }
+
     fn voters(&self) -> &[Voter] {
         &self.snapshot.current.voters
     }
--- a/crates/view-agreement/src/policy/mod.rs
+++ b/crates/view-agreement/src/policy/mod.rs
@@ -8,6 +8,7 @@
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::ReplicaReport;
 use peers::{Peers, Report};
 use std::collections::BTreeSet;
 use voters::VoterPlan;
@@ -73,10 +74,10 @@
         life: u64,
         view_number: u64,
         disk_healthy: bool,
-        caught_up: bool,
+        replica: ReplicaReport,
         now: Millis,
     ) {
-        let report = Report { life, view_number, disk_healthy, caught_up };
+        let report = Report { life, view_number, disk_healthy, replica };
         self.peers.heard(voter, report, now);
     }
 
@@ -85,10 +86,20 @@
         self.peers.closed(address);
     }
 
+    /// The disk whose process listens at an address, by the last heartbeat from there.
+    pub fn disk_at(&self, address: PeerAddress) -> Option<DiskId> {
+        self.peers.disk_at(address)
+    }
+
+    /// Where a disk's process listens, by its last heartbeat.
+    pub fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
+        self.peers.address_of(disk)
+    }
+
     /// The view that this process should propose now; to be asked every few tens of milliseconds, as longer breaks are
     /// taken for this process standing still. Nothing is wanted of a process that is no voter or has an unhealthy disk.
     pub fn desired(&mut self, current: &View, me: &Voter, now: Millis) -> Option<View> {
-        self.peers.advance(me, current.number, now);
+        self.peers.advance(me, now);
         let snapshot = ClusterSnapshot { settings: self.settings, peers: &self.peers, current, now };
         let next = match current.number {
             0 => founding_view(&snapshot, &self.founders, me),
@@ -121,6 +132,12 @@
         self.peers.is_alive(voter, self.now)
     }
 
+    /// Whether the head lives and cannot go on in this view.
+    fn head_needs_view(&self) -> bool {
+        let head = self.current.head().and_then(|disk| self.current.voter(disk));
+        head.is_some_and(|voter| self.peers.needs_view(voter, self.current.number))
+    }
+
     /// How many of these were heard lately.
     fn count_alive(&self, voters: &[Voter]) -> usize {
         voters.iter().filter(|voter| self.is_alive(voter)).count()
@@ -158,7 +175,7 @@
         return None;
     }
     let chain = ChainPlan::new(snapshot).next()?;
-    if chain != current.chain {
+    if chain != current.chain || snapshot.head_needs_view() {
         return Some(View { number: current.number + 1, voters: current.voters.clone(), chain });
     }
     let voters = VoterPlan::new(snapshot).next()?;
--- a/crates/view-agreement/tests/policy.rs
+++ b/crates/view-agreement/tests/policy.rs
@@ -6,6 +6,7 @@
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::ReplicaReport;
 use lupinrack_view_agreement::{PolicySettings, ViewPolicy};
 use std::collections::BTreeMap;
 
@@ -19,7 +20,7 @@
     voter: Voter,
     view_number: u64,
     healthy: bool,
-    caught_up: bool,
+    replica: ReplicaReport,
 }
 
 /// A policy at one machine, and what the others say.
@@ -47,9 +48,10 @@
     }
 
     fn add(&mut self, index: u8) {
-        let caught_up = self.current.position(disk(index)).is_some();
+        let complete = self.current.position(disk(index)).is_some();
+        let replica = ReplicaReport { complete, ..ReplicaReport::default() };
         let heartbeat =
-            Heartbeat { voter: voter(index), view_number: self.current.number, healthy: true, caught_up };
+            Heartbeat { voter: voter(index), view_number: self.current.number, healthy: true, replica };
         self.heartbeats.insert(index, heartbeat);
     }
 
@@ -67,9 +69,9 @@
         for _ in 0..milliseconds / STEP_MS {
             self.now = self.now.plus(STEP_MS);
             for (index, heartbeat) in &self.heartbeats {
-                let Heartbeat { voter, view_number, healthy, caught_up } = heartbeat.clone();
+                let Heartbeat { voter, view_number, healthy, replica } = heartbeat.clone();
                 let life = u64::from(*index) + 1;
-                self.policy.heard(voter, life, view_number, healthy, caught_up, self.now);
+                self.policy.heard(voter, life, view_number, healthy, replica, self.now);
             }
             wanted = self.look();
         }
@@ -132,7 +134,7 @@
 #[test]
 fn a_spare_that_has_caught_up_joins_in_the_same_view() {
     let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
-    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(2).replica.caught_up = true;
     watch.pass(1000);
     watch.heartbeats.remove(&1);
     assert_eq!(watch.pass(1000), Some(view(5, &[0, 1, 2], &[0, 2])));
@@ -142,7 +144,8 @@
 fn a_spare_joins_only_when_it_has_caught_up_in_the_current_view() {
     let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
     assert_eq!(watch.pass(1000), None);
-    *watch.heartbeat(2) = Heartbeat { caught_up: true, view_number: 3, ..watch.heartbeat(2).clone() };
+    watch.heartbeat(2).replica.caught_up = true;
+    watch.heartbeat(2).view_number = 3;
     assert_eq!(watch.pass(1000), None);
     watch.heartbeat(2).view_number = 4;
     assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0, 2])));
@@ -151,8 +154,8 @@
 #[test]
 fn a_spare_of_another_zone_is_preferred() {
     let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
-    watch.heartbeat(1).caught_up = true;
-    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(1).replica.caught_up = true;
+    watch.heartbeat(2).replica.caught_up = true;
     for voter in &mut watch.current.voters[..2] {
         voter.zone = "zone-0".to_string();
     }
@@ -199,8 +202,8 @@
 #[test]
 fn without_any_member_of_the_chain_nothing_is_wanted() {
     let mut watch = Watch::new(1, view(4, &[0, 1, 2], &[0]), &[]).with(&[0, 1, 2]);
-    watch.heartbeat(1).caught_up = true;
-    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(1).replica.caught_up = true;
+    watch.heartbeat(2).replica.caught_up = true;
     watch.current.chain = vec![disk(0)];
     watch.heartbeats.remove(&0);
     assert_eq!(watch.pass(60_000), None);
@@ -232,7 +235,7 @@
 #[test]
 fn a_process_outside_the_chain_proposes_at_once_where_no_member_can() {
     let mut watch = Watch::new(2, of_three(), &[]).with(&[0, 1, 2]);
-    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(2).replica.caught_up = true;
     watch.heartbeat(0).healthy = false;
     watch.pass(1000);
     watch.heartbeats.remove(&1);
@@ -244,7 +247,7 @@
     let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
     watch.heartbeat(1).healthy = false;
     assert_eq!(watch.pass(5000), None);
-    watch.heartbeat(2).caught_up = true;
+    watch.heartbeat(2).replica.caught_up = true;
     assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0, 2])));
 
     let mut longer = Watch::new(0, view(4, &[0, 1, 2, 3, 4], &[0, 1, 2]), &[]).with(&[0, 1, 2, 3, 4]);
@@ -311,3 +314,38 @@
     let mut three = Watch::new(0, of_three(), &[]).with(&[0, 1]);
     assert_eq!(three.pass(60_000), None);
 }
+
+#[test]
+fn a_member_that_has_everything_comes_before_a_head_that_has_not() {
+    let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0, 1]), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(0).replica.complete = false;
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[1, 0])));
+    watch.heartbeat(1).replica.complete = false;
+    assert_eq!(watch.pass(5000), None);
+}
+
+#[test]
+fn a_head_that_has_not_spoken_in_the_current_view_is_waited_for() {
+    let mut watch = Watch::new(1, view(4, &[0, 1, 2], &[0, 1]), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(0).view_number = 3;
+    assert_eq!(watch.pass(5000), None);
+}
+
+#[test]
+fn what_a_process_told_of_itself_does_not_pass_into_the_next_view() {
+    let mut watch = Watch::new(0, view(4, &[0, 1, 2], &[0, 1]), &[]).with(&[0, 1, 2]);
+    watch.pass(1000);
+    watch.current = view(5, &[0, 1, 2], &[0, 1]);
+    watch.heartbeat(1).view_number = 5;
+    assert_eq!(watch.pass(5000), None);
+    watch.heartbeat(0).view_number = 5;
+    watch.heartbeat(0).replica.complete = false;
+    assert_eq!(watch.pass(STEP_MS), Some(view(6, &[0, 1, 2], &[1, 0])));
+}
+
+#[test]
+fn a_head_that_cannot_go_on_gets_a_view_with_the_same_chain() {
+    let mut watch = Watch::new(0, of_three(), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(0).replica.needs_view = true;
+    assert_eq!(watch.pass(STEP_MS), Some(view(5, &[0, 1, 2], &[0, 1])));
+}
--- a/crates/view-agreement/tests/simulation/world.rs
+++ b/crates/view-agreement/tests/simulation/world.rs
@@ -7,7 +7,7 @@
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
-use lupinrack_cluster_api::wire::{AgreementMessage, Ballot};
+use lupinrack_cluster_api::wire::{AgreementMessage, Ballot, ReplicaReport};
 use lupinrack_view_agreement::Effect;
 use std::collections::BTreeMap;
 
@@ -35,7 +35,7 @@
 #[derive(Clone, Debug)]
 enum Message {
     Agreement(AgreementMessage),
-    Heartbeat { voter: Voter, life: u64, view: View, disk_healthy: bool, caught_up: bool },
+    Heartbeat { voter: Voter, life: u64, view: View, disk_healthy: bool, replica: ReplicaReport },
 }
 
 enum Event {
@@ -208,10 +208,10 @@
                 self.plant_old_votes(to, &message);
                 self.receive(from, to, message);
             }
-            Message::Heartbeat { voter, life, view, disk_healthy, caught_up } => {
+            Message::Heartbeat { voter, life, view, disk_healthy, replica } => {
                 let now = self.now;
                 let Some(process) = &mut self.machines[to].process else { return };
-                process.policy.heard(voter, life, view.number, disk_healthy, caught_up, now);
+                process.policy.heard(voter, life, view.number, disk_healthy, replica, now);
                 let effects = process.agreement.learn(view);
                 self.perform(to, effects);
             }
@@ -271,10 +271,11 @@
         let view = process.agreement.current().clone();
         let in_chain = view.position(voter.disk).is_some();
         let caught_up = in_chain || self.now.since(process.started) >= CATCH_UP_MS;
+        let replica = ReplicaReport { caught_up, complete: in_chain, needs_view: false };
         let (voter, disk_healthy) = (voter.clone(), *disk_healthy);
         for to in (0..self.machines.len()).map(address) {
             let (voter, view) = (voter.clone(), view.clone());
-            self.send(machine, to, Message::Heartbeat { voter, life, view, disk_healthy, caught_up });
+            self.send(machine, to, Message::Heartbeat { voter, life, view, disk_healthy, replica });
         }
     }
 
