--- a/crates/view-agreement/src/policy/mod.rs
+++ b/crates/view-agreement/src/policy/mod.rs
@@ -99,7 +99,7 @@
     /// The view that this process should propose now; to be asked every few tens of milliseconds, as longer breaks are
     /// taken for this process standing still. Nothing is wanted of a process that is no voter or has an unhealthy disk.
     pub fn desired(&mut self, current: &View, me: &Voter, now: Millis) -> Option<View> {
-        self.peers.advance(me, current.number, now);
+        self.peers.advance(me, now);
         let snapshot = ClusterSnapshot { settings: self.settings, peers: &self.peers, current, now };
         let next = match current.number {
             0 => founding_view(&snapshot, &self.founders, me),
--- a/crates/view-agreement/src/policy/peers.rs
+++ b/crates/view-agreement/src/policy/peers.rs
@@ -73,14 +73,14 @@
     }
 
     /// Lets time pass. Time in which this process stood still does not count as silence of the others.
-    pub(super) fn advance(&mut self, me: &Voter, view_number: u64, now: Millis) {
+    pub(super) fn advance(&mut self, me: &Voter, now: Millis) {
         let started = *self.started.get_or_insert(now);
         let gap = now.since(self.last_look.max(started));
         if gap > STALL_HEARTBEATS * self.settings.heartbeat_ms {
             self.exclude_stall(gap, now);
         }
         self.last_look = now;
-        self.record_self(me, view_number, now);
+        self.record_self(me, now);
     }
 
     fn exclude_stall(&mut self, gap: u64, now: Millis) {
@@ -89,11 +89,13 @@
         }
     }
 
-    /// This process hears itself whenever it looks.
-    fn record_self(&mut self, me: &Voter, view_number: u64, now: Millis) {
+    /// This process is alive whenever it looks. What it last told of itself stays as it was: its replica may be good for
+    /// less in a newer view.
+    fn record_self(&mut self, me: &Voter, now: Millis) {
         let known = self.by_address.get(&me.address).filter(|peer| peer.voter.disk == me.disk);
-        let unknown = Report { life: 0, view_number, disk_healthy: true, replica: ReplicaReport::default() };
-        let report = known.map_or(unknown, |peer| Report { view_number, ..peer.report });
+        let unknown =
+            Report { life: 0, view_number: 0, disk_healthy: true, replica: ReplicaReport::default() };
+        let report = known.map_or(unknown, |peer| peer.report);
         self.heard(me.clone(), report, now);
     }
 
@@ -138,9 +140,10 @@
         self.is_alive(voter, now) && self.has_healthy_disk(voter) && self.peer(voter).is_some_and(ready)
     }
 
-    /// Whether this disk is known to have everything that was committed before this view.
-    pub(super) fn is_complete(&self, voter: &Voter, view_number: u64) -> bool {
-        self.replica_in(voter, view_number).is_some_and(|replica| replica.complete)
+    /// Whether this disk is known to have everything that was committed before this view; none where its process has
+    /// not spoken in this view.
+    pub(super) fn is_complete(&self, voter: &Voter, view_number: u64) -> Option<bool> {
+        self.replica_in(voter, view_number).map(|replica| replica.complete)
     }
 
     /// Whether this disk's process, the head, cannot go on in this view.
