--- a/crates/chain/src/membership.rs
+++ b/crates/chain/src/membership.rs
@@ -23,6 +23,7 @@
         if view.number > self.view.number {
             self.view = view;
             self.enter_view(Entry::Fresh, now);
+            self.progress(now);
         }
         self.take_effects()
     }
@@ -44,6 +45,7 @@
     }
 
     fn forget_last_view(&mut self) {
+        self.effects.retain(|effect| !matches!(effect, Effect::Send(..)));
         self.barrier = 0;
         self.leadership = Leadership::default();
         self.successor = None;
@@ -79,7 +81,6 @@
         self.successor = successor.map(|disk| Follower::new(disk, self.verified, now));
         self.ask_resend(self.log.last(), now);
         self.probe_successor(now);
-        self.progress(now);
     }
 
     /// Drops entries above `index`, in memory at once and on the disk by an effect.
--- a/crates/chain/src/progress.rs
+++ b/crates/chain/src/progress.rs
@@ -41,7 +41,7 @@
             self.progress_as_head(now);
         } else {
             self.advance_commit(self.told_committed.min(self.own_synced()));
-            self.acknowledge(false);
+            self.acknowledge();
         }
     }
 
@@ -111,11 +111,11 @@
         }
     }
 
-    /// Acknowledges to the predecessor what is new; everything where `repeat` is set.
-    pub(crate) fn acknowledge(&mut self, repeat: bool) {
+    /// Acknowledges to the predecessor what was not acknowledged yet.
+    fn acknowledge(&mut self) {
         let Some(predecessor) = self.predecessor().filter(|_| self.aligned) else { return };
         let news = Acknowledged { synced: self.replicated(), barrier: self.barrier_passed() };
-        if !repeat && self.acknowledged == Some(news) {
+        if self.acknowledged == Some(news) {
             return;
         }
         self.acknowledged = Some(news);
--- a/crates/chain/src/receive.rs
+++ b/crates/chain/src/receive.rs
@@ -76,13 +76,16 @@
         }
         self.aligned = true;
         let is_probe = append.entries.is_empty();
+        if is_probe {
+            // It asks for an acknowledgement, whether there is news or not.
+            self.acknowledged = None;
+        }
         self.take_entries(append.entries);
         self.take_barrier(append.barrier);
         self.progress(now);
         self.feed_successor(now);
         if is_probe {
             self.relay_committed(now);
-            self.acknowledge(true);
         }
     }
 
--- a/crates/chain/src/timer.rs
+++ b/crates/chain/src/timer.rs
@@ -36,6 +36,7 @@
         if !self.aligned {
             self.ask_resend(self.log.last(), now);
         }
+        self.progress(now);
         self.send_pieces(now);
         self.feed_successor(now);
         self.tick_successor(now);
--- /dev/null
+++ b/crates/chain/tests/common/mod.rs
@@ -0,0 +1,156 @@
+//! Helpers of the scripted tests.
+
+#![allow(dead_code, reason = "each test file uses some of the helpers")]
+
+use lupinrack_chain::{Chain, Effect, Standing, Stored};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::operation::{LogEntry, Operation};
+use lupinrack_cluster_api::time::{Millis, WallMillis};
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::ChainMessage;
+use std::collections::VecDeque;
+
+pub const START: Millis = Millis(1000);
+
+pub fn operation(number: u64) -> Operation {
+    Operation::ForgetJobs { ended_before: WallMillis(number) }
+}
+
+pub fn entry(index: u64, number: u64) -> LogEntry {
+    LogEntry { index, operation: operation(number) }
+}
+
+/// A view whose chain has these disks.
+pub fn view(number: u64, chain: &[u64]) -> View {
+    View { number, voters: Vec::new(), chain: chain.iter().map(|disk| DiskId(*disk)).collect() }
+}
+
+pub fn stored(entries: Vec<LogEntry>, view: View, standing: Standing) -> Stored {
+    Stored { snapshot_index: 0, entries, view, standing }
+}
+
+pub fn append(
+    view: u64,
+    previous: u64,
+    entries: Vec<LogEntry>,
+    committed: u64,
+    barrier: u64,
+) -> ChainMessage {
+    ChainMessage::Append { view, previous, entries, committed, barrier }
+}
+
+pub fn acknowledge(view: u64, synced: u64, barrier: u64) -> ChainMessage {
+    ChainMessage::Acknowledge { view, synced, barrier }
+}
+
+/// The messages among the effects.
+pub fn messages(effects: &[Effect]) -> Vec<(DiskId, ChainMessage)> {
+    let message = |effect: &Effect| match effect {
+        Effect::Send(to, message) => Some((*to, message.clone())),
+        _ => None,
+    };
+    effects.iter().filter_map(message).collect()
+}
+
+/// The effects that are no messages.
+pub fn orders(effects: &[Effect]) -> Vec<Effect> {
+    effects.iter().filter(|effect| !matches!(effect, Effect::Send(..))).cloned().collect()
+}
+
+/// Replicas whose writes and messages are done at once, in order.
+pub struct Cluster {
+    pub chains: Vec<Chain>,
+    pub now: Millis,
+    /// Disks whose writes are not done.
+    pub stalled: Vec<DiskId>,
+    /// What happened, but for messages and writes.
+    pub seen: Vec<(DiskId, Effect)>,
+    queue: VecDeque<(usize, Effect)>,
+}
+
+impl Cluster {
+    /// Fresh disks with the numbers from 1.
+    pub fn new(disks: u64, minimum_length: usize) -> Cluster {
+        let chain = |disk| Chain::new(DiskId(disk), minimum_length, Stored::default());
+        Cluster {
+            chains: (1..=disks).map(chain).collect(),
+            now: START,
+            stalled: Vec::new(),
+            seen: Vec::new(),
+            queue: VecDeque::new(),
+        }
+    }
+
+    pub fn chain(&mut self, disk: u64) -> &mut Chain {
+        &mut self.chains[disk as usize - 1]
+    }
+
+    pub fn adopt(&mut self, view: View) {
+        for disk in 0..self.chains.len() {
+            let effects = self.chains[disk].new_view(view.clone(), self.now);
+            self.run(disk, effects);
+        }
+    }
+
+    pub fn submit(&mut self, disk: u64, number: u64) -> Option<u64> {
+        let now = self.now;
+        let (index, effects) = self.chain(disk).submit(operation(number), now)?;
+        self.run(disk as usize - 1, effects);
+        Some(index)
+    }
+
+    pub fn barrier(&mut self, disk: u64) -> Option<u64> {
+        let now = self.now;
+        let (number, effects) = self.chain(disk).start_barrier(now)?;
+        self.run(disk as usize - 1, effects);
+        Some(number)
+    }
+
+    /// Lets time pass, in ticks of 50 ms.
+    pub fn pass(&mut self, milliseconds: u64) {
+        let end = self.now.plus(milliseconds);
+        while self.now < end {
+            self.now = self.now.plus(50);
+            for disk in 0..self.chains.len() {
+                let effects = self.chains[disk].tick(self.now);
+                self.run(disk, effects);
+            }
+        }
+    }
+
+    pub fn run(&mut self, disk: usize, effects: Vec<Effect>) {
+        self.queue.extend(effects.into_iter().map(|effect| (disk, effect)));
+        while let Some((disk, effect)) = self.queue.pop_front() {
+            self.carry_out(disk, effect);
+        }
+    }
+
+    fn carry_out(&mut self, disk: usize, effect: Effect) {
+        let (id, now) = (DiskId(disk as u64 + 1), self.now);
+        let is_stalled = self.stalled.contains(&id);
+        let chain = &mut self.chains[disk];
+        let (at, effects) = match effect {
+            Effect::Send(to, message) => {
+                let to = to.0 as usize - 1;
+                (to, self.chains[to].receive(id, message, now))
+            }
+            Effect::Commit(_) | Effect::Barrier(_) => {
+                self.seen.push((id, effect));
+                (disk, Vec::new())
+            }
+            _ if is_stalled => (disk, Vec::new()),
+            Effect::Append(entries) => (disk, chain.written(entries[entries.len() - 1].index, now)),
+            Effect::TruncateAfter(index) => (disk, chain.truncated(index, now)),
+            Effect::StoreStanding(_) => (disk, chain.standing_stored(now)),
+            Effect::Install { index, .. } => {
+                self.seen.push((id, effect));
+                (disk, chain.installed(index, now))
+            }
+            Effect::NeedSnapshot => {
+                let committed = chain.committed();
+                (disk, chain.provide_snapshot(committed, vec![7; 600 * 1024], now))
+            }
+        };
+        self.queue.extend(effects.into_iter().map(|effect| (at, effect)));
+    }
+}
--- /dev/null
+++ b/crates/chain/tests/joining.rs
@@ -0,0 +1,167 @@
+//! Spares: how they join, catch up and become members.
+
+mod common;
+
+use common::{append, entry, messages, orders, stored, view, Cluster, START};
+use lupinrack_chain::limits::{CAUGHT_UP_MS, JOINER_SILENT_MS, RETAINED_ENTRIES, SNAPSHOT_PIECE_BYTES};
+use lupinrack_chain::{Chain, Effect, Standing, Stored};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::wire::ChainMessage;
+
+fn join(view: u64, disk: u64, have: u64) -> ChainMessage {
+    ChainMessage::Join { view, disk: DiskId(disk), have: Some(have) }
+}
+
+#[test]
+fn a_spare_truncates_before_it_joins() {
+    let kept = stored(vec![entry(1, 1), entry(2, 2)], view(1, &[1, 2]), Standing::Complete);
+    let mut spare = Chain::new(DiskId(2), 1, kept);
+    spare.receive(DiskId(1), append(1, 1, vec![], 1, 0), START);
+    let effects = spare.new_view(view(2, &[1]), START);
+    assert_eq!(orders(&effects), [Effect::TruncateAfter(1), Effect::StoreStanding(Standing::Joining)]);
+    assert_eq!(spare.tick(START), []);
+    assert_eq!(spare.truncated(1, START), []);
+    assert_eq!(spare.tick(START), []);
+    spare.standing_stored(START);
+    assert_eq!(spare.tick(START), [Effect::Send(DiskId(1), join(2, 2, 1))]);
+}
+
+#[test]
+fn a_spare_catches_up_and_applies_what_is_committed() {
+    let mut cluster = Cluster::new(3, 2);
+    cluster.adopt(view(1, &[1, 2]));
+    for number in 1..=5 {
+        cluster.submit(1, number);
+    }
+    cluster.pass(500);
+    let now = cluster.now;
+    assert_eq!(cluster.chain(3).committed(), 5);
+    assert!(cluster.chain(3).caught_up(now));
+    assert!(!cluster.chain(3).is_member() && !cluster.chain(3).is_complete());
+    assert!(!cluster.chain(3).caught_up(now.plus(CAUGHT_UP_MS + 200)));
+    assert!(!cluster.chain(2).caught_up(now), "a member");
+}
+
+#[test]
+fn a_spare_whose_disk_hangs_has_not_caught_up() {
+    let mut cluster = Cluster::new(3, 2);
+    cluster.adopt(view(1, &[1, 2]));
+    cluster.pass(500);
+    cluster.stalled = vec![DiskId(3)];
+    cluster.submit(1, 1);
+    cluster.pass(500);
+    let now = cluster.now;
+    assert!(!cluster.chain(3).caught_up(now));
+    assert_eq!(cluster.chain(3).committed(), 0);
+}
+
+#[test]
+fn a_tail_streams_committed_entries_only() {
+    let mut tail = Chain::new(DiskId(2), 2, Stored::default());
+    tail.new_view(view(1, &[1, 2]), START);
+    tail.receive(DiskId(1), append(1, 0, vec![entry(1, 1), entry(2, 2)], 0, 0), START);
+    tail.written(2, START);
+    tail.receive(DiskId(1), append(1, 2, vec![], 1, 0), START);
+    let effects = tail.receive(DiskId(3), join(1, 3, 0), START);
+    let sent = messages(&effects);
+    assert_eq!(sent.last(), Some(&(DiskId(3), append(1, 0, vec![entry(1, 1)], 1, 0))));
+}
+
+#[test]
+fn a_tail_forgets_a_silent_spare() {
+    let mut tail = Chain::new(DiskId(2), 2, Stored::default());
+    tail.new_view(view(1, &[1, 2]), START);
+    tail.receive(DiskId(1), append(1, 0, vec![entry(1, 1)], 0, 0), START);
+    tail.receive(DiskId(3), join(1, 3, 0), START);
+    tail.written(1, START);
+    tail.receive(DiskId(1), append(1, 1, vec![], 1, 0), START);
+    let to_spare = |effects: &[Effect]| messages(effects).iter().any(|(to, _)| *to == DiskId(3));
+    assert!(!to_spare(&tail.tick(START.plus(JOINER_SILENT_MS + 1))));
+    tail.receive(DiskId(3), join(1, 3, 0), START.plus(JOINER_SILENT_MS + 2));
+    assert!(to_spare(&tail.receive(DiskId(3), join(1, 3, 0), START.plus(JOINER_SILENT_MS + 2))));
+}
+
+#[test]
+fn a_spare_that_becomes_the_tail_is_complete_only_once_it_has_everything() {
+    let mut cluster = Cluster::new(2, 1);
+    cluster.adopt(view(1, &[1]));
+    for number in 1..=5 {
+        cluster.submit(1, number);
+    }
+    cluster.pass(500);
+    cluster.stalled = vec![DiskId(2)];
+    cluster.submit(1, 6);
+    cluster.adopt(view(2, &[1, 2]));
+    cluster.pass(500);
+    assert!(!cluster.chain(2).is_complete());
+    assert!(!cluster.chain(1).ready());
+}
+
+#[test]
+fn a_spare_that_becomes_the_tail_completes_and_the_chain_goes_on() {
+    let mut cluster = Cluster::new(2, 1);
+    cluster.adopt(view(1, &[1]));
+    for number in 1..=5 {
+        cluster.submit(1, number);
+    }
+    cluster.pass(500);
+    cluster.adopt(view(2, &[1, 2]));
+    assert!(cluster.chain(1).ready());
+    assert!(cluster.chain(2).is_complete());
+    assert_eq!(cluster.submit(1, 6), Some(6));
+    cluster.pass(100);
+    assert_eq!(cluster.chain(2).committed(), 6);
+}
+
+#[test]
+fn a_spare_that_is_far_behind_gets_a_snapshot_in_pieces() {
+    let mut cluster = Cluster::new(2, 1);
+    cluster.adopt(view(1, &[1]));
+    cluster.stalled = vec![DiskId(2)];
+    for number in 1..=RETAINED_ENTRIES + 10 {
+        cluster.submit(1, number);
+    }
+    cluster.chain(1).compacted(RETAINED_ENTRIES + 10);
+    assert_eq!(cluster.chain(1).entry(10), None);
+    assert!(cluster.chain(1).entry(11).is_some());
+    cluster.stalled.clear();
+    let effects = cluster.chain(2).standing_stored(START);
+    cluster.run(1, effects);
+    cluster.pass(1000);
+    let installs = cluster.seen.iter().filter(|(_, effect)| matches!(effect, Effect::Install { .. }));
+    assert_eq!(installs.count(), 1);
+    assert_eq!(cluster.chain(2).committed(), RETAINED_ENTRIES + 10);
+    let now = cluster.now;
+    assert!(cluster.chain(2).caught_up(now));
+}
+
+#[test]
+fn pieces_have_their_size_and_a_missing_one_spoils_the_snapshot() {
+    let mut tail = Chain::new(DiskId(1), 1, Stored { snapshot_index: 5, ..Stored::default() });
+    tail.new_view(view(1, &[1]), START);
+    let effects = tail.receive(DiskId(2), join(1, 2, 0), START);
+    assert!(orders(&effects).contains(&Effect::NeedSnapshot));
+    let bytes: Vec<u8> = (0..2 * SNAPSHOT_PIECE_BYTES + 1).map(|at| at as u8).collect();
+    let pieces = messages(&tail.provide_snapshot(5, bytes.clone(), START));
+    assert_eq!(pieces.len(), 3);
+    let spare = || {
+        let mut spare = Chain::new(DiskId(2), 1, Stored::default());
+        spare.new_view(view(1, &[1]), START);
+        spare
+    };
+    let feed = |spare: &mut Chain, numbers: &[usize]| -> Vec<Effect> {
+        numbers.iter().flat_map(|at| spare.receive(DiskId(1), pieces[*at].1.clone(), START)).collect()
+    };
+    let whole = Effect::Install { index: 5, bytes };
+    assert_eq!(orders(&feed(&mut spare(), &[0, 1, 2])).last(), Some(&whole));
+    assert_eq!(orders(&feed(&mut spare(), &[0, 2])), []);
+    assert_eq!(orders(&feed(&mut spare(), &[0, 1, 0, 1, 2])), [whole]);
+}
+
+#[test]
+fn a_complete_member_takes_no_snapshot() {
+    let mut tail = Chain::new(DiskId(2), 1, Stored::default());
+    tail.new_view(view(1, &[1, 2]), START);
+    let piece = ChainMessage::Snapshot { view: 1, index: 5, piece: 0, pieces: 1, bytes: vec![1] };
+    assert_eq!(tail.receive(DiskId(1), piece, START), []);
+}
--- /dev/null
+++ b/crates/chain/tests/support/mod.rs
@@ -0,0 +1,41 @@
+//! A world of simulated disks, processes and connections, played from a seed.
+
+pub mod checker;
+pub mod disk;
+pub mod network;
+pub mod node;
+pub mod policy;
+pub mod world;
+
+use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::time::WallMillis;
+
+/// An operation that can be told from all others.
+pub fn operation(number: u64) -> Operation {
+    Operation::ForgetJobs { ended_before: WallMillis(number) }
+}
+
+/// The state after one more operation.
+pub fn apply(state: u64, operation: &Operation) -> u64 {
+    let Operation::ForgetJobs { ended_before } = operation else { return state };
+    (state ^ ended_before.0).wrapping_mul(0x9e37_79b9_7f4a_7c15).rotate_left(29)
+}
+
+/// A mistake of the driver that the checker has to notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlantedFault {
+    /// None; the driver keeps to its contract.
+    None,
+    /// Writes are reported before they are synced.
+    AcknowledgeBeforeSync,
+    /// Truncations are reported, but not carried out.
+    NoTruncation,
+    /// Messages of other views are passed off as ones of the receiver's view.
+    AcceptOtherViews,
+    /// A restarted process has forgotten the view in which it acted.
+    ViewNotStored,
+    /// The standing is stored as complete, whatever it is.
+    AlwaysComplete,
+    /// Views are proposed whose head was not complete in the view before.
+    AnyHead,
+}
--- /dev/null
+++ b/crates/chain/tests/support/node.rs
@@ -0,0 +1,235 @@
+//! The driver of one replica: carries out its effects on the simulated disk and network.
+
+use super::checker::{Checker, Committer, Violation};
+use super::disk::{Disk, Snapshot, Write};
+use super::{apply, PlantedFault};
+use lupinrack_chain::{Chain, Effect};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::ChainMessage;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Bytes of a snapshot, so that it takes more than one piece.
+const SNAPSHOT_BYTES: usize = 300 * 1024;
+
+/// A message to be sent.
+#[derive(Debug)]
+pub struct Outgoing {
+    pub to: DiskId,
+    pub message: ChainMessage,
+}
+
+/// What a node asks of its world.
+#[derive(Debug, Default)]
+pub struct Requests {
+    pub outgoing: Vec<Outgoing>,
+}
+
+/// A machine: its disk, and its process while that runs.
+#[derive(Debug)]
+pub struct Node {
+    pub id: DiskId,
+    pub disk: Disk,
+    pub chain: Option<Chain>,
+    /// Counts processes, so that events for an earlier one are dropped.
+    pub life: u64,
+    pub applied: Snapshot,
+    pub disk_slow_until: u64,
+    minimum_length: usize,
+    fault: PlantedFault,
+    /// What was committed anywhere when a barrier of this head began.
+    barriers: BTreeMap<u64, u64>,
+}
+
+impl Node {
+    pub fn new(id: DiskId, minimum_length: usize, fault: PlantedFault) -> Node {
+        Node {
+            id,
+            disk: Disk::default(),
+            chain: None,
+            life: 0,
+            applied: Snapshot::default(),
+            disk_slow_until: 0,
+            minimum_length,
+            fault,
+            barriers: BTreeMap::new(),
+        }
+    }
+
+    pub fn start(&mut self) {
+        self.applied = self.disk.snapshot;
+        self.chain = Some(Chain::new(self.id, self.minimum_length, self.disk.stored()));
+    }
+
+    pub fn crash(&mut self, random: &mut fastrand::Rng) {
+        self.life += 1;
+        self.chain = None;
+        self.barriers.clear();
+        self.disk.lose_power(random, self.fault);
+    }
+
+    pub fn learn(&mut self, view: View, now: Millis, checker: &mut Checker) -> Requests {
+        let Some(chain) = self.chain.as_mut() else { return Requests::default() };
+        if chain.view().number >= view.number {
+            return Requests::default();
+        }
+        if self.fault != PlantedFault::ViewNotStored {
+            self.disk.view = view.clone();
+        }
+        self.barriers.clear();
+        let effects = chain.new_view(view, now);
+        self.carry_out(effects, now, checker)
+    }
+
+    pub fn receive(
+        &mut self,
+        from: DiskId,
+        mut message: ChainMessage,
+        now: Millis,
+        checker: &mut Checker,
+    ) -> Requests {
+        let Some(chain) = self.chain.as_mut() else { return Requests::default() };
+        if self.fault == PlantedFault::AcceptOtherViews {
+            renumber(&mut message, chain.view().number);
+        }
+        let effects = chain.receive(from, message, now);
+        self.carry_out(effects, now, checker)
+    }
+
+    pub fn tick(&mut self, now: Millis, checker: &mut Checker) -> Requests {
+        let Some(chain) = self.chain.as_mut() else { return Requests::default() };
+        let effects = chain.tick(now);
+        self.carry_out(effects, now, checker)
+    }
+
+    pub fn submit(&mut self, number: u64, now: Millis, checker: &mut Checker) -> Requests {
+        let submitted = self.chain.as_mut().and_then(|chain| chain.submit(super::operation(number), now));
+        let Some((_, effects)) = submitted else { return Requests::default() };
+        self.carry_out(effects, now, checker)
+    }
+
+    pub fn start_barrier(&mut self, now: Millis, checker: &mut Checker) -> Requests {
+        let started = self.chain.as_mut().and_then(|chain| chain.start_barrier(now));
+        let Some((number, effects)) = started else { return Requests::default() };
+        self.barriers.insert(number, checker.committed());
+        self.carry_out(effects, now, checker)
+    }
+
+    /// The oldest write of the disk is done.
+    pub fn synced(&mut self, now: Millis, checker: &mut Checker) -> Requests {
+        let write = self.disk.sync_next(self.fault);
+        let (Some(write), Some(chain)) = (write, self.chain.as_mut()) else { return Requests::default() };
+        let effects = match write {
+            Write::Append(entries) => {
+                let last = entries.last().map_or(0, |entry| entry.index);
+                chain.written(last, now)
+            }
+            Write::Truncate(index) => chain.truncated(index, now),
+            Write::Install(snapshot) => chain.installed(snapshot.index, now),
+            Write::Standing(_) => chain.standing_stored(now),
+        };
+        self.carry_out(effects, now, checker)
+    }
+
+    /// Makes a snapshot of the applied state; only while no write is under way.
+    pub fn compact(&mut self) {
+        let Some(chain) = self.chain.as_mut() else { return };
+        if self.disk.is_idle() {
+            self.disk.compact(self.applied);
+            chain.compacted(self.applied.index);
+        }
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>, now: Millis, checker: &mut Checker) -> Requests {
+        let mut requests = Requests::default();
+        let mut queue = VecDeque::from(effects);
+        while let Some(effect) = queue.pop_front() {
+            let more = self.carry_out_one(effect, now, checker, &mut requests);
+            queue.extend(more);
+        }
+        requests
+    }
+
+    fn carry_out_one(
+        &mut self,
+        effect: Effect,
+        now: Millis,
+        checker: &mut Checker,
+        requests: &mut Requests,
+    ) -> Vec<Effect> {
+        let Some(chain) = self.chain.as_mut() else { return Vec::new() };
+        match effect {
+            Effect::Send(to, message) => requests.outgoing.push(Outgoing { to, message }),
+            Effect::Append(entries) => {
+                let last = entries.last().map_or(0, |entry| entry.index);
+                self.disk.order(Write::Append(entries));
+                if self.fault == PlantedFault::AcknowledgeBeforeSync {
+                    return chain.written(last, now);
+                }
+            }
+            Effect::TruncateAfter(index) => {
+                self.disk.order(Write::Truncate(index));
+            }
+            Effect::StoreStanding(standing) => {
+                self.disk.order(Write::Standing(standing));
+            }
+            Effect::Install { index, bytes } => {
+                self.install(index, &bytes, checker);
+            }
+            Effect::Commit(index) => self.apply_through(index, checker),
+            Effect::Barrier(number) => {
+                let committed = chain.committed();
+                let expected = self.barriers.remove(&number).unwrap_or(u64::MAX);
+                checker.barrier(self.id, committed, expected);
+            }
+            Effect::NeedSnapshot => {
+                let mut bytes = vec![0; SNAPSHOT_BYTES];
+                bytes[..8].copy_from_slice(&self.applied.state.to_le_bytes());
+                return chain.provide_snapshot(self.applied.index, bytes, now);
+            }
+        }
+        Vec::new()
+    }
+
+    fn install(&mut self, index: u64, bytes: &[u8], checker: &mut Checker) {
+        let mut state = [0; 8];
+        state.copy_from_slice(&bytes[..8]);
+        let snapshot = Snapshot { index, state: u64::from_le_bytes(state) };
+        checker.loaded(self.id, index, snapshot.state);
+        self.applied = snapshot;
+        self.disk.order(Write::Install(snapshot));
+    }
+
+    fn apply_through(&mut self, index: u64, checker: &mut Checker) {
+        let Some(chain) = self.chain.as_ref() else { return };
+        let view = chain.view();
+        let by = Committer {
+            disk: self.id,
+            view: view.number,
+            is_head: chain.is_head(),
+            chain_is_long_enough: view.chain.len() >= self.minimum_length,
+        };
+        while self.applied.index < index {
+            let next = self.applied.index + 1;
+            let Some(entry) = chain.entry(next) else {
+                checker.report(Violation::MissingEntry { disk: self.id, index: next });
+                return;
+            };
+            checker.applied(by, next, &entry.operation);
+            self.applied = Snapshot { index: next, state: apply(self.applied.state, &entry.operation) };
+        }
+    }
+}
+
+/// Passes a message of another view off as one of this view.
+fn renumber(message: &mut ChainMessage, newest: u64) {
+    match message {
+        ChainMessage::Append { view, .. }
+        | ChainMessage::Acknowledge { view, .. }
+        | ChainMessage::Resend { view, .. }
+        | ChainMessage::Snapshot { view, .. }
+        | ChainMessage::Join { view, .. } => *view = newest,
+        ChainMessage::Outdated { .. } => {}
+    }
+}
--- /dev/null
+++ b/crates/chain/tests/support/world.rs
@@ -0,0 +1,489 @@
+//! The history of one seed: load, trouble and views, then calm.
+
+use super::checker::{Checker, Violation};
+use super::network::{Network, Packet};
+use super::node::{Node, Requests};
+use super::policy::Claims;
+use super::PlantedFault;
+use lupinrack_chain::Standing;
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::ChainMessage;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const TICK_MS: u64 = 50;
+const TROUBLE_MS: u64 = 12_000;
+const CALM_MS: u64 = 8_000;
+
+/// Something that happens.
+#[derive(Debug)]
+enum Event {
+    /// A packet arrives, if the receiver's process is still the one that it was sent to.
+    Arrive {
+        packet: Packet,
+        life: u64,
+    },
+    /// A disk has synced its oldest writes.
+    Synced {
+        node: usize,
+        life: u64,
+        writes: usize,
+    },
+    Tick {
+        node: usize,
+        life: u64,
+    },
+    /// A process hears of a view.
+    Learn {
+        node: usize,
+        view: View,
+    },
+    Start {
+        node: usize,
+        life: u64,
+    },
+    /// The next order, fault or proposal.
+    Act,
+}
+
+/// How a history went.
+#[derive(Debug, Default)]
+pub struct Summary {
+    pub committed: u64,
+    pub views: u64,
+    pub barriers: u64,
+    pub wipes: u64,
+    pub snapshots: u64,
+    pub violation: Option<Violation>,
+}
+
+/// The world of one seed.
+pub struct World {
+    random: fastrand::Rng,
+    fault: PlantedFault,
+    now: u64,
+    sequence: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    nodes: Vec<Node>,
+    network: Network,
+    claims: Claims,
+    checker: Checker,
+    /// All views that were agreed, by number from 1.
+    views: Vec<View>,
+    minimum_length: usize,
+    next_disk: u64,
+    next_operation: u64,
+    calm: bool,
+    proposed_at: u64,
+    summary: Summary,
+}
+
+impl World {
+    pub fn new(seed: u64, fault: PlantedFault) -> World {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let count = random.usize(3..=9);
+        let losses = random.usize(0..=(count - 1) / 2);
+        let minimum_length = losses + 1;
+        let disks: Vec<DiskId> = (1..=count as u64).map(DiskId).collect();
+        let founding = View { number: 1, voters: Vec::new(), chain: disks[..count / 2 + 1].to_vec() };
+        let mut world = World {
+            random,
+            fault,
+            now: 0,
+            sequence: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            nodes: disks.iter().map(|disk| Node::new(*disk, minimum_length, fault)).collect(),
+            network: Network::default(),
+            claims: Claims::default(),
+            checker: Checker::new(),
+            views: vec![founding],
+            minimum_length,
+            next_disk: count as u64 + 1,
+            next_operation: 1,
+            calm: false,
+            proposed_at: 0,
+            summary: Summary::default(),
+        };
+        for node in 0..count {
+            world.start(node);
+        }
+        world.schedule(20, Event::Act);
+        world
+    }
+
+    /// Plays the history; ends early at the first violation.
+    pub fn run(mut self) -> Summary {
+        self.run_until(TROUBLE_MS);
+        self.become_calm();
+        self.run_until(TROUBLE_MS + CALM_MS);
+        self.check_end();
+        self.summary.committed = self.checker.committed();
+        self.summary.views = self.newest().number;
+        self.summary.violation = self.checker.violation().cloned();
+        self.summary
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.checker.violation().is_none() {
+            let Some(Reverse((at, key))) = self.queue.peek().copied() else { return };
+            if at > end {
+                self.now = end;
+                return;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&key) {
+                self.happen(event);
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((at, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn newest(&self) -> &View {
+        &self.views[self.views.len() - 1]
+    }
+
+    fn moment(&self) -> Millis {
+        Millis(self.now)
+    }
+
+    fn position(&self, disk: DiskId) -> Option<usize> {
+        self.nodes.iter().position(|node| node.id == disk)
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.moment();
+        match event {
+            Event::Arrive { packet, life } => self.arrive(packet, life),
+            Event::Synced { node, life, writes } if self.nodes[node].life == life => {
+                self.synced(node, writes)
+            }
+            Event::Tick { node, life } if self.nodes[node].life == life => self.tick(node),
+            Event::Learn { node, view } => {
+                let requests = self.nodes[node].learn(view, now, &mut self.checker);
+                self.serve(node, requests);
+            }
+            Event::Start { node, life } if self.nodes[node].life == life => self.start(node),
+            Event::Act => self.act(),
+            Event::Synced { .. } | Event::Tick { .. } | Event::Start { .. } => {}
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        self.nodes[node].start();
+        let life = self.nodes[node].life;
+        self.schedule(self.now + 1, Event::Tick { node, life });
+        self.announce(node);
+    }
+
+    /// A process hears of the newest view, sooner or later.
+    fn announce(&mut self, node: usize) {
+        let view = self.newest().clone();
+        let delay = if self.random.u8(..) < 40 { self.random.u64(0..2000) } else { self.random.u64(0..30) };
+        self.schedule(self.now + delay, Event::Learn { node, view });
+    }
+
+    fn arrive(&mut self, packet: Packet, life: u64) {
+        let Some(node) = self.position(packet.to) else { return };
+        if self.nodes[node].life != life || !self.network.arrives(&packet) {
+            return;
+        }
+        if let ChainMessage::Outdated { view } = &packet.message {
+            self.schedule(self.now + 1, Event::Learn { node, view: view.clone() });
+        }
+        let now = self.moment();
+        let requests = self.nodes[node].receive(packet.from, packet.message, now, &mut self.checker);
+        self.serve(node, requests);
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = self.moment();
+        let requests = self.nodes[node].tick(now, &mut self.checker);
+        self.serve(node, requests);
+        self.note_claims(node);
+        let life = self.nodes[node].life;
+        self.schedule(self.now + TICK_MS, Event::Tick { node, life });
+    }
+
+    fn note_claims(&mut self, node: usize) {
+        let newest = self.newest().number;
+        let Some(chain) = self.nodes[node].chain.as_ref().filter(|chain| chain.view().number == newest)
+        else {
+            return;
+        };
+        if chain.is_complete() {
+            self.claims.complete(newest, self.nodes[node].id);
+        }
+        if chain.caught_up(Millis(self.now)) {
+            self.claims.caught_up(newest, self.nodes[node].id);
+        }
+    }
+
+    /// Sends what a node wants sent, and lets its disk work.
+    fn serve(&mut self, node: usize, requests: Requests) {
+        let from = self.nodes[node].id;
+        self.start_sync(node);
+        for outgoing in requests.outgoing {
+            self.summary.snapshots += u64::from(matches!(outgoing.message, ChainMessage::Snapshot { .. }));
+            let Some(to) = self.position(outgoing.to).filter(|to| self.nodes[*to].chain.is_some()) else {
+                continue;
+            };
+            let life = self.nodes[to].life;
+            let arrivals = self.network.send(from, outgoing.to, outgoing.message, self.now, &mut self.random);
+            for arrival in arrivals {
+                self.schedule(arrival.at, Event::Arrive { packet: arrival.packet, life });
+            }
+        }
+    }
+
+    /// One sync at a time covers all writes that were ordered before it.
+    fn start_sync(&mut self, node: usize) {
+        let writes = self.nodes[node].disk.start_sync();
+        if writes == 0 {
+            return;
+        }
+        let slow = self.nodes[node].disk_slow_until > self.now;
+        let span = if slow { self.random.u64(100..900) } else { self.random.u64(1..12) };
+        let life = self.nodes[node].life;
+        self.schedule(self.now + span, Event::Synced { node, life, writes });
+    }
+
+    fn synced(&mut self, node: usize, writes: usize) {
+        for _ in 0..writes {
+            let now = self.moment();
+            let requests = self.nodes[node].synced(now, &mut self.checker);
+            self.serve(node, requests);
+        }
+        self.nodes[node].disk.end_sync();
+        self.start_sync(node);
+    }
+
+    fn act(&mut self) {
+        let next = self.now + self.random.u64(1..20);
+        self.schedule(next, Event::Act);
+        match self.random.u32(0..1000) {
+            0..400 => self.submit(),
+            400..600 => self.start_barriers(),
+            600..680 => self.compact(),
+            680..760 if !self.calm => self.reconnect(),
+            760..785 if !self.calm => self.cut(),
+            785..800 if !self.calm => self.slow_disk(),
+            800..815 if !self.calm => self.crash_one(),
+            815..830 if !self.calm => self.crash_head(),
+            830..834 if !self.calm => self.crash_all(),
+            834..842 if !self.calm => self.wipe(),
+            842..900 if !self.calm => self.propose_any(),
+            900..1000 if self.calm => self.propose_in_calm(),
+            _ => {}
+        }
+    }
+
+    fn submit(&mut self) {
+        let now = self.moment();
+        for node in 0..self.nodes.len() {
+            for _ in 0..self.random.u64(1..6) {
+                self.next_operation += 1;
+                let requests = self.nodes[node].submit(self.next_operation, now, &mut self.checker);
+                self.serve(node, requests);
+            }
+        }
+    }
+
+    fn start_barriers(&mut self) {
+        let now = self.moment();
+        for node in 0..self.nodes.len() {
+            let requests = self.nodes[node].start_barrier(now, &mut self.checker);
+            self.summary.barriers += u64::from(!requests.outgoing.is_empty());
+            self.serve(node, requests);
+        }
+    }
+
+    fn any_node(&mut self) -> usize {
+        self.random.usize(0..self.nodes.len())
+    }
+
+    fn compact(&mut self) {
+        let node = self.any_node();
+        self.nodes[node].compact();
+    }
+
+    fn any_pair(&mut self) -> (DiskId, DiskId) {
+        let (one, other) = (self.any_node(), self.any_node());
+        (self.nodes[one].id, self.nodes[other].id)
+    }
+
+    fn reconnect(&mut self) {
+        let (from, to) = self.any_pair();
+        self.network.reconnect(from, to, &mut self.random);
+    }
+
+    /// Cuts one machine off from some others.
+    fn cut(&mut self) {
+        let node = self.any_node();
+        let until = self.now + self.random.u64(50..2500);
+        let me = self.nodes[node].id;
+        let others: Vec<DiskId> = self.nodes.iter().map(|node| node.id).filter(|id| *id != me).collect();
+        for other in others {
+            if self.random.u8(..) < 180 {
+                self.network.cut(me, other, until, &mut self.random);
+                self.network.cut(other, me, until, &mut self.random);
+            }
+        }
+    }
+
+    fn slow_disk(&mut self) {
+        let node = self.any_node();
+        self.nodes[node].disk_slow_until = self.now + self.random.u64(100..3000);
+    }
+
+    fn crash(&mut self, node: usize) {
+        if self.nodes[node].chain.is_none() {
+            return;
+        }
+        self.nodes[node].crash(&mut self.random);
+        let life = self.nodes[node].life;
+        let back = self.now + self.random.u64(1..1500);
+        self.schedule(back, Event::Start { node, life });
+    }
+
+    fn crash_one(&mut self) {
+        let node = self.any_node();
+        self.crash(node);
+    }
+
+    /// Crashes the newest head just after it has sent entries on, and before they are synced.
+    fn crash_head(&mut self) {
+        self.submit();
+        let head = self.newest().head().and_then(|disk| self.position(disk));
+        if let Some(head) = head {
+            self.crash(head);
+        }
+    }
+
+    fn crash_all(&mut self) {
+        for node in 0..self.nodes.len() {
+            self.crash(node);
+        }
+    }
+
+    /// Loses as many disks as are to be borne, at times while all others lose power.
+    fn wipe(&mut self) {
+        let mut victims: Vec<usize> = (0..self.nodes.len()).collect();
+        self.random.shuffle(&mut victims);
+        victims.truncate(self.minimum_length - 1);
+        if victims.is_empty() || !self.survives(&victims) {
+            return;
+        }
+        for victim in victims {
+            self.summary.wipes += 1;
+            let life = self.nodes[victim].life + 1;
+            let id = DiskId(self.next_disk);
+            self.next_disk += 1;
+            self.nodes[victim] = Node::new(id, self.minimum_length, self.fault);
+            self.nodes[victim].life = life;
+            let back = self.now + self.random.u64(1..800);
+            self.schedule(back, Event::Start { node: victim, life });
+        }
+        if self.random.u8(..) < 60 {
+            self.crash_all();
+        }
+    }
+
+    /// Whether a disk remains that may lead on from the newest view.
+    fn survives(&self, victims: &[usize]) -> bool {
+        let rest = (0..self.nodes.len()).filter(|node| !victims.contains(node));
+        rest.into_iter().any(|node| self.can_lead_on(&self.nodes[node]))
+    }
+
+    fn can_lead_on(&self, node: &Node) -> bool {
+        let known = node.disk.view.number.max(1) as usize;
+        let is_founder_or_complete = node.disk.standing() == Standing::Complete;
+        let always_member = self.views[known - 1..].iter().all(|view| view.position(node.id).is_some());
+        is_founder_or_complete && always_member
+    }
+
+    fn propose_any(&mut self) {
+        let keep = self.random.u8(100..=255);
+        let mut drawn = self.random.fork();
+        let drawn = std::cell::RefCell::new(&mut drawn);
+        let usable = |_: DiskId| drawn.borrow_mut().u8(..) <= keep;
+        let current = self.newest().clone();
+        let next = self.claims.next_view(&current, usable, &mut self.random, self.fault);
+        self.adopt(next);
+    }
+
+    /// In calm, a view is proposed where the chain stands still or is short.
+    fn propose_in_calm(&mut self) {
+        if self.now < self.proposed_at + 1000 {
+            return;
+        }
+        let current = self.newest().clone();
+        let head = current.head().and_then(|disk| self.position(disk));
+        let chain = head.and_then(|node| self.nodes[node].chain.as_ref());
+        let ready = chain.is_some_and(|chain| chain.ready());
+        if ready {
+            return;
+        }
+        let alive: Vec<DiskId> = self.nodes.iter().map(|node| node.id).collect();
+        let usable = |disk: DiskId| alive.contains(&disk);
+        let next = self.claims.next_view(&current, usable, &mut self.random, self.fault);
+        self.adopt(next);
+    }
+
+    /// A view is agreed, unless it would rest on lost disks alone, which is more than is to be borne.
+    fn adopt(&mut self, next: Option<View>) {
+        let Some(view) = next else { return };
+        self.views.push(view);
+        if self.fault != PlantedFault::AnyHead && !self.survives(&[]) {
+            self.views.pop();
+            return;
+        }
+        self.proposed_at = self.now;
+        for node in 0..self.nodes.len() {
+            self.announce(node);
+        }
+    }
+
+    /// Everything works from now on.
+    fn become_calm(&mut self) {
+        self.calm = true;
+        self.network.calm = true;
+        for node in 0..self.nodes.len() {
+            self.nodes[node].disk_slow_until = 0;
+            if self.nodes[node].chain.is_none() {
+                self.nodes[node].life += 1;
+                self.start(node);
+            } else {
+                self.announce(node);
+            }
+        }
+    }
+
+    fn check_end(&mut self) {
+        let view = self.newest().number;
+        let head = self.newest().head().and_then(|disk| self.position(disk));
+        let chain = head.and_then(|node| self.nodes[node].chain.as_ref());
+        let Some(chain) = chain.filter(|chain| chain.ready()) else {
+            self.checker.report(Violation::Stuck { view });
+            return;
+        };
+        let (committed, expected) = (chain.committed(), self.checker.committed());
+        if committed < expected {
+            self.checker.report(Violation::Lost { committed, expected });
+        }
+        // Every replica follows closely, members and spares.
+        let behind = self.nodes.iter().any(|node| node.applied.index + 1000 < expected);
+        if behind {
+            self.checker.report(Violation::Stuck { view });
+        }
+    }
+}
