--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -53,7 +53,7 @@
         if let Some(tags) = self.tags(server, &task) {
             return tags;
         }
-        let (weight, cost) = (valid_weight(weight), Units::new(cost));
+        let (weight, cost) = (valid_weight(weight), Units::of_cost(cost));
         let tags = self.next_tags(server, stream, weight, cost, now);
         let sequence = self.next_sequence;
         self.next_sequence += 1;
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -6,7 +6,8 @@
     /// The most tasks that run on one server at a time.
     pub depth: usize,
     /// The least share of one server that a backlogged stream keeps, as a part of its weight (`φmin / φ`), above 0 and
-    /// at most 1.
+    /// at most 1. Where a stream uses `n` servers evenly, a ratio of `1 / n` or less clips nothing and shares over all
+    /// servers follow the weights; a larger one binds and pulls the shares together.
     pub minimum_weight_ratio: f64,
     /// After how many milliseconds without a waiting task the record of a stream is dropped.
     pub stream_idle_ms: u64,
--- a/crates/dispatch/src/stream.rs
+++ b/crates/dispatch/src/stream.rs
@@ -15,7 +15,7 @@
     total_then: Units,
     /// How many of its tasks wait here.
     waiting: usize,
-    /// When a task was last placed, released or withdrawn here.
+    /// When a task was last placed or released here.
     last_active: Millis,
 }
 
@@ -24,12 +24,14 @@
 pub(crate) struct Stream<Server> {
     /// Units placed on any server, without those withdrawn.
     total: Units,
+    /// When a task was last placed or released on any server.
+    last_active: Millis,
     servers: BTreeMap<Server, StreamOnServer>,
 }
 
 impl<Server> Default for Stream<Server> {
     fn default() -> Self {
-        Stream { total: Units::default(), servers: BTreeMap::new() }
+        Stream { total: Units::default(), last_active: Millis::default(), servers: BTreeMap::new() }
     }
 }
 
@@ -37,7 +39,7 @@
     /// Drops what has been idle for `idle_ms`; tells whether nothing is left.
     pub(crate) fn drop_idle(&mut self, now: Millis, idle_ms: u64) -> bool {
         self.servers.retain(|_, entry| entry.waiting > 0 || now.since(entry.last_active) < idle_ms);
-        self.servers.is_empty()
+        self.servers.is_empty() && now.since(self.last_active) >= idle_ms
     }
 
     /// `F_prev` at this server; zero where the stream has none.
@@ -54,6 +56,7 @@
 
     /// Notes a task placed on this server.
     pub(crate) fn placed(&mut self, server: &Server, sequence: u64, cost: Units, tags: Tags, now: Millis) {
+        self.last_active = now;
         self.total = self.total.plus(cost);
         let total = self.total;
         let entry = self.entry(server);
@@ -66,6 +69,7 @@
 
     /// Notes that a task has left the queue of this server to run there.
     pub(crate) fn released(&mut self, server: &Server, now: Millis) {
+        self.last_active = now;
         if let Some(entry) = self.servers.get_mut(server) {
             entry.waiting = entry.waiting.saturating_sub(1);
             entry.last_active = now;
--- a/crates/dispatch/src/tag.rs
+++ b/crates/dispatch/src/tag.rs
@@ -3,7 +3,9 @@
 /// Tags and units are kept in millionths, as integers, so that sums are exact and ties are real.
 const SCALE: f64 = 1_000_000.0;
 /// The least weight that is reckoned with.
-const LEAST_WEIGHT: f64 = 1e-6;
+const LEAST_WEIGHT: f64 = 1e-4;
+/// The largest cost that is reckoned with, in units; with the least weight it is far from the end of the tags.
+const LARGEST_COST: f64 = 1e6;
 /// The least `φmin / φ` that is reckoned with.
 const LEAST_RATIO: f64 = 1e-3;
 
@@ -25,9 +27,9 @@
 pub(crate) struct Units(u64);
 
 impl Units {
-    /// Negative numbers and those that are none count as zero.
-    pub(crate) fn new(units: f64) -> Self {
-        Units((units.max(0.0) * SCALE).round() as u64)
+    /// The cost of a task, bounded; the cast turns what is no number into zero.
+    pub(crate) fn of_cost(units: f64) -> Self {
+        Units((units.clamp(0.0, LARGEST_COST) * SCALE).round() as u64)
     }
 
     pub(crate) fn as_f64(self) -> f64 {
--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,36 @@
+//! Shorthand for the tests.
+#![allow(dead_code)]
+
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_dispatch::{DispatchSettings, Dispatcher, Tag};
+
+pub type TestDispatcher = Dispatcher<u8, char, u32>;
+
+pub const NOW: Millis = Millis(0);
+
+pub fn dispatcher() -> TestDispatcher {
+    Dispatcher::new(DispatchSettings::default())
+}
+
+/// A dispatcher with this depth and bound on passing.
+pub fn dispatcher_with(depth: usize, passes_most: u32) -> TestDispatcher {
+    Dispatcher::new(DispatchSettings { depth, passes_most, ..DispatchSettings::default() })
+}
+
+/// A tag at this many units per weight.
+pub fn tag(units: f64) -> Tag {
+    Tag((units * 1e6).round() as u64)
+}
+
+/// A generator of pseudo-random numbers (splitmix64), for choices that a test has to repeat.
+pub struct Choices(pub u64);
+
+impl Choices {
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut bits = self.0;
+        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (bits ^ (bits >> 31)) % bound
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/release.rs
@@ -0,0 +1,127 @@
+//! Which tasks leave a queue, and in which order.
+
+mod common;
+
+use common::{dispatcher, dispatcher_with, tag, TestDispatcher, NOW};
+
+/// One queue, tasks numbered in the order of their tags.
+fn filled(depth: usize, passes_most: u32, tasks: u32) -> TestDispatcher {
+    let mut dispatcher = dispatcher_with(depth, passes_most);
+    for task in 0..tasks {
+        dispatcher.place(&1, &'a', 0.5, 1.0, task, NOW);
+    }
+    dispatcher
+}
+
+#[test]
+fn tasks_leave_in_the_order_of_their_start_tags() {
+    let mut dispatcher = dispatcher();
+    for task in 0..3 {
+        dispatcher.place(&1, &'a', 0.2, 1.0, task, NOW);
+    }
+    for task in 10..13 {
+        dispatcher.place(&1, &'b', 0.8, 1.0, task, NOW);
+    }
+    // a starts at 0, 5, 10; b at 0, 1.25, 2.5; among equals, the one placed first.
+    assert_eq!(dispatcher.queued(&1).copied().collect::<Vec<_>>(), [0, 10, 11, 12, 1, 2]);
+    assert_eq!(dispatcher.release(&1, 0, NOW, |_| true), [0, 10, 11, 12, 1, 2]);
+    assert_eq!(dispatcher.queued(&1).count(), 0);
+}
+
+#[test]
+fn no_more_than_the_depth_runs() {
+    let mut dispatcher = filled(3, 64, 10);
+    assert_eq!(dispatcher.release(&1, 1, NOW, |_| true), [0, 1]);
+    assert!(dispatcher.release(&1, 3, NOW, |_| panic!("there is no room")).is_empty());
+    assert!(dispatcher.release(&1, 9, NOW, |_| panic!("there is no room")).is_empty());
+    assert_eq!(dispatcher.release(&1, 2, NOW, |_| true), [2]);
+}
+
+#[test]
+fn fits_may_reserve_capacity() {
+    let mut dispatcher = filled(8, 64, 10);
+    let mut free = 3;
+    let released = dispatcher.release(&1, 0, NOW, |_| {
+        let fits = free > 0;
+        free -= i32::from(fits);
+        fits
+    });
+    assert_eq!(released, [0, 1, 2]);
+    assert_eq!(free, 0);
+}
+
+#[test]
+fn tasks_that_fit_pass_those_that_do_not() {
+    let mut dispatcher = filled(8, 64, 6);
+    assert_eq!(dispatcher.release(&1, 5, NOW, |task| task % 2 == 1), [1, 3, 5]);
+    assert_eq!(dispatcher.queued(&1).copied().collect::<Vec<_>>(), [0, 2, 4]);
+}
+
+#[test]
+fn the_virtual_time_never_moves_back() {
+    let mut dispatcher = filled(8, 64, 3);
+    dispatcher.release(&1, 0, NOW, |task| *task == 2);
+    assert_eq!(dispatcher.virtual_time(&1), tag(4.0));
+    assert_eq!(dispatcher.release(&1, 0, NOW, |_| true), [0, 1]);
+    assert_eq!(dispatcher.virtual_time(&1), tag(4.0));
+}
+
+#[test]
+fn a_task_is_passed_a_bounded_number_of_times_within_one_release() {
+    let mut dispatcher = filled(8, 2, 6);
+    assert_eq!(dispatcher.release(&1, 0, NOW, |task| *task != 0), [1, 2]);
+    assert!(dispatcher.release(&1, 0, NOW, |task| *task != 0).is_empty());
+    assert_eq!(dispatcher.release(&1, 0, NOW, |_| true), [0, 3, 4, 5]);
+}
+
+#[test]
+fn a_task_is_passed_a_bounded_number_of_times_over_many_releases() {
+    let mut dispatcher = filled(1, 3, 6);
+    for expected in [1, 2, 3] {
+        assert_eq!(dispatcher.release(&1, 0, NOW, |task| *task != 0), [expected]);
+    }
+    assert!(dispatcher.release(&1, 0, NOW, |task| *task != 0).is_empty());
+    assert!(dispatcher.withdraw(&1, &0));
+    assert_eq!(dispatcher.release(&1, 0, NOW, |_| true), [4]);
+}
+
+#[test]
+fn without_passes_the_head_blocks_its_queue_and_no_other() {
+    let mut dispatcher = filled(8, 0, 3);
+    dispatcher.place(&2, &'a', 0.5, 1.0, 10, NOW);
+    assert!(dispatcher.release(&1, 0, NOW, |task| *task != 0).is_empty());
+    assert_eq!(dispatcher.release(&2, 0, NOW, |task| *task != 0), [10]);
+}
+
+#[test]
+fn the_strictest_bound_counts() {
+    let mut dispatcher = filled(8, 2, 6);
+    assert_eq!(dispatcher.release(&1, 7, NOW, |task| *task == 2), [2]);
+    // 0 and 1 were passed once each; 1 may go, then 0 may be passed no more.
+    assert_eq!(dispatcher.release(&1, 0, NOW, |task| *task != 0), [1]);
+    assert!(dispatcher.release(&1, 0, NOW, |task| *task != 0).is_empty());
+}
+
+#[test]
+fn a_server_that_leaves_gives_its_queue_back() {
+    let mut dispatcher = filled(8, 64, 3);
+    dispatcher.place(&1, &'b', 0.9, 1.0, 7, NOW);
+    dispatcher.release(&1, 7, NOW, |_| true);
+    assert_eq!(dispatcher.remove_server(&1), [7, 1, 2]);
+    assert!(dispatcher.remove_server(&1).is_empty());
+    assert_eq!(dispatcher.virtual_time(&1), tag(0.0));
+    assert!(!dispatcher.contains(&1, &1));
+    // Its waiting units are counted no longer (one unit was released); F_prev and v start from zero.
+    let elsewhere = dispatcher.place(&2, &'a', 0.5, 1.0, 1, NOW);
+    assert_eq!(elsewhere.start, tag(2.0));
+    assert_eq!(dispatcher.place(&1, &'b', 0.5, 1.0, 7, NOW).start, tag(0.0));
+}
+
+#[test]
+fn unknown_servers_are_empty() {
+    let mut dispatcher = dispatcher();
+    assert!(dispatcher.release(&1, 0, NOW, |_| true).is_empty());
+    assert_eq!(dispatcher.queued(&1).count(), 0);
+    assert!(!dispatcher.withdraw(&1, &1));
+    assert_eq!(dispatcher.virtual_time(&1), tag(0.0));
+}
