--- a/crates/control-store/src/error.rs
+++ b/crates/control-store/src/error.rs
@@ -43,14 +43,19 @@
 /// An error of `redb`, about this file.
 pub(crate) fn of_redb(file: &str, error: impl Into<redb::Error>) -> StoreError {
     match error.into() {
-        // `redb` says "invalid data" of a file that is not one of its own.
-        redb::Error::Io(error) if error.kind() == io::ErrorKind::InvalidData => damaged(file, error),
+        // `redb` says "invalid data" of a file that is not one of its own; a file may end before a page that it names.
+        redb::Error::Io(error) if is_of_contents(error.kind()) => damaged(file, error),
         redb::Error::Io(error) => error.into(),
         redb::Error::PreviousIo => StoreError::Closed,
         error => damaged(file, error),
     }
 }
 
+/// Whether an error is about what a file holds, not about the disk.
+fn is_of_contents(kind: io::ErrorKind) -> bool {
+    matches!(kind, io::ErrorKind::InvalidData | io::ErrorKind::UnexpectedEof)
+}
+
 /// This file is damaged.
 pub(crate) fn damaged(file: &str, reason: impl ToString) -> StoreError {
     StoreError::Damaged { file: file.to_owned(), reason: reason.to_string() }
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -16,6 +16,9 @@
 pub const DATA_FILE: &str = "data.redb";
 /// The name under which a file is made, before it has a commit.
 pub const NEW_FILE: &str = "data.redb.new";
+/// How much longer than it is a file may be by a header that was torn within the number of its pages: that number has
+/// less than three bytes and pages have 4 KiB, so the lower byte can be up to 255 pages off.
+const TORN_LENGTH_BYTES: u64 = 256 * 4096;
 /// Bytes that are rewritten at a time after an error.
 const REWRITE_BYTES: u64 = 64 * 1024;
 
@@ -185,13 +188,33 @@
 }
 
 fn open_existing(medium: &dyn Medium, settings: StoreSettings, length: u64) -> Result<Database, StoreError> {
-    let mut database = open_database(medium.open(DATA_FILE)?, settings)?;
+    let mut database = open_or_lengthen(medium, settings, length)?;
     if length > settings.compact_above_bytes {
         database.compact().map_err(|error| of_redb(DATA_FILE, error))?;
     }
     Ok(database)
 }
 
+/// Opens the file. `redb` refuses one that is shorter than its header says, which a header torn while the file was about
+/// to be shortened may do; a longer one it takes, and reckons its parts from its length.
+fn open_or_lengthen(
+    medium: &dyn Medium,
+    settings: StoreSettings,
+    length: u64,
+) -> Result<Database, StoreError> {
+    let open = || guarded(|| open_database(medium.open(DATA_FILE)?, settings));
+    let result = open();
+    if !matches!(result, Err(StoreError::Damaged { .. })) {
+        return result;
+    }
+    let file = GrowthSynced(medium.open(DATA_FILE)?);
+    file.set_len(length + TORN_LENGTH_BYTES)?;
+    open().or_else(|_| {
+        file.set_len(length)?;
+        result
+    })
+}
+
 /// Makes a database with one commit, and only then gives it its name.
 fn make(medium: &dyn Medium, settings: StoreSettings) -> Result<Database, StoreError> {
     if medium.length(NEW_FILE)?.is_some() {
