--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -98,8 +98,10 @@
     let founders = if settings.is_founder() { settings.seed_internal() } else { Vec::new() };
     let minimum_length = settings.tolerance.machines as usize + 1;
     let replica = Replica::load(recovered.snapshot_index, &recovered.snapshot)?;
+    let agreement = Agreement::new(me.clone(), life, vote, founders);
+    let founders = agreement.founders().to_vec();
     let mut process = CoreProcess {
-        agreement: Agreement::new(me.clone(), life, vote, founders.clone()),
+        agreement,
         policy: ViewPolicy::new(
             PolicySettings {
                 heartbeat_ms: HEARTBEAT_MS,
--- a/crates/control-store/src/rows.rs
+++ b/crates/control-store/src/rows.rs
@@ -21,7 +21,7 @@
 const DISK: Key = (1, 0);
 const VOTE: Key = (2, 0);
 const VIEW: Key = (3, 0);
-/// What the log is worth.
+/// What the log is worth in that view.
 const STANDING: Key = (8, 0);
 const SNAPSHOT: Key = (4, 0);
 /// The kind of the snapshot's pieces, by number from 0.
