Chain: a planted fault for views that are adopted before they are synced

Why: a process that sends under a view before the view is on its disk may come back under the older one, learn the view again, and number entries in it a second time. The contract of new_view says so; now the simulation has a driver that does it, and the checker notices.

--- a/crates/chain/tests/simulation.rs
+++ b/crates/chain/tests/simulation.rs
@@ -63,6 +63,11 @@
     assert!(is_caught(PlantedFault::ViewNotStored));
 }
 
+#[test]
+fn a_view_that_is_adopted_before_it_is_synced_is_caught() {
+    assert!(is_caught(PlantedFault::ViewStoredLate));
+}
+
 #[test]
 fn a_standing_that_is_not_kept_is_caught() {
     assert!(is_caught(PlantedFault::AlwaysComplete));
--- a/crates/chain/tests/support/disk.rs
+++ b/crates/chain/tests/support/disk.rs
@@ -20,6 +20,7 @@
     Truncate(u64),
     Install(Snapshot),
     Standing(Standing),
+    View(View),
 }
 
 /// A disk's contents and the writes under way.
@@ -78,6 +79,7 @@
     fn perform(&mut self, write: Write, fault: PlantedFault) {
         match write {
             Write::Append(entries) => self.log.extend(entries),
+            Write::View(view) => self.view = view,
             Write::Truncate(_) if fault == PlantedFault::NoTruncation => {}
             Write::Truncate(index) => self.log.retain(|entry| entry.index <= index),
             Write::Install(snapshot) => {
--- a/crates/chain/tests/support/mod.rs
+++ b/crates/chain/tests/support/mod.rs
@@ -35,6 +35,8 @@
     AcceptOtherViews,
     /// A restarted process has forgotten the view in which it acted.
     ViewNotStored,
+    /// A view is written, but adopted before it is synced.
+    ViewStoredLate,
     /// The standing is stored as complete, whatever it is.
     AlwaysComplete,
     /// Views are proposed whose head was not complete in the view before.
--- a/crates/chain/tests/support/node.rs
+++ b/crates/chain/tests/support/node.rs
@@ -74,8 +74,10 @@
         if chain.view().number >= view.number {
             return Requests::default();
         }
-        if self.fault != PlantedFault::ViewNotStored {
-            self.disk.view = view.clone();
+        match self.fault {
+            PlantedFault::ViewNotStored => {}
+            PlantedFault::ViewStoredLate => self.disk.order(Write::View(view.clone())),
+            _ => self.disk.view = view.clone(),
         }
         self.barriers.clear();
         let effects = chain.new_view(view, now);
@@ -128,6 +130,7 @@
             Write::Truncate(index) => chain.truncated(index, now),
             Write::Install(snapshot) => chain.installed(snapshot.index, now),
             Write::Standing(_) => chain.standing_stored(now),
+            Write::View(_) => Vec::new(),
         };
         self.carry_out(effects, now, checker)
     }
