Control store: make a new file's name last at every opening; give pages of a dropped log back

Found by a test: a process that died between the renaming of a new file and the sync of its folder left a name that a later loss of power could take back, with commits in the file. Every opening syncs the folder now. The seeded test mixes deaths of the process with losses of power.

Rows are removed one by one: retain_in keeps each version of a page until the commit. Ruled out: a table of its own for the log, which costs pages with every commit.

--- a/crates/control-store/src/rows.rs
+++ b/crates/control-store/src/rows.rs
@@ -125,8 +125,18 @@
         self.0.insert(key, bytes).map(drop).map_err(failed)
     }
 
+    /// Removes rows one by one, which gives their pages back at once; `retain_in` keeps each version of a page until
+    /// the commit, so that a long log would need many times its size.
     fn remove(&mut self, keys: RangeInclusive<Key>) -> Result<(), StoreError> {
-        self.0.retain_in(keys, |_, _| false).map_err(failed)
+        while let Some(key) = self.first(keys.clone())? {
+            self.0.remove(key).map_err(failed)?;
+        }
+        Ok(())
+    }
+
+    fn first(&self, keys: RangeInclusive<Key>) -> Result<Option<Key>, StoreError> {
+        let row = self.0.range(keys).map_err(failed)?.next().transpose().map_err(failed)?;
+        Ok(row.map(|(key, _)| key.value()))
     }
 }
 
--- a/crates/control-store/src/simulated.rs
+++ b/crates/control-store/src/simulated.rs
@@ -97,6 +97,15 @@
         self.lock().cycle_power(&mut Random(seed));
     }
 
+    /// Takes a loss of power for the death of the process alone: files opened before are dead, and everything that was
+    /// written is read as before, synced or not.
+    pub fn restart_process(&self) {
+        let mut disk = self.lock();
+        disk.life += 1;
+        disk.changes_left = None;
+        disk.failing = None;
+    }
+
     /// After so many further changes, lets some of them fail, or all.
     pub fn fail_after(&self, after: u64, count: Option<u64>, kind: io::ErrorKind) {
         self.lock().failing = Some(Failing { kind, after, count });
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -188,6 +188,8 @@
 }
 
 fn open_existing(medium: &dyn Medium, settings: StoreSettings, length: u64) -> Result<Database, StoreError> {
+    // Whoever made the file may have died between its renaming and the sync of the folder.
+    medium.sync()?;
     let mut database = open_or_lengthen(medium, settings, length)?;
     if length > settings.compact_above_bytes {
         database.compact().map_err(|error| of_redb(DATA_FILE, error))?;
--- a/crates/control-store/tests/crashes.rs
+++ b/crates/control-store/tests/crashes.rs
@@ -1,4 +1,4 @@
-//! Losses of power at any moment: what was committed is there, and nothing is there in part.
+//! Losses of power and deaths of the process at any moment: what was committed is there, and nothing is there in part.
 
 mod common;
 
@@ -8,7 +8,7 @@
 use std::collections::VecDeque;
 use std::thread;
 
-/// Disks, each of which loses power several times.
+/// Disks, each of which loses power, or only its process, several times.
 const DISKS: u64 = 1_200;
 const LOSSES: u64 = 4;
 const THREADS: u64 = 3;
@@ -60,8 +60,12 @@
             commit_until_loss(store, &mut expected, &mut choices);
         }
         assert!(disk.is_without_power(), "seed {seed}, loss {loss}: an error without a loss of power");
-        disk.cycle_power(choices.below(u64::MAX));
+        match choices.below(3) {
+            0 => disk.restart_process(),
+            _ => disk.cycle_power(choices.below(u64::MAX)),
+        }
     }
+    disk.cycle_power(choices.below(u64::MAX));
     let (_, found) = open(&disk).unwrap_or_else(|error| panic!("seed {seed}: {error}"));
     assert!(expected.allows(&found), "seed {seed}, at the end");
 }
--- a/crates/control-store/tests/opening.rs
+++ b/crates/control-store/tests/opening.rs
@@ -288,3 +288,48 @@
     assert_eq!(recovered.entries.len(), 6);
     std::fs::remove_dir_all(&folder).expect("removed");
 }
+
+/// A snapshot writes about itself and the pages of the log's ends, not every page of the log many times over.
+#[test]
+fn dropping_a_long_log_is_cheap() {
+    let disk = SimulatedDisk::new();
+    let (mut store, _) = open(&disk).expect("opens");
+    store.commit(&append(1..=2_000)).expect("commits");
+    let before = disk.counters().written_bytes;
+    let length = disk.length(DATA_FILE).expect("readable").expect("the file");
+    store.commit(&Batch { snapshot: Some((1_999, vec![1; 1_000])), ..Batch::default() }).expect("commits");
+    let written = disk.counters().written_bytes - before;
+    assert!(written < 500_000, "{written} bytes written");
+    assert!(disk.length(DATA_FILE).expect("readable").expect("the file") <= length);
+}
+
+#[test]
+fn a_small_commit_is_one_sync() {
+    let disk = SimulatedDisk::new();
+    let (mut store, _) = open(&disk).expect("opens");
+    store.commit(&append(1..=10)).expect("commits");
+    let before = disk.counters();
+    store.commit(&append(11..=11)).expect("commits");
+    let after = disk.counters();
+    assert_eq!(after.syncs - before.syncs, 1);
+    assert!(after.written_bytes - before.written_bytes < 40_000, "{after:?}");
+}
+
+/// The rename of a new file may be done and not synced when opening fails or the process dies. Whoever opens the file
+/// then has to make its name last.
+#[test]
+fn a_file_whose_making_was_interrupted_lasts_once_it_is_opened() {
+    for after in 0..60 {
+        for fate in 0..8 {
+            let disk = SimulatedDisk::new();
+            disk.fail_after(after, Some(1), ErrorKind::Other);
+            drop(open(&disk));
+            disk.heal();
+            let (mut store, _) = open(&disk).expect("opens");
+            store.commit(&append(1..=3)).expect("commits");
+            disk.cycle_power(fate);
+            drop(store);
+            assert_eq!(found(&disk).entries.len(), 3, "change {after}, fate {fate}");
+        }
+    }
+}
