Node: adopt a view once it is on the disk; reports hold in their own view only

It now hands the view to the chain from the write's completion, says nothing of its replica while the chain lags behind the agreement, takes the sender's disk from its connection's hello in place of its address, and hears 'outdated'. Ruled out: repairing it in the chain, which cannot see the disk.

--- a/crates/cluster-node/src/core/disk.rs
+++ b/crates/cluster-node/src/core/disk.rs
@@ -2,6 +2,7 @@
 
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::AgreementMessage;
 use lupinrack_control_store::{Batch, WriterHandle};
 use std::collections::BTreeMap;
@@ -20,6 +21,8 @@
     SendVotes(Vec<(PeerAddress, AgreementMessage)>),
     /// The chain's entries up to this index are on the disk.
     EntriesWritten(u64),
+    /// A view is on the disk and may be adopted.
+    ViewStored(View),
     /// The log was cut after this index.
     Truncated(u64),
     /// What the log is worth is on the disk.
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -19,12 +19,12 @@
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
-use lupinrack_cluster_api::wire::{AgreementMessage, Frame, Hello, ReplicaReport, Role};
+use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Hello, ReplicaReport, Role};
 use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
@@ -75,6 +75,8 @@
     /// Calls to this process itself.
     own_calls: VecDeque<WaitingCall>,
     other_cores: Vec<PeerAddress>,
+    /// The disk of the process at the other end of each connection from a core process.
+    connections: BTreeMap<u64, DiskId>,
 }
 
 /// Runs until the process is told to end.
@@ -136,6 +138,7 @@
         own_messages: VecDeque::new(),
         own_calls: VecDeque::new(),
         other_cores: Vec::new(),
+        connections: BTreeMap::new(),
         clock,
         settings,
         me,
@@ -203,6 +206,7 @@
             }
             PeerEvent::Closed { from, connection, .. } => {
                 self.subscribers.closed(connection);
+                self.connections.remove(&connection);
                 self.shards.disconnected(from, connection, now);
                 self.policy.closed(from);
                 let outgoing = self.client.closed(from, now);
@@ -223,8 +227,12 @@
                 let effects = self.agreement.receive(from, message, now);
                 self.carry_out_agreement(effects, now);
             }
+            Frame::Chain(ChainMessage::Outdated { view }) => {
+                let effects = self.agreement.learn(view);
+                self.carry_out_agreement(effects, now);
+            }
             Frame::Chain(message) => {
-                let Some(disk) = self.disk_at(from) else {
+                let Some(disk) = self.connections.get(&connection).copied() else {
                     return;
                 };
                 let effects = self.chain.receive(disk, message, now);
@@ -248,7 +256,12 @@
                 let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
             }
-            Frame::Hello(_) | Frame::Owner(_) | Frame::ConfigurationNews { .. } => {}
+            Frame::Hello(hello) => {
+                if let Some(disk) = hello.disk {
+                    self.connections.insert(connection, disk);
+                }
+            }
+            Frame::Owner(_) | Frame::ConfigurationNews { .. } => {}
         }
     }
 
@@ -258,11 +271,6 @@
         }
     }
 
-    /// The disk whose process listens at an address: a voter, or a disk that has sent heartbeats.
-    fn disk_at(&self, address: PeerAddress) -> Option<DiskId> {
-        self.policy.disk_at(address)
-    }
-
     fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
         self.agreement.current().address(disk).or_else(|| self.policy.address_of(disk))
     }
@@ -296,6 +304,7 @@
                     let effects = self.chain.written(index, now);
                     self.carry_out_chain(effects, now);
                 }
+                AfterWrite::ViewStored(view) => self.adopt_view(view, now),
                 AfterWrite::Truncated(index) => {
                     let effects = self.chain.truncated(index, now);
                     self.carry_out_chain(effects, now);
@@ -376,11 +385,20 @@
         }
     }
 
+    /// A view is agreed. The replica adopts it once it is on the disk: a head that forgot its view in a crash could
+    /// number entries in it twice.
     fn on_view(&mut self, view: View, now: Millis) {
+        let bytes = to_bytes(&view);
+        let batch = Batch { view: Some(bytes), ..Batch::default() };
+        self.disk.write(batch, AfterWrite::ViewStored(view), now);
+    }
+
+    fn adopt_view(&mut self, view: View, now: Millis) {
+        if view.number <= self.client.view().number || view.number < self.chain.view().number {
+            return;
+        }
         let chain: Vec<String> = view.chain.iter().map(|disk| format!("{:08x}", disk.0 >> 32)).collect();
         spdlog::info!("view {}: {} voters, chain {}", view.number, view.voters.len(), chain.join(" "));
-        let batch = Batch { view: Some(to_bytes(&view)), ..Batch::default() };
-        self.disk.write(batch, AfterWrite::Nothing, now);
         let effects = self.chain.new_view(view.clone(), now);
         self.carry_out_chain(effects, now);
         let outgoing = self.client.learn(&view, now);
@@ -404,11 +422,7 @@
         self.last_heartbeat = now;
         let view = self.agreement.current().clone();
         let disk_healthy = self.leaving_since.is_none() && self.disk.is_healthy(now);
-        let replica = ReplicaReport {
-            caught_up: self.chain.caught_up(now),
-            complete: self.chain.is_complete(),
-            needs_view: self.chain.needs_view(),
-        };
+        let replica = self.replica_report(now);
         self.policy.heard(self.me.clone(), self.life, view.number, disk_healthy, replica, now);
         let frame = Frame::Heartbeat { voter: self.me.clone(), view: view.clone(), disk_healthy, replica };
         for address in self.core_addresses(&view) {
@@ -416,6 +430,18 @@
         }
     }
 
+    /// What the replica is good for in the view that the heartbeat names; nothing while it has not adopted that view.
+    fn replica_report(&self, now: Millis) -> ReplicaReport {
+        if self.chain.view().number != self.agreement.current().number {
+            return ReplicaReport::default();
+        }
+        ReplicaReport {
+            caught_up: self.chain.caught_up(now),
+            complete: self.chain.is_complete(),
+            needs_view: self.chain.needs_view(),
+        }
+    }
+
     fn core_addresses(&self, view: &View) -> Vec<PeerAddress> {
         let mut addresses: Vec<PeerAddress> = view.voters.iter().map(|voter| voter.address).collect();
         if view.voter(self.me.disk).is_none() {
