--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -20,7 +20,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Hello, ReplicaReport, Role};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
@@ -39,6 +39,8 @@
 /// Between two rounds of the schedulers, in milliseconds: at least, and at most.
 const ROUND_LEAST_MS: u64 = 20;
 const ROUND_MOST_MS: u64 = 100;
+/// Between two lines on the services in the log, in milliseconds.
+const SUMMARY_MS: u64 = 1_000;
 /// How long a process that is told to end goes on, so that its place in the chain is taken over, in milliseconds.
 const LEAVE_MS: u64 = 1_500;
 
@@ -68,6 +70,7 @@
     authority_until: Millis,
     last_heartbeat: Millis,
     last_round: Millis,
+    last_summary: Millis,
     round_due: bool,
     leaving_since: Option<Millis>,
     /// Agreement messages to this process itself.
@@ -133,6 +136,7 @@
         authority_until: Millis(0),
         last_heartbeat: Millis(0),
         last_round: Millis(0),
+        last_summary: Millis(0),
         round_due: false,
         leaving_since: None,
         own_messages: VecDeque::new(),
@@ -664,6 +668,7 @@
             return;
         }
         self.last_round = now;
+        self.log_services(now);
         self.round_due = false;
         let wall = self.clock.wall();
         let rounds = self.shards.round(&self.replica.state, now, wall, self.authority_until);
@@ -677,6 +682,18 @@
         }
     }
 
+    /// A line a second and service, for whoever looks for the reason of a wait.
+    fn log_services(&mut self, now: Millis) {
+        let due = now.since(self.last_summary) >= SUMMARY_MS;
+        if !due || !spdlog::default_logger().should_log(spdlog::Level::Debug) {
+            return;
+        }
+        self.last_summary = now;
+        for (service, summary) in self.shards.summaries(now) {
+            spdlog::debug!("service {}: {summary}", service.0);
+        }
+    }
+
     /// Asks the head now and then whether this process's view still rules; its authority is counted from the question.
     fn confirm_view(&mut self, now: Millis) {
         let acts = !self.shards.is_empty() || self.chain.is_head();
--- a/crates/cluster-node/src/core/shards.rs
+++ b/crates/cluster-node/src/core/shards.rs
@@ -7,7 +7,7 @@
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::View;
 use lupinrack_control_state::ControlState;
-use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings};
+use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings, ServiceSummary};
 use std::collections::BTreeMap;
 
 /// How long an owner may act after it last asked whether its view rules, in milliseconds.
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Every scheduler at this moment, for operators.
+    pub fn summaries(&self, now: Millis) -> impl Iterator<Item = (&ServiceName, ServiceSummary)> {
+        self.schedulers.iter().map(move |(service, scheduler)| (service, scheduler.summary(now)))
+    }
+
     /// One round of every scheduler.
     pub fn round(
         &mut self,
--- a/crates/lupinrack/src/cluster/node.rs
+++ b/crates/lupinrack/src/cluster/node.rs
@@ -2,6 +2,7 @@
 
 use crate::ended::Ended;
 use clap::{value_parser, Arg, ArgMatches, Command};
+use lupinrack_cluster_log::{MalformedLevels, LEVEL_VARIABLE};
 use lupinrack_cluster_settings::{settings_path, NodeSettings, PATH_VARIABLE};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -10,6 +11,8 @@
 pub(super) const NAME: &str = "node";
 /// The argument for the settings file to run with.
 const SETTINGS: &str = "settings";
+/// The argument for the levels of the log.
+const LOG: &str = "log";
 /// The argument for the files to check.
 const CHECK: &str = "check";
 
@@ -19,9 +22,15 @@
     let settings = file(SETTINGS).value_name("FILE");
     let check =
         file(CHECK).num_args(1..=2).value_names(["SETTINGS", "CONFIGURATION"]).conflicts_with(SETTINGS);
+    let log = Arg::new(LOG).long(LOG).value_name("LEVELS").value_parser(value_parser!(String));
     Command::new(NAME)
         .about("Run a process of the cluster scheduler until SIGTERM")
         .arg(settings.help(format!("The settings file; {PATH_VARIABLE} names it otherwise")))
+        .arg(
+            log.help(format!(
+                "Levels of the log, as info,chain=debug; {LEVEL_VARIABLE} holds them otherwise"
+            )),
+        )
         .arg(check.help("Only check a settings file, and an operator's configuration (JSON)"))
 }
 
@@ -32,10 +41,18 @@
     }
     let path = matches.get_one(SETTINGS).cloned().unwrap_or_else(settings_path);
     let settings = read_settings(&path).map_err(Ended::Wrong)?;
-    lupinrack_cluster_log::init_from_environment().map_err(Ended::wrong)?;
+    begin_log(matches.get_one::<String>(LOG))?;
     Ok(lupinrack_cluster_node::run(settings))
 }
 
+fn begin_log(levels: Option<&String>) -> Result<(), Ended> {
+    let Some(text) = levels else {
+        return lupinrack_cluster_log::init_from_environment().map_err(Ended::wrong);
+    };
+    let levels = text.parse().map_err(|fault: MalformedLevels| Ended::Wrong(fault.to_string()))?;
+    lupinrack_cluster_log::init(levels).map_err(Ended::wrong)
+}
+
 /// Checks a settings file and, where there is a second file, a configuration; the faults of both are told.
 fn check(files: &[&PathBuf]) -> Result<(), Ended> {
     let settings = files.first().map(|file| read_settings(file).map(|_| *file));
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// The priority of its queue.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// The steps whose turn has come.
     pub fn ready(&self) -> &[ReadyStep] {
         &self.ready
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -37,6 +37,8 @@
 mod spare;
 mod stalls;
 mod submissions;
+mod summary;
 
 pub use scheduler::{AgentOrder, Round, Scheduler};
 pub use settings::SchedulerSettings;
+pub use summary::{ServerSummary, ServiceSummary, WaitingSummary};
