--- a/crates/control-store/src/batch.rs
+++ b/crates/control-store/src/batch.rs
@@ -12,6 +12,8 @@
     pub vote: Option<Vec<u8>>,
     /// Sets the newest agreed view.
     pub view: Option<Vec<u8>>,
+    /// Sets what the log is worth in that view.
+    pub standing: Option<Vec<u8>>,
     /// Removes the entries after this index.
     pub truncate_after: Option<u64>,
     /// Replaces the snapshot, and removes the entries up to its index. Where a snapshot was received that replaces all
--- a/crates/control-store/src/rows.rs
+++ b/crates/control-store/src/rows.rs
@@ -21,6 +21,8 @@
 const DISK: Key = (1, 0);
 const VOTE: Key = (2, 0);
 const VIEW: Key = (3, 0);
+/// What the log is worth in that view.
+const STANDING: Key = (8, 0);
 const SNAPSHOT: Key = (4, 0);
 /// The kind of the snapshot's pieces, by number from 0.
 const PIECE: u8 = 5;
@@ -93,6 +95,9 @@
         if let Some(view) = &batch.view {
             self.put(VIEW, view)?;
         }
+        if let Some(standing) = &batch.standing {
+            self.put(STANDING, standing)?;
+        }
         if let Some(index) = batch.truncate_after {
             self.remove((ENTRY, index.saturating_add(1))..=(ENTRY, u64::MAX))?;
         }
@@ -125,8 +130,18 @@
         self.0.insert(key, bytes).map(drop).map_err(failed)
     }
 
+    /// Removes rows one by one, which gives their pages back at once; `retain_in` keeps each version of a page until
+    /// the commit, so that a long log would need many times its size.
     fn remove(&mut self, keys: RangeInclusive<Key>) -> Result<(), StoreError> {
-        self.0.retain_in(keys, |_, _| false).map_err(failed)
+        while let Some(key) = self.first(keys.clone())? {
+            self.0.remove(key).map_err(failed)?;
+        }
+        Ok(())
+    }
+
+    fn first(&self, keys: RangeInclusive<Key>) -> Result<Option<Key>, StoreError> {
+        let row = self.0.range(keys).map_err(failed)?.next().transpose().map_err(failed)?;
+        Ok(row.map(|(key, _)| key.value()))
     }
 }
 
@@ -139,6 +154,7 @@
         disk: rows.get::<DiskId>(DISK)?,
         vote: rows.bytes(VOTE)?,
         view: rows.bytes(VIEW)?,
+        standing: rows.bytes(STANDING)?,
         snapshot_index: head.index,
         snapshot: rows.snapshot(head)?,
         entries: rows.entries(head.index)?,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -39,6 +39,8 @@
 mod spare;
 mod stalls;
 mod submissions;
+mod summary;
 
 pub use scheduler::{AgentOrder, Round, Scheduler};
 pub use settings::SchedulerSettings;
+pub use summary::{ServerSummary, ServiceSummary, WaitingSummary};
--- /dev/null
+++ b/crates/view-agreement/src/policy/mod.rs
@@ -0,0 +1,209 @@
+//! Which view a process should propose next, by what it hears from the other core processes.
+
+mod chain;
+mod peers;
+mod voters;
+
+use chain::ChainPlan;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::ReplicaReport;
+use peers::{Peers, Report};
+use std::collections::BTreeSet;
+use voters::VoterPlan;
+
+use crate::quorum::is_majority;
+
+/// How long, in milliseconds, a founder waits for all the others before it founds with a majority of them.
+const FOUNDING_WAIT_MS: u64 = 600;
+/// How much longer, in milliseconds, each further process waits before it proposes what the one before it should have.
+const TURN_MS: u64 = 300;
+/// How much longer still, in milliseconds, a process outside the chain waits while a member could propose.
+const SPARE_DELAY_MS: u64 = 3000;
+
+/// The figures of the policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PolicySettings {
+    /// Milliseconds between two heartbeats of a process.
+    pub heartbeat_ms: u64,
+    /// Milliseconds of silence after which a process counts as lost.
+    pub suspect_after_ms: u64,
+    /// How many disks may be lost at once while everything acknowledged is kept.
+    pub tolerated_losses: usize,
+}
+
+/// A failure detector over the core processes, and the rules that turn what it says into the next view.
+#[derive(Clone, Debug)]
+pub struct ViewPolicy {
+    settings: PolicySettings,
+    founders: Vec<PeerAddress>,
+    peers: Peers,
+    pending: Option<PendingChange>,
+}
+
+/// Since when another view has been wanted in place of the view of this number.
+#[derive(Clone, Copy, Debug)]
+struct PendingChange {
+    replaces: u64,
+    since: Millis,
+}
+
+/// What the plans of the next view are made from.
+#[derive(Clone, Copy)]
+struct ClusterSnapshot<'a> {
+    settings: PolicySettings,
+    peers: &'a Peers,
+    current: &'a View,
+    now: Millis,
+}
+
+impl ViewPolicy {
+    /// Begins without having heard from anybody. `founders` are the internal addresses of all founders where this
+    /// process is one of them, and empty otherwise, as [`Agreement::founders`](crate::Agreement::founders) tells.
+    pub fn new(settings: PolicySettings, founders: Vec<PeerAddress>) -> ViewPolicy {
+        let distinct: BTreeSet<PeerAddress> = founders.into_iter().collect();
+        let founders = distinct.into_iter().collect();
+        ViewPolicy { settings, founders, peers: Peers::new(settings), pending: None }
+    }
+
+    /// Takes a heartbeat. The process's own state is told in the same way, at least as often.
+    pub fn heard(
+        &mut self,
+        voter: Voter,
+        life: u64,
+        view_number: u64,
+        disk_healthy: bool,
+        replica: ReplicaReport,
+        now: Millis,
+    ) {
+        let report = Report { life, view_number, disk_healthy, replica };
+        self.peers.heard(voter, report, now);
+    }
+
+    /// Takes the hint that a connection from this address was reset: silence now counts sooner.
+    pub fn closed(&mut self, address: PeerAddress) {
+        self.peers.closed(address);
+    }
+
+    /// The disk whose process listens at an address, by the last heartbeat from there.
+    pub fn disk_at(&self, address: PeerAddress) -> Option<DiskId> {
+        self.peers.disk_at(address)
+    }
+
+    /// Where a disk's process listens, by its last heartbeat.
+    pub fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
+        self.peers.address_of(disk)
+    }
+
+    /// The view that this process should propose now; to be asked every few tens of milliseconds, as longer breaks are
+    /// taken for this process standing still. Nothing is wanted of a process that is no voter or has an unhealthy disk.
+    pub fn desired(&mut self, current: &View, me: &Voter, now: Millis) -> Option<View> {
+        self.peers.advance(me, now);
+        let snapshot = ClusterSnapshot { settings: self.settings, peers: &self.peers, current, now };
+        let next = match current.number {
+            0 => founding_view(&snapshot, &self.founders, me),
+            _ => next_view(&snapshot, me),
+        };
+        let delay_ms = match (&next, current.number) {
+            (Some(first_view), 0) => founder_delay_ms(first_view, me),
+            _ => proposer_delay_ms(&snapshot, me),
+        };
+        let waited_ms = self.waited_ms(next.is_some(), current.number, now);
+        next.filter(|_| delay_ms.is_some_and(|delay_ms| waited_ms >= delay_ms))
+    }
+
+    /// For how long, in milliseconds, a change of the view of this number has been wanted without a break.
+    fn waited_ms(&mut self, wanted: bool, replaces: u64, now: Millis) -> u64 {
+        if !wanted {
+            self.pending = None;
+            return 0;
+        }
+        let held = self.pending.filter(|pending| pending.replaces == replaces);
+        let since = held.map_or(now, |pending| pending.since);
+        self.pending = Some(PendingChange { replaces, since });
+        now.since(since)
+    }
+}
+
+impl ClusterSnapshot<'_> {
+    /// Whether a disk's process was heard lately.
+    fn is_alive(&self, voter: &Voter) -> bool {
+        self.peers.is_alive(voter, self.now)
+    }
+
+    /// Whether the head lives and cannot go on in this view.
+    fn head_needs_view(&self) -> bool {
+        let head = self.current.head().and_then(|disk| self.current.voter(disk));
+        head.is_some_and(|voter| self.peers.needs_view(voter, self.current.number))
+    }
+
+    /// How many of these were heard lately.
+    fn count_alive(&self, voters: &[Voter]) -> usize {
+        voters.iter().filter(|voter| self.is_alive(voter)).count()
+    }
+}
+
+/// The length of the chain for so many voters: it meets every majority of them, and outlasts the tolerated losses.
+fn wanted_chain_length(voters: usize, tolerated_losses: usize) -> usize {
+    (voters / 2 + 1).max(tolerated_losses + 1).min(voters)
+}
+
+/// View 1, of the founders that were heard.
+fn founding_view(snapshot: &ClusterSnapshot, founders: &[PeerAddress], me: &Voter) -> Option<View> {
+    if !founders.contains(&me.address) {
+        return None;
+    }
+    let voters = snapshot.peers.founders_present(founders, snapshot.now);
+    let all_here = voters.len() == founders.len();
+    let waited = snapshot.peers.watched_ms(snapshot.now) >= FOUNDING_WAIT_MS;
+    let ready = is_majority(voters.len(), founders.len()) && (all_here || waited);
+    if !ready {
+        return None;
+    }
+    let length = wanted_chain_length(voters.len(), snapshot.settings.tolerated_losses);
+    let chain = chain::spread_over_zones(Vec::new(), &voters, &voters, length);
+    Some(View { number: 1, voters, chain })
+}
+
+/// The view after the current one, where the chain or the voters should change and a majority is there to agree.
+/// The chain goes first; voters change one at a time.
+fn next_view(snapshot: &ClusterSnapshot, me: &Voter) -> Option<View> {
+    let current = snapshot.current;
+    let majority_alive = is_majority(snapshot.count_alive(&current.voters), current.voters.len());
+    if current.voter(me.disk).is_none() || !majority_alive {
+        return None;
+    }
+    let chain = ChainPlan::new(snapshot).next()?;
+    if chain != current.chain || snapshot.head_needs_view() {
+        return Some(View { number: current.number + 1, voters: current.voters.clone(), chain });
+    }
+    let voters = VoterPlan::new(snapshot).next()?;
+    Some(View { number: current.number + 1, voters, chain })
+}
+
+/// How long, in milliseconds, a founder leaves the founding to others: one turn for each disk below its own.
+fn founder_delay_ms(first_view: &View, me: &Voter) -> Option<u64> {
+    let rank = first_view.voters.iter().position(|voter| voter.disk == me.disk)?;
+    Some(rank as u64 * TURN_MS)
+}
+
+/// How long, in milliseconds, a process leaves a change to others: one turn for each that goes before it, and longer
+/// outside the chain while a member could propose. Two processes that do not hear each other would otherwise take
+/// turns in removing the other from the chain.
+fn proposer_delay_ms(snapshot: &ClusterSnapshot, me: &Voter) -> Option<u64> {
+    let proposers = proposers(snapshot);
+    let rank = proposers.iter().position(|disk| *disk == me.disk)?;
+    let is_member = |disk: &DiskId| snapshot.current.position(*disk).is_some();
+    let left_to_members = !is_member(&me.disk) && proposers.iter().any(is_member);
+    Some(rank as u64 * TURN_MS + if left_to_members { SPARE_DELAY_MS } else { 0 })
+}
+
+/// Who may propose, in the order of their turns: voters that are alive with a healthy disk, chain members first.
+fn proposers(snapshot: &ClusterSnapshot) -> Vec<DiskId> {
+    let current = snapshot.current;
+    let able = |voter: &&Voter| snapshot.is_alive(voter) && snapshot.peers.has_healthy_disk(voter);
+    let mut disks: Vec<DiskId> = current.voters.iter().filter(able).map(|voter| voter.disk).collect();
+    disks.sort_by_key(|disk| (current.position(*disk).unwrap_or(usize::MAX), *disk));
+    disks
+}
