Node: the core process as one state machine without I/O, and a driver for it

CoreMachine takes events (frames, ended connections, synced writes, calls, ticks) with both clocks and hands out effects (frames, writes). The driver in process.rs reads clocks, carries frames and writes batches. The simulation of the whole control plane runs the same machine. Frames and writes now go out after each turn in place of within it; their order is the same. Ruled out: traits for sockets and the disk, since effects as values can be compared and delayed. Built; not run on a cluster yet.

--- a/crates/cluster-node/src/clock.rs
+++ b/crates/cluster-node/src/clock.rs
@@ -1,5 +1,6 @@
 //! The clocks of the process; the only place where they are read.
 
+use crate::core::Moment;
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -20,6 +21,11 @@
         Millis(self.began.elapsed().as_millis() as u64 + 1)
     }
 
+    /// Both clocks.
+    pub fn moment(&self) -> Moment {
+        Moment { now: self.now(), wall: self.wall() }
+    }
+
     /// The time of day.
     pub fn wall(&self) -> WallMillis {
         let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/cluster-node/src/core/disk.rs
+++ b/crates/cluster-node/src/core/disk.rs
@@ -4,7 +4,6 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::AgreementMessage;
-use lupinrack_control_store::{Batch, WriterHandle};
 use std::collections::BTreeMap;
 
 /// A write that is not synced after this long makes the disk unhealthy, in milliseconds.
@@ -37,26 +36,20 @@
     then: AfterWrite,
 }
 
-/// The writer thread as the process sees it.
-#[derive(Debug)]
+/// The writes under way.
+#[derive(Debug, Default)]
 pub struct Disk {
-    writer: WriterHandle,
     next_ticket: u64,
     pending: BTreeMap<u64, PendingWrite>,
     last_slow: Option<Millis>,
 }
 
 impl Disk {
-    /// Over a writer.
-    pub fn new(writer: WriterHandle) -> Disk {
-        Disk { writer, next_ticket: 0, pending: BTreeMap::new(), last_slow: None }
-    }
-
-    /// Hands a batch to the writer.
-    pub fn write(&mut self, batch: Batch, then: AfterWrite, now: Millis) {
+    /// Notes a write that begins now, and numbers it.
+    pub fn begin_write(&mut self, then: AfterWrite, now: Millis) -> u64 {
         self.next_ticket += 1;
         self.pending.insert(self.next_ticket, PendingWrite { since: now, then });
-        self.writer.write(self.next_ticket, batch);
+        self.next_ticket
     }
 
     /// These writes are synced: what follows them, in their order.
--- /dev/null
+++ b/crates/cluster-node/src/core/machine/calls.rs
@@ -0,0 +1,97 @@
+//! Calls at the head, and those that this process makes itself.
+
+use super::*;
+
+impl CoreMachine {
+    pub(super) fn take_call(&mut self, call: WaitingCall, now: Millis) {
+        if !self.chain.is_head() {
+            let view = self.agreement.current().clone();
+            self.answer(call.caller, Reply::NotHead(view), now);
+            return;
+        }
+        if !self.chain.ready() {
+            self.waiting.defer(call);
+            return;
+        }
+        let step = first_step(&self.replica.state, &call.request, self.moment.wall);
+        self.follow_step(step, call, now);
+    }
+
+    pub(super) fn follow_step(&mut self, step: Step, call: WaitingCall, now: Millis) {
+        match step {
+            Step::Barrier => self.waiting.for_barrier(call),
+            Step::Answer(reply) => self.answer(call.caller, reply, now),
+            Step::Submit(operation) => {
+                let Some((index, effects)) = self.chain.submit(operation, now) else {
+                    self.waiting.defer(call);
+                    return;
+                };
+                self.waiting.for_operation(index, call);
+                self.carry_out_chain(effects, now);
+            }
+        }
+    }
+
+    pub(super) fn answer(&mut self, caller: Caller, reply: Reply, now: Millis) {
+        match caller.connection {
+            Some(connection) => {
+                self.outbox.send_on(connection, Frame::Reply { id: caller.id, reply });
+            }
+            None => {
+                let outgoing = self.client.answered(caller.id, reply, now);
+                self.send_all(outgoing);
+            }
+        }
+    }
+
+    pub(super) fn send_all(&mut self, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, frame } in outgoing {
+            if to != self.me.address {
+                self.outbox.send(to, frame);
+                continue;
+            }
+            if let Frame::Request { id, remaining_ms, request } = frame {
+                let until = self.moment.now.plus(remaining_ms);
+                let caller = Caller { from: to, connection: None, id, until };
+                self.own_calls.push_back(WaitingCall { caller, request });
+            }
+        }
+    }
+
+    pub(super) fn begin_barrier(&mut self, now: Millis) {
+        if !self.waiting.wants_barrier() {
+            return;
+        }
+        if let Some((number, effects)) = self.chain.start_barrier(now) {
+            self.waiting.barrier_began(number);
+            self.carry_out_chain(effects, now);
+        }
+    }
+
+    pub(super) fn barrier_passed(&mut self, number: u64, now: Millis) {
+        let view = self.agreement.current().number;
+        let wall = self.moment.wall;
+        for call in self.waiting.barrier_passed(number) {
+            let step = second_step(&self.replica.state, view, &call.request, wall);
+            self.follow_step(step, call, now);
+        }
+        self.begin_barrier(now);
+    }
+
+    pub(super) fn submit(&mut self, operation: Operation, now: Millis) {
+        if let Some((_, effects)) = self.chain.submit(operation, now) {
+            self.carry_out_chain(effects, now);
+        }
+    }
+
+    pub(super) fn submit_anywhere(&mut self, operation: Operation, now: Millis) {
+        if self.chain.is_head() {
+            self.submit(operation, now);
+            return;
+        }
+        let view = self.agreement.current();
+        if let Some(head) = view.head().and_then(|disk| view.address(disk)) {
+            self.outbox.send(head, Frame::Submit(operation));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -0,0 +1,200 @@
+//! The core process as one state machine without I/O: events come in, effects go out.
+//!
+//! It puts the agreement on views, the chain, the replica and the schedulers together. Its driver reads the clocks,
+//! carries frames, writes batches to the disk, and hands what comes of it back as events. The simulation of the whole
+//! control plane runs the same machine.
+
+mod calls;
+mod effects;
+mod ending;
+mod events;
+mod ownership;
+mod replication;
+mod settings;
+mod subscriptions;
+mod views;
+
+pub use effects::{CoreEffect, CoreEvent, Moment};
+pub use settings::CoreSettings;
+
+use super::calls::{first_step, reply_to, second_step, Step};
+use super::disk::{AfterWrite, Disk};
+use super::replica::Replica;
+use super::shards::{Shards, AUTHORITY_MS};
+use super::subscribers::{Subscribers, VIEWS_ONLY};
+use super::waiting::{Caller, Waiting, WaitingCall};
+use crate::control_api::ControlCall;
+use crate::head_client::{HeadClient, Outgoing};
+use crate::NodeError;
+use borsh::BorshDeserialize;
+use effects::Outbox;
+use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored};
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::operation::{Operation, OperationResult};
+use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, ReplicaReport};
+use lupinrack_control_store::{Batch, Recovered};
+use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
+use std::collections::{BTreeMap, VecDeque};
+use tokio::sync::oneshot;
+
+/// Between heartbeats to other core processes, in milliseconds.
+const HEARTBEAT_MS: u64 = 150;
+/// A core process that is not heard for this long is suspected, in milliseconds.
+const SUSPECT_AFTER_MS: u64 = 700;
+/// Between two questions whether the own view rules, in milliseconds.
+const CONFIRM_MS: u64 = 300;
+/// Between two rounds of the schedulers, in milliseconds: at least, and at most.
+const ROUND_LEAST_MS: u64 = 20;
+const ROUND_MOST_MS: u64 = 100;
+/// How long a process that is told to end goes on, so that its place in the chain is taken over, in milliseconds.
+const LEAVE_MS: u64 = 1_500;
+
+#[derive(Debug)]
+struct Confirmation {
+    asked_at: Millis,
+    view: u64,
+    reply: oneshot::Receiver<Reply>,
+}
+
+/// The core process.
+#[derive(Debug)]
+pub struct CoreMachine {
+    /// The newest moment that the driver told.
+    moment: Moment,
+    name: String,
+    seeds: Vec<PeerAddress>,
+    me: Voter,
+    life: u64,
+    outbox: Outbox,
+    agreement: Agreement,
+    policy: ViewPolicy,
+    chain: Chain,
+    replica: Replica,
+    disk: Disk,
+    client: HeadClient,
+    waiting: Waiting,
+    shards: Shards,
+    subscribers: Subscribers,
+    confirmation: Option<Confirmation>,
+    last_confirmation: Millis,
+    authority_until: Millis,
+    last_heartbeat: Millis,
+    last_round: Millis,
+    round_due: bool,
+    leaving_since: Option<Millis>,
+    /// Agreement messages to this process itself.
+    own_messages: VecDeque<AgreementMessage>,
+    /// Calls to this process itself.
+    own_calls: VecDeque<WaitingCall>,
+    other_cores: Vec<PeerAddress>,
+    /// The disk of the process at the other end of each connection from a core process.
+    connections: BTreeMap<u64, DiskId>,
+}
+
+impl CoreMachine {
+    /// A process that begins with what was found on its disk.
+    ///
+    /// # Errors
+    ///
+    /// Where what was found cannot be read.
+    pub fn new(
+        settings: CoreSettings,
+        recovered: Recovered,
+        moment: Moment,
+    ) -> Result<CoreMachine, NodeError> {
+        let vote = read_or_default::<VoteState>(&recovered.vote)?;
+        let view = read_or_default::<View>(&recovered.view)?;
+        let standing = read_or_default::<Standing>(&recovered.standing)?;
+        let replica = Replica::load(recovered.snapshot_index, &recovered.snapshot)?;
+        let empty_disk = recovered.disk.is_none();
+        let CoreSettings { name, me, life, seeds, founders, tolerated_losses, scheduler } = settings;
+        let agreement = Agreement::new(me.clone(), life, vote, founders);
+        let policy_settings = PolicySettings {
+            heartbeat_ms: HEARTBEAT_MS,
+            suspect_after_ms: SUSPECT_AFTER_MS,
+            tolerated_losses,
+        };
+        let policy = ViewPolicy::new(policy_settings, agreement.founders().to_vec());
+        let stored = Stored {
+            snapshot_index: recovered.snapshot_index,
+            entries: recovered.entries,
+            view: view.clone(),
+            standing,
+        };
+        let mut machine = CoreMachine {
+            moment,
+            name,
+            seeds,
+            life,
+            outbox: Outbox::default(),
+            agreement,
+            policy,
+            chain: Chain::new(me.disk, tolerated_losses + 1, stored),
+            replica,
+            disk: Disk::default(),
+            client: HeadClient::default(),
+            waiting: Waiting::default(),
+            shards: Shards::new(me.disk, scheduler),
+            subscribers: Subscribers::default(),
+            confirmation: None,
+            last_confirmation: Millis(0),
+            authority_until: Millis(0),
+            last_heartbeat: Millis(0),
+            last_round: Millis(0),
+            round_due: false,
+            leaving_since: None,
+            own_messages: VecDeque::new(),
+            own_calls: VecDeque::new(),
+            other_cores: Vec::new(),
+            connections: BTreeMap::new(),
+            me,
+        };
+        machine.begin(view, empty_disk);
+        Ok(machine)
+    }
+
+    /// Takes an event. What follows from it waits for [`CoreMachine::settle`].
+    pub fn receive(&mut self, event: CoreEvent, moment: Moment) {
+        self.moment = moment;
+        let now = moment.now;
+        match event {
+            CoreEvent::Frame { from, life, connection, frame } => {
+                self.on_frame(from, life, connection, frame, now);
+            }
+            CoreEvent::Closed { from, connection } => self.on_closed(from, connection, now),
+            CoreEvent::Synced(tickets) => self.on_synced(&tickets, now),
+            CoreEvent::WriteFailed => self.disk.failed(now),
+            CoreEvent::Call(call) => self.on_control_call(call),
+            CoreEvent::Tick => self.on_tick(),
+            CoreEvent::Terminate => self.leave(),
+        }
+    }
+
+    /// Finishes what the last events left, and hands out all effects, in the order in which they are to be carried out.
+    pub fn settle(&mut self, moment: Moment) -> Vec<CoreEffect> {
+        self.moment = moment;
+        self.finish_events();
+        self.outbox.take()
+    }
+
+    /// Hands a batch to the disk.
+    fn write(&mut self, batch: Batch, then: AfterWrite, now: Millis) {
+        let ticket = self.disk.begin_write(then, now);
+        self.outbox.write(ticket, batch);
+    }
+}
+
+fn read_or_default<T: BorshDeserialize + Default>(bytes: &[u8]) -> Result<T, NodeError> {
+    if bytes.is_empty() {
+        return Ok(T::default());
+    }
+    T::try_from_slice(bytes).map_err(NodeError::Damaged)
+}
+
+fn to_bytes<T: borsh::BorshSerialize>(value: &T) -> Vec<u8> {
+    // Writing into memory does not fail.
+    borsh::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/machine/ownership.rs
@@ -0,0 +1,65 @@
+//! The shards that this process owns, and its authority over them.
+
+use super::*;
+
+impl CoreMachine {
+    pub(super) fn follow_view(&mut self, now: Millis) {
+        let view = self.agreement.current().clone();
+        let operations = self.shards.follow_view(&view, &self.replica.state, now);
+        for operation in operations {
+            self.submit_anywhere(operation, now);
+        }
+    }
+
+    pub(super) fn run_round(&mut self, now: Millis) {
+        if self.shards.is_empty() {
+            return;
+        }
+        let since = now.since(self.last_round);
+        let due = since >= ROUND_MOST_MS || (self.round_due && since >= ROUND_LEAST_MS);
+        if !due {
+            return;
+        }
+        self.last_round = now;
+        self.round_due = false;
+        let wall = self.moment.wall;
+        let rounds = self.shards.round(&self.replica.state, now, wall, self.authority_until);
+        for round in rounds {
+            for operation in round.operations {
+                self.submit_anywhere(operation, now);
+            }
+            for order in round.messages {
+                self.outbox.send_on(order.connection, Frame::Owner(order.message));
+            }
+        }
+    }
+
+    /// Asks the head now and then whether this process's view still rules; its authority is counted from the question.
+    pub(super) fn confirm_view(&mut self, now: Millis) {
+        let acts = !self.shards.is_empty() || self.chain.is_head();
+        if !acts || now.since(self.last_confirmation) < CONFIRM_MS {
+            return;
+        }
+        self.last_confirmation = now;
+        let number = self.agreement.current().number;
+        let (answerer, reply) = oneshot::channel();
+        self.confirmation = Some(Confirmation { asked_at: now, view: number, reply });
+        let until = now.plus(AUTHORITY_MS);
+        let outgoing = self.client.call(Request::ConfirmView { number }, answerer, until, now);
+        self.send_all(outgoing);
+    }
+
+    pub(super) fn read_confirmation(&mut self) {
+        let Some(confirmation) = &mut self.confirmation else {
+            return;
+        };
+        let Ok(reply) = confirmation.reply.try_recv() else {
+            return;
+        };
+        if reply == Reply::Done && confirmation.view == self.agreement.current().number {
+            self.authority_until = confirmation.asked_at.plus(AUTHORITY_MS);
+            self.round_due = true;
+        }
+        self.confirmation = None;
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/machine/settings.rs
@@ -0,0 +1,43 @@
+//! What a core process is told when it begins.
+
+use crate::scheduling::scheduler_settings;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::view::Voter;
+use lupinrack_cluster_settings::NodeSettings;
+use lupinrack_scheduler::SchedulerSettings;
+
+/// Settings of a [`CoreMachine`](super::CoreMachine).
+#[derive(Clone, Debug)]
+pub struct CoreSettings {
+    /// Its name, for operators.
+    pub name: String,
+    /// Its disk, its address and its zone.
+    pub me: Voter,
+    /// Drawn at random when the process began.
+    pub life: u64,
+    /// Where core processes are looked for.
+    pub seeds: Vec<PeerAddress>,
+    /// The processes that may found the first view; empty where this process does not found.
+    pub founders: Vec<PeerAddress>,
+    /// How many core machines may be lost.
+    pub tolerated_losses: usize,
+    /// Settings of its schedulers.
+    pub scheduler: SchedulerSettings,
+}
+
+impl CoreSettings {
+    /// From the settings of the node, for this disk and life.
+    pub fn of_node(node: &NodeSettings, disk: DiskId, life: u64) -> CoreSettings {
+        let address = PeerAddress(node.internal_address);
+        let seeds = node.seed_internal();
+        CoreSettings {
+            name: node.node.clone(),
+            me: Voter { disk, address, zone: node.zone.clone() },
+            life,
+            founders: if node.is_founder() { seeds.clone() } else { Vec::new() },
+            seeds,
+            tolerated_losses: node.tolerance.machines as usize,
+            scheduler: scheduler_settings(node),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/core/machine/views.rs
@@ -0,0 +1,107 @@
+//! Views: agreeing on them, adopting them, and the heartbeats that carry them.
+
+use super::*;
+
+impl CoreMachine {
+    pub(super) fn carry_out_agreement(&mut self, effects: Vec<AgreementEffect>, now: Millis) {
+        for effect in effects {
+            match effect {
+                AgreementEffect::Persist { vote, then } => {
+                    let bytes = to_bytes(&vote);
+                    let batch = Batch { vote: Some(bytes), ..Batch::default() };
+                    self.write(batch, AfterWrite::SendVotes(then), now);
+                }
+                AgreementEffect::Send(to, message) => self.send_agreement(to, message),
+                AgreementEffect::Agreed(view) => self.on_view(view, now),
+            }
+        }
+    }
+
+    pub(super) fn send_agreement(&mut self, to: PeerAddress, message: AgreementMessage) {
+        if to == self.me.address {
+            self.own_messages.push_back(message);
+        } else {
+            self.outbox.send(to, Frame::Agreement(message));
+        }
+    }
+
+    /// A view is agreed. The replica adopts it once it is on the disk: a head that forgot its view in a crash could
+    /// number entries in it twice.
+    pub(super) fn on_view(&mut self, view: View, now: Millis) {
+        let bytes = to_bytes(&view);
+        let batch = Batch { view: Some(bytes), ..Batch::default() };
+        self.write(batch, AfterWrite::ViewStored(view), now);
+    }
+
+    pub(super) fn adopt_view(&mut self, view: View, now: Millis) {
+        if view.number <= self.client.view().number || view.number < self.chain.view().number {
+            return;
+        }
+        let chain: Vec<String> = view.chain.iter().map(|disk| format!("{:08x}", disk.0 >> 32)).collect();
+        spdlog::info!("view {}: {} voters, chain {}", view.number, view.voters.len(), chain.join(" "));
+        let effects = self.chain.new_view(view.clone(), now);
+        self.carry_out_chain(effects, now);
+        let outgoing = self.client.learn(&view, now);
+        self.send_all(outgoing);
+        for call in self.waiting.view_changed() {
+            self.take_call(call, now);
+        }
+        self.authority_until = Millis(0);
+        self.confirmation = None;
+        self.last_confirmation = Millis(0);
+        for (connection, subscriber) in self.subscribers.iter_mut() {
+            subscriber.told_view = view.number;
+            self.outbox.send_on(*connection, Frame::ViewNews(view.clone()));
+        }
+        self.send_heartbeats(now);
+        self.confirm_view(now);
+        self.follow_view(now);
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: Millis) {
+        self.last_heartbeat = now;
+        let view = self.agreement.current().clone();
+        let disk_healthy = self.leaving_since.is_none() && self.disk.is_healthy(now);
+        let replica = self.replica_report(now);
+        self.policy.heard(self.me.clone(), self.life, view.number, disk_healthy, replica, now);
+        let frame = Frame::Heartbeat { voter: self.me.clone(), view: view.clone(), disk_healthy, replica };
+        for address in self.core_addresses(&view) {
+            self.outbox.send(address, frame.clone());
+        }
+    }
+
+    /// What the replica is good for in the view that the heartbeat names; nothing while it has not adopted that view.
+    pub(super) fn replica_report(&self, now: Millis) -> ReplicaReport {
+        if self.chain.view().number != self.agreement.current().number {
+            return ReplicaReport::default();
+        }
+        ReplicaReport {
+            caught_up: self.chain.caught_up(now),
+            complete: self.chain.is_complete(),
+            needs_view: self.chain.needs_view(),
+        }
+    }
+
+    pub(super) fn core_addresses(&self, view: &View) -> Vec<PeerAddress> {
+        let mut addresses: Vec<PeerAddress> = view.voters.iter().map(|voter| voter.address).collect();
+        if view.voter(self.me.disk).is_none() {
+            addresses.extend(self.seeds.iter().copied());
+        }
+        addresses.extend(self.other_cores.iter().copied());
+        addresses.sort();
+        addresses.dedup();
+        addresses.retain(|address| *address != self.me.address);
+        addresses
+    }
+
+    pub(super) fn propose_view(&mut self, now: Millis) {
+        if self.leaving_since.is_some() {
+            return;
+        }
+        let current = self.agreement.current().clone();
+        if let Some(next) = self.policy.desired(&current, &self.me, now) {
+            let effects = self.agreement.propose(next, now);
+            self.carry_out_agreement(effects, now);
+        }
+    }
+}
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -5,11 +5,13 @@
 
 mod calls;
 mod disk;
+mod machine;
 mod process;
 mod replica;
 mod shards;
 mod subscribers;
 mod waiting;
 
+pub use machine::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 pub use process::run;
 pub use subscribers::VIEWS_ONLY;
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -4,15 +4,15 @@
 //! process. Each runs on one thread; a core process has one more for its disk.
 
 mod clock;
-mod control_api;
-mod core;
+pub mod control_api;
+pub mod core;
 mod front;
-mod head_client;
-mod owner;
+pub mod head_client;
+pub mod owner;
 mod scheduling;
 mod side;
 mod signals;
-mod subscription;
+pub mod subscription;
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
