Worker agent: a model of server, owners and network, and a guard against dead lives

The model plays crashes, drains, late and lost heartbeats and answers, broken connections, restarts of the agent and changes of the owner, and breaks on any start that must not be, any hold beyond its grant, and any task that the owner may take for ended while it still runs here.

It found that the late first heartbeat of a dead life could replace the living one, whose heartbeats were then refused for good while its owner gave up its runs. An identity that shows up while another one beats is now believed only when it beats again before the other does; a life that was taken for over may come back the same way.

Ruled out: believing the newest identity at once (the fault above), and waiting for the silence of the present life (more than a second lost after each quick restart).

--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -3,6 +3,7 @@
 use crate::answer::{HeartbeatAnswer, StopOrder};
 use crate::heartbeat_json::{ServerHeartbeat, UnknownRun};
 use crate::hold::Hold;
+use crate::lives::{Lives, Standing};
 use crate::orders::Orders;
 use crate::reporter::{ReportKind, Reporter};
 use crate::session::{RefusedMessage, Session};
@@ -11,7 +12,6 @@
 use lupinrack_cluster_api::identity::{FencingToken, ServerId};
 use lupinrack_cluster_api::server::ServerFacts;
 use lupinrack_cluster_api::time::Millis;
-use std::collections::VecDeque;
 
 /// How many ends a server lists at once. A list of that length may lack others, so nothing follows from a run's absence.
 pub const FINISHED_LIST_MOST: usize = 500;
@@ -19,9 +19,6 @@
 /// A server that is this much later, in milliseconds, than it was asked to beat counts as silent.
 pub const SILENCE_SLACK_MS: u64 = 600;
 
-/// How many earlier lives of the server are remembered, so that their late heartbeats are known for what they are.
-const PAST_LIVES_MOST: usize = 16;
-
 /// The life of the server that beats now.
 #[derive(Clone, Debug)]
 struct Life {
@@ -45,11 +42,9 @@
 pub struct Agent {
     settings: AgentSettings,
     life: Option<Life>,
-    past_lives: VecDeque<ServerId>,
+    other_lives: Lives,
     /// Lives that have left in order, of which the owner of this session was not told yet.
     unreported_leaves: Vec<ServerId>,
-    /// Lives that have left in order, to be told to each new owner.
-    leaves: VecDeque<ServerId>,
     token: FencingToken,
     hold: Hold,
     orders: Orders,
@@ -65,9 +60,8 @@
         Agent {
             settings,
             life: None,
-            past_lives: VecDeque::new(),
+            other_lives: Lives::default(),
             unreported_leaves: Vec::new(),
-            leaves: VecDeque::new(),
             token: FencingToken::default(),
             hold: Hold::default(),
             orders: Orders::default(),
@@ -88,41 +82,34 @@
     }
 
     /// Takes a heartbeat that arrived at `now` and answers it. A heartbeat that is late, repeated or of an earlier life
-    /// is acknowledged without any order.
+    /// is acknowledged without any order; so is the first one of a new life while the present one still seems to live.
     pub fn heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> HeartbeatAnswer {
-        if self.is_late(&beat) {
-            return HeartbeatAnswer::default();
-        }
-        if self.server().is_none_or(|known| known.id != beat.facts.id) {
-            self.end_life();
-        }
-        self.orders.note_ends(&beat.heartbeat.finished);
-        let unknown_runs = self.update_life(beat);
-        let answer = self.answer(&unknown_runs, now);
-        if let Some(life) = &mut self.life {
-            life.expected_by = now.plus(answer.beat_after_ms + SILENCE_SLACK_MS);
+        let silent = self.life.as_ref().is_none_or(|life| now > life.expected_by);
+        let newest = self.life.as_ref().map(|life| &life.heartbeat);
+        match self.other_lives.judge(&beat.heartbeat, newest, silent) {
+            Standing::Newest => self.take_heartbeat(beat, now),
+            Standing::Unconfirmed => {
+                HeartbeatAnswer { beat_after_ms: self.settings.busy_beat_ms, ..HeartbeatAnswer::default() }
+            }
+            Standing::Late => HeartbeatAnswer::default(),
         }
-        answer
     }
 
     /// Takes note that a server has left in order.
     pub fn leave(&mut self, server: ServerId, _now: Millis) {
-        if self.leaves.contains(&server) {
+        if !self.other_lives.leave(&server) {
             return;
         }
         if self.server().is_some_and(|known| known.id == server) {
             self.end_life();
-        } else {
-            remember(&mut self.past_lives, server.clone());
         }
-        self.unreported_leaves.push(server.clone());
-        remember(&mut self.leaves, server);
+        self.unreported_leaves.push(server);
     }
 
     /// Takes note that there is a connection to the owner. It replaces an earlier one; what was ordered stays.
     pub fn owner_connected(&mut self, connection: u64) {
         self.session = Some(Session::new(connection));
-        self.unreported_leaves = self.leaves.iter().cloned().collect();
+        self.unreported_leaves = self.other_lives.left().cloned().collect();
         self.forget_orders_seen();
     }
 
@@ -188,17 +175,23 @@
         (due <= life.expected_by).then_some(due)
     }
 
-    fn is_late(&self, beat: &ServerHeartbeat) -> bool {
-        let repeated = |life: &Life| {
-            life.facts.id == beat.facts.id && beat.heartbeat.sequence <= life.heartbeat.sequence
-        };
-        self.past_lives.contains(&beat.facts.id) || self.life.as_ref().is_some_and(repeated)
+    fn take_heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> HeartbeatAnswer {
+        if self.server().is_none_or(|known| known.id != beat.facts.id) {
+            self.end_life();
+        }
+        self.orders.note_ends(&beat.heartbeat.finished);
+        let unknown_runs = self.update_life(beat);
+        let answer = self.answer(&unknown_runs, now);
+        if let Some(life) = &mut self.life {
+            life.expected_by = now.plus(answer.beat_after_ms + SILENCE_SLACK_MS);
+        }
+        answer
     }
 
     /// Drops everything that belongs to the present life.
     fn end_life(&mut self) {
         if let Some(life) = self.life.take() {
-            remember(&mut self.past_lives, life.facts.id);
+            self.other_lives.end(&life.heartbeat);
         }
         self.orders = Orders::default();
         self.hold.clear();
@@ -341,10 +334,3 @@
 fn stop_unknown(run: &UnknownRun) -> StopOrder {
     StopOrder { task: run.task.clone(), attempt: run.attempt }
 }
-
-fn remember(lives: &mut VecDeque<ServerId>, server: ServerId) {
-    lives.push_back(server);
-    if lives.len() > PAST_LIVES_MOST {
-        lives.pop_front();
-    }
-}
--- a/crates/worker-agent/src/lib.rs
+++ b/crates/worker-agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempt_marks;
 pub mod heartbeat_json;
 pub mod hold;
+pub mod lives;
 pub mod orders;
 pub mod reporter;
 pub mod session;
--- /dev/null
+++ b/crates/worker-agent/src/lives.rs
@@ -0,0 +1,114 @@
+//! Which heartbeats are the living server's.
+//!
+//! One server stands beside the agent, but its lives follow each other, and a heartbeat may arrive after its sender's
+//! end. To take a dead life for a new one would make the owner give up the runs of the living, so an identity that shows
+//! up while another one beats is believed only when it beats again before the other does.
+
+use lupinrack_cluster_api::agent::Heartbeat;
+use lupinrack_cluster_api::identity::ServerId;
+use std::collections::VecDeque;
+
+/// How many earlier lives of the server are remembered.
+const PAST_LIVES_MOST: usize = 16;
+
+/// What to make of a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It is the newest of the living server.
+    Newest,
+    /// It is of another life, which has yet to show that it lives.
+    Unconfirmed,
+    /// It is late, repeated, or of a life that is over.
+    Late,
+}
+
+/// A life and the sequence number of its newest heartbeat.
+#[derive(Clone, Debug)]
+struct Seen {
+    server: ServerId,
+    sequence: u64,
+}
+
+impl Seen {
+    fn precedes(&self, beat: &Heartbeat) -> bool {
+        self.server == beat.server && self.sequence < beat.sequence
+    }
+}
+
+/// The lives of the server other than the present one.
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    past: VecDeque<Seen>,
+    left: VecDeque<ServerId>,
+    unconfirmed: Option<Seen>,
+}
+
+impl Lives {
+    /// Judges a heartbeat. `newest` is the last one of the present life, `silent` says whether that life has missed its
+    /// time to beat.
+    pub fn judge(&mut self, beat: &Heartbeat, newest: Option<&Heartbeat>, silent: bool) -> Standing {
+        let standing = match newest {
+            Some(newest) if newest.server == beat.server => sequence_standing(beat, newest.sequence),
+            _ => self.standing_of_other(beat, silent),
+        };
+        match standing {
+            Standing::Newest => self.unconfirmed = None,
+            Standing::Unconfirmed => self.unconfirmed = Some(seen(beat)),
+            Standing::Late => {}
+        }
+        standing
+    }
+
+    /// Notes that a life seems to be over, by its newest heartbeat.
+    pub fn end(&mut self, newest: &Heartbeat) {
+        self.past.retain(|past| past.server != newest.server);
+        push_bounded(&mut self.past, seen(newest));
+    }
+
+    /// Notes that a life has left in order; nothing that it sent counts any more. Whether that is news.
+    pub fn leave(&mut self, server: &ServerId) -> bool {
+        let news = !self.left.contains(server);
+        if news {
+            push_bounded(&mut self.left, server.clone());
+        }
+        news
+    }
+
+    /// The lives that left in order, the latest last.
+    pub fn left(&self) -> impl Iterator<Item = &ServerId> {
+        self.left.iter()
+    }
+
+    fn standing_of_other(&self, beat: &Heartbeat, silent: bool) -> Standing {
+        if self.left.contains(&beat.server) {
+            return Standing::Late;
+        }
+        let past = self.past.iter().find(|past| past.server == beat.server);
+        let again = self.unconfirmed.as_ref().is_some_and(|first| first.precedes(beat));
+        match past {
+            Some(past) if !past.precedes(beat) => Standing::Late,
+            None if silent => Standing::Newest,
+            _ if again => Standing::Newest,
+            _ => Standing::Unconfirmed,
+        }
+    }
+}
+
+fn sequence_standing(beat: &Heartbeat, newest: u64) -> Standing {
+    if beat.sequence > newest {
+        Standing::Newest
+    } else {
+        Standing::Late
+    }
+}
+
+fn seen(beat: &Heartbeat) -> Seen {
+    Seen { server: beat.server.clone(), sequence: beat.sequence }
+}
+
+fn push_bounded<T>(list: &mut VecDeque<T>, item: T) {
+    list.push_back(item);
+    if list.len() > PAST_LIVES_MOST {
+        list.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/worker-agent/tests/model.rs
@@ -0,0 +1,59 @@
+//! The agent between a modelled server and modelled owners, through crashes, lost and late answers, broken connections,
+//! restarts of the agent and changes of the owner. The model's parts panic where a rule is broken.
+
+#[path = "model/owner.rs"]
+mod owner;
+#[path = "model/random.rs"]
+mod random;
+#[path = "model/record.rs"]
+mod record;
+#[path = "model/server.rs"]
+mod server;
+#[path = "model/world.rs"]
+mod world;
+
+use quickcheck::quickcheck;
+use world::{Counts, World};
+
+quickcheck! {
+    /// No run starts twice or after its end or stop, for another life, under a lower token or beyond its hold; no task
+    /// runs here after the owner may conclude that it does not; and all tasks end once the trouble is over.
+    fn every_rule_holds_and_all_tasks_end(seed: u64) -> bool {
+        World::new(seed).play();
+        true
+    }
+}
+
+#[test]
+fn the_model_plays_every_kind_of_trouble() {
+    let mut sum = Counts::default();
+    for seed in 0..20 {
+        let counts = World::new(seed).play();
+        sum.server.starts += counts.server.starts;
+        sum.server.stops += counts.server.stops;
+        sum.server.lapses += counts.server.lapses;
+        sum.server.fenced += counts.server.fenced;
+        sum.server.dropped_answers += counts.server.dropped_answers;
+        sum.takeovers += counts.takeovers;
+        sum.agent_restarts += counts.agent_restarts;
+        sum.never_ran += counts.never_ran;
+        sum.lapses += counts.lapses;
+        sum.refused_messages += counts.refused_messages;
+    }
+    let counts = [
+        ("starts", sum.server.starts),
+        ("stops", sum.server.stops),
+        ("lapses at the server", sum.server.lapses),
+        ("answers under an old token", sum.server.fenced),
+        ("dropped answers", sum.server.dropped_answers),
+        ("changes of the owner", sum.takeovers),
+        ("restarts of the agent", sum.agent_restarts),
+        ("runs shown never to have started", sum.never_ran),
+        ("lapses at the owner", sum.lapses),
+        ("refused messages", sum.refused_messages),
+    ];
+    for (name, count) in counts {
+        println!("{name}: {count}");
+        assert!(count > 0, "no {name}");
+    }
+}
--- /dev/null
+++ b/crates/worker-agent/tests/model/owner.rs
@@ -0,0 +1,252 @@
+//! An owner that gives random orders, and concludes from the agent's reports what an owner may conclude.
+
+use crate::random::Random;
+use crate::record::{Place, Record};
+use lupinrack_cluster_api::agent::{AgentMessage, Assignment, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::identity::{Attempt, FencingToken, ServerId, TaskId};
+use lupinrack_cluster_api::server::RunEnd;
+use lupinrack_cluster_api::time::Millis;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The hold that owners grant.
+pub const HOLD_MS: u64 = 2_000;
+/// What an owner adds to a hold before it takes it for over: clocks that run slow, and steps of the model.
+const HOLD_SLACK_MS: u64 = HOLD_MS / 40 + 100;
+/// For how long an owner may act after another took over.
+pub const AUTHORITY_MS: u64 = 1_000;
+
+/// What the owner knows of the session with the agent.
+struct Session {
+    connection: u64,
+    server: ServerId,
+    heartbeat: Heartbeat,
+    heard_at: Millis,
+    number: u64,
+    assigned: BTreeSet<(TaskId, Attempt)>,
+    /// Stops, and the number of the message that told them.
+    stops: BTreeMap<(TaskId, Attempt), u64>,
+    owes_message: bool,
+}
+
+#[derive(Default)]
+pub struct OwnerCounts {
+    pub never_ran: u64,
+    pub lapses: u64,
+}
+
+pub struct Owner {
+    pub token: u64,
+    pub counts: OwnerCounts,
+    took_over_at: u64,
+    /// When the hold of each life that the owner knows is over for certain.
+    hold_bounds: BTreeMap<ServerId, u64>,
+    dead: BTreeSet<ServerId>,
+    session: Option<Session>,
+    /// The owner is no longer the newest since this moment.
+    pub replaced_at: Option<u64>,
+}
+
+impl Owner {
+    pub fn take_over(token: u64, record: &mut Record, now: u64) -> Owner {
+        record.token = token;
+        Owner {
+            token,
+            counts: OwnerCounts::default(),
+            took_over_at: now,
+            hold_bounds: BTreeMap::new(),
+            dead: BTreeSet::new(),
+            session: None,
+            replaced_at: None,
+        }
+    }
+
+    pub fn disconnected(&mut self, connection: u64) {
+        if self.session.as_ref().is_some_and(|session| session.connection == connection) {
+            self.session = None;
+        }
+    }
+
+    pub fn receive(&mut self, connection: u64, message: AgentMessage, record: &mut Record) {
+        match message {
+            AgentMessage::Attach { facts, heartbeat, sent_at, .. } if !self.dead.contains(&facts.id) => {
+                self.end_lives(record, |life| *life != facts.id);
+                self.session = Some(Session {
+                    connection,
+                    server: facts.id,
+                    heartbeat,
+                    heard_at: sent_at,
+                    number: 0,
+                    assigned: BTreeSet::new(),
+                    stops: BTreeMap::new(),
+                    owes_message: true,
+                });
+                self.learn(record);
+            }
+            AgentMessage::Attach { .. } => {}
+            AgentMessage::Report { heartbeat, sent_at } => {
+                let session = self.session.as_mut().filter(|session| session.connection == connection);
+                let Some(session) = session else { return };
+                session.heard_at = sent_at;
+                session.owes_message = true;
+                if let Some(heartbeat) = heartbeat {
+                    assert_eq!(heartbeat.server, session.server, "a report of a life that did not attach");
+                    session.heartbeat = heartbeat;
+                    self.learn(record);
+                }
+            }
+            AgentMessage::Leave { server } => self.end_lives(record, |life| *life == server),
+        }
+    }
+
+    /// Acts, and gives a message with its connection if there is one.
+    pub fn act(
+        &mut self,
+        record: &mut Record,
+        calm: bool,
+        now: u64,
+        random: &mut Random,
+    ) -> Option<(u64, OwnerMessage)> {
+        if self.replaced_at.is_some_and(|at| now >= at + AUTHORITY_MS) {
+            return None;
+        }
+        self.lapse(record, now);
+        let session = self.session.as_mut()?;
+        let server = session.server.clone();
+        let mut assign = Vec::new();
+        let mut stop = Vec::new();
+        if session.number > 0 {
+            choose_starts(self.token, session, record, calm, now, random);
+            choose_stops(session, record, calm, &mut stop, random);
+        }
+        for (task, attempt) in record.assigned(&server) {
+            let stopped = session.stops.contains_key(&(task, attempt));
+            if !stopped && session.assigned.insert((task, attempt)) {
+                assign.push(Assignment { task, attempt, spec: "work".into(), saved: String::new() });
+            }
+        }
+        let wanted = session.owes_message || !assign.is_empty() || !stop.is_empty();
+        if !wanted || (!calm && random.once_in(3)) && stop.is_empty() && assign.is_empty() {
+            return None;
+        }
+        session.owes_message = false;
+        session.number += 1;
+        for run in &stop {
+            session.stops.insert(*run, session.number);
+        }
+        // The bound counts from this moment, which is after the report that the hold counts from.
+        let bound = self.hold_bounds.entry(server.clone()).or_insert(0);
+        *bound = (*bound).max(now + HOLD_MS + HOLD_SLACK_MS);
+        let observed = session.heartbeat.finished.last().map_or(0, |end| end.number);
+        let message = OwnerMessage {
+            token: FencingToken(self.token),
+            server,
+            number: session.number,
+            whole: session.number == 1,
+            assign,
+            stop,
+            observed: if self.token == record.token { observed } else { 0 },
+            hold_from: session.heard_at,
+            hold_ms: HOLD_MS,
+            beat_after_ms: 50 + random.below(300),
+        };
+        Some((session.connection, message))
+    }
+
+    /// Takes the newest heartbeat into the record.
+    fn learn(&mut self, record: &mut Record) {
+        let Some(session) = &mut self.session else { return };
+        let heartbeat = &session.heartbeat;
+        for end in &heartbeat.finished {
+            record.end(self.token, end.task, end.attempt, end.end);
+        }
+        let listed: BTreeSet<(TaskId, Attempt)> =
+            heartbeat.running.iter().map(|run| (run.task, run.attempt)).collect();
+        for (task, attempt) in record.assigned(&session.server) {
+            let told = session.stops.get(&(task, attempt));
+            let seen = told.is_some_and(|number| heartbeat.orders_seen >= *number);
+            if seen && !listed.contains(&(task, attempt)) {
+                record.end(self.token, task, attempt, RunEnd::Stopped);
+                self.counts.never_ran += 1;
+            }
+        }
+    }
+
+    /// Ends the runs of lives whose hold is over.
+    fn lapse(&mut self, record: &mut Record, now: u64) {
+        let unknown_until = self.took_over_at + AUTHORITY_MS + HOLD_MS + HOLD_SLACK_MS;
+        let bounds = self.hold_bounds.clone();
+        let over = |life: &ServerId| now > bounds.get(life).copied().unwrap_or(0).max(unknown_until);
+        let lapsed = record.assigned_if(over);
+        let connected = self.session.as_ref().map(|session| session.server.clone());
+        for (task, attempt) in lapsed {
+            let life = record.tasks.get(&task).map(|entry| entry.place.clone());
+            if connected.clone().map(Place::Assigned) != life {
+                let ended = record.end(self.token, task, attempt, RunEnd::Lapsed);
+                self.counts.lapses += u64::from(ended);
+            }
+        }
+    }
+
+    fn end_lives(&mut self, record: &mut Record, fits: impl Fn(&ServerId) -> bool) {
+        for (task, attempt) in record.assigned_if(&fits) {
+            record.end(self.token, task, attempt, RunEnd::Lapsed);
+        }
+        if let Some(session) = self.session.take() {
+            if fits(&session.server) {
+                self.dead.insert(session.server);
+            } else {
+                self.session = Some(session);
+            }
+        }
+    }
+}
+
+fn choose_starts(
+    token: u64,
+    session: &Session,
+    record: &mut Record,
+    calm: bool,
+    now: u64,
+    random: &mut Random,
+) {
+    let waiting: Vec<TaskId> = record
+        .tasks
+        .iter()
+        .filter(|(_, entry)| entry.place == Place::Waiting)
+        .map(|(task, _)| *task)
+        .collect();
+    for task in waiting {
+        if !random.once_in(10) {
+            continue;
+        }
+        if !calm && random.once_in(3) {
+            record.start(token, task, Place::Elsewhere(now + random.below(800)));
+        } else if !session.heartbeat.draining {
+            record.start(token, task, Place::Assigned(session.server.clone()));
+        }
+    }
+}
+
+/// Stops what runs without being assigned, and some of what is assigned. What a draining server never started is taken
+/// back.
+fn choose_stops(
+    session: &Session,
+    record: &Record,
+    calm: bool,
+    stop: &mut Vec<(TaskId, Attempt)>,
+    random: &mut Random,
+) {
+    let assigned = record.assigned(&session.server);
+    let told = |run: &(TaskId, Attempt)| session.stops.contains_key(run);
+    for run in session.heartbeat.running.iter().map(|run| (run.task, run.attempt)) {
+        if !assigned.contains(&run) && !told(&run) {
+            stop.push(run);
+        }
+    }
+    for run in assigned {
+        let unwanted = (!calm && random.once_in(40)) || session.heartbeat.draining;
+        if unwanted && !told(&run) && session.assigned.contains(&run) {
+            stop.push(run);
+        }
+    }
+}
--- /dev/null
+++ b/crates/worker-agent/tests/model/world.rs
@@ -0,0 +1,364 @@
+//! Server, agent, owners and the network between them.
+
+use crate::owner::{Owner, HOLD_MS};
+use crate::random::Random;
+use crate::record::{Place, Record};
+use crate::server::{Server, ServerCounts};
+use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
+use lupinrack_cluster_api::identity::{FencingToken, JobId, ServerId, TaskId};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_worker_agent::heartbeat_json::{parse, render};
+use lupinrack_worker_agent::{Agent, AgentSettings};
+use std::collections::BTreeMap;
+
+const STEP_MS: u64 = 10;
+const TROUBLE_MS: u64 = 15_000;
+const CALM_MS: u64 = 40_000;
+const TASKS: u32 = 24;
+
+/// Something on its way.
+enum Packet {
+    Beat { server: ServerId, sequence: u64, body: String },
+    Answer { server: ServerId, sequence: u64, body: String },
+    Leave(ServerId),
+    ToOwner { token: u64, connection: u64, message: AgentMessage },
+    ToAgent { connection: u64, message: OwnerMessage },
+}
+
+struct Sent {
+    arrives: u64,
+    packet: Packet,
+}
+
+/// The connection between the agent and an owner.
+#[derive(Clone, Copy)]
+struct Link {
+    connection: u64,
+    token: u64,
+}
+
+/// What happened, to show that a run was not empty.
+#[derive(Default)]
+pub struct Counts {
+    pub server: ServerCounts,
+    pub takeovers: u64,
+    pub agent_restarts: u64,
+    pub never_ran: u64,
+    pub lapses: u64,
+    pub refused_messages: u64,
+}
+
+pub struct World {
+    now: u64,
+    random: Random,
+    record: Record,
+    server: Option<Server>,
+    server_back: u64,
+    lives: u64,
+    agent: Agent,
+    agent_born: u64,
+    /// The highest token in an answer of this agent.
+    answered_token: FencingToken,
+    /// The end of what was granted to each life in messages that this agent took, by the model's clock.
+    granted_until: BTreeMap<ServerId, u64>,
+    owners: Vec<Owner>,
+    link: Option<Link>,
+    /// Until this moment the agent reaches no owner.
+    cut_until: u64,
+    connections: u64,
+    packets: Vec<Sent>,
+    to_owner_free: u64,
+    to_agent_free: u64,
+    counts: Counts,
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let task = |index| TaskId { job: JobId(1), occurrence: 0, step: 0, index };
+        let mut record = Record::new((0..TASKS).map(task));
+        let owner = Owner::take_over(1, &mut record, 0);
+        World {
+            now: 0,
+            random: Random::new(seed),
+            record,
+            server: None,
+            server_back: 0,
+            lives: 0,
+            agent: new_agent(),
+            agent_born: 0,
+            answered_token: FencingToken::default(),
+            granted_until: BTreeMap::new(),
+            owners: vec![owner],
+            link: None,
+            cut_until: 0,
+            connections: 0,
+            packets: Vec::new(),
+            to_owner_free: 0,
+            to_agent_free: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Plays trouble, then calm in which all tasks have to end; what happened.
+    pub fn play(mut self) -> Counts {
+        while self.now < TROUBLE_MS || !self.record.all_done() {
+            assert!(self.now < TROUBLE_MS + CALM_MS, "tasks are left: {:?}", self.record.tasks);
+            let calm = self.now >= TROUBLE_MS;
+            self.step(calm);
+        }
+        if let Some(server) = self.server.take() {
+            self.counts.server = server.counts;
+        }
+        for owner in &self.owners {
+            self.counts.never_ran += owner.counts.never_ran;
+            self.counts.lapses += owner.counts.lapses;
+        }
+        self.counts
+    }
+
+    fn step(&mut self, calm: bool) {
+        self.now += STEP_MS;
+        if !calm {
+            self.trouble();
+        }
+        self.record.end_elsewhere(self.now);
+        self.connect(calm);
+        self.tick_server(calm);
+        self.deliver();
+        if self.agent.next_poll().is_some_and(|due| due <= self.agent_now()) {
+            self.poll_agent();
+        }
+        self.act_owners(calm);
+        self.check_no_second_run();
+    }
+
+    fn agent_now(&self) -> Millis {
+        Millis(self.now - self.agent_born)
+    }
+
+    fn trouble(&mut self) {
+        if self.random.once_in(300) {
+            self.end_server(false);
+        }
+        if self.random.once_in(500) {
+            if let Some(server) = &mut self.server {
+                server.draining = true;
+            }
+        }
+        let drains = self.server.as_ref().is_some_and(|server| server.draining);
+        if drains && self.random.once_in(100) {
+            self.end_server(true);
+        }
+        if self.random.once_in(300) {
+            self.restart_agent();
+        }
+        if self.random.once_in(200) {
+            self.disconnect();
+        }
+        if self.random.once_in(500) {
+            self.disconnect();
+            self.cut_until = self.now + self.random.below(5_000);
+        }
+        if self.random.once_in(300) {
+            self.take_over();
+        }
+    }
+
+    fn end_server(&mut self, in_order: bool) {
+        let Some(server) = self.server.take() else { return };
+        if in_order {
+            self.send(Packet::Leave(server.id), 0);
+        }
+        self.counts.server = server.counts;
+        self.server_back = self.now + self.random.below(1_500);
+    }
+
+    /// The agent's process ends, with all connections, and another begins.
+    fn restart_agent(&mut self) {
+        self.disconnect();
+        let to_agent = |sent: &Sent| {
+            matches!(sent.packet, Packet::Beat { .. } | Packet::Answer { .. } | Packet::Leave(_))
+        };
+        self.packets.retain(|sent| !to_agent(sent));
+        self.agent = new_agent();
+        self.agent_born = self.now;
+        self.answered_token = FencingToken::default();
+        self.granted_until.clear();
+        self.counts.agent_restarts += 1;
+    }
+
+    fn disconnect(&mut self) {
+        let Some(link) = self.link.take() else { return };
+        self.packets.retain(|sent| !matches!(sent.packet, Packet::ToOwner { .. } | Packet::ToAgent { .. }));
+        self.agent.owner_lost(link.connection);
+        if let Some(owner) = self.owners.iter_mut().find(|owner| owner.token == link.token) {
+            owner.disconnected(link.connection);
+        }
+    }
+
+    fn take_over(&mut self) {
+        let token = self.record.token + 1;
+        if let Some(owner) = self.owners.last_mut() {
+            owner.replaced_at = Some(self.now);
+        }
+        self.owners.push(Owner::take_over(token, &mut self.record, self.now));
+        self.counts.takeovers += 1;
+    }
+
+    /// The agent's driver finds an owner, in trouble at times an old one.
+    fn connect(&mut self, calm: bool) {
+        let newest = self.record.token;
+        if self.link.is_some_and(|link| link.token != newest) && (calm || self.random.once_in(50)) {
+            self.disconnect();
+        }
+        if self.link.is_some() || self.now < self.cut_until || !self.random.once_in(10) {
+            return;
+        }
+        let old = !calm && self.random.once_in(4);
+        let token = if old { newest.saturating_sub(1).max(1) } else { newest };
+        self.connections += 1;
+        self.link = Some(Link { connection: self.connections, token });
+        (self.to_owner_free, self.to_agent_free) = (0, 0);
+        self.agent.owner_connected(self.connections);
+        self.poll_agent();
+    }
+
+    fn tick_server(&mut self, calm: bool) {
+        if self.server.is_none() && self.now >= self.server_back {
+            self.lives += 1;
+            let counts = std::mem::take(&mut self.counts.server);
+            self.server = Some(Server::new(format!("life-{}", self.lives), self.now, counts));
+        }
+        let Some(server) = &mut self.server else { return };
+        if calm && server.draining {
+            return self.end_server(true);
+        }
+        let Some((sequence, body)) = server.tick(self.now) else { return };
+        let id = server.id.clone();
+        let beat = |body| Packet::Beat { server: id.clone(), sequence, body };
+        if !calm && self.random.once_in(20) {
+            let delay = self.random.below(3_000);
+            self.send(beat(body.clone()), delay);
+        }
+        let delay = self.delay(calm);
+        let lost = !calm && self.random.once_in(30);
+        if !lost {
+            self.send(beat(body), delay);
+        }
+    }
+
+    fn delay(&mut self, calm: bool) -> u64 {
+        let long = !calm && self.random.once_in(30);
+        self.random.below(if long { 2_500 } else { 30 })
+    }
+
+    fn send(&mut self, packet: Packet, delay: u64) {
+        self.packets.push(Sent { arrives: self.now + delay, packet });
+    }
+
+    fn deliver(&mut self) {
+        while let Some(place) = self.packets.iter().position(|sent| sent.arrives <= self.now) {
+            let sent = self.packets.remove(place);
+            self.arrive(sent.packet);
+        }
+    }
+
+    fn arrive(&mut self, packet: Packet) {
+        match packet {
+            Packet::Beat { server, sequence, body } => self.beat_agent(server, sequence, &body),
+            Packet::Answer { server, sequence, body } => {
+                if let Some(server) = self.server.as_mut().filter(|living| living.id == server) {
+                    server.answered(sequence, &body, self.now, &mut self.random);
+                }
+            }
+            Packet::Leave(server) => {
+                self.agent.leave(server, self.agent_now());
+                self.poll_agent();
+            }
+            Packet::ToOwner { token, connection, message } => {
+                if let Some(owner) = self.owners.iter_mut().find(|owner| owner.token == token) {
+                    owner.receive(connection, message, &mut self.record);
+                }
+            }
+            Packet::ToAgent { connection, message } => self.tell_agent(connection, message),
+        }
+    }
+
+    fn beat_agent(&mut self, server: ServerId, sequence: u64, body: &str) {
+        let now = self.agent_now();
+        let beat = parse(&server.0, body.as_bytes()).expect("a heartbeat of the model");
+        let answer = self.agent.heartbeat(beat, now);
+        if answer.token != FencingToken::default() {
+            assert!(answer.token >= self.answered_token, "the token fell");
+            self.answered_token = answer.token;
+        }
+        let granted_until = self.granted_until.get(&server).copied().unwrap_or(0);
+        assert!(answer.hold_ms == 0 || self.now + answer.hold_ms <= granted_until, "a hold beyond the grant");
+        let lost = self.now < TROUBLE_MS && self.random.once_in(10);
+        let delay = self.delay(self.now >= TROUBLE_MS);
+        if !lost {
+            self.send(Packet::Answer { server, sequence, body: render(&answer) }, delay);
+        }
+        self.poll_agent();
+    }
+
+    fn tell_agent(&mut self, connection: u64, message: OwnerMessage) {
+        let until = self.agent_born + message.hold_from.0 + message.hold_ms;
+        let server = message.server.clone();
+        let lower = message.token < self.agent.token();
+        let taken = self.agent.owner_message(connection, message, self.agent_now());
+        assert!(!(lower && taken.is_ok()), "an order under a lower token was taken");
+        match taken {
+            Ok(()) => {
+                let granted = self.granted_until.entry(server).or_insert(0);
+                *granted = until.max(*granted);
+            }
+            Err(_) => self.counts.refused_messages += 1,
+        }
+        self.poll_agent();
+    }
+
+    fn poll_agent(&mut self) {
+        let messages = self.agent.poll(self.agent_now());
+        let Some(Link { connection, token }) = self.link else {
+            assert!(messages.is_empty(), "messages without a connection");
+            return;
+        };
+        for message in messages {
+            self.to_owner_free = self.to_owner_free.max(self.now + self.random.below(30));
+            let delay = self.to_owner_free - self.now;
+            self.send(Packet::ToOwner { token, connection, message }, delay);
+        }
+    }
+
+    fn act_owners(&mut self, calm: bool) {
+        for place in 0..self.owners.len() {
+            let owner = &mut self.owners[place];
+            let Some((connection, message)) = owner.act(&mut self.record, calm, self.now, &mut self.random)
+            else {
+                continue;
+            };
+            assert_eq!(message.hold_ms, HOLD_MS);
+            if self.link.is_some_and(|link| link.connection == connection) {
+                self.to_agent_free = self.to_agent_free.max(self.now + self.random.below(60));
+                let delay = self.to_agent_free - self.now;
+                self.send(Packet::ToAgent { connection, message }, delay);
+            }
+        }
+    }
+
+    /// What the record takes for ended, or knows elsewhere, must not run here.
+    fn check_no_second_run(&self) {
+        let Some(server) = &self.server else { return };
+        for (task, entry) in &self.record.tasks {
+            let here = matches!(&entry.place, Place::Assigned(life) if *life == server.id);
+            assert!(here || !server.runs(task), "{task} runs here, but is recorded as {:?}", entry.place);
+        }
+    }
+}
+
+fn new_agent() -> Agent {
+    let settings =
+        AgentSettings { hold_max_ms: 6_000, heartbeat_ms: 1_500, idle_beat_ms: 400, busy_beat_ms: 80 };
+    Agent::new(settings, Millis(0))
+}
