Worker agent: a life that did not leave is replaced only at another's second heartbeat

Silence no longer counts; the new life is asked to beat again soon, so a restart costs one short beat.

--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -82,11 +82,10 @@
     }
 
     /// Takes a heartbeat that arrived at `now` and answers it. A heartbeat that is late, repeated or of an earlier life
-    /// is acknowledged without any order; so is the first one of a new life while the present one still seems to live.
+    /// is acknowledged without any order; so is the first one of a new life that follows one that did not leave.
     pub fn heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> HeartbeatAnswer {
-        let silent = self.life.as_ref().is_none_or(|life| now > life.expected_by);
         let newest = self.life.as_ref().map(|life| &life.heartbeat);
-        match self.other_lives.judge(&beat.heartbeat, newest, silent) {
+        match self.other_lives.judge(&beat.heartbeat, newest) {
             Standing::Newest => self.take_heartbeat(beat, now),
             Standing::Unconfirmed => {
                 HeartbeatAnswer { beat_after_ms: self.settings.busy_beat_ms, ..HeartbeatAnswer::default() }
--- a/crates/worker-agent/src/lives.rs
+++ b/crates/worker-agent/src/lives.rs
@@ -1,8 +1,9 @@
 //! Which heartbeats are the living server's.
 //!
 //! One server stands beside the agent, but its lives follow each other, and a heartbeat may arrive after its sender's
-//! end. To take a dead life for a new one would make the owner give up the runs of the living, so an identity that shows
-//! up while another one beats is believed only when it beats again before the other does.
+//! end. To take a dead life for a new one would make the owner give up the runs of the living. So where there is a life
+//! that has not left, another identity is believed only when it beats again before that one does; it is asked to do so
+//! soon.
 
 use lupinrack_cluster_api::agent::Heartbeat;
 use lupinrack_cluster_api::identity::ServerId;
@@ -44,12 +45,11 @@
 }
 
 impl Lives {
-    /// Judges a heartbeat. `newest` is the last one of the present life, `silent` says whether that life has missed its
-    /// time to beat.
-    pub fn judge(&mut self, beat: &Heartbeat, newest: Option<&Heartbeat>, silent: bool) -> Standing {
+    /// Judges a heartbeat. `newest` is the last one of the present life, if there is one.
+    pub fn judge(&mut self, beat: &Heartbeat, newest: Option<&Heartbeat>) -> Standing {
         let standing = match newest {
             Some(newest) if newest.server == beat.server => sequence_standing(beat, newest.sequence),
-            _ => self.standing_of_other(beat, silent),
+            _ => self.standing_of_other(beat, newest.is_some()),
         };
         match standing {
             Standing::Newest => self.unconfirmed = None,
@@ -79,7 +79,7 @@
         self.left.iter()
     }
 
-    fn standing_of_other(&self, beat: &Heartbeat, silent: bool) -> Standing {
+    fn standing_of_other(&self, beat: &Heartbeat, another_present: bool) -> Standing {
         if self.left.contains(&beat.server) {
             return Standing::Late;
         }
@@ -87,7 +87,7 @@
         let again = self.unconfirmed.as_ref().is_some_and(|first| first.precedes(beat));
         match past {
             Some(past) if !past.precedes(beat) => Standing::Late,
-            None if silent => Standing::Newest,
+            None if !another_present => Standing::Newest,
             _ if again => Standing::Newest,
             _ => Standing::Unconfirmed,
         }
