Worker agent: a new life has to beat again while the present one is silent

Now the present life must also have missed its time to beat. The model's owner takes an attach of a life that it had given up, since the agent knows better which one beats. The tests of single situations are split by subject; none is dropped.

--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -82,10 +82,11 @@
     }
 
     /// Takes a heartbeat that arrived at `now` and answers it. A heartbeat that is late, repeated or of an earlier life
-    /// is acknowledged without any order; so is the first one of a new life that follows one that did not leave.
+    /// is acknowledged without any order; so are the first ones of a new life that follows one that did not leave.
     pub fn heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> HeartbeatAnswer {
+        let silent = self.life.as_ref().is_some_and(|life| now > life.expected_by);
         let newest = self.life.as_ref().map(|life| &life.heartbeat);
-        match self.other_lives.judge(&beat.heartbeat, newest) {
+        match self.other_lives.judge(&beat.heartbeat, newest, silent) {
             Standing::Newest => self.take_heartbeat(beat, now),
             Standing::Unconfirmed => {
                 HeartbeatAnswer { beat_after_ms: self.settings.busy_beat_ms, ..HeartbeatAnswer::default() }
--- a/crates/worker-agent/src/lives.rs
+++ b/crates/worker-agent/src/lives.rs
@@ -2,8 +2,8 @@
 //!
 //! One server stands beside the agent, but its lives follow each other, and a heartbeat may arrive after its sender's
 //! end. To take a dead life for a new one would make the owner give up the runs of the living. So where there is a life
-//! that has not left, another identity is believed only when it beats again before that one does; it is asked to do so
-//! soon.
+//! that has not left, another identity is believed only when that one is silent and this one beats again; it is asked to
+//! do so soon.
 
 use lupinrack_cluster_api::agent::Heartbeat;
 use lupinrack_cluster_api::identity::ServerId;
@@ -45,11 +45,13 @@
 }
 
 impl Lives {
-    /// Judges a heartbeat. `newest` is the last one of the present life, if there is one.
-    pub fn judge(&mut self, beat: &Heartbeat, newest: Option<&Heartbeat>) -> Standing {
+    /// Judges a heartbeat. `newest` is the last one of the present life, if there is one; `silent` says whether that life
+    /// has missed its time to beat.
+    pub fn judge(&mut self, beat: &Heartbeat, newest: Option<&Heartbeat>, silent: bool) -> Standing {
         let standing = match newest {
             Some(newest) if newest.server == beat.server => sequence_standing(beat, newest.sequence),
-            _ => self.standing_of_other(beat, newest.is_some()),
+            Some(_) => self.standing_of_other(beat, silent),
+            None => self.standing_without_present(beat),
         };
         match standing {
             Standing::Newest => self.unconfirmed = None,
@@ -79,18 +81,34 @@
         self.left.iter()
     }
 
-    fn standing_of_other(&self, beat: &Heartbeat, another_present: bool) -> Standing {
-        if self.left.contains(&beat.server) {
+    fn standing_of_other(&self, beat: &Heartbeat, silent: bool) -> Standing {
+        if self.is_over(beat) {
             return Standing::Late;
         }
-        let past = self.past.iter().find(|past| past.server == beat.server);
         let again = self.unconfirmed.as_ref().is_some_and(|first| first.precedes(beat));
-        match past {
-            Some(past) if !past.precedes(beat) => Standing::Late,
-            None if !another_present => Standing::Newest,
-            _ if again => Standing::Newest,
-            _ => Standing::Unconfirmed,
+        if silent && again {
+            Standing::Newest
+        } else {
+            Standing::Unconfirmed
+        }
+    }
+
+    fn standing_without_present(&self, beat: &Heartbeat) -> Standing {
+        let known = self.past.iter().any(|past| past.server == beat.server);
+        if known {
+            return self.standing_of_other(beat, true);
         }
+        if self.is_over(beat) {
+            Standing::Late
+        } else {
+            Standing::Newest
+        }
+    }
+
+    /// Whether the heartbeat is of a life that left, or older than one that was taken of a past life.
+    fn is_over(&self, beat: &Heartbeat) -> bool {
+        let past = self.past.iter().find(|past| past.server == beat.server);
+        self.left.contains(&beat.server) || past.is_some_and(|past| !past.precedes(beat))
     }
 }
 
--- a/crates/worker-agent/tests/agent.rs
+++ b/crates/worker-agent/tests/agent.rs
@@ -1,52 +1,20 @@
-//! Single situations of the agent.
+//! Orders, holds and sessions of the agent, one situation each.
 
 mod support;
 
-use lupinrack_cluster_api::agent::{AgentMessage, Heartbeat, OwnerMessage};
-use lupinrack_cluster_api::identity::{FencingToken, ServerId};
+use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
+use lupinrack_cluster_api::identity::FencingToken;
 use lupinrack_cluster_api::server::RunEnd;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_worker_agent::agent::{FINISHED_LIST_MOST, SILENCE_SLACK_MS};
 use lupinrack_worker_agent::heartbeat_json::UnknownRun;
 use lupinrack_worker_agent::hold::HOLD_LEAST_MS;
 use lupinrack_worker_agent::orders::STARTS_BYTES_MOST;
-use lupinrack_worker_agent::reporter::{PROGRESS_MS, REPORT_MS};
 use lupinrack_worker_agent::session::ATTACH_RETRY_MS;
 use lupinrack_worker_agent::{Agent, HeartbeatAnswer, RefusedMessage, StopOrder};
-use support::{assignment, beat, finished, message, running, settings, task, CONNECTION};
-
-/// An agent whose server "a" has beaten once at 10 and whose session is attached since 11.
-fn attached() -> Agent {
-    let mut agent = Agent::new(settings(), Millis(0));
-    agent.owner_connected(CONNECTION);
-    agent.heartbeat(beat("a", 1), Millis(10));
-    let messages = agent.poll(Millis(11));
-    assert!(matches!(messages.as_slice(), [AgentMessage::Attach { .. }]));
-    agent
-}
-
-/// A first message that assigns task 1 and holds from 11 to 3011.
-fn first_message() -> OwnerMessage {
-    OwnerMessage { whole: true, assign: vec![assignment(1, 1)], ..message(1, "a", 5) }
-}
-
-/// An agent that has been told to run task 1.
-fn ordered() -> Agent {
-    let mut agent = attached();
-    assert_eq!(agent.owner_message(CONNECTION, first_message(), Millis(20)), Ok(()));
-    agent
-}
-
-fn started(answer: &HeartbeatAnswer) -> Vec<(u32, u32)> {
-    answer.starts.iter().map(|start| (start.task.index, start.attempt)).collect()
-}
-
-fn reported(messages: &[AgentMessage]) -> Option<&Heartbeat> {
-    messages.iter().find_map(|message| match message {
-        AgentMessage::Report { heartbeat, .. } => heartbeat.as_ref(),
-        _ => None,
-    })
-}
+use support::{
+    assignment, attached, beat, finished, first_message, message, ordered, running, settings, started, task,
+    CONNECTION,
+};
 
 #[test]
 fn answers_at_once_without_an_owner() {
@@ -85,74 +53,6 @@
     assert_eq!((started(&answer), answer.observed), (vec![], 1));
 }
 
-#[test]
-fn late_repeated_and_old_heartbeats_get_no_orders() {
-    let mut agent = ordered();
-    agent.heartbeat(beat("a", 5), Millis(100));
-    for sequence in [5, 4, 1] {
-        assert_eq!(agent.heartbeat(beat("a", sequence), Millis(110)), HeartbeatAnswer::default());
-    }
-    agent.heartbeat(beat("b", 1), Millis(120));
-    agent.heartbeat(beat("b", 2), Millis(125));
-    assert_eq!(agent.heartbeat(beat("a", 5), Millis(130)), HeartbeatAnswer::default());
-    assert!(agent.heartbeat(beat("a", 6), Millis(131)).starts.is_empty());
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
-}
-
-#[test]
-fn a_new_life_begins_with_a_new_attach_and_no_orders() {
-    let mut agent = ordered();
-    for sequence in 1..3 {
-        let answer = agent.heartbeat(beat("b", sequence), Millis(100));
-        assert_eq!((started(&answer), answer.hold_ms), (vec![], 0));
-    }
-    let late = OwnerMessage { assign: vec![assignment(2, 1)], ..message(2, "a", 5) };
-    assert_eq!(agent.owner_message(CONNECTION, late, Millis(101)), Err(RefusedMessage::OtherLife));
-    let messages = agent.poll(Millis(102));
-    assert!(matches!(messages.as_slice(), [AgentMessage::Attach { facts, .. }] if facts.id.0 == "b"));
-}
-
-#[test]
-fn a_dead_life_that_shows_up_late_does_not_replace_the_living() {
-    let mut agent = ordered();
-    let unconfirmed = agent.heartbeat(beat("dead", 1), Millis(100));
-    let expected = HeartbeatAnswer { beat_after_ms: settings().busy_beat_ms, ..HeartbeatAnswer::default() };
-    assert_eq!(unconfirmed, expected);
-    assert_eq!(started(&agent.heartbeat(beat("a", 2), Millis(110))), [(1, 1)]);
-    assert_eq!(agent.heartbeat(beat("dead", 2), Millis(120)), expected);
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
-}
-
-#[test]
-fn a_new_life_is_taken_at_its_second_heartbeat_however_silent_the_other_is() {
-    let mut agent = ordered();
-    let answer = agent.heartbeat(beat("a", 2), Millis(100));
-    let silent = 100 + answer.beat_after_ms + SILENCE_SLACK_MS + 1;
-    let first = agent.heartbeat(beat("b", 1), Millis(silent));
-    assert_eq!(first.beat_after_ms, settings().busy_beat_ms);
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
-    agent.heartbeat(beat("b", 2), Millis(silent + first.beat_after_ms));
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
-}
-
-#[test]
-fn a_new_life_is_taken_at_once_after_the_other_left() {
-    let mut agent = ordered();
-    agent.leave(ServerId("a".into()), Millis(100));
-    agent.heartbeat(beat("b", 1), Millis(110));
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
-}
-
-#[test]
-fn a_life_that_was_taken_for_over_comes_back_by_beating_on() {
-    let mut agent = ordered();
-    agent.heartbeat(beat("b", 1), Millis(100));
-    agent.heartbeat(beat("b", 2), Millis(110));
-    agent.heartbeat(beat("a", 2), Millis(120));
-    agent.heartbeat(beat("a", 3), Millis(130));
-    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
-}
-
 #[test]
 fn no_hold_and_no_start_beyond_the_grant() {
     let mut agent = ordered();
@@ -228,19 +128,6 @@
     assert!(answer.starts.is_empty() && answer.hold_ms > 0);
 }
 
-#[test]
-fn a_list_of_ends_that_may_be_cut_allows_no_start() {
-    let mut agent = ordered();
-    agent.heartbeat(beat("a", 2), Millis(30));
-    let mut cut = beat("a", 3);
-    cut.heartbeat.finished = (0..FINISHED_LIST_MOST as u32)
-        .map(|n| finished(u64::from(n) + 1, 100 + n, 1, RunEnd::Done))
-        .collect();
-    cut.ends_listed = FINISHED_LIST_MOST;
-    assert!(agent.heartbeat(cut, Millis(40)).starts.is_empty());
-    assert_eq!(reported(&agent.poll(Millis(41))).map(|heartbeat| heartbeat.orders_seen), Some(0));
-}
-
 #[test]
 fn starts_that_are_too_large_for_one_answer_come_in_several() {
     let mut agent = attached();
@@ -329,97 +216,6 @@
     assert_eq!(agent.owner_message(CONNECTION, fresh, again), Ok(()));
 }
 
-#[test]
-fn orders_count_as_seen_one_heartbeat_after_their_answer() {
-    let mut agent = ordered();
-    agent.heartbeat(beat("a", 2), Millis(100));
-    assert_eq!(reported(&agent.poll(Millis(101))), None);
-    agent.heartbeat(beat("a", 3), Millis(200));
-    assert_eq!(reported(&agent.poll(Millis(201))).map(|heartbeat| heartbeat.orders_seen), Some(1));
-}
-
-#[test]
-fn withheld_starts_do_not_count_as_seen() {
-    let mut agent = ordered();
-    agent.heartbeat(beat("a", 2), Millis(3_500));
-    agent.heartbeat(beat("a", 3), Millis(3_600));
-    let messages = agent.poll(Millis(3_601));
-    assert_eq!(reported(&messages).map(|heartbeat| heartbeat.orders_seen), Some(0));
-}
-
-#[test]
-fn unchanged_heartbeats_are_not_passed_on() {
-    let mut agent = ordered();
-    let mut listed = beat("a", 2);
-    listed.heartbeat.running = vec![running(1, 1)];
-    agent.heartbeat(listed.clone(), Millis(100));
-    assert!(reported(&agent.poll(Millis(100))).is_some());
-    listed.heartbeat.sequence = 3;
-    agent.heartbeat(listed.clone(), Millis(200));
-    assert!(reported(&agent.poll(Millis(200))).is_some(), "the start was answered");
-    listed.heartbeat.sequence = 4;
-    agent.heartbeat(listed, Millis(300));
-    assert!(agent.poll(Millis(300)).is_empty());
-    assert_eq!(agent.next_poll(), Some(Millis(200 + REPORT_MS)));
-    let messages = agent.poll(Millis(200 + REPORT_MS));
-    assert!(matches!(messages.as_slice(), [AgentMessage::Report { heartbeat: None, .. }]));
-}
-
-#[test]
-fn progress_is_passed_on_seldom_and_checkpoints_at_once() {
-    let mut agent = ordered();
-    let mut listed = beat("a", 2);
-    listed.heartbeat.running = vec![running(1, 1)];
-    agent.heartbeat(listed.clone(), Millis(100));
-    agent.poll(Millis(100));
-    listed.heartbeat.sequence = 3;
-    agent.heartbeat(listed.clone(), Millis(150));
-    agent.poll(Millis(150));
-    listed.heartbeat.sequence = 4;
-    listed.heartbeat.running[0].percent = 50;
-    agent.heartbeat(listed.clone(), Millis(400));
-    assert_eq!(reported(&agent.poll(Millis(400))), None);
-    assert!(reported(&agent.poll(Millis(150 + PROGRESS_MS))).is_some());
-    listed.heartbeat.sequence = 5;
-    listed.heartbeat.running[0].saved = "0f".into();
-    agent.heartbeat(listed, Millis(700));
-    assert!(reported(&agent.poll(Millis(700))).is_some());
-}
-
-#[test]
-fn a_silent_server_is_not_reported() {
-    let mut agent = ordered();
-    let answer = agent.heartbeat(beat("a", 2), Millis(100));
-    let silent = 100 + answer.beat_after_ms + SILENCE_SLACK_MS;
-    assert!(!agent.poll(Millis(silent)).is_empty());
-    assert!(agent.poll(Millis(silent + REPORT_MS)).is_empty());
-    assert_eq!(agent.next_poll(), None);
-    agent.heartbeat(beat("a", 3), Millis(5_000));
-    assert!(!agent.poll(Millis(5_000)).is_empty());
-}
-
-#[test]
-fn a_leave_is_told_to_this_and_to_each_later_owner() {
-    let mut agent = ordered();
-    agent.leave(ServerId("a".into()), Millis(100));
-    let leave = AgentMessage::Leave { server: ServerId("a".into()) };
-    assert_eq!(agent.poll(Millis(101)), std::slice::from_ref(&leave));
-    agent.leave(ServerId("a".into()), Millis(110));
-    assert!(agent.poll(Millis(111)).is_empty());
-    assert_eq!(agent.heartbeat(beat("a", 3), Millis(120)), HeartbeatAnswer::default());
-    agent.owner_connected(2);
-    assert_eq!(agent.poll(Millis(130)), [leave]);
-}
-
-#[test]
-fn changed_facts_are_told_by_a_new_attach() {
-    let mut agent = ordered();
-    let mut changed = beat("a", 2);
-    changed.facts.capacity.cpu += 1;
-    assert_eq!(started(&agent.heartbeat(changed, Millis(100))), [(1, 1)]);
-    assert!(matches!(agent.poll(Millis(101)).as_slice(), [AgentMessage::Attach { .. }]));
-}
-
 #[test]
 fn pending_ends_make_the_server_beat_soon() {
     let mut agent = ordered();
--- /dev/null
+++ b/crates/worker-agent/tests/lives.rs
@@ -0,0 +1,100 @@
+//! The lives of a server: which heartbeats count, and what becomes of orders.
+
+mod support;
+
+use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
+use lupinrack_cluster_api::identity::ServerId;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_worker_agent::{HeartbeatAnswer, RefusedMessage};
+use support::{assignment, beat, message, ordered, settings, started, CONNECTION, SILENT};
+
+#[test]
+fn late_repeated_and_old_heartbeats_get_no_orders() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 5), Millis(100));
+    for sequence in [5, 4, 1] {
+        assert_eq!(agent.heartbeat(beat("a", sequence), Millis(110)), HeartbeatAnswer::default());
+    }
+    agent.heartbeat(beat("b", 1), SILENT);
+    agent.heartbeat(beat("b", 2), SILENT);
+    assert_eq!(agent.heartbeat(beat("a", 5), SILENT), HeartbeatAnswer::default());
+    assert!(agent.heartbeat(beat("a", 6), SILENT).starts.is_empty());
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
+}
+
+#[test]
+fn a_new_life_begins_with_a_new_attach_and_no_orders() {
+    let mut agent = ordered();
+    for sequence in 1..3 {
+        let answer = agent.heartbeat(beat("b", sequence), SILENT);
+        assert_eq!((started(&answer), answer.hold_ms), (vec![], 0));
+    }
+    let late = OwnerMessage { assign: vec![assignment(2, 1)], ..message(2, "a", 5) };
+    assert_eq!(agent.owner_message(CONNECTION, late, SILENT), Err(RefusedMessage::OtherLife));
+    let messages = agent.poll(SILENT);
+    assert!(matches!(messages.as_slice(), [AgentMessage::Attach { facts, .. }] if facts.id.0 == "b"));
+}
+
+#[test]
+fn a_dead_life_that_shows_up_late_does_not_replace_the_living() {
+    let mut agent = ordered();
+    let unconfirmed = agent.heartbeat(beat("dead", 1), Millis(100));
+    let expected = HeartbeatAnswer { beat_after_ms: settings().busy_beat_ms, ..HeartbeatAnswer::default() };
+    assert_eq!(unconfirmed, expected);
+    assert_eq!(started(&agent.heartbeat(beat("a", 2), Millis(110))), [(1, 1)]);
+    assert_eq!(agent.heartbeat(beat("dead", 2), Millis(120)), expected);
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
+}
+
+#[test]
+fn a_new_life_is_taken_when_it_beats_again_and_the_other_is_silent() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(100));
+    for sequence in 1..4 {
+        let answer = agent.heartbeat(beat("b", sequence), Millis(100 + sequence));
+        assert_eq!(answer.beat_after_ms, settings().busy_beat_ms);
+        assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
+    }
+    agent.heartbeat(beat("b", 4), SILENT);
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
+}
+
+#[test]
+fn the_first_heartbeat_of_a_new_life_is_not_enough_however_silent_the_other_is() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("b", 1), SILENT.plus(60_000));
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
+}
+
+#[test]
+fn a_new_life_is_taken_at_once_after_the_other_left() {
+    let mut agent = ordered();
+    agent.leave(ServerId("a".into()), Millis(100));
+    agent.heartbeat(beat("b", 1), Millis(110));
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
+}
+
+#[test]
+fn a_life_that_was_taken_for_over_comes_back_by_beating_on() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("b", 1), SILENT);
+    agent.heartbeat(beat("b", 2), SILENT);
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
+    let later = SILENT.plus(2_000);
+    agent.heartbeat(beat("a", 2), later);
+    agent.heartbeat(beat("a", 3), later);
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("a".into())));
+}
+
+#[test]
+fn a_leave_is_told_to_this_and_to_each_later_owner() {
+    let mut agent = ordered();
+    agent.leave(ServerId("a".into()), Millis(100));
+    let leave = AgentMessage::Leave { server: ServerId("a".into()) };
+    assert_eq!(agent.poll(Millis(101)), std::slice::from_ref(&leave));
+    agent.leave(ServerId("a".into()), Millis(110));
+    assert!(agent.poll(Millis(111)).is_empty());
+    assert_eq!(agent.heartbeat(beat("a", 3), Millis(120)), HeartbeatAnswer::default());
+    agent.owner_connected(2);
+    assert_eq!(agent.poll(Millis(130)), [leave]);
+}
--- a/crates/worker-agent/tests/model/owner.rs
+++ b/crates/worker-agent/tests/model/owner.rs
@@ -40,7 +40,6 @@
     took_over_at: u64,
     /// When the hold of each life that the owner knows is over for certain.
     hold_bounds: BTreeMap<ServerId, u64>,
-    dead: BTreeSet<ServerId>,
     session: Option<Session>,
     /// The owner is no longer the newest since this moment.
     pub replaced_at: Option<u64>,
@@ -54,7 +53,6 @@
             counts: OwnerCounts::default(),
             took_over_at: now,
             hold_bounds: BTreeMap::new(),
-            dead: BTreeSet::new(),
             session: None,
             replaced_at: None,
         }
@@ -68,7 +66,7 @@
 
     pub fn receive(&mut self, connection: u64, message: AgentMessage, record: &mut Record) {
         match message {
-            AgentMessage::Attach { facts, heartbeat, sent_at, .. } if !self.dead.contains(&facts.id) => {
+            AgentMessage::Attach { facts, heartbeat, sent_at, .. } => {
                 self.end_lives(record, |life| *life != facts.id);
                 self.session = Some(Session {
                     connection,
@@ -82,7 +80,6 @@
                 });
                 self.learn(record);
             }
-            AgentMessage::Attach { .. } => {}
             AgentMessage::Report { heartbeat, sent_at } => {
                 let session = self.session.as_mut().filter(|session| session.connection == connection);
                 let Some(session) = session else { return };
@@ -191,12 +188,8 @@
         for (task, attempt) in record.assigned_if(&fits) {
             record.end(self.token, task, attempt, RunEnd::Lapsed);
         }
-        if let Some(session) = self.session.take() {
-            if fits(&session.server) {
-                self.dead.insert(session.server);
-            } else {
-                self.session = Some(session);
-            }
+        if self.session.as_ref().is_some_and(|session| fits(&session.server)) {
+            self.session = None;
         }
     }
 }
--- /dev/null
+++ b/crates/worker-agent/tests/reports.rs
@@ -0,0 +1,101 @@
+//! What the agent tells the owner, and when.
+
+mod support;
+
+use lupinrack_cluster_api::agent::AgentMessage;
+use lupinrack_cluster_api::server::RunEnd;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_worker_agent::agent::{FINISHED_LIST_MOST, SILENCE_SLACK_MS};
+use lupinrack_worker_agent::reporter::{PROGRESS_MS, REPORT_MS};
+use support::{beat, finished, ordered, reported, running, started};
+
+#[test]
+fn a_list_of_ends_that_may_be_cut_allows_no_start() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(30));
+    let mut cut = beat("a", 3);
+    cut.heartbeat.finished = (0..FINISHED_LIST_MOST as u32)
+        .map(|n| finished(u64::from(n) + 1, 100 + n, 1, RunEnd::Done))
+        .collect();
+    cut.ends_listed = FINISHED_LIST_MOST;
+    assert!(agent.heartbeat(cut, Millis(40)).starts.is_empty());
+    assert_eq!(reported(&agent.poll(Millis(41))).map(|heartbeat| heartbeat.orders_seen), Some(0));
+}
+
+#[test]
+fn orders_count_as_seen_one_heartbeat_after_their_answer() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(100));
+    assert_eq!(reported(&agent.poll(Millis(101))), None);
+    agent.heartbeat(beat("a", 3), Millis(200));
+    assert_eq!(reported(&agent.poll(Millis(201))).map(|heartbeat| heartbeat.orders_seen), Some(1));
+}
+
+#[test]
+fn withheld_starts_do_not_count_as_seen() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(3_500));
+    agent.heartbeat(beat("a", 3), Millis(3_600));
+    let messages = agent.poll(Millis(3_601));
+    assert_eq!(reported(&messages).map(|heartbeat| heartbeat.orders_seen), Some(0));
+}
+
+#[test]
+fn unchanged_heartbeats_are_not_passed_on() {
+    let mut agent = ordered();
+    let mut listed = beat("a", 2);
+    listed.heartbeat.running = vec![running(1, 1)];
+    agent.heartbeat(listed.clone(), Millis(100));
+    assert!(reported(&agent.poll(Millis(100))).is_some());
+    listed.heartbeat.sequence = 3;
+    agent.heartbeat(listed.clone(), Millis(200));
+    assert!(reported(&agent.poll(Millis(200))).is_some(), "the start was answered");
+    listed.heartbeat.sequence = 4;
+    agent.heartbeat(listed, Millis(300));
+    assert!(agent.poll(Millis(300)).is_empty());
+    assert_eq!(agent.next_poll(), Some(Millis(200 + REPORT_MS)));
+    let messages = agent.poll(Millis(200 + REPORT_MS));
+    assert!(matches!(messages.as_slice(), [AgentMessage::Report { heartbeat: None, .. }]));
+}
+
+#[test]
+fn progress_is_passed_on_seldom_and_checkpoints_at_once() {
+    let mut agent = ordered();
+    let mut listed = beat("a", 2);
+    listed.heartbeat.running = vec![running(1, 1)];
+    agent.heartbeat(listed.clone(), Millis(100));
+    agent.poll(Millis(100));
+    listed.heartbeat.sequence = 3;
+    agent.heartbeat(listed.clone(), Millis(150));
+    agent.poll(Millis(150));
+    listed.heartbeat.sequence = 4;
+    listed.heartbeat.running[0].percent = 50;
+    agent.heartbeat(listed.clone(), Millis(400));
+    assert_eq!(reported(&agent.poll(Millis(400))), None);
+    assert!(reported(&agent.poll(Millis(150 + PROGRESS_MS))).is_some());
+    listed.heartbeat.sequence = 5;
+    listed.heartbeat.running[0].saved = "0f".into();
+    agent.heartbeat(listed, Millis(700));
+    assert!(reported(&agent.poll(Millis(700))).is_some());
+}
+
+#[test]
+fn a_silent_server_is_not_reported() {
+    let mut agent = ordered();
+    let answer = agent.heartbeat(beat("a", 2), Millis(100));
+    let silent = 100 + answer.beat_after_ms + SILENCE_SLACK_MS;
+    assert!(!agent.poll(Millis(silent)).is_empty());
+    assert!(agent.poll(Millis(silent + REPORT_MS)).is_empty());
+    assert_eq!(agent.next_poll(), None);
+    agent.heartbeat(beat("a", 3), Millis(5_000));
+    assert!(!agent.poll(Millis(5_000)).is_empty());
+}
+
+#[test]
+fn changed_facts_are_told_by_a_new_attach() {
+    let mut agent = ordered();
+    let mut changed = beat("a", 2);
+    changed.facts.capacity.cpu += 1;
+    assert_eq!(started(&agent.heartbeat(changed, Millis(100))), [(1, 1)]);
+    assert!(matches!(agent.poll(Millis(101)).as_slice(), [AgentMessage::Attach { .. }]));
+}
--- a/crates/worker-agent/tests/support/mod.rs
+++ b/crates/worker-agent/tests/support/mod.rs
@@ -3,12 +3,13 @@
 // Each test file uses some of them.
 #![allow(dead_code)]
 
-use lupinrack_cluster_api::agent::{Assignment, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::agent::{AgentMessage, Assignment, Heartbeat, OwnerMessage};
 use lupinrack_cluster_api::identity::{Attempt, FencingToken, JobId, ServerId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::server::{FinishedTask, RunEnd, RunningTask, ServerFacts};
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_worker_agent::{AgentSettings, ServerHeartbeat};
+use lupinrack_worker_agent::agent::SILENCE_SLACK_MS;
+use lupinrack_worker_agent::{Agent, AgentSettings, HeartbeatAnswer, ServerHeartbeat};
 
 /// The connection of the first session.
 pub const CONNECTION: u64 = 1;
@@ -80,3 +81,39 @@
         clock_ms: 0,
     }
 }
+
+/// An agent whose server "a" has beaten once at 10 and whose session is attached since 11.
+pub fn attached() -> Agent {
+    let mut agent = Agent::new(settings(), Millis(0));
+    agent.owner_connected(CONNECTION);
+    agent.heartbeat(beat("a", 1), Millis(10));
+    let messages = agent.poll(Millis(11));
+    assert!(matches!(messages.as_slice(), [AgentMessage::Attach { .. }]));
+    agent
+}
+
+/// A moment at which an agent that `ordered` gives, or whose server has beaten at 100, takes that server for silent.
+pub const SILENT: Millis = Millis(100 + 400 + SILENCE_SLACK_MS + 1);
+
+/// A first message that assigns task 1 and holds from 11 to 3011.
+pub fn first_message() -> OwnerMessage {
+    OwnerMessage { whole: true, assign: vec![assignment(1, 1)], ..message(1, "a", 5) }
+}
+
+/// An agent that has been told to run task 1.
+pub fn ordered() -> Agent {
+    let mut agent = attached();
+    assert_eq!(agent.owner_message(CONNECTION, first_message(), Millis(20)), Ok(()));
+    agent
+}
+
+pub fn started(answer: &HeartbeatAnswer) -> Vec<(u32, u32)> {
+    answer.starts.iter().map(|start| (start.task.index, start.attempt)).collect()
+}
+
+pub fn reported(messages: &[AgentMessage]) -> Option<&Heartbeat> {
+    messages.iter().find_map(|message| match message {
+        AgentMessage::Report { heartbeat, .. } => heartbeat.as_ref(),
+        _ => None,
+    })
+}
