--- a/crates/worker-agent/tests/agent.rs
+++ b/crates/worker-agent/tests/agent.rs
@@ -226,3 +226,11 @@
     assert_eq!(agent.owner_message(CONNECTION, observing, Millis(110)), Ok(()));
     assert_eq!(agent.heartbeat(beat("a", 3), Millis(120)).beat_after_ms, 300);
 }
+
+#[test]
+fn a_session_begins_with_a_whole_message() {
+    let mut agent = attached();
+    let changes = OwnerMessage { whole: false, ..first_message() };
+    assert_eq!(agent.owner_message(CONNECTION, changes, Millis(20)), Err(RefusedMessage::EarlierSession));
+    assert!(agent.heartbeat(beat("a", 2), Millis(30)).starts.is_empty());
+}
--- a/crates/worker-agent/tests/lives.rs
+++ b/crates/worker-agent/tests/lives.rs
@@ -6,7 +6,7 @@
 use lupinrack_cluster_api::identity::ServerId;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_worker_agent::{HeartbeatAnswer, RefusedMessage};
-use support::{assignment, beat, message, ordered, settings, started, CONNECTION, SILENT};
+use support::{assignment, beat, message, ordered, running, settings, started, task, CONNECTION, SILENT};
 
 #[test]
 fn late_repeated_and_old_heartbeats_get_no_orders() {
@@ -98,3 +98,15 @@
     agent.owner_connected(2);
     assert_eq!(agent.poll(Millis(130)), [leave]);
 }
+
+#[test]
+fn stops_of_one_life_do_not_reach_the_next() {
+    let mut agent = ordered();
+    let stop = OwnerMessage { stop: vec![(task(1), 1)], ..message(2, "a", 5) };
+    assert_eq!(agent.owner_message(CONNECTION, stop, Millis(30)), Ok(()));
+    agent.heartbeat(beat("b", 1), SILENT);
+    let mut listed = beat("b", 2);
+    listed.heartbeat.running = vec![running(1, 1)];
+    assert!(agent.heartbeat(listed, SILENT).stops.is_empty());
+    assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
+}
--- a/crates/worker-agent/tests/reports.rs
+++ b/crates/worker-agent/tests/reports.rs
@@ -7,7 +7,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_worker_agent::agent::{FINISHED_LIST_MOST, SILENCE_SLACK_MS};
 use lupinrack_worker_agent::reporter::{PROGRESS_MS, REPORT_MS};
-use support::{beat, finished, ordered, reported, running, started};
+use support::{beat, finished, ordered, reported, running, started, SILENT};
 
 #[test]
 fn a_list_of_ends_that_may_be_cut_allows_no_start() {
@@ -99,3 +99,24 @@
     assert_eq!(started(&agent.heartbeat(changed, Millis(100))), [(1, 1)]);
     assert!(matches!(agent.poll(Millis(101)).as_slice(), [AgentMessage::Attach { .. }]));
 }
+
+#[test]
+fn numbers_of_one_session_do_not_reach_the_next() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(100));
+    agent.heartbeat(beat("a", 3), Millis(200));
+    assert_eq!(reported(&agent.poll(Millis(201))).map(|heartbeat| heartbeat.orders_seen), Some(1));
+    agent.owner_connected(2);
+    let messages = agent.poll(Millis(210));
+    assert!(matches!(&messages[..], [AgentMessage::Attach { heartbeat, .. }] if heartbeat.orders_seen == 0));
+}
+
+#[test]
+fn a_silent_server_is_not_attached() {
+    let mut agent = ordered();
+    agent.heartbeat(beat("a", 2), Millis(100));
+    agent.owner_connected(2);
+    assert!(agent.poll(SILENT).is_empty());
+    agent.heartbeat(beat("a", 3), SILENT);
+    assert!(matches!(agent.poll(SILENT).as_slice(), [AgentMessage::Attach { .. }]));
+}
