Node: tests of the pure parts; drop code that nothing used

The modules are public for that.

Dropped: struct Answer and Subscriber.address, which nothing read. In core/process.rs only the call of Subscribers::heard changes with it. Ruled out: tests inside src, since tests live in test files.

--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -3,13 +3,13 @@
 //! One task owns all of it. Everything that happens (frames, calls of this process, synced writes, the timer) comes in as
 //! an event; the state machines answer with effects, which are carried out here.
 
-mod calls;
-mod disk;
+pub mod calls;
+pub mod disk;
 mod process;
 mod replica;
 mod shards;
-mod subscribers;
-mod waiting;
+pub mod subscribers;
+pub mod waiting;
 
 pub use process::run;
 pub use subscribers::VIEWS_ONLY;
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -20,7 +20,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Hello, ReplicaReport, Role};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
@@ -251,7 +251,7 @@
                 self.shards.receive(from, connection, message, now);
                 self.round_due = true;
             }
-            Frame::Subscribe { have } => self.on_subscribe(from, connection, have, now),
+            Frame::Subscribe { have } => self.on_subscribe(connection, have, now),
             Frame::ViewNews(view) => {
                 let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
@@ -708,9 +708,9 @@
 
     // Subscribers.
 
-    fn on_subscribe(&mut self, from: PeerAddress, connection: u64, have: u64, now: Millis) {
+    fn on_subscribe(&mut self, connection: u64, have: u64, now: Millis) {
         let view = self.agreement.current();
-        let subscriber = self.subscribers.heard(connection, from, have);
+        let subscriber = self.subscribers.heard(connection, have);
         if subscriber.told_view < view.number {
             subscriber.told_view = view.number;
             self.peers.send_on(connection, Frame::ViewNews(view.clone()));
--- a/crates/cluster-node/src/core/subscribers.rs
+++ b/crates/cluster-node/src/core/subscribers.rs
@@ -1,6 +1,5 @@
 //! Processes that asked to be told of views and configurations.
 
-use lupinrack_cluster_api::identity::PeerAddress;
 use std::collections::BTreeMap;
 
 /// What a subscriber that wants no configuration says that it has.
@@ -15,8 +14,6 @@
 /// One of them.
 #[derive(Clone, Copy, Debug)]
 pub struct Subscriber {
-    /// Its process.
-    pub address: PeerAddress,
     /// The version of the configuration that it has.
     pub have: u64,
     /// The number of the view that it was told last.
@@ -25,9 +22,9 @@
 
 impl Subscribers {
     /// A process subscribed, or said again what it has.
-    pub fn heard(&mut self, connection: u64, address: PeerAddress, have: u64) -> &mut Subscriber {
+    pub fn heard(&mut self, connection: u64, have: u64) -> &mut Subscriber {
         let entry = self.by_connection.entry(connection);
-        let subscriber = entry.or_insert(Subscriber { address, have, told_view: 0 });
+        let subscriber = entry.or_insert(Subscriber { have, told_view: 0 });
         subscriber.have = have;
         subscriber
     }
--- a/crates/cluster-node/src/core/waiting.rs
+++ b/crates/cluster-node/src/core/waiting.rs
@@ -1,7 +1,7 @@
 //! Calls that wait at the head: for an operation to be applied, or for a barrier to pass.
 
 use lupinrack_cluster_api::identity::PeerAddress;
-use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::request::Request;
 use lupinrack_cluster_api::time::Millis;
 use std::collections::BTreeMap;
 
@@ -27,15 +27,6 @@
     pub request: Request,
 }
 
-/// An answer to send.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    /// To whom.
-    pub caller: Caller,
-    /// What.
-    pub reply: Reply,
-}
-
 /// All calls that wait.
 #[derive(Debug, Default)]
 pub struct Waiting {
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -15,7 +15,7 @@
 use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
 use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
 use lupinrack_cluster_net::listen;
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
 use std::sync::Arc;
--- a/crates/cluster-node/src/head_client.rs
+++ b/crates/cluster-node/src/head_client.rs
@@ -75,7 +75,13 @@
     }
 
     /// Begins a call that is given up at `until`.
-    pub fn call(&mut self, request: Request, answerer: Answerer, until: Millis, now: Millis) -> Vec<Outgoing> {
+    pub fn call(
+        &mut self,
+        request: Request,
+        answerer: Answerer,
+        until: Millis,
+        now: Millis,
+    ) -> Vec<Outgoing> {
         if self.open.len() >= OPEN_CALLS_MOST {
             // A caller that has gone needs no answer.
             let _ = answerer.send(Reply::Error(ErrorKind::Overloaded));
@@ -138,12 +144,8 @@
 
     /// Gives up what is over and repeats what is overdue.
     pub fn tick(&mut self, now: Millis) -> Vec<Outgoing> {
-        let over: Vec<u64> = self
-            .open
-            .iter()
-            .filter(|(_, call)| Self::is_over(call, now))
-            .map(|(id, _)| *id)
-            .collect();
+        let over: Vec<u64> =
+            self.open.iter().filter(|(_, call)| Self::is_over(call, now)).map(|(id, _)| *id).collect();
         for id in over {
             self.give_up(id);
         }
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -7,12 +7,17 @@
 mod control_api;
 mod core;
 mod front;
-mod head_client;
-mod owner;
+pub mod head_client;
+pub mod owner;
 mod scheduling;
 mod side;
 mod signals;
-mod subscription;
+pub mod subscription;
+
+/// The parts of a core process that read no clock. Like the modules beside it they are public so that they can be tested.
+pub mod parts {
+    pub use crate::core::{calls, disk, subscribers, waiting};
+}
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -13,7 +13,7 @@
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_worker_agent::heartbeat_json::{parse, render};
--- /dev/null
+++ b/crates/cluster-node/tests/disk_health.rs
@@ -0,0 +1,91 @@
+//! What a process thinks of its disk.
+
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_node::parts::disk::{AfterWrite, Disk};
+use lupinrack_control_store::simulated::SimulatedDisk;
+use lupinrack_control_store::{Batch, ControlStore, StoreSettings, Writer};
+use std::sync::Arc;
+
+/// A disk in memory. What the writer tells is dropped: the tests say themselves when a write is synced.
+fn disk() -> Disk {
+    let medium = Arc::new(SimulatedDisk::new());
+    let (store, _) = ControlStore::open_on(medium, StoreSettings::default()).expect("an empty store");
+    Disk::new(Writer::spawn(store, |_| {}).expect("a thread"))
+}
+
+fn write(disk: &mut Disk, index: u64, now: Millis) {
+    disk.write(Batch::default(), AfterWrite::EntriesWritten(index), now);
+}
+
+fn indexes(following: Vec<AfterWrite>) -> Vec<u64> {
+    let index = |after| match after {
+        AfterWrite::EntriesWritten(index) => Some(index),
+        _ => None,
+    };
+    following.into_iter().filter_map(index).collect()
+}
+
+#[test]
+fn without_writes_a_disk_is_healthy() {
+    assert!(disk().is_healthy(Millis(1)));
+    assert!(disk().is_healthy(Millis(1_000_000)));
+}
+
+#[test]
+fn what_follows_comes_once_and_in_order() {
+    let mut disk = disk();
+    write(&mut disk, 10, Millis(1));
+    write(&mut disk, 11, Millis(2));
+    write(&mut disk, 12, Millis(3));
+    assert_eq!(indexes(disk.synced(&[1, 2], Millis(10))), [10, 11]);
+    assert_eq!(indexes(disk.synced(&[2, 3], Millis(11))), [12]);
+    assert!(indexes(disk.synced(&[3, 99], Millis(12))).is_empty());
+}
+
+#[test]
+fn a_write_that_hangs_makes_it_unhealthy() {
+    let mut disk = disk();
+    write(&mut disk, 1, Millis(100));
+    assert!(disk.is_healthy(Millis(249)));
+    assert!(!disk.is_healthy(Millis(250)));
+}
+
+#[test]
+fn the_oldest_write_counts() {
+    let mut disk = disk();
+    write(&mut disk, 1, Millis(100));
+    write(&mut disk, 2, Millis(240));
+    assert!(!disk.is_healthy(Millis(260)));
+    disk.synced(&[1], Millis(200));
+    assert!(disk.is_healthy(Millis(260)), "the one that is left is young");
+}
+
+#[test]
+fn after_a_slow_write_it_has_to_be_quick_for_a_while() {
+    let mut disk = disk();
+    write(&mut disk, 1, Millis(100));
+    disk.synced(&[1], Millis(250));
+    assert!(!disk.is_healthy(Millis(251)));
+    assert!(!disk.is_healthy(Millis(2_249)));
+    assert!(disk.is_healthy(Millis(2_250)));
+}
+
+#[test]
+fn quick_writes_do_not_end_the_time_after_a_slow_one() {
+    let mut disk = disk();
+    write(&mut disk, 1, Millis(100));
+    disk.synced(&[1], Millis(300));
+    write(&mut disk, 2, Millis(400));
+    disk.synced(&[2], Millis(405));
+    assert!(!disk.is_healthy(Millis(2_299)));
+    assert!(disk.is_healthy(Millis(2_300)));
+}
+
+#[test]
+fn a_refused_write_makes_it_unhealthy_for_a_while() {
+    let mut disk = disk();
+    disk.failed(Millis(100));
+    assert!(!disk.is_healthy(Millis(101)));
+    assert!(!disk.is_healthy(Millis(2_099)));
+    assert!(disk.is_healthy(Millis(2_100)));
+}
--- /dev/null
+++ b/crates/cluster-node/tests/head_client.rs
@@ -0,0 +1,298 @@
+//! Calls to the head: sent again, given up, in doubt or not taken.
+
+mod common;
+
+use common::{core, view};
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_node::head_client::{HeadClient, Outgoing};
+use quickcheck::quickcheck;
+use tokio::sync::oneshot::{channel, Receiver};
+
+const START: Millis = Millis(1_000);
+/// When the callers of these tests give up.
+const UNTIL: Millis = Millis(4_000);
+/// Open calls that a client takes.
+const OPEN_CALLS_MOST: usize = 2_000;
+
+/// A client that knows a view whose head is core process 1.
+fn client() -> HeadClient {
+    let mut client = HeadClient::default();
+    assert!(client.learn(&head(1, 1), START).is_empty());
+    client
+}
+
+/// A view with this core process at the head of its chain.
+fn head(number: u64, at: u8) -> View {
+    view(number, &[1, 2, 3], &[at])
+}
+
+fn begin(client: &mut HeadClient, now: Millis) -> (Vec<Sent>, Receiver<Reply>) {
+    let (answerer, answer) = channel();
+    (sent(client.call(Request::ReadConfiguration, answerer, UNTIL, now)), answer)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Sent {
+    to: PeerAddress,
+    id: u64,
+    remaining_ms: u64,
+}
+
+fn sent(outgoing: Vec<Outgoing>) -> Vec<Sent> {
+    let one = |outgoing: Outgoing| match outgoing.frame {
+        Frame::Request { id, remaining_ms, .. } => Sent { to: outgoing.to, id, remaining_ms },
+        other => panic!("{other:?} is no call"),
+    };
+    outgoing.into_iter().map(one).collect()
+}
+
+/// What goes out while the clock runs in ticks of 10 ms, with the moments.
+fn ticks(client: &mut HeadClient, from: Millis, until: Millis) -> Vec<(Millis, Sent)> {
+    let mut all = Vec::new();
+    for now in (from.0..until.0).step_by(10).map(Millis) {
+        all.extend(sent(client.tick(now)).into_iter().map(|sent| (now, sent)));
+    }
+    all
+}
+
+#[test]
+fn a_call_goes_to_the_head_and_its_answer_to_the_caller() {
+    let mut client = client();
+    let (sent, mut answer) = begin(&mut client, START);
+    assert_eq!(sent, [Sent { to: core(1), id: 1, remaining_ms: 3_000 }]);
+    assert!(!client.is_idle());
+    client.answered(1, Reply::Done, START.plus(5));
+    assert_eq!(answer.try_recv(), Ok(Reply::Done));
+    assert!(client.is_idle());
+}
+
+#[test]
+fn an_answer_to_no_open_call_changes_nothing() {
+    let mut client = client();
+    let (_, mut answer) = begin(&mut client, START);
+    client.answered(99, Reply::Done, START);
+    assert!(answer.try_recv().is_err());
+    client.answered(1, Reply::Done, START);
+    client.answered(1, Reply::Pending(1), START);
+    assert_eq!(answer.try_recv(), Ok(Reply::Done));
+}
+
+#[test]
+fn a_new_head_gets_what_is_open() {
+    let mut client = client();
+    let (_, mut answer) = begin(&mut client, START);
+    let again = sent(client.learn(&head(2, 2), START.plus(100)));
+    assert_eq!(again, [Sent { to: core(2), id: 1, remaining_ms: 2_900 }]);
+    client.answered(1, Reply::Done, START.plus(110));
+    assert_eq!(answer.try_recv(), Ok(Reply::Done));
+}
+
+#[test]
+fn an_older_view_or_the_same_head_sends_nothing_again() {
+    let mut client = client();
+    let _answer = begin(&mut client, START);
+    assert!(client.learn(&head(1, 2), START).is_empty());
+    assert!(client.learn(&head(2, 1), START).is_empty());
+    assert_eq!(client.view().number, 2);
+}
+
+#[test]
+fn a_call_without_an_answer_is_sent_again_now_and_then() {
+    let mut client = client();
+    let _answer = begin(&mut client, START);
+    let again = ticks(&mut client, START.plus(10), UNTIL);
+    let moments: Vec<u64> = again.iter().map(|(now, _)| now.since(START)).collect();
+    assert_eq!(moments, [900, 1_800, 2_700]);
+}
+
+#[test]
+fn a_closed_connection_sends_again_at_once_what_went_there() {
+    let mut client = client();
+    let _answer = begin(&mut client, START);
+    assert!(client.closed(core(2), START.plus(5)).is_empty());
+    let again = sent(client.closed(core(1), START.plus(5)));
+    assert_eq!(again, [Sent { to: core(1), id: 1, remaining_ms: 2_995 }]);
+}
+
+#[test]
+fn a_call_that_was_never_sent_is_not_taken() {
+    let mut client = HeadClient::default();
+    let (nothing, mut answer) = begin(&mut client, START);
+    assert!(nothing.is_empty());
+    client.tick(START.plus(799));
+    assert!(answer.try_recv().is_err());
+    client.tick(START.plus(800));
+    assert_eq!(answer.try_recv(), Ok(Reply::Error(ErrorKind::NotTaken)));
+}
+
+#[test]
+fn a_call_that_waits_for_a_head_goes_out_once_there_is_one() {
+    let mut client = HeadClient::default();
+    let _answer = begin(&mut client, START);
+    assert_eq!(sent(client.learn(&head(1, 3), START.plus(500))).len(), 1);
+}
+
+#[test]
+fn a_call_that_was_sent_is_in_doubt_when_its_time_is_over() {
+    let mut client = client();
+    let (_, mut answer) = begin(&mut client, START);
+    ticks(&mut client, START.plus(10), UNTIL);
+    assert!(answer.try_recv().is_err());
+    client.tick(UNTIL);
+    assert_eq!(answer.try_recv(), Ok(Reply::Error(ErrorKind::InDoubt)));
+    assert!(client.is_idle());
+}
+
+#[test]
+fn a_call_whose_caller_has_gone_is_dropped() {
+    let mut client = client();
+    let (_, answer) = begin(&mut client, START);
+    drop(answer);
+    assert!(client.tick(START.plus(10)).is_empty());
+    assert!(client.is_idle());
+}
+
+#[test]
+fn one_that_is_not_the_head_makes_the_call_pause_and_go_again() {
+    let mut client = client();
+    let (_, mut answer) = begin(&mut client, START);
+    let same = Reply::NotHead(head(1, 1));
+    assert!(client.answered(1, same, START.plus(20)).is_empty());
+    let again = ticks(&mut client, START.plus(30), START.plus(200));
+    assert_eq!(again.iter().map(|(now, _)| now.since(START)).collect::<Vec<_>>(), [120]);
+    assert!(answer.try_recv().is_err());
+}
+
+#[test]
+fn one_that_is_not_the_head_and_knows_a_newer_view_turns_the_call_there() {
+    let mut client = client();
+    let _answer = begin(&mut client, START);
+    let again = sent(client.answered(1, Reply::NotHead(head(2, 3)), START.plus(20)));
+    assert_eq!(again.iter().map(|sent| sent.to).collect::<Vec<_>>(), [core(3)]);
+}
+
+#[test]
+fn a_refusal_of_the_only_try_stands() {
+    for kind in [ErrorKind::NotTaken, ErrorKind::Overloaded, ErrorKind::ShuttingDown] {
+        let mut client = client();
+        let (_, mut answer) = begin(&mut client, START);
+        client.answered(1, Reply::Error(kind), START.plus(5));
+        assert_eq!(answer.try_recv(), Ok(Reply::Error(kind)));
+    }
+}
+
+#[test]
+fn a_refusal_after_other_tries_leaves_the_call_in_doubt() {
+    for kind in [ErrorKind::NotTaken, ErrorKind::Overloaded, ErrorKind::ShuttingDown] {
+        let mut client = client();
+        let (_, mut answer) = begin(&mut client, START);
+        client.learn(&head(2, 2), START.plus(10));
+        client.answered(1, Reply::Error(kind), START.plus(20));
+        assert_eq!(answer.try_recv(), Ok(Reply::Error(ErrorKind::InDoubt)), "{kind}");
+    }
+}
+
+#[test]
+fn a_decision_stands_however_often_the_call_was_sent() {
+    for kind in [ErrorKind::VersionConflict, ErrorKind::UnknownJob, ErrorKind::InvalidConfiguration] {
+        let mut client = client();
+        let (_, mut answer) = begin(&mut client, START);
+        client.learn(&head(2, 2), START.plus(10));
+        client.answered(1, Reply::Error(kind), START.plus(20));
+        assert_eq!(answer.try_recv(), Ok(Reply::Error(kind)));
+    }
+}
+
+#[test]
+fn more_calls_than_it_keeps_are_refused_as_overload() {
+    let mut client = client();
+    let open: Vec<Receiver<Reply>> = (0..OPEN_CALLS_MOST).map(|_| begin(&mut client, START).1).collect();
+    let (nothing, mut refused) = begin(&mut client, START);
+    assert!(nothing.is_empty());
+    assert_eq!(refused.try_recv(), Ok(Reply::Error(ErrorKind::Overloaded)));
+    client.answered(1, Reply::Done, START);
+    let (sent, mut taken) = begin(&mut client, START);
+    assert_eq!(sent.len(), 1);
+    assert!(taken.try_recv().is_err());
+    drop(open);
+}
+
+/// What happens to a client in the property below.
+#[derive(Clone, Copy, Debug)]
+enum Happening {
+    Pass(u64),
+    NewHead(u8),
+    NoHead,
+    Close(u8),
+    NotHead,
+    Overloaded,
+    Done,
+}
+
+fn happening(draw: u16) -> Happening {
+    let detail = draw / 7;
+    match draw % 7 {
+        0 => Happening::Pass(u64::from(detail % 1_000)),
+        1 => Happening::NewHead((detail % 3) as u8 + 1),
+        2 => Happening::NoHead,
+        3 => Happening::Close((detail % 3) as u8 + 1),
+        4 => Happening::NotHead,
+        5 => Happening::Overloaded,
+        _ => Happening::Done,
+    }
+}
+
+quickcheck! {
+    /// Whatever happens, a call is answered by its time; `NotTaken` only where nothing was sent, and a refusal only where
+    /// it was sent once.
+    fn every_call_is_answered_in_time_and_truly(draws: Vec<u16>) -> bool {
+        let mut client = HeadClient::default();
+        let (first, mut answer) = begin(&mut client, START);
+        let mut sends = first.len();
+        let mut now = START;
+        let mut view_number = 0;
+        for draw in draws {
+            let outgoing = match happening(draw) {
+                Happening::Pass(ms) => {
+                    now = now.plus(ms);
+                    client.tick(now)
+                }
+                Happening::NewHead(at) => {
+                    view_number += 1;
+                    client.learn(&head(view_number, at), now)
+                }
+                Happening::NoHead => {
+                    view_number += 1;
+                    client.learn(&view(view_number, &[1, 2, 3], &[]), now)
+                }
+                Happening::Close(at) => client.closed(core(at), now),
+                // Answers come only to what was sent.
+                _ if sends == 0 => Vec::new(),
+                Happening::NotHead => client.answered(1, Reply::NotHead(View::default()), now),
+                Happening::Overloaded => client.answered(1, Reply::Error(ErrorKind::Overloaded), now),
+                Happening::Done => client.answered(1, Reply::Done, now),
+            };
+            sends += sent(outgoing).len();
+            if let Ok(reply) = answer.try_recv() {
+                return is_true(&reply, sends);
+            }
+        }
+        client.tick(UNTIL);
+        answer.try_recv().is_ok_and(|reply| is_true(&reply, sends))
+    }
+}
+
+fn is_true(reply: &Reply, sends: usize) -> bool {
+    match reply {
+        Reply::Error(ErrorKind::NotTaken) => sends == 0,
+        Reply::Error(ErrorKind::Overloaded) => sends == 1,
+        Reply::Error(ErrorKind::InDoubt) => sends > 0,
+        Reply::Done => sends > 0,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/tests/subscription.rs
@@ -0,0 +1,117 @@
+//! Subscriptions of processes without a disk.
+
+mod common;
+
+use common::{core, view};
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_node::head_client::Outgoing;
+use lupinrack_cluster_node::subscription::Subscription;
+use quickcheck::quickcheck;
+use std::collections::BTreeSet;
+
+const EVERY_MS: u64 = 1_500;
+const BEGAN: Millis = Millis(1);
+
+fn subscription(seeds: &[u8]) -> Subscription {
+    Subscription::new(seeds.iter().copied().map(core).collect(), EVERY_MS, BEGAN)
+}
+
+fn receiver(outgoing: Option<Outgoing>) -> Option<PeerAddress> {
+    outgoing.map(|outgoing| outgoing.to)
+}
+
+/// The receivers of all subscriptions while time passes in steps of 10 ms.
+fn receivers(subscription: &mut Subscription, view: &View, from: u64, until: u64) -> Vec<PeerAddress> {
+    let moments = (from..until).step_by(10).map(Millis);
+    moments.filter_map(|now| receiver(subscription.tick(view, 0, now))).collect()
+}
+
+#[test]
+fn while_no_view_is_known_all_seeds_are_tried_in_turn() {
+    let mut subscription = subscription(&[1, 2, 3]);
+    let tried = receivers(&mut subscription, &View::default(), 1, 600);
+    let distinct: BTreeSet<PeerAddress> = tried.iter().take(3).copied().collect();
+    assert_eq!(distinct, [core(1), core(2), core(3)].into());
+    assert_eq!(tried.len(), 4, "one each 150 ms");
+}
+
+#[test]
+fn without_seeds_and_view_nobody_is_asked() {
+    let mut subscription = subscription(&[]);
+    assert!(receivers(&mut subscription, &View::default(), 1, 2_000).is_empty());
+}
+
+#[test]
+fn with_a_view_only_the_head_is_asked_at_the_given_pace() {
+    let mut subscription = subscription(&[3]);
+    let known = view(4, &[1, 2, 3], &[2, 1]);
+    let mut asked = Vec::new();
+    for now in (1..6_000).step_by(50).map(Millis) {
+        subscription.heard_news(now);
+        asked.extend(receiver(subscription.tick(&known, 0, now)));
+    }
+    assert_eq!(asked, [core(2); 4]);
+}
+
+#[test]
+fn the_frame_tells_what_the_process_has() {
+    let mut subscription = subscription(&[1]);
+    let outgoing = subscription.tick(&View::default(), 17, BEGAN).expect("the first tick subscribes");
+    assert_eq!(outgoing.frame, Frame::Subscribe { have: 17 });
+}
+
+#[test]
+fn a_hurry_subscribes_at_once() {
+    let mut subscription = subscription(&[1]);
+    let known = view(4, &[1, 2, 3], &[2, 1]);
+    assert_eq!(receiver(subscription.tick(&known, 0, Millis(10))), Some(core(2)));
+    assert_eq!(receiver(subscription.tick(&known, 0, Millis(20))), None);
+    subscription.hurry();
+    assert_eq!(receiver(subscription.tick(&known, 0, Millis(30))), Some(core(2)));
+}
+
+#[test]
+fn a_silent_head_makes_it_ask_voters_and_seeds() {
+    let mut subscription = subscription(&[9]);
+    let known = view(4, &[1, 2, 3], &[2, 1]);
+    let silent_from = 1 + 1_000 + EVERY_MS;
+    receivers(&mut subscription, &known, 1, silent_from);
+    let tried = receivers(&mut subscription, &known, silent_from, silent_from + 1_000);
+    let distinct: BTreeSet<PeerAddress> = tried.into_iter().collect();
+    assert_eq!(distinct, [core(1), core(2), core(3), core(9)].into());
+}
+
+#[test]
+fn news_end_the_search() {
+    let mut subscription = subscription(&[9]);
+    let known = view(4, &[1, 2, 3], &[2, 1]);
+    let silent = Millis(1 + 1_000 + EVERY_MS);
+    subscription.tick(&known, 0, silent);
+    subscription.heard_news(silent.plus(10));
+    subscription.hurry();
+    assert_eq!(receiver(subscription.tick(&known, 0, silent.plus(20))), Some(core(2)));
+}
+
+quickcheck! {
+    /// Whatever the moments of the ticks, two subscriptions never lie closer together than the search's pace.
+    fn it_never_floods(steps: Vec<u16>, known: bool) -> bool {
+        let view = if known { view(1, &[1, 2], &[1, 2]) } else { View::default() };
+        let mut subscription = subscription(&[1, 2]);
+        let mut now = BEGAN;
+        let mut last: Option<Millis> = None;
+        for step in steps {
+            now = now.plus(u64::from(step % 200));
+            if subscription.tick(&view, 0, now).is_none() {
+                continue;
+            }
+            if last.is_some_and(|last| now.since(last) < 150) {
+                return false;
+            }
+            last = Some(now);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/tests/waiting.rs
@@ -0,0 +1,146 @@
+//! Calls that wait at the head.
+
+mod common;
+
+use common::core;
+use lupinrack_cluster_api::request::Request;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_node::parts::waiting::{Caller, Waiting, WaitingCall};
+use quickcheck::quickcheck;
+
+/// No calls.
+const NOTHING: [u64; 0] = [];
+
+fn call_until(id: u64, until: u64) -> WaitingCall {
+    let caller = Caller { from: core(1), connection: Some(1), id, until: Millis(until) };
+    WaitingCall { caller, request: Request::ReadConfiguration }
+}
+
+fn call(id: u64) -> WaitingCall {
+    call_until(id, 1_000)
+}
+
+fn ids(calls: Vec<WaitingCall>) -> Vec<u64> {
+    calls.into_iter().map(|call| call.caller.id).collect()
+}
+
+#[test]
+fn an_applied_operation_brings_its_call_once() {
+    let mut waiting = Waiting::default();
+    waiting.for_operation(7, call(1));
+    assert!(waiting.applied(6).is_none());
+    assert_eq!(waiting.applied(7).map(|call| call.caller.id), Some(1));
+    assert!(waiting.applied(7).is_none());
+}
+
+#[test]
+fn a_barrier_is_due_while_reads_wait_and_none_is_under_way() {
+    let mut waiting = Waiting::default();
+    assert!(!waiting.wants_barrier());
+    waiting.for_barrier(call(1));
+    assert!(waiting.wants_barrier());
+    waiting.barrier_began(1);
+    assert!(!waiting.wants_barrier());
+    waiting.for_barrier(call(2));
+    assert!(!waiting.wants_barrier(), "one barrier at a time");
+    waiting.barrier_passed(1);
+    assert!(waiting.wants_barrier());
+}
+
+#[test]
+fn a_barrier_answers_only_reads_that_came_before_it_began() {
+    let mut waiting = Waiting::default();
+    waiting.for_barrier(call(1));
+    waiting.barrier_began(1);
+    waiting.for_barrier(call(2));
+    assert_eq!(ids(waiting.barrier_passed(1)), [1]);
+    waiting.barrier_began(2);
+    assert_eq!(ids(waiting.barrier_passed(2)), [2]);
+}
+
+#[test]
+fn an_older_barrier_answers_nothing() {
+    let mut waiting = Waiting::default();
+    waiting.for_barrier(call(1));
+    waiting.barrier_began(5);
+    assert_eq!(ids(waiting.barrier_passed(4)), NOTHING);
+    assert_eq!(ids(waiting.barrier_passed(5)), [1]);
+    assert_eq!(ids(waiting.barrier_passed(5)), NOTHING, "it passes once");
+}
+
+#[test]
+fn a_view_change_hands_everything_back_and_voids_the_barrier() {
+    let mut waiting = Waiting::default();
+    waiting.for_operation(7, call(1));
+    waiting.for_barrier(call(2));
+    waiting.barrier_began(1);
+    waiting.for_barrier(call(3));
+    waiting.defer(call(4));
+    assert_eq!(ids(waiting.view_changed()), [1, 2, 3, 4]);
+    assert_eq!(ids(waiting.view_changed()), NOTHING);
+    assert!(waiting.applied(7).is_none());
+    waiting.for_barrier(call(5));
+    assert!(waiting.wants_barrier(), "the old view's barrier is not waited for");
+    assert_eq!(ids(waiting.barrier_passed(1)), NOTHING, "and answers nothing in the new view");
+}
+
+#[test]
+fn deferred_calls_come_back_once() {
+    let mut waiting = Waiting::default();
+    waiting.defer(call(1));
+    waiting.defer(call(2));
+    assert_eq!(ids(waiting.take_deferred()), [1, 2]);
+    assert_eq!(ids(waiting.take_deferred()), NOTHING);
+}
+
+#[test]
+fn calls_whose_callers_gave_up_are_dropped_wherever_they_wait() {
+    let mut waiting = Waiting::default();
+    for late in [false, true] {
+        let until = if late { 2_000 } else { 1_000 };
+        let base = if late { 10 } else { 0 };
+        waiting.for_operation(base + 1, call_until(base + 1, until));
+        waiting.defer(call_until(base + 4, until));
+        waiting.for_barrier(call_until(base + 2, until));
+    }
+    waiting.barrier_began(1);
+    waiting.for_barrier(call_until(3, 1_000));
+    waiting.for_barrier(call_until(13, 2_000));
+    waiting.expire(Millis(1_000));
+    assert_eq!(ids(waiting.view_changed()), [11, 12, 13, 14]);
+}
+
+quickcheck! {
+    /// Every read is answered by exactly one barrier, and by none that began before the read came.
+    fn no_read_is_answered_early_or_twice(steps: Vec<bool>) -> bool {
+        let mut waiting = Waiting::default();
+        let mut barrier = 0;
+        let mut under_way = false;
+        // The barrier that was the newest when each read came.
+        let mut came_at: Vec<u64> = Vec::new();
+        let mut answered: Vec<u64> = Vec::new();
+        for read_comes in steps {
+            if read_comes {
+                came_at.push(barrier);
+                waiting.for_barrier(call(came_at.len() as u64 - 1));
+                continue;
+            }
+            if under_way {
+                let passed = ids(waiting.barrier_passed(barrier));
+                if passed.iter().any(|id| came_at[*id as usize] >= barrier) {
+                    return false;
+                }
+                answered.extend(passed);
+                under_way = false;
+            }
+            if waiting.wants_barrier() {
+                barrier += 1;
+                waiting.barrier_began(barrier);
+                under_way = true;
+            }
+        }
+        answered.extend(ids(waiting.view_changed()));
+        answered.sort_unstable();
+        answered == (0..came_at.len() as u64).collect::<Vec<u64>>()
+    }
+}
