--- /dev/null
+++ b/crates/cluster-local/src/lib.rs
@@ -0,0 +1,23 @@
+//! A whole cluster on loopback: real processes of the program, stand-in workers, jobs, and faults on the way.
+//!
+//! Three core processes, two fronts and four agents run as child processes, each at an address of its own, so that all of
+//! them use the same ports as they do on machines. [`play`] starts them, hands in jobs while it kills processes and
+//! starts them again, and tells whether every job ended as it should.
+
+mod calls;
+mod cluster;
+mod error;
+mod faults;
+mod jobs;
+mod layout;
+mod operator;
+mod order;
+mod ports;
+mod process;
+mod report;
+mod scenario;
+
+pub use error::LocalError;
+pub use faults::Part;
+pub use report::{Killed, LocalReport, WrongJob};
+pub use scenario::{play, LocalSettings};
--- a/crates/lupinrack/src/cluster/mod.rs
+++ b/crates/lupinrack/src/cluster/mod.rs
@@ -1,7 +1,8 @@
-//! The commands of the cluster scheduler: `node`, `job` and `cluster`.
+//! The commands of the cluster scheduler: `node`, `job`, `cluster` and `local`.
 
 mod call;
 mod job;
+mod local;
 mod node;
 mod status;
 
@@ -15,8 +16,8 @@
 const AT: &str = "at";
 
 /// The commands.
-fn commands() -> [Command; 3] {
-    [node::command(), job::command(), status::command()]
+fn commands() -> [Command; 4] {
+    [node::command(), job::command(), status::command(), local::command()]
 }
 
 /// Adds the commands to the program's.
@@ -26,7 +27,8 @@
 
 /// Runs the process's command, where its first argument is the name of one of these; none for another name.
 pub fn run_by_name(name: &OsStr) -> Option<ExitCode> {
-    let known = [node::NAME, job::NAME, status::NAME].iter().any(|known| name == OsStr::new(known));
+    let known =
+        [node::NAME, job::NAME, status::NAME, local::NAME].iter().any(|known| name == OsStr::new(known));
     known.then(|| run(&add_to(Command::new("lupinrack")).get_matches())).flatten()
 }
 
@@ -36,6 +38,7 @@
         (node::NAME, matches) => node::run(matches),
         (job::NAME, matches) => job::run(matches).map(|()| ExitCode::SUCCESS),
         (status::NAME, matches) => status::run(matches).map(|()| ExitCode::SUCCESS),
+        (local::NAME, matches) => local::run(matches),
         _ => return None,
     };
     Some(ended.unwrap_or_else(Ended::report))
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod rsync;
 pub mod scripted;
 pub mod settings;
+pub mod worker;
