--- a/crates/scheduler/src/summary.rs
+++ b/crates/scheduler/src/summary.rs
@@ -24,6 +24,8 @@
     pub queued: usize,
     /// Whether it may be given work.
     pub placeable: bool,
+    /// Whether it drains.
+    pub draining: bool,
     /// Whether evidence speaks against it.
     pub suspect: bool,
 }
@@ -72,6 +74,7 @@
                     stopping,
                     queued: self.dispatcher.queued(id).count(),
                     placeable: server.is_placeable(now, self.settings.silence_ms),
+                    draining: server.draining_since.is_some(),
                     suspect: suspects.contains(id),
                 }
             };
