Status: fronts and agents answer too; a core process tells queues, owners and services

GET /lupinrack/status at a front's readiness address and at an agent's control address. A core process's position in the chain is a bare number now. Ruled out: a type of body of its own for text (the answer still says JSON); it would touch cluster-net.

--- a/crates/cluster-node/src/control_api.rs
+++ b/crates/cluster-node/src/control_api.rs
@@ -1,5 +1,6 @@
 //! The operator's HTTP interface, served by every core process.
 
+use crate::status::STATUS_PATH;
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
@@ -12,7 +13,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 const CONFIGURATION_PATH: &str = "/lupinrack/config";
-const STATUS_PATH: &str = "/lupinrack/status";
 /// How long a call to the head may take, in milliseconds. Callers go on to another process after a second of silence.
 const CALL_MS: u64 = 3_000;
 /// The largest body that an operator may send, in bytes.
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -11,10 +11,11 @@
 use crate::head_client::{HeadClient, Outgoing};
 use crate::scheduling::scheduler_settings;
 use crate::signals::Signals;
+use crate::status::CoreStatus;
 use crate::NodeError;
 use borsh::BorshDeserialize;
 use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored};
-use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress, ServiceName};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_api::time::Millis;
@@ -23,6 +24,7 @@
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
+use lupinrack_scheduler::ServiceSummary;
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -786,21 +788,19 @@
     }
 
     fn status(&self) -> String {
-        let view = self.agreement.current();
-        let services: Vec<&str> = self.shards.services().map(|service| service.0.as_str()).collect();
-        format!(
-            "node {}\ndisk {:016x}\nview {}\nvoters {}\nchain position {:?}\napplied {}\ncommitted {}\nconfiguration {}\njobs {}\nowns {}\n",
-            self.settings.node,
-            self.me.disk.0,
-            view.number,
-            view.voters.len(),
-            view.position(self.me.disk),
-            self.replica.applied,
-            self.chain.committed(),
-            self.replica.state.configuration.version,
-            self.replica.state.jobs.len(),
-            services.join(" ")
-        )
+        let now = self.clock.now();
+        let services: Vec<(ServiceName, ServiceSummary)> =
+            self.shards.summaries(now).map(|(service, summary)| (service.clone(), summary)).collect();
+        let status = CoreStatus {
+            node: &self.settings.node,
+            me: &self.me,
+            view: self.agreement.current(),
+            state: &self.replica.state,
+            applied: self.replica.applied,
+            committed: self.chain.committed(),
+            services: &services,
+        };
+        status.to_string()
     }
 }
 
--- a/crates/cluster-node/src/core/shards.rs
+++ b/crates/cluster-node/src/core/shards.rs
@@ -52,11 +52,6 @@
         self.schedulers.is_empty()
     }
 
-    /// The services that this process schedules, for operators.
-    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.schedulers.keys()
-    }
-
     /// Drops what the view gives to others, and takes over what it gives to this process.
     pub fn follow_view(&mut self, view: &View, state: &ControlState, now: Millis) -> Vec<Operation> {
         let me = self.me;
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -4,6 +4,7 @@
 use crate::control_api::{ask, ControlCall};
 use crate::head_client::{HeadClient, Outgoing};
 use crate::signals::Signals;
+use crate::status::{FrontStatus, STATUS_PATH};
 use crate::subscription::Subscription;
 use crate::NodeError;
 use lupinrack_cluster_api::configuration::Configuration;
@@ -11,6 +12,7 @@
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
 use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
@@ -44,6 +46,7 @@
 struct FrontTable {
     configuration: Arc<Configuration>,
     confirmed_at: Millis,
+    view: Arc<View>,
     draining: bool,
 }
 
@@ -175,6 +178,7 @@
         let now = self.clock.now();
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
+        self.publish_view();
         let have = self.table.load().configuration.version;
         if let Some(subscribe) = self.subscription.tick(self.client.view(), have, now) {
             self.subscribed_at = now;
@@ -182,6 +186,16 @@
         }
     }
 
+    /// Shows the handlers of calls the newest view.
+    fn publish_view(&mut self) {
+        let table = self.table.load();
+        let newest = self.client.view();
+        if newest.number > table.view.number {
+            let next = FrontTable { view: Arc::new(newest.clone()), ..FrontTable::clone(&table) };
+            self.table.replace(Arc::new(next));
+        }
+    }
+
     fn drain(&mut self) {
         spdlog::info!("told to end");
         let mut next = FrontTable::clone(&self.table.load());
@@ -204,13 +218,31 @@
     let address = settings.readiness.ok_or(NodeError::NoAddress)?;
     let listener = listen::bind_once(address)?;
     let table = table.clone();
-    let handler = move |_call: HttpCall| {
-        let ready = is_ready(&table.load(), clock.now());
-        async move { HttpAnswer::empty(if ready { 200 } else { 503 }) }
+    let node = settings.node.clone();
+    let handler = move |call: HttpCall| {
+        let table = table.load();
+        let ready = is_ready(&table, clock.now());
+        let answer = match call.path.as_str() {
+            STATUS_PATH => HttpAnswer::json(status(&node, &table, clock.now())),
+            _ => HttpAnswer::empty(if ready { 200 } else { 503 }),
+        };
+        async move { answer }
     };
     Ok(http_server::serve(listener, Arc::new(Snapshot::new(HttpLimits::default())), handler)?)
 }
 
+fn status(node: &str, table: &FrontTable, now: Millis) -> String {
+    let confirmed = table.confirmed_at > Millis(0);
+    let status = FrontStatus {
+        node,
+        ready: is_ready(table, now),
+        view: &table.view,
+        configuration: table.configuration.version,
+        confirmed_ms_ago: confirmed.then(|| now.since(table.confirmed_at)),
+    };
+    status.to_string()
+}
+
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
     let knows = table.configuration.version > 0;
     knows && !table.draining && now.since(table.confirmed_at) < READY_MS
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -4,21 +4,17 @@
 //! process. Each runs on one thread; a core process has one more for its disk.
 
 mod clock;
-mod control_api;
-mod core;
+pub mod control_api;
+pub mod core;
 mod front;
 pub mod head_client;
 pub mod owner;
 mod scheduling;
 mod side;
 mod signals;
+pub mod status;
 pub mod subscription;
 
-/// The parts of a core process that read no clock. Like the modules beside it they are public so that they can be tested.
-pub mod parts {
-    pub use crate::core::{calls, disk, subscribers, waiting};
-}
-
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
 use std::process::ExitCode;
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -3,6 +3,7 @@
 use crate::clock::{draw, Clock};
 use crate::owner::owner_address;
 use crate::signals::Signals;
+use crate::status::{AgentStatus, STATUS_PATH};
 use crate::subscription::Subscription;
 use crate::NodeError;
 use lupinrack_cluster_api::agent::AgentMessage;
@@ -37,9 +38,11 @@
 enum ServerCall {
     Heartbeat { parsed: Box<ServerHeartbeat>, answerer: oneshot::Sender<String> },
     Leave { server: ServerId, answerer: oneshot::Sender<String> },
+    Status { answerer: oneshot::Sender<String> },
 }
 
 struct Side {
+    node: String,
     clock: Clock,
     peers: Peers,
     view: View,
@@ -66,6 +69,7 @@
         busy_beat_ms: BUSY_BEAT_MS,
     };
     let mut side = Side {
+        node: settings.node.clone(),
         clock,
         peers,
         view: View::default(),
@@ -159,10 +163,26 @@
                 self.agent.leave(server, now);
                 let _ = answerer.send(String::new());
             }
+            ServerCall::Status { answerer } => {
+                let _ = answerer.send(self.status(now));
+            }
         }
         self.send_to_owner(now);
     }
 
+    fn status(&self, now: Millis) -> String {
+        let status = AgentStatus {
+            node: &self.node,
+            view: &self.view,
+            server: self.agent.server().map(|facts| &facts.id),
+            service: self.service.as_ref(),
+            owner: self.owner,
+            owner_heard_ms_ago: now.since(self.owner_heard),
+            token: self.agent.token().0,
+        };
+        status.to_string()
+    }
+
     fn on_tick(&mut self) {
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
@@ -199,21 +219,10 @@
 }
 
 async fn answer(call: HttpCall, calls: mpsc::Sender<ServerCall>) -> HttpAnswer {
-    let Some(id) = call.path.strip_prefix(INSTANCES_PATH) else {
-        return HttpAnswer::error(ErrorKind::NotServed);
-    };
-    let server = ServerId(id.to_owned());
     let (answerer, reply) = oneshot::channel();
-    let server_call = match call.method.as_str() {
-        "PUT" => match parse(id, &call.body) {
-            Ok(parsed) => ServerCall::Heartbeat { parsed: Box::new(parsed), answerer },
-            Err(fault) => {
-                spdlog::warn!("a heartbeat cannot be read: {fault}");
-                return HttpAnswer::error(ErrorKind::Malformed);
-            }
-        },
-        "DELETE" => ServerCall::Leave { server, answerer },
-        _ => return HttpAnswer::error(ErrorKind::NotServed),
+    let server_call = match server_call_of(&call, answerer) {
+        Ok(server_call) => server_call,
+        Err(kind) => return HttpAnswer::error(kind),
     };
     if calls.send(server_call).await.is_err() {
         return HttpAnswer::error(ErrorKind::ShuttingDown);
@@ -224,3 +233,21 @@
         Err(_) => HttpAnswer::error(ErrorKind::ShuttingDown),
     }
 }
+
+fn server_call_of(call: &HttpCall, answerer: oneshot::Sender<String>) -> Result<ServerCall, ErrorKind> {
+    if call.method.as_str() == "GET" && call.path == STATUS_PATH {
+        return Ok(ServerCall::Status { answerer });
+    }
+    let id = call.path.strip_prefix(INSTANCES_PATH).ok_or(ErrorKind::NotServed)?;
+    match call.method.as_str() {
+        "PUT" => match parse(id, &call.body) {
+            Ok(parsed) => Ok(ServerCall::Heartbeat { parsed: Box::new(parsed), answerer }),
+            Err(fault) => {
+                spdlog::warn!("a heartbeat cannot be read: {fault}");
+                Err(ErrorKind::Malformed)
+            }
+        },
+        "DELETE" => Ok(ServerCall::Leave { server: ServerId(id.to_owned()), answerer }),
+        _ => Err(ErrorKind::NotServed),
+    }
+}
--- /dev/null
+++ b/crates/cluster-node/src/status.rs
@@ -0,0 +1,170 @@
+//! What a process tells operators of itself, as lines of a key and its value.
+
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress, QueueName, ServerId, ServiceName};
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_control_state::ControlState;
+use lupinrack_scheduler::ServiceSummary;
+use std::fmt;
+
+/// The path at which every process answers it.
+pub const STATUS_PATH: &str = "/lupinrack/status";
+
+/// A core process at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct CoreStatus<'a> {
+    /// The name of its machine.
+    pub node: &'a str,
+    /// Its disk and address.
+    pub me: &'a Voter,
+    /// The newest view that it knows.
+    pub view: &'a View,
+    /// The control state that is applied here.
+    pub state: &'a ControlState,
+    /// The index of the last operation that is applied here.
+    pub applied: u64,
+    /// The index of the last operation that is known to be committed.
+    pub committed: u64,
+    /// The services that it schedules.
+    pub services: &'a [(ServiceName, ServiceSummary)],
+}
+
+impl fmt::Display for CoreStatus<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "node {}", self.node)?;
+        writeln!(f, "class core")?;
+        writeln!(f, "disk {:016x}", self.me.disk.0)?;
+        write_view(f, self.view)?;
+        match self.view.position(self.me.disk) {
+            Some(position) => writeln!(f, "chain position {position}")?,
+            None => writeln!(f, "chain position none")?,
+        }
+        writeln!(f, "applied {}", self.applied)?;
+        writeln!(f, "committed {}", self.committed)?;
+        writeln!(f, "configuration {}", self.state.configuration.version)?;
+        writeln!(f, "jobs {}", self.state.jobs.len())?;
+        self.write_queues(f)?;
+        self.write_owners(f)?;
+        self.services.iter().try_for_each(|(service, summary)| write_service(f, service, summary))
+    }
+}
+
+impl CoreStatus<'_> {
+    fn write_queues(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for route in &self.state.configuration.routes {
+            let QueueName(name) = &route.name;
+            writeln!(f, "queue {name}: pending {}", self.state.pending(&route.name))?;
+        }
+        Ok(())
+    }
+
+    fn write_owners(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (ServiceName(name), shard) in &self.state.shards {
+            writeln!(
+                f,
+                "owner of {name}: {}, token {}",
+                address_text(self.view, shard.owner),
+                shard.token.0
+            )?;
+        }
+        Ok(())
+    }
+}
+
+/// A front at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct FrontStatus<'a> {
+    /// The name of its machine.
+    pub node: &'a str,
+    /// Whether it calls itself ready.
+    pub ready: bool,
+    /// The newest view that it knows.
+    pub view: &'a View,
+    /// The version of its configuration; 0 for none.
+    pub configuration: u64,
+    /// Milliseconds since the head last confirmed it; none where it never did.
+    pub confirmed_ms_ago: Option<u64>,
+}
+
+impl fmt::Display for FrontStatus<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "node {}", self.node)?;
+        writeln!(f, "class front")?;
+        writeln!(f, "ready {}", if self.ready { "yes" } else { "no" })?;
+        write_view(f, self.view)?;
+        writeln!(f, "configuration {}", self.configuration)?;
+        match self.confirmed_ms_ago {
+            Some(ago) => writeln!(f, "confirmed {ago} ms ago"),
+            None => writeln!(f, "confirmed never"),
+        }
+    }
+}
+
+/// An agent at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentStatus<'a> {
+    /// The name of its machine.
+    pub node: &'a str,
+    /// The newest view that it knows.
+    pub view: &'a View,
+    /// The server beside it, once that was heard.
+    pub server: Option<&'a ServerId>,
+    /// The server's service.
+    pub service: Option<&'a ServiceName>,
+    /// The owner of the service's shard.
+    pub owner: Option<PeerAddress>,
+    /// Milliseconds since the owner was last heard, or since the session with it began.
+    pub owner_heard_ms_ago: u64,
+    /// The highest fencing token that it has seen.
+    pub token: u64,
+}
+
+impl fmt::Display for AgentStatus<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "node {}", self.node)?;
+        writeln!(f, "class agent")?;
+        write_view(f, self.view)?;
+        writeln!(f, "server {}", self.server.map_or("none", |server| server.0.as_str()))?;
+        writeln!(f, "service {}", self.service.map_or("none", |service| service.0.as_str()))?;
+        match self.owner {
+            Some(PeerAddress(owner)) => {
+                writeln!(f, "owner {owner}, heard {} ms ago", self.owner_heard_ms_ago)?;
+            }
+            None => writeln!(f, "owner none")?,
+        }
+        writeln!(f, "token {}", self.token)
+    }
+}
+
+fn write_view(f: &mut fmt::Formatter<'_>, view: &View) -> fmt::Result {
+    writeln!(f, "view {}", view.number)?;
+    for voter in &view.voters {
+        let PeerAddress(address) = voter.address;
+        writeln!(f, "voter {address}, disk {:016x}, zone {}", voter.disk.0, voter.zone)?;
+    }
+    let chain: Vec<String> = view.chain.iter().map(|disk| address_text(view, *disk)).collect();
+    writeln!(f, "chain {}", if chain.is_empty() { "none".to_owned() } else { chain.join(" ") })
+}
+
+/// The address of a disk's process; the disk itself where it is no voter.
+fn address_text(view: &View, disk: DiskId) -> String {
+    match view.address(disk) {
+        Some(PeerAddress(address)) => address.to_string(),
+        None => format!("disk {:016x}", disk.0),
+    }
+}
+
+fn write_service(
+    f: &mut fmt::Formatter<'_>,
+    ServiceName(name): &ServiceName,
+    summary: &ServiceSummary,
+) -> fmt::Result {
+    let servers = &summary.servers;
+    let draining = servers.iter().filter(|server| server.draining).count();
+    let running: usize = servers.iter().flat_map(|server| server.runs.values()).sum();
+    let waiting: usize = summary.waiting.values().map(|waiting| waiting.tasks).sum();
+    writeln!(
+        f,
+        "service {name}: servers {}, draining {draining}, running {running}, waiting {waiting}",
+        servers.len()
+    )
+}
--- a/crates/cluster-node/tests/calls.rs
+++ b/crates/cluster-node/tests/calls.rs
@@ -6,7 +6,7 @@
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange, Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
-use lupinrack_cluster_node::parts::calls::{first_step, reply_to, second_step, Step};
+use lupinrack_cluster_node::core::calls::{first_step, reply_to, second_step, Step};
 use lupinrack_control_state::ControlState;
 
 const WALL: WallMillis = WallMillis(1_700_000_000_000);
--- a/crates/cluster-node/tests/disk_health.rs
+++ b/crates/cluster-node/tests/disk_health.rs
@@ -1,7 +1,7 @@
 //! What a process thinks of its disk.
 
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_cluster_node::parts::disk::{AfterWrite, Disk};
+use lupinrack_cluster_node::core::disk::{AfterWrite, Disk};
 use lupinrack_control_store::simulated::SimulatedDisk;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, Writer};
 use std::sync::Arc;
--- a/crates/cluster-node/tests/subscribers.rs
+++ b/crates/cluster-node/tests/subscribers.rs
@@ -1,6 +1,6 @@
 //! The table of subscribers.
 
-use lupinrack_cluster_node::parts::subscribers::Subscribers;
+use lupinrack_cluster_node::core::subscribers::Subscribers;
 
 #[test]
 fn a_new_subscriber_was_told_no_view() {
--- a/crates/cluster-node/tests/waiting.rs
+++ b/crates/cluster-node/tests/waiting.rs
@@ -5,7 +5,7 @@
 use common::core;
 use lupinrack_cluster_api::request::Request;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_cluster_node::parts::waiting::{Caller, Waiting, WaitingCall};
+use lupinrack_cluster_node::core::waiting::{Caller, Waiting, WaitingCall};
 use quickcheck::quickcheck;
 
 /// No calls.
--- a/crates/lupinrack/src/cluster/status.rs
+++ b/crates/lupinrack/src/cluster/status.rs
@@ -20,11 +20,15 @@
 
 /// The command.
 pub(super) fn command() -> Command {
-    let status =
-        Command::new(STATUS).about("Print what a process knows: the view, the chain, the owners of shards");
-    let configuration = Command::new(CONFIGURATION).about("Print the newest configuration");
+    let status = Command::new(STATUS)
+        .about("Print what a process knows: the view, the chain, and what belongs to its class")
+        .after_help(
+            "Core processes and agents answer at their control address, fronts at their readiness address.",
+        );
+    let configuration =
+        Command::new(CONFIGURATION).about("Print the newest configuration, as a core process answers it");
     Command::new(NAME)
-        .about("Ask a process for the state of the system, at its control address")
+        .about("Ask a process for the state of the system")
         .subcommand_required(true)
         .subcommand(status.arg(address_argument()))
         .subcommand(configuration.arg(address_argument()))
