--- a/crates/cluster-local/src/faults.rs
+++ b/crates/cluster-local/src/faults.rs
@@ -10,6 +10,8 @@
 
 /// How long a killed process stays away.
 const AWAY: Duration = Duration::from_secs(1);
+/// How long the head may take to be found.
+const FIND_WITHIN: Duration = Duration::from_secs(30);
 /// Between two questions for the head.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
@@ -51,7 +53,7 @@
     for (part, turn) in parts.iter().zip(1..) {
         sleep_until(from + between * turn).await;
         cluster.check()?;
-        let member = find(cluster, *part, until).await?;
+        let member = find(cluster, *part).await?;
         let at_ms = journal.tell(format!("{member} ({}) is killed", part.word()));
         cluster.kill(member);
         sleep(AWAY).await;
@@ -62,21 +64,22 @@
     Ok(killed)
 }
 
-async fn find(cluster: &Cluster, part: Part, until: Instant) -> Result<Member, LocalError> {
+async fn find(cluster: &Cluster, part: Part) -> Result<Member, LocalError> {
     let class = match part {
-        Part::Head => return head(cluster, until).await,
+        Part::Head => return head(cluster).await,
         Part::Front => Class::Front,
         Part::Agent => Class::Agent,
     };
     Ok(Member { class, number: 1 })
 }
 
-async fn head(cluster: &Cluster, until: Instant) -> Result<Member, LocalError> {
+async fn head(cluster: &Cluster) -> Result<Member, LocalError> {
+    let late = Instant::now() + FIND_WITHIN;
     loop {
         if let Some(head) = find_head(&cluster.ports).await {
             return Ok(head);
         }
-        if Instant::now() >= until {
+        if Instant::now() >= late {
             return Err(LocalError::TimedOut("finding the head", cluster.folder().to_owned()));
         }
         sleep(ASK_AGAIN).await;
--- a/crates/cluster-local/src/operator.rs
+++ b/crates/cluster-local/src/operator.rs
@@ -1,10 +1,11 @@
 //! What the operator of a local cluster does.
 
-use crate::calls::{exchange, Call};
+use crate::calls::{exchange, Answer, Call};
 use crate::error::LocalError;
 use crate::layout::{Class, Member};
 use crate::ports::Ports;
 use http::Method;
+use std::net::SocketAddrV4;
 
 /// The service of all workers.
 pub const SERVICE: &str = "workers";
@@ -14,6 +15,10 @@
 pub const PREFIX: &str = "/jobs/";
 /// Failed runs of a task after which its job has failed.
 pub const MAX_RETRIES: u32 = 2;
+/// Where processes tell of themselves.
+const STATUS_PATH: &str = "/lupinrack/status";
+/// The line of a core process's status that says that it is the head.
+const HEAD_LINE: &str = "chain position 0";
 /// Answers that say that a configuration will never be taken.
 const REFUSALS: [u16; 4] = [400, 409, 412, 422];
 
@@ -71,17 +76,35 @@
     true
 }
 
+/// Whether every process tells operators of itself under its own name.
+pub async fn all_tell_their_status(ports: &Ports) -> bool {
+    for member in Member::all() {
+        let address = match member.class {
+            Class::Core | Class::Agent => member.control(ports),
+            Class::Front => member.readiness(ports),
+        };
+        let first_line = status(address).await.and_then(|text| text.lines().next().map(str::to_owned));
+        if first_line != Some(format!("node {member}")) {
+            return false;
+        }
+    }
+    true
+}
+
 /// The core process that says that it is the head of the chain.
 pub async fn find_head(ports: &Ports) -> Option<Member> {
-    let call = Call { path: "/lupinrack/status".to_owned(), ..Call::default() };
     for core in Member::of(Class::Core) {
-        let Some(answer) = exchange(core.control(ports), &call).await else { continue };
-        if String::from_utf8_lossy(&answer.body).lines().any(|line| line == HEAD_LINE) {
+        let text = status(core.control(ports)).await;
+        if text.is_some_and(|text| text.lines().any(|line| line == HEAD_LINE)) {
             return Some(core);
         }
     }
     None
 }
 
-/// The line of a core process's status that says that it is the head.
-const HEAD_LINE: &str = "chain position 0";
+/// What the process at this address tells of itself.
+async fn status(address: SocketAddrV4) -> Option<String> {
+    let call = Call { path: STATUS_PATH.to_owned(), ..Call::default() };
+    let answer = exchange(address, &call).await.filter(Answer::is_success)?;
+    Some(String::from_utf8_lossy(&answer.body).into_owned())
+}
--- a/crates/cluster-local/src/scenario.rs
+++ b/crates/cluster-local/src/scenario.rs
@@ -5,7 +5,7 @@
 use crate::faults::{kill_in_turn, Part};
 use crate::jobs::{Client, Kind, PlayedJob};
 use crate::layout::{Class, Member};
-use crate::operator::{all_fronts_ready, configure};
+use crate::operator::{all_fronts_ready, all_tell_their_status, configure};
 use crate::report::{Journal, LocalReport};
 use lupinrack_cluster_api::identity::JobId;
 use std::net::SocketAddrV4;
@@ -75,6 +75,10 @@
         wait(cluster, late, "becoming ready").await?;
     }
     journal.tell("the fronts are ready");
+    while !all_tell_their_status(&cluster.ports).await {
+        wait(cluster, late, "telling their status").await?;
+    }
+    journal.tell("every process tells its status");
     Ok(())
 }
 
--- a/crates/lupinrack/tests/cluster_commands.rs
+++ b/crates/lupinrack/tests/cluster_commands.rs
@@ -135,7 +135,7 @@
 #[test]
 fn the_commands_stand_in_the_programs_help() {
     let help = printed(&lupinrack(&["--help"]));
-    for name in ["serve", "node", "job", "cluster"] {
+    for name in ["serve", "node", "job", "cluster", "local"] {
         assert!(
             help.lines().any(|line| line.trim_start().starts_with(&format!("{name} "))),
             "{name} in {help}"
