--- a/crates/cluster-local/src/lib.rs
+++ b/crates/cluster-local/src/lib.rs
@@ -8,13 +8,13 @@
 mod cluster;
 mod error;
 mod faults;
-mod jobs;
-mod layout;
+pub mod jobs;
+pub mod layout;
 mod operator;
-mod order;
-mod ports;
+pub mod order;
+pub mod ports;
 mod process;
-mod report;
+pub mod report;
 mod scenario;
 
 pub use error::LocalError;
