--- /dev/null
+++ b/crates/cluster-node/src/core/machine/ending.rs
@@ -0,0 +1,45 @@
+//! Ending in order, and what operators are shown.
+
+use super::*;
+use crate::status::CoreStatus;
+use lupinrack_cluster_api::identity::ServiceName;
+use lupinrack_scheduler::ServiceSummary;
+
+impl CoreMachine {
+    pub(super) fn leave(&mut self) {
+        if self.leaving_since.is_none() {
+            let now = self.moment.now;
+            spdlog::info!("told to end");
+            self.leaving_since = Some(now);
+            self.send_heartbeats(now);
+        }
+    }
+
+    /// Whether the process, told to end, may end now.
+    pub fn has_left(&self, now: Millis) -> bool {
+        let Some(since) = self.leaving_since else {
+            return false;
+        };
+        let waited = now.since(since);
+        let replaced = self.agreement.current().position(self.me.disk).is_none() && self.client.is_idle();
+        waited >= LEAVE_MS || (replaced && waited >= LEAVE_MS / 3)
+    }
+
+    pub(super) fn status(&self) -> String {
+        let services: Vec<(ServiceName, ServiceSummary)> = self
+            .shards
+            .summaries(self.moment.now)
+            .map(|(service, summary)| (service.clone(), summary))
+            .collect();
+        let status = CoreStatus {
+            node: &self.name,
+            me: &self.me,
+            view: self.agreement.current(),
+            state: &self.replica.state,
+            applied: self.replica.applied,
+            committed: self.chain.committed(),
+            services: &services,
+        };
+        status.to_string()
+    }
+}
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -5,11 +5,13 @@
 
 pub mod calls;
 pub mod disk;
+mod machine;
 mod process;
 mod replica;
 mod shards;
 pub mod subscribers;
 pub mod waiting;
 
+pub use machine::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 pub use process::run;
 pub use subscribers::VIEWS_ONLY;
--- a/crates/cluster-node/tests/disk_health.rs
+++ b/crates/cluster-node/tests/disk_health.rs
@@ -2,19 +2,13 @@
 
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_node::core::disk::{AfterWrite, Disk};
-use lupinrack_control_store::simulated::SimulatedDisk;
-use lupinrack_control_store::{Batch, ControlStore, StoreSettings, Writer};
-use std::sync::Arc;
 
-/// A disk in memory. What the writer tells is dropped: the tests say themselves when a write is synced.
 fn disk() -> Disk {
-    let medium = Arc::new(SimulatedDisk::new());
-    let (store, _) = ControlStore::open_on(medium, StoreSettings::default()).expect("an empty store");
-    Disk::new(Writer::spawn(store, |_| {}).expect("a thread"))
+    Disk::default()
 }
 
-fn write(disk: &mut Disk, index: u64, now: Millis) {
-    disk.write(Batch::default(), AfterWrite::EntriesWritten(index), now);
+fn write(disk: &mut Disk, index: u64, now: Millis) -> u64 {
+    disk.begin_write(AfterWrite::EntriesWritten(index), now)
 }
 
 fn indexes(following: Vec<AfterWrite>) -> Vec<u64> {
@@ -25,6 +19,14 @@
     following.into_iter().filter_map(index).collect()
 }
 
+#[test]
+fn writes_are_numbered_from_1_without_gaps() {
+    let mut disk = disk();
+    let numbers =
+        [write(&mut disk, 10, Millis(1)), write(&mut disk, 11, Millis(1)), write(&mut disk, 12, Millis(2))];
+    assert_eq!(numbers, [1, 2, 3]);
+}
+
 #[test]
 fn without_writes_a_disk_is_healthy() {
     assert!(disk().is_healthy(Millis(1)));
