--- a/crates/control-store/tests/common/mod.rs
+++ b/crates/control-store/tests/common/mod.rs
@@ -60,6 +60,7 @@
     state.disk = batch.disk.or(state.disk);
     state.vote = batch.vote.clone().unwrap_or_else(|| state.vote.clone());
     state.view = batch.view.clone().unwrap_or_else(|| state.view.clone());
+    state.standing = batch.standing.clone().unwrap_or_else(|| state.standing.clone());
     if let Some(last) = batch.truncate_after {
         state.entries.retain(|entry| entry.index <= last);
     }
@@ -79,10 +80,11 @@
 /// A batch that fits this state.
 pub fn random_batch(state: &Recovered, choices: &mut Choices) -> Batch {
     let mut batch = Batch::default();
-    match choices.below(16) {
+    match choices.below(17) {
         0 => batch.disk = Some(DiskId(choices.below(u64::MAX))),
         1 => batch.vote = Some(choices.bytes(200)),
         2 => batch.view = Some(choices.bytes(900)),
+        6 => batch.standing = Some(choices.bytes(300)),
         3 => batch.truncate_after = Some(state.snapshot_index + choices.below(20)),
         4 => {
             let kept = state.entries.len() as u64;
