--- a/crates/lupinrack/src/cluster/status.rs
+++ b/crates/lupinrack/src/cluster/status.rs
@@ -51,6 +51,7 @@
     if !answer.status.is_success() {
         return Err(Ended::failed(format!("{address}: answered {}", answer.status)));
     }
+    let end: &[u8] = if answer.body.ends_with(b"\n") { b"" } else { b"\n" };
     let mut output = std::io::stdout().lock();
-    output.write_all(&answer.body).and_then(|()| output.write_all(b"\n")).map_err(Ended::failed)
+    output.write_all(&answer.body).and_then(|()| output.write_all(end)).map_err(Ended::failed)
 }
--- a/crates/lupinrack/tests/cluster_commands.rs
+++ b/crates/lupinrack/tests/cluster_commands.rs
@@ -213,6 +213,13 @@
     assert_eq!(asked.join().expect("the stand-in ends"), [expected]);
 }
 
+#[test]
+fn a_state_that_ends_its_last_line_is_printed_without_an_empty_one() {
+    let (address, _) = process(vec![answer("200 OK", "node core-1\nview 3\n")]);
+    let output = lupinrack(&["cluster", "status", "--at", &address.to_string()]);
+    assert_eq!(printed(&output), "node core-1\nview 3\n", "{}", said(&output));
+}
+
 #[test]
 fn redirects_are_followed_twice() {
     let (last, _) = process(vec![answer("200 OK", "{}")]);
