--- a/crates/cluster-node/tests/waiting.rs
+++ b/crates/cluster-node/tests/waiting.rs
@@ -68,6 +68,17 @@
     assert_eq!(ids(waiting.barrier_passed(5)), NOTHING, "it passes once");
 }
 
+#[test]
+fn a_barrier_that_begins_beside_another_loses_no_read() {
+    let mut waiting = Waiting::default();
+    waiting.for_barrier(call(1));
+    waiting.barrier_began(1);
+    waiting.for_barrier(call(2));
+    waiting.barrier_began(2);
+    assert_eq!(ids(waiting.barrier_passed(1)), NOTHING, "the second covers the first one's reads, too");
+    assert_eq!(ids(waiting.barrier_passed(2)), [1, 2]);
+}
+
 #[test]
 fn a_view_change_hands_everything_back_and_voids_the_barrier() {
     let mut waiting = Waiting::default();
