--- a/crates/cluster-node/src/core/machine/subscriptions.rs
+++ b/crates/cluster-node/src/core/machine/subscriptions.rs
@@ -3,9 +3,9 @@
 use super::*;
 
 impl CoreMachine {
-    pub(super) fn on_subscribe(&mut self, from: PeerAddress, connection: u64, have: u64, now: Millis) {
+    pub(super) fn on_subscribe(&mut self, connection: u64, have: u64, now: Millis) {
         let view = self.agreement.current();
-        let subscriber = self.subscribers.heard(connection, from, have);
+        let subscriber = self.subscribers.heard(connection, have);
         if subscriber.told_view < view.number {
             subscriber.told_view = view.number;
             self.outbox.send_on(connection, Frame::ViewNews(view.clone()));
