Dispatch: one formula for the delay of the hybrid rule, also for the decision module

The decision module of the fronts and the dispatcher of the cluster scheduler each wrote out the clipped delay.

Ruled out: sharing the tags themselves, since the decision module counts thousandths in i64 and the dispatcher millionths in u64.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -30,12 +30,14 @@
 //!
 //! The crate does no I/O and reads no clock; moments are arguments.
 
+mod delay;
 mod dispatcher;
 mod queue;
 mod settings;
 mod stream;
 mod tag;
 
+pub use delay::hybrid_delay;
 pub use dispatcher::{Dispatcher, Key};
 pub use settings::DispatchSettings;
-pub use tag::{hybrid_delay, Tag, Tags};
+pub use tag::{Tag, Tags};
--- a/crates/dispatch/src/tag.rs
+++ b/crates/dispatch/src/tag.rs
@@ -6,8 +6,6 @@
 const LEAST_WEIGHT: f64 = 1e-4;
 /// The largest cost that is reckoned with, in units; with the least weight it is far from the end of the tags.
 const LARGEST_COST: f64 = 1e6;
-/// The least `φmin / φ` that is reckoned with.
-const LEAST_RATIO: f64 = 1e-3;
 
 /// A point on the virtual time of one server, in millionths of a unit of capacity per weight.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -61,20 +59,6 @@
     }
 }
 
-/// The delay of the hybrid rule, in units of capacity.
-///
-/// `elsewhere` is `batchcost − cost`: the units that the stream was given on other servers since its last task on this
-/// one. The delay is that, but no more than `((φ/φmin − 1) / (1 − φ)) × cost`, which leaves a backlogged stream the
-/// share `φmin` of this server. A stream of weight 1 competes with nobody and has no delay.
-pub fn hybrid_delay(elsewhere: f64, cost: f64, weight: f64, minimum_weight_ratio: f64) -> f64 {
-    if weight >= 1.0 {
-        return 0.0;
-    }
-    let ratio = minimum_weight_ratio.clamp(LEAST_RATIO, 1.0);
-    let most = (1.0 / ratio - 1.0) / (1.0 - weight) * cost;
-    elsewhere.min(most).max(0.0)
-}
-
 /// The tags of a task: `S = max(v, F_prev + delay / φ)`, `F = S + cost / φ`.
 pub(crate) fn tags(virtual_time: Tag, previous_finish: Tag, delay: f64, cost: f64, weight: f64) -> Tags {
     let start = virtual_time.max(previous_finish.plus(delay, weight));
--- a/crates/policy/src/brain.rs
+++ b/crates/policy/src/brain.rs
@@ -5,6 +5,7 @@
 
 use crate::asking::Asking;
 use crate::interface::*;
+use lupinrack_dispatch::hybrid_delay;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Minimum share of a volume on one node, as a part of its weight (the paper's phi-min over phi).
@@ -349,7 +350,7 @@
         let f = n.flows.entry(volume).or_insert(fresh);
         f.last = now;
         let elsewhere = total - f.sent_here;
-        let delay = hybrid_delay(elsewhere - f.elsewhere_seen, units, phi);
+        let delay = hybrid_delay(elsewhere - f.elsewhere_seen, units, phi, PHI_MIN);
         f.elsewhere_seen = elsewhere;
         let start = n.vtime.max(f.finish + (delay / phi * TAG_SCALE).round() as i64);
         f.finish = start + (units / phi * TAG_SCALE).round() as i64;
@@ -996,12 +997,6 @@
     Some(w).filter(|w| *w > 0.0 && w.is_finite()).unwrap_or(1.0)
 }
 
-/// The paper's delay: units got elsewhere since, clipped to keep a minimum share here; zero where phi is 1.
-fn hybrid_delay(elsewhere: f64, units: f64, phi: f64) -> f64 {
-    let most = if phi < 1.0 { (1.0 / PHI_MIN - 1.0) / (1.0 - phi) * units } else { 0.0 };
-    elsewhere.max(0.0).min(most)
-}
-
 fn still_out(attempts: &Attempts, id: RequestId) -> bool {
     attempts.range((id, 0)..=(id, u16::MAX)).next().is_some()
 }
