--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// The priority of its queue.
+    pub fn priority(&self) -> u32 {
+        self.priority
+    }
+
     /// The steps whose turn has come.
     pub fn ready(&self) -> &[ReadyStep] {
         &self.ready
@@ -192,6 +197,7 @@
 pub struct JobBoard {
     plans: BTreeMap<JobId, JobPlan>,
     touched: BTreeSet<JobId>,
+    newest_at: Option<Millis>,
 }
 
 impl JobBoard {
@@ -200,6 +206,11 @@
         self.touched.insert(job);
     }
 
+    /// When the newest job was first seen.
+    pub fn newest_at(&self) -> Option<Millis> {
+        self.newest_at
+    }
+
     /// The plans of the open jobs.
     pub fn plans(&self) -> impl Iterator<Item = (&JobId, &JobPlan)> {
         self.plans.iter()
