--- a/crates/cluster-simulation/src/faults.rs
+++ b/crates/cluster-simulation/src/faults.rs
@@ -45,6 +45,12 @@
     Core(CoreTrouble, usize),
     /// All core machines lose power right after a job was accepted.
     AllPower,
+    /// A machine loses power and its disk right after a job was accepted.
+    WipeOnAcceptance(usize),
+    /// All processes are killed at once.
+    AllKilled,
+    /// A front is cut off from all core machines.
+    FrontCut(usize),
     /// A front is killed.
     FrontKill(usize),
     /// A front stands still.
@@ -75,6 +81,17 @@
     AcknowledgementsLost,
 }
 
+impl Trouble {
+    /// Whether it leaves all machines in touch.
+    fn is_planned(self) -> bool {
+        matches!(self, Trouble::Change | Trouble::Race | Trouble::BadChange | Trouble::ServerLeaves(_))
+    }
+
+    fn is_of_core(self) -> bool {
+        matches!(self, Trouble::Core(..) | Trouble::AllPower | Trouble::AllKilled)
+    }
+}
+
 /// One entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry {
@@ -93,11 +110,21 @@
 }
 
 impl Plan {
-    /// The plan of a day.
+    /// The plan of a day: of four days one is calm but for planned work, one has trouble of core machines alone, one
+    /// has trouble in its first half, and one has trouble all the time.
     pub fn draw(rng: &mut fastrand::Rng, settings: &DaySettings) -> Plan {
         let mut entries = Vec::new();
-        draw_core(rng, settings, &mut entries);
+        let kind = rng.u32(0..4);
+        if kind != 0 {
+            draw_core(rng, settings, &mut entries);
+        }
         draw_others(rng, settings, &mut entries);
+        match kind {
+            0 => entries.retain(|entry| entry.trouble.is_planned()),
+            1 => entries.retain(|entry| entry.trouble.is_planned() || entry.trouble.is_of_core()),
+            2 => entries.retain(|entry| entry.trouble.is_planned() || entry.at < settings.traffic_ms / 2),
+            _ => {}
+        }
         let numbered = entries.into_iter().enumerate();
         Plan { entries: numbered.map(|(number, entry)| ((entry.at, number), entry)).collect() }
     }
@@ -116,9 +143,15 @@
         while at + 6_000 < settings.traffic_ms {
             let machine = rng.usize(0..settings.cores);
             let (trouble, for_ms) = draw_core_trouble(rng);
-            if rng.u32(0..8) == 0 && lane == 0 {
-                entries.push(Entry { at, for_ms: 2_000, trouble: Trouble::AllPower });
-                at += 2_000 + CATCH_UP_MS + 4_000;
+            let struck = match rng.u32(0..12) {
+                0 if lanes == 1 => Some(Trouble::AllPower),
+                1 => Some(Trouble::WipeOnAcceptance(machine)),
+                2 if lanes == 1 => Some(Trouble::AllKilled),
+                _ => None,
+            };
+            if let Some(trouble) = struck {
+                entries.push(Entry { at, for_ms: 2_000, trouble });
+                at += 4_000 + CATCH_UP_MS + rng.u64(0..3_000);
                 continue;
             }
             entries.push(Entry { at, for_ms, trouble: Trouble::Core(trouble, machine) });
@@ -146,7 +179,7 @@
         let side = rng.usize(sides.clone());
         let place = rng.usize(0..settings.servers);
         let anywhere = rng.usize(0..sides.end);
-        let trouble = match rng.u32(0..20) {
+        let trouble = match rng.u32(0..21) {
             0 => Trouble::FrontKill(front),
             1 => Trouble::FrontFreeze(front),
             2 => Trouble::SideKill(side),
@@ -163,6 +196,7 @@
             14..17 => Trouble::Change,
             17 => Trouble::Race,
             18 => Trouble::BadChange,
+            19 => Trouble::FrontCut(front),
             _ => Trouble::AcknowledgementsLost,
         };
         entries.push(Entry { at, for_ms: rng.u64(300..4_500), trouble });
@@ -174,7 +208,7 @@
 pub struct Troubles {
     ends: Vec<(u64, Trouble)>,
     last_over: u64,
-    strikes_on_acceptance: bool,
+    strike_on_acceptance: Option<Trouble>,
     acknowledgements_lost: bool,
 }
 
@@ -212,12 +246,26 @@
             Trouble::BadChange => return self.begin_bad_change(),
             Trouble::AcknowledgementsLost => self.troubles.acknowledgements_lost = true,
             Trouble::Core(kind, machine) => self.begin_core_trouble(kind, machine, for_ms),
-            Trouble::AllPower => self.troubles.strikes_on_acceptance = true,
+            Trouble::AllPower | Trouble::WipeOnAcceptance(_) => {
+                self.troubles.strike_on_acceptance = Some(trouble);
+            }
+            Trouble::AllKilled => {
+                for machine in 0..self.machines.len() {
+                    let down_ms = 100 + self.rng.u64(0..for_ms);
+                    self.kill(machine, true, down_ms);
+                }
+            }
             Trouble::FrontKill(machine) | Trouble::SideKill(machine) => {
                 let powered = self.rng.bool();
                 self.kill(machine, powered, for_ms);
             }
             Trouble::FrontFreeze(machine) | Trouble::SideFreeze(machine) => self.set_frozen(machine, true),
+            Trouble::FrontCut(machine) => {
+                for core in self.cores() {
+                    self.network.cut(machine, core);
+                    self.network.cut(core, machine);
+                }
+            }
             Trouble::SideCut(machine, one_way) => {
                 for core in self.cores() {
                     self.network.cut(machine, core);
@@ -282,6 +330,7 @@
             | Trouble::FrontFreeze(machine)
             | Trouble::SideFreeze(machine) => self.set_frozen(machine, false),
             Trouble::Core(CoreTrouble::Cut | CoreTrouble::CutOneWay | CoreTrouble::CutFromAll, machine)
+            | Trouble::FrontCut(machine)
             | Trouble::SideCut(machine, _) => self.rejoin(machine),
             Trouble::Core(
                 CoreTrouble::DiskSlow | CoreTrouble::DiskStall | CoreTrouble::DiskFull,
@@ -290,7 +339,7 @@
             Trouble::ClockStep(machine, by) => self.machines[machine].clock.wall_offset_ms -= by,
             Trouble::ServerConduct(place, _) => self.set_conduct(place, Conduct::Sound),
             Trouble::AcknowledgementsLost => self.troubles.acknowledgements_lost = false,
-            Trouble::AllPower => self.troubles.strikes_on_acceptance = false,
+            Trouble::AllPower | Trouble::WipeOnAcceptance(_) => self.troubles.strike_on_acceptance = None,
             _ => {}
         }
     }
@@ -326,15 +375,21 @@
 
     /// A job was accepted: strikes where that was planned.
     pub(crate) fn strike_on_acceptance(&mut self) {
-        if !self.troubles.strikes_on_acceptance {
-            return;
-        }
-        self.troubles.strikes_on_acceptance = false;
-        for machine in self.cores() {
-            if self.machines[machine].process.is_some() {
+        match self.troubles.strike_on_acceptance.take() {
+            Some(Trouble::AllPower) => {
+                for machine in self.cores() {
+                    if self.machines[machine].process.is_some() {
+                        let down_ms = 300 + self.rng.u64(0..1_500);
+                        self.kill(machine, false, down_ms);
+                    }
+                }
+            }
+            Some(Trouble::WipeOnAcceptance(machine)) if self.machines[machine].process.is_some() => {
                 let down_ms = 300 + self.rng.u64(0..1_500);
                 self.kill(machine, false, down_ms);
+                self.wipe(machine);
             }
+            _ => return,
         }
         self.troubles.ends.push((self.now + 2_000, Trouble::AllPower));
     }
