Node: adopt a view also where an answer of another process told of it first

The tail stayed in view 1 and the chain stood still for good. The machine now keeps the number of the view that it adopted. The test fails without the change.

--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -74,6 +74,8 @@
     agreement: Agreement,
     policy: ViewPolicy,
     chain: Chain,
+    /// The number of the newest view that was adopted in this life; 0 for none.
+    adopted_view: u64,
     replica: Replica,
     disk: Disk,
     client: HeadClient,
@@ -136,6 +138,7 @@
             agreement,
             policy,
             chain: Chain::new(me.disk, tolerated_losses + 1, stored),
+            adopted_view: 0,
             replica,
             disk: Disk::default(),
             client: HeadClient::default(),
--- a/crates/cluster-node/src/core/machine/views.rs
+++ b/crates/cluster-node/src/core/machine/views.rs
@@ -34,9 +34,11 @@
     }
 
     pub(super) fn adopt_view(&mut self, view: View, now: Millis) {
-        if view.number <= self.client.view().number || view.number < self.chain.view().number {
+        // Not compared with the client's view: an answer of another process may have told it of this one already.
+        if view.number <= self.adopted_view || view.number < self.chain.view().number {
             return;
         }
+        self.adopted_view = view.number;
         let chain: Vec<String> = view.chain.iter().map(|disk| format!("{:08x}", disk.0 >> 32)).collect();
         spdlog::info!("view {}: {} voters, chain {}", view.number, view.voters.len(), chain.join(" "));
         let effects = self.chain.new_view(view.clone(), now);
--- /dev/null
+++ b/crates/cluster-node/tests/core_machine.rs
@@ -0,0 +1,127 @@
+//! The core process as a state machine, driven by hand.
+
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::time::{Millis, WallMillis};
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{ChainMessage, Frame, ReplicaReport};
+use lupinrack_cluster_node::control_api::ControlCall;
+use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
+use lupinrack_control_store::Recovered;
+use lupinrack_scheduler::SchedulerSettings;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use tokio::sync::oneshot;
+
+const TICK_MS: u64 = 25;
+
+fn voter(number: u8) -> Voter {
+    let address = PeerAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 7_000));
+    Voter { disk: DiskId(u64::from(number)), address, zone: String::new() }
+}
+
+/// A view of three voters with this chain.
+fn view(number: u64, chain: [u8; 2]) -> View {
+    View {
+        number,
+        voters: (1..=3).map(voter).collect(),
+        chain: chain.iter().map(|disk| DiskId(u64::from(*disk))).collect(),
+    }
+}
+
+/// A machine whose writes are synced at once.
+struct Driven {
+    machine: CoreMachine,
+    now: u64,
+    sent: Vec<(PeerAddress, Frame)>,
+}
+
+impl Driven {
+    fn new(number: u8) -> Driven {
+        let seeds: Vec<PeerAddress> = (1..=3).map(|number| voter(number).address).collect();
+        let settings = CoreSettings {
+            name: "core".to_owned(),
+            me: voter(number),
+            life: u64::from(number),
+            seeds,
+            founders: Vec::new(),
+            tolerated_losses: 1,
+            scheduler: SchedulerSettings::default(),
+        };
+        let disk = Some(voter(number).disk);
+        let recovered = Recovered { disk, ..Recovered::default() };
+        let machine = CoreMachine::new(settings, recovered, moment(1)).expect("an empty disk can be read");
+        Driven { machine, now: 1, sent: Vec::new() }
+    }
+
+    fn receive(&mut self, event: CoreEvent) {
+        let mut events = vec![event];
+        while !events.is_empty() {
+            events.drain(..).for_each(|event| self.machine.receive(event, moment(self.now)));
+            for effect in self.machine.settle(moment(self.now)) {
+                match effect {
+                    CoreEffect::Send { to, frame } => self.sent.push((to, frame)),
+                    CoreEffect::SendOn { .. } => {}
+                    CoreEffect::Write { ticket, .. } => events.push(CoreEvent::Synced(vec![ticket])),
+                }
+            }
+        }
+    }
+
+    fn frame(&mut self, from: u8, frame: Frame) {
+        let from = voter(from);
+        let connection = from.disk.0;
+        self.receive(CoreEvent::Frame { from: from.address, life: from.disk.0, connection, frame });
+    }
+
+    fn heartbeat(&mut self, from: u8, view: View) {
+        let replica = ReplicaReport::default();
+        self.frame(from, Frame::Heartbeat { voter: voter(from), view, disk_healthy: true, replica });
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK_MS;
+        self.receive(CoreEvent::Tick);
+    }
+
+    /// Whether it has sent entries or a check to its successor in this view.
+    fn leads_in(&self, number: u64) -> bool {
+        let leads = |frame: &Frame| matches!(frame, Frame::Chain(ChainMessage::Append { view, .. }) if *view == number);
+        self.sent.iter().any(|(_, frame)| leads(frame))
+    }
+}
+
+fn moment(now: u64) -> Moment {
+    Moment { now: Millis(now), wall: WallMillis(1_700_000_000_000 + now) }
+}
+
+#[test]
+fn a_view_is_adopted_that_an_answer_told_of_first() {
+    let mut driven = Driven::new(2);
+    driven.heartbeat(1, view(1, [1, 2]));
+    let (answerer, _reply) = oneshot::channel();
+    let call = ControlCall { request: Request::ReadConfiguration, answerer, remaining_ms: 1_000 };
+    driven.receive(CoreEvent::Call(call));
+    let ask = |(to, frame): &(PeerAddress, Frame)| match frame {
+        Frame::Request { id, .. } if *to == voter(1).address => Some(*id),
+        _ => None,
+    };
+    let id = driven.sent.iter().find_map(ask).expect("the call goes to the head");
+    driven.frame(1, Frame::Reply { id, reply: Reply::NotHead(view(2, [2, 3])) });
+    driven.sent.clear();
+    driven.heartbeat(3, view(2, [2, 3]));
+    for _ in 0..20 {
+        driven.tick();
+    }
+    assert!(driven.leads_in(2), "the head of the view speaks to its successor");
+}
+
+#[test]
+fn a_view_is_adopted_that_a_heartbeat_tells_of() {
+    let mut driven = Driven::new(2);
+    driven.heartbeat(1, view(1, [1, 2]));
+    driven.heartbeat(3, view(2, [2, 3]));
+    for _ in 0..20 {
+        driven.tick();
+    }
+    assert!(driven.leads_in(2), "the head of the view speaks to its successor");
+}
