--- a/crates/cluster-simulation/src/day.rs
+++ b/crates/cluster-simulation/src/day.rs
@@ -1,5 +1,6 @@
 //! A whole day: traffic and faults, then time to finish, then the last questions.
 
+use crate::faults::Plan;
 use crate::world::{DaySettings, World};
 
 /// How a day ended.
@@ -17,8 +18,19 @@
 
 /// Plays the day of a seed.
 pub fn play(seed: u64, settings: DaySettings) -> DayReport {
+    play_world(World::new(seed, settings))
+}
+
+/// Plays the day of a seed with these faults in place of its own.
+pub fn play_plan(seed: u64, settings: DaySettings, plan: Plan) -> DayReport {
+    let mut world = World::new(seed, DaySettings { faults: false, ..settings });
+    world.plan = plan;
+    play_world(world)
+}
+
+fn play_world(mut world: World) -> DayReport {
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
-    let mut world = World::new(seed, settings);
+    let settings = world.settings;
     while world.now < settings.traffic_ms + 6_000 {
         world.step();
     }
--- a/crates/cluster-simulation/src/faults.rs
+++ b/crates/cluster-simulation/src/faults.rs
@@ -26,8 +26,10 @@
     Terminate,
     /// It is cut off from the other core machines.
     Cut,
-    /// Nothing reaches it, or nothing comes from it.
-    CutOneWay,
+    /// Nothing reaches it from the other core machines.
+    CutInward,
+    /// Nothing from it reaches the other core machines.
+    CutOutward,
     /// It is cut off from all machines.
     CutFromAll,
     /// Its disk takes longer.
@@ -125,6 +127,11 @@
             2 => entries.retain(|entry| entry.trouble.is_planned() || entry.at < settings.traffic_ms / 2),
             _ => {}
         }
+        Plan::of(entries)
+    }
+
+    /// A plan of these entries.
+    pub fn of(entries: Vec<Entry>) -> Plan {
         let numbered = entries.into_iter().enumerate();
         Plan { entries: numbered.map(|(number, entry)| ((entry.at, number), entry)).collect() }
     }
@@ -162,8 +169,10 @@
 
 fn draw_core_trouble(rng: &mut fastrand::Rng) -> (CoreTrouble, u64) {
     use CoreTrouble::*;
-    let all =
-        [Kill, Power, Wipe, Freeze, Terminate, Cut, CutOneWay, CutFromAll, DiskSlow, DiskStall, DiskFull];
+    let all = [
+        Kill, Power, Wipe, Freeze, Terminate, Cut, CutInward, CutOutward, CutFromAll, DiskSlow, DiskStall,
+        DiskFull,
+    ];
     let trouble = all[rng.usize(0..all.len())];
     let for_ms = if trouble == Terminate { GRACE_MS } else { rng.u64(300..5_000) };
     (trouble, for_ms)
@@ -260,20 +269,8 @@
                 self.kill(machine, powered, for_ms);
             }
             Trouble::FrontFreeze(machine) | Trouble::SideFreeze(machine) => self.set_frozen(machine, true),
-            Trouble::FrontCut(machine) => {
-                for core in self.cores() {
-                    self.network.cut(machine, core);
-                    self.network.cut(core, machine);
-                }
-            }
-            Trouble::SideCut(machine, one_way) => {
-                for core in self.cores() {
-                    self.network.cut(machine, core);
-                    if !one_way {
-                        self.network.cut(core, machine);
-                    }
-                }
-            }
+            Trouble::FrontCut(machine) => self.set_cut_from_core(machine, false, true),
+            Trouble::SideCut(machine, one_way) => self.set_cut_from_core(machine, one_way, true),
             Trouble::Reset(machine) => self.network.reset_some(machine),
             Trouble::ClockStep(machine, by) => self.machines[machine].clock.wall_offset_ms += by,
             Trouble::ServerCrash(place) => self.crash(place, for_ms),
@@ -294,33 +291,44 @@
             }
             CoreTrouble::Freeze => self.set_frozen(machine, true),
             CoreTrouble::Terminate => self.dispatch(machine, ProcessEvent::Terminate),
-            CoreTrouble::Cut => self.cut_off(machine, self.settings.cores, true, true),
-            CoreTrouble::CutOneWay => {
-                let inward = self.rng.bool();
-                self.cut_off(machine, self.settings.cores, inward, !inward);
+            CoreTrouble::Cut | CoreTrouble::CutInward | CoreTrouble::CutOutward | CoreTrouble::CutFromAll => {
+                self.set_core_cut(kind, machine, true)
             }
-            CoreTrouble::CutFromAll => self.cut_off(machine, self.machines.len(), true, true),
             CoreTrouble::DiskSlow => self.machines[machine].disk.trouble = DiskTrouble::Slow(30),
             CoreTrouble::DiskStall => self.machines[machine].disk.trouble = DiskTrouble::Stalled,
             CoreTrouble::DiskFull => self.machines[machine].disk.trouble = DiskTrouble::Full,
         }
     }
 
-    fn cut_off(&mut self, machine: usize, others: usize, inward: bool, outward: bool) {
-        for other in (0..others).filter(|other| *other != machine) {
+    fn set_core_cut(&mut self, kind: CoreTrouble, machine: usize, is_cut: bool) {
+        let others = if kind == CoreTrouble::CutFromAll { 0..self.machines.len() } else { self.cores() };
+        let inward = kind != CoreTrouble::CutOutward;
+        let outward = kind != CoreTrouble::CutInward;
+        for other in others.filter(|other| *other != machine) {
             if inward {
-                self.network.cut(other, machine);
+                self.set_cut(other, machine, is_cut);
             }
             if outward {
-                self.network.cut(machine, other);
+                self.set_cut(machine, other, is_cut);
             }
         }
     }
 
-    fn rejoin(&mut self, machine: usize) {
-        for other in 0..self.machines.len() {
-            self.network.join(other, machine);
-            self.network.join(machine, other);
+    /// Cuts a machine that is none of the core off from the core, or only what it sends there.
+    fn set_cut_from_core(&mut self, machine: usize, one_way: bool, is_cut: bool) {
+        for core in self.cores() {
+            self.set_cut(machine, core, is_cut);
+            if !one_way {
+                self.set_cut(core, machine, is_cut);
+            }
+        }
+    }
+
+    fn set_cut(&mut self, from: usize, to: usize, is_cut: bool) {
+        if is_cut {
+            self.network.cut(from, to);
+        } else {
+            self.network.join(from, to);
         }
     }
 
@@ -329,9 +337,15 @@
             Trouble::Core(CoreTrouble::Freeze, machine)
             | Trouble::FrontFreeze(machine)
             | Trouble::SideFreeze(machine) => self.set_frozen(machine, false),
-            Trouble::Core(CoreTrouble::Cut | CoreTrouble::CutOneWay | CoreTrouble::CutFromAll, machine)
-            | Trouble::FrontCut(machine)
-            | Trouble::SideCut(machine, _) => self.rejoin(machine),
+            Trouble::Core(
+                kind @ (CoreTrouble::Cut
+                | CoreTrouble::CutInward
+                | CoreTrouble::CutOutward
+                | CoreTrouble::CutFromAll),
+                machine,
+            ) => self.set_core_cut(kind, machine, false),
+            Trouble::FrontCut(machine) => self.set_cut_from_core(machine, false, false),
+            Trouble::SideCut(machine, one_way) => self.set_cut_from_core(machine, one_way, false),
             Trouble::Core(
                 CoreTrouble::DiskSlow | CoreTrouble::DiskStall | CoreTrouble::DiskFull,
                 machine,
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -25,7 +25,7 @@
 mod workload;
 mod world;
 
-pub use day::{play, DayReport};
+pub use day::{play, play_plan, DayReport};
 pub use faults::{CoreTrouble, Entry, Plan, Trouble};
 pub use planted::PlantedFault;
 pub use world::DaySettings;
--- a/crates/cluster-simulation/src/network.rs
+++ b/crates/cluster-simulation/src/network.rs
@@ -1,7 +1,7 @@
 //! Connections between machines: frames in order, delays, cuts, resets.
 
 use lupinrack_cluster_api::wire::Frame;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// A connection whose frames are not acknowledged for this long is closed by their sender, in milliseconds.
 const USER_TIMEOUT_MS: u64 = 1_500;
@@ -77,8 +77,8 @@
     connections: BTreeMap<u64, Connection>,
     next_connection: u64,
     dialing: BTreeMap<(MachineIndex, MachineIndex), Dialing>,
-    /// Pairs from which nothing reaches the second machine.
-    cuts: BTreeSet<(MachineIndex, MachineIndex)>,
+    /// Pairs of which the first reaches the second no longer, and by how many cuts.
+    cuts: BTreeMap<(MachineIndex, MachineIndex), u32>,
     arrivals: Vec<(MachineIndex, Arrival)>,
 }
 
@@ -90,19 +90,23 @@
             connections: BTreeMap::new(),
             next_connection: 0,
             dialing: BTreeMap::new(),
-            cuts: BTreeSet::new(),
+            cuts: BTreeMap::new(),
             arrivals: Vec::new(),
         }
     }
 
     /// Lets nothing from the first machine reach the second.
     pub fn cut(&mut self, from: MachineIndex, to: MachineIndex) {
-        self.cuts.insert((from, to));
+        *self.cuts.entry((from, to)).or_default() += 1;
     }
 
-    /// Ends a cut.
+    /// Ends one cut; what other cuts hold back stays held back.
     pub fn join(&mut self, from: MachineIndex, to: MachineIndex) {
-        self.cuts.remove(&(from, to));
+        let Some(count) = self.cuts.get_mut(&(from, to)) else { return };
+        *count -= 1;
+        if *count == 0 {
+            self.cuts.remove(&(from, to));
+        }
     }
 
     /// Sends on the newest connection to a machine, or opens one.
@@ -152,7 +156,7 @@
             own.open = false;
             own.outgoing.clear();
             own.unacknowledged_since = None;
-            let cut = self.cuts.contains(&(machine, other.machine));
+            let cut = self.cuts.contains_key(&(machine, other.machine));
             if powered && !cut && other.open {
                 other.open = false;
                 other.outgoing.clear();
@@ -206,7 +210,7 @@
             if now < dialing.due {
                 continue;
             }
-            let cut = self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from));
+            let cut = self.cuts.contains_key(&(from, to)) || self.cuts.contains_key(&(to, from));
             if cut || !machines[to].running {
                 dialing.due = now + DIAL_AGAIN_MS;
                 continue;
@@ -245,8 +249,8 @@
             if !from.open {
                 continue;
             }
-            let cut_there = self.cuts.contains(&(from.machine, to.machine));
-            let cut_back = self.cuts.contains(&(to.machine, from.machine));
+            let cut_there = self.cuts.contains_key(&(from.machine, to.machine));
+            let cut_back = self.cuts.contains_key(&(to.machine, from.machine));
             let due = from.outgoing.front().is_some_and(|(arrives, _)| *arrives <= now);
             let dark = !machines[to.machine].powered;
             if due && (cut_there || dark) {
--- a/crates/cluster-simulation/tests/planted.rs
+++ b/crates/cluster-simulation/tests/planted.rs
@@ -1,6 +1,8 @@
 //! Planted faults: each is caught by the days of a few seeds, which break no rule without it.
 
-use lupinrack_cluster_simulation::{play, DaySettings, PlantedFault};
+use lupinrack_cluster_simulation::{
+    play, play_plan, CoreTrouble, DayReport, DaySettings, Entry, Plan, PlantedFault, Trouble,
+};
 
 /// Whether one of the days breaks one of the rules with the fault, and none does without it.
 fn assert_caught(planted: PlantedFault, seeds: &[u64], rules: &[&str]) {
@@ -33,3 +35,37 @@
 fn an_end_observed_too_soon_is_caught() {
     assert_caught(PlantedFault::ObservedTooSoon, &[2, 4, 5], &["TWICE"]);
 }
+
+#[test]
+fn a_token_that_is_not_raised_is_caught() {
+    assert_caught(PlantedFault::TokenNotRaised, &[37, 38], &["LOST: not finished"]);
+}
+
+/// One machine is cut off while the others go on; then the second is cut off and the third comes back empty, next to the
+/// first. Without the identity that it had, the empty one is no voter, and the two wait for the second.
+fn empty_disk_beside_an_old_one(old: usize, newest: usize, empty: usize) -> Plan {
+    let core = |at, for_ms, kind, machine| Entry { at, for_ms, trouble: Trouble::Core(kind, machine) };
+    Plan::of(vec![
+        core(8_000, 9_000, CoreTrouble::Cut, old),
+        core(16_000, 8_000, CoreTrouble::CutFromAll, newest),
+        core(16_500, 300, CoreTrouble::Wipe, empty),
+    ])
+}
+
+fn play_empty_disk(seed: u64, planted: Option<PlantedFault>) -> Vec<DayReport> {
+    let roles = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+    let settings = DaySettings { planted, ..DaySettings::default() };
+    let day = |[old, newest, empty]: [usize; 3]| {
+        play_plan(seed, settings, empty_disk_beside_an_old_one(old, newest, empty))
+    };
+    roles.into_iter().map(day).collect()
+}
+
+#[test]
+fn the_vote_of_an_empty_disk_is_caught() {
+    let sound = play_empty_disk(1, None);
+    assert!(sound.iter().all(|report| report.broken.is_empty()), "{sound:#?}");
+    let planted = play_empty_disk(1, Some(PlantedFault::VoteOfEmptyDisk));
+    let lost = |report: &DayReport| report.broken.iter().any(|line| line.contains("LOST: accepted job"));
+    assert!(planted.iter().any(lost), "{planted:#?}");
+}
