--- a/crates/cluster-simulation/src/day.rs
+++ b/crates/cluster-simulation/src/day.rs
@@ -1,15 +1,16 @@
 //! A whole day: traffic and faults, then time to finish, then the last questions.
 
+use crate::plan::Plan;
 use crate::world::{DaySettings, World};
 
 /// How a day ended.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct DayReport {
     /// The rules that were broken, each with the moment.
     pub broken: Vec<String>,
     /// Jobs that were accepted.
     pub accepted: usize,
-    /// Starts of tasks that servers saw.
+    /// Tasks that were started at least once.
     pub tasks_started: usize,
     /// Tasks that were done.
     pub tasks_done: usize,
@@ -17,8 +18,19 @@
 
 /// Plays the day of a seed.
 pub fn play(seed: u64, settings: DaySettings) -> DayReport {
+    play_world(World::new(seed, settings))
+}
+
+/// Plays the day of a seed with these faults in place of its own.
+pub fn play_plan(seed: u64, settings: DaySettings, plan: Plan) -> DayReport {
+    let mut world = World::new(seed, DaySettings { faults: false, ..settings });
+    world.plan = plan;
+    play_world(world)
+}
+
+fn play_world(mut world: World) -> DayReport {
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
-    let mut world = World::new(seed, settings);
+    let settings = world.settings;
     while world.now < settings.traffic_ms + 6_000 {
         world.step();
     }
