--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -18,7 +18,7 @@
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_worker_agent::heartbeat_json::{parse, render};
-use lupinrack_worker_agent::{Agent, AgentSettings, ServerHeartbeat};
+use lupinrack_worker_agent::{Agent, AgentSettings, HeartbeatReceipt, OpenHeartbeat, ServerHeartbeat};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -33,6 +33,10 @@
 const IDLE_BEAT_MS: u64 = 60;
 /// Between heartbeats of a server on which runs start or end, in milliseconds.
 const BUSY_BEAT_MS: u64 = 20;
+/// How long the answer to a heartbeat that lists ends waits for what takes their place, in milliseconds.
+const WAIT_AFTER_ENDS_MS: u64 = 80;
+/// How long the answer to a server on which nothing runs waits for work, in milliseconds.
+const WAIT_IDLE_MS: u64 = 300;
 const INSTANCES_PATH: &str = "/lupinrack/instances/";
 
 enum ServerCall {
@@ -52,6 +56,14 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    open: Option<OpenCall>,
+}
+
+/// A heartbeat whose answer waits for orders.
+struct OpenCall {
+    open: OpenHeartbeat,
+    answerer: oneshot::Sender<String>,
+    until: Millis,
 }
 
 /// Runs until the process is told to end.
@@ -79,6 +91,7 @@
         owner: None,
         owner_heard: now,
         session: 0,
+        open: None,
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -88,6 +101,7 @@
             Some(event) = events.recv() => side.on_peer_event(event),
             Some(call) = calls.recv() => side.on_server_call(call),
             _ = timer.tick() => side.on_tick(),
+            () = side.wait_is_over() => side.answer_if_due(clock.now()),
             () = signals.terminated() => {
                 drop(server);
                 return Ok(());
@@ -108,6 +122,7 @@
                         if let Err(refused) = self.agent.owner_message(self.session, message, now) {
                             spdlog::debug!("an order was refused: {refused}");
                         }
+                        self.answer_if_due(now);
                     }
                     let _ = connection;
                 }
@@ -156,8 +171,8 @@
                     self.service = Some(service);
                     self.find_owner(now);
                 }
-                let answer = self.agent.heartbeat(*parsed, now);
-                let _ = answerer.send(render(&answer));
+                self.answer_open(now);
+                self.take_heartbeat(*parsed, answerer, now);
             }
             ServerCall::Leave { server, answerer } => {
                 self.agent.leave(server, now);
@@ -183,6 +198,52 @@
         status.to_string()
     }
 
+    /// Takes a heartbeat. Its answer waits a moment where orders are likely to come.
+    fn take_heartbeat(&mut self, beat: ServerHeartbeat, answerer: oneshot::Sender<String>, now: Millis) {
+        let open = match self.agent.receive_heartbeat(beat, now) {
+            HeartbeatReceipt::Open(open) => open,
+            HeartbeatReceipt::Answer(answer) => {
+                // A server that has given up needs no answer.
+                let _ = answerer.send(render(&answer));
+                return;
+            }
+        };
+        let wait_ms = match (open.ends, open.idle) {
+            (true, _) => WAIT_AFTER_ENDS_MS,
+            (_, true) => WAIT_IDLE_MS,
+            _ => 0,
+        };
+        self.open = Some(OpenCall { open, answerer, until: now.plus(wait_ms) });
+        self.answer_if_due(now);
+    }
+
+    /// Answers the open heartbeat if there are orders, or if it has waited for long enough.
+    fn answer_if_due(&mut self, now: Millis) {
+        let waits = self.open.as_ref().is_some_and(|call| now < call.until);
+        if waits && !self.agent.has_orders(now) {
+            return;
+        }
+        self.answer_open(now);
+    }
+
+    fn answer_open(&mut self, now: Millis) {
+        if let Some(call) = self.open.take() {
+            let answer = self.agent.answer_heartbeat(&call.open, now);
+            let _ = call.answerer.send(render(&answer));
+        }
+    }
+
+    /// Ends when the open heartbeat has waited for long enough.
+    async fn wait_is_over(&self) {
+        match &self.open {
+            Some(call) => {
+                let wait_ms = call.until.since(self.clock.now());
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     fn on_tick(&mut self) {
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
