--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -100,12 +100,16 @@
         })
     }
 
-    /// How much of it would be left free, as a sum of parts of each resource; smaller is a tighter fit.
+    /// How much of it would be left free, as a sum of parts of each resource, and how unevenly processor and memory would
+    /// be left; smaller is a better fit.
     pub fn slack_after(&self, needs: &Resources) -> f64 {
         let left = difference(&self.free, needs);
         let part = |left: u64, capacity: u64| if capacity == 0 { 0.0 } else { left as f64 / capacity as f64 };
         let capacity = &self.facts.capacity;
-        part(left.cpu, capacity.cpu) + part(left.memory_mb, capacity.memory_mb) + part(left.gpu, capacity.gpu)
+        let cpu = part(left.cpu, capacity.cpu);
+        let memory = part(left.memory_mb, capacity.memory_mb);
+        let gpu = part(left.gpu, capacity.gpu);
+        cpu + memory + gpu + (cpu - memory).abs()
     }
 
     /// Keeps room, beside what is kept already.
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -76,7 +76,7 @@
             active_ms: 2_000,
             idle_beat_ms: 60,
             soon_ms: 3_000,
-            preempt_after_ms: 300,
+            preempt_after_ms: 100,
             stall_ms: 2_000,
             trial_ms: 2_000,
             queue_share: 0.5,
--- a/crates/scheduler/src/singles.rs
+++ b/crates/scheduler/src/singles.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    /// The best row that has room now; among those of one grade, the one that is left with least.
+    /// The best row that has room now; among those of one grade, the one that is left with least. Work that does not end
+    /// by itself is spread instead: where it gathers, one resource of a server is used up for good and the others lie idle.
     fn room_now(&self, demand: &Demand<'_>, choices: &[Choice]) -> Option<Choice> {
         let needs = &demand.step.needs;
         let has_room = |choice: &&Choice| {
@@ -95,16 +96,21 @@
                 && row.admits(demand.job.priority, needs, self.now.plus(work_ms))
                 && self.headroom.allows(demand.job.priority, needs, 1)
         };
-        let slack = |choice: &Choice| self.rows[choice.place].slack_after(needs);
+        let spread = if demand.step.long_running { -1.0 } else { 1.0 };
+        let slack = |choice: &Choice| spread * self.rows[choice.place].slack_after(needs);
         let order =
             |a: &&Choice, b: &&Choice| a.grade().cmp(&b.grade()).then_with(|| slack(a).total_cmp(&slack(b)));
         choices.iter().filter(has_room).min_by(order).copied()
     }
 
-    /// Whether a task is done sooner if it waits for the best rows than if it starts now on a row of this factor.
+    /// Whether a task had better wait for the best rows than start now on a row of this factor. Slower work also holds
+    /// its room for longer, at the cost of others; so the time that it would take more counts twice.
     fn is_worth_waiting(&self, demand: &Demand<'_>, best: &[usize], grade: u64, factor_now: f64) -> bool {
         let set = Candidates { rows: best.to_vec(), factor: grade as f64 / FACTOR_PARTS };
-        let done_now = self.now.plus(self.work_ms(demand, factor_now));
+        let (work_now_ms, work_best_ms) =
+            (self.work_ms(demand, factor_now), self.work_ms(demand, set.factor));
+        let more_ms = work_now_ms.saturating_sub(work_best_ms);
+        let done_now = self.now.plus(work_now_ms.saturating_add(more_ms));
         self.finish_on(demand, &set, 1).is_some_and(|finish| finish.done_at < done_now)
     }
 
