--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -73,7 +73,7 @@
                 self.shards.receive(from, connection, message, now);
                 self.round_due = true;
             }
-            Frame::Subscribe { have } => self.on_subscribe(from, connection, have, now),
+            Frame::Subscribe { have } => self.on_subscribe(connection, have, now),
             Frame::ViewNews(view) => {
                 let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod scheduling;
 mod side;
 mod signals;
+pub mod status;
 pub mod subscription;
 
 use clock::Clock;
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -3,6 +3,7 @@
 use crate::clock::{draw, Clock};
 use crate::owner::owner_address;
 use crate::signals::Signals;
+use crate::status::{AgentStatus, STATUS_PATH};
 use crate::subscription::Subscription;
 use crate::NodeError;
 use lupinrack_cluster_api::agent::AgentMessage;
@@ -17,7 +18,7 @@
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_worker_agent::heartbeat_json::{parse, render};
-use lupinrack_worker_agent::{Agent, AgentSettings, ServerHeartbeat};
+use lupinrack_worker_agent::{Agent, AgentSettings, HeartbeatReceipt, OpenHeartbeat, ServerHeartbeat};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -32,14 +33,20 @@
 const IDLE_BEAT_MS: u64 = 60;
 /// Between heartbeats of a server on which runs start or end, in milliseconds.
 const BUSY_BEAT_MS: u64 = 20;
+/// How long the answer to a heartbeat that lists ends waits for what takes their place, in milliseconds.
+const WAIT_AFTER_ENDS_MS: u64 = 80;
+/// How long the answer to a server on which nothing runs waits for work, in milliseconds.
+const WAIT_IDLE_MS: u64 = 300;
 const INSTANCES_PATH: &str = "/lupinrack/instances/";
 
 enum ServerCall {
     Heartbeat { parsed: Box<ServerHeartbeat>, answerer: oneshot::Sender<String> },
     Leave { server: ServerId, answerer: oneshot::Sender<String> },
+    Status { answerer: oneshot::Sender<String> },
 }
 
 struct Side {
+    node: String,
     clock: Clock,
     peers: Peers,
     view: View,
@@ -49,6 +56,14 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    open: Option<OpenCall>,
+}
+
+/// A heartbeat whose answer waits for orders.
+struct OpenCall {
+    open: OpenHeartbeat,
+    answerer: oneshot::Sender<String>,
+    until: Millis,
 }
 
 /// Runs until the process is told to end.
@@ -66,6 +81,7 @@
         busy_beat_ms: BUSY_BEAT_MS,
     };
     let mut side = Side {
+        node: settings.node.clone(),
         clock,
         peers,
         view: View::default(),
@@ -75,6 +91,7 @@
         owner: None,
         owner_heard: now,
         session: 0,
+        open: None,
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -84,6 +101,7 @@
             Some(event) = events.recv() => side.on_peer_event(event),
             Some(call) = calls.recv() => side.on_server_call(call),
             _ = timer.tick() => side.on_tick(),
+            () = side.wait_is_over() => side.answer_if_due(clock.now()),
             () = signals.terminated() => {
                 drop(server);
                 return Ok(());
@@ -104,6 +122,7 @@
                         if let Err(refused) = self.agent.owner_message(self.session, message, now) {
                             spdlog::debug!("an order was refused: {refused}");
                         }
+                        self.answer_if_due(now);
                     }
                     let _ = connection;
                 }
@@ -152,17 +171,79 @@
                     self.service = Some(service);
                     self.find_owner(now);
                 }
-                let answer = self.agent.heartbeat(*parsed, now);
-                let _ = answerer.send(render(&answer));
+                self.answer_open(now);
+                self.take_heartbeat(*parsed, answerer, now);
             }
             ServerCall::Leave { server, answerer } => {
                 self.agent.leave(server, now);
                 let _ = answerer.send(String::new());
             }
+            ServerCall::Status { answerer } => {
+                let _ = answerer.send(self.status(now));
+            }
         }
         self.send_to_owner(now);
     }
 
+    fn status(&self, now: Millis) -> String {
+        let status = AgentStatus {
+            node: &self.node,
+            view: &self.view,
+            server: self.agent.server().map(|facts| &facts.id),
+            service: self.service.as_ref(),
+            owner: self.owner,
+            owner_heard_ms_ago: now.since(self.owner_heard),
+            token: self.agent.token().0,
+        };
+        status.to_string()
+    }
+
+    /// Takes a heartbeat. Its answer waits a moment where orders are likely to come.
+    fn take_heartbeat(&mut self, beat: ServerHeartbeat, answerer: oneshot::Sender<String>, now: Millis) {
+        let open = match self.agent.receive_heartbeat(beat, now) {
+            HeartbeatReceipt::Open(open) => open,
+            HeartbeatReceipt::Answer(answer) => {
+                // A server that has given up needs no answer.
+                let _ = answerer.send(render(&answer));
+                return;
+            }
+        };
+        let wait_ms = match (open.ends, open.idle) {
+            (true, _) => WAIT_AFTER_ENDS_MS,
+            (_, true) => WAIT_IDLE_MS,
+            _ => 0,
+        };
+        self.open = Some(OpenCall { open, answerer, until: now.plus(wait_ms) });
+        self.answer_if_due(now);
+    }
+
+    /// Answers the open heartbeat if there are orders, or if it has waited for long enough.
+    fn answer_if_due(&mut self, now: Millis) {
+        let waits = self.open.as_ref().is_some_and(|call| now < call.until);
+        if waits && !self.agent.has_orders(now) {
+            return;
+        }
+        self.answer_open(now);
+    }
+
+    fn answer_open(&mut self, now: Millis) {
+        if let Some(call) = self.open.take() {
+            let answer = self.agent.answer_heartbeat(&call.open, now);
+            let _ = call.answerer.send(render(&answer));
+        }
+    }
+
+    /// Ends when the open heartbeat has waited for long enough.
+    async fn wait_is_over(&self) {
+        match &self.open {
+            Some(call) => {
+                let wait_ms = call.until.since(self.clock.now());
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
+            None => std::future::pending().await,
+        }
+    }
+
     fn on_tick(&mut self) {
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
@@ -199,21 +280,10 @@
 }
 
 async fn answer(call: HttpCall, calls: mpsc::Sender<ServerCall>) -> HttpAnswer {
-    let Some(id) = call.path.strip_prefix(INSTANCES_PATH) else {
-        return HttpAnswer::error(ErrorKind::NotServed);
-    };
-    let server = ServerId(id.to_owned());
     let (answerer, reply) = oneshot::channel();
-    let server_call = match call.method.as_str() {
-        "PUT" => match parse(id, &call.body) {
-            Ok(parsed) => ServerCall::Heartbeat { parsed: Box::new(parsed), answerer },
-            Err(fault) => {
-                spdlog::warn!("a heartbeat cannot be read: {fault}");
-                return HttpAnswer::error(ErrorKind::Malformed);
-            }
-        },
-        "DELETE" => ServerCall::Leave { server, answerer },
-        _ => return HttpAnswer::error(ErrorKind::NotServed),
+    let server_call = match server_call_of(&call, answerer) {
+        Ok(server_call) => server_call,
+        Err(kind) => return HttpAnswer::error(kind),
     };
     if calls.send(server_call).await.is_err() {
         return HttpAnswer::error(ErrorKind::ShuttingDown);
@@ -224,3 +294,21 @@
         Err(_) => HttpAnswer::error(ErrorKind::ShuttingDown),
     }
 }
+
+fn server_call_of(call: &HttpCall, answerer: oneshot::Sender<String>) -> Result<ServerCall, ErrorKind> {
+    if call.method.as_str() == "GET" && call.path == STATUS_PATH {
+        return Ok(ServerCall::Status { answerer });
+    }
+    let id = call.path.strip_prefix(INSTANCES_PATH).ok_or(ErrorKind::NotServed)?;
+    match call.method.as_str() {
+        "PUT" => match parse(id, &call.body) {
+            Ok(parsed) => Ok(ServerCall::Heartbeat { parsed: Box::new(parsed), answerer }),
+            Err(fault) => {
+                spdlog::warn!("a heartbeat cannot be read: {fault}");
+                Err(ErrorKind::Malformed)
+            }
+        },
+        "DELETE" => Ok(ServerCall::Leave { server: ServerId(id.to_owned()), answerer }),
+        _ => Err(ErrorKind::NotServed),
+    }
+}
--- a/crates/lupinrack/src/cluster/status.rs
+++ b/crates/lupinrack/src/cluster/status.rs
@@ -20,11 +20,15 @@
 
 /// The command.
 pub(super) fn command() -> Command {
-    let status =
-        Command::new(STATUS).about("Print what a process knows: the view, the chain, the owners of shards");
-    let configuration = Command::new(CONFIGURATION).about("Print the newest configuration");
+    let status = Command::new(STATUS)
+        .about("Print what a process knows: the view, the chain, and what belongs to its class")
+        .after_help(
+            "Core processes and agents answer at their control address, fronts at their readiness address.",
+        );
+    let configuration =
+        Command::new(CONFIGURATION).about("Print the newest configuration, as a core process answers it");
     Command::new(NAME)
-        .about("Ask a process for the state of the system, at its control address")
+        .about("Ask a process for the state of the system")
         .subcommand_required(true)
         .subcommand(status.arg(address_argument()))
         .subcommand(configuration.arg(address_argument()))
@@ -47,6 +51,7 @@
     if !answer.status.is_success() {
         return Err(Ended::failed(format!("{address}: answered {}", answer.status)));
     }
+    let end: &[u8] = if answer.body.ends_with(b"\n") { b"" } else { b"\n" };
     let mut output = std::io::stdout().lock();
-    output.write_all(&answer.body).and_then(|()| output.write_all(b"\n")).map_err(Ended::failed)
+    output.write_all(&answer.body).and_then(|()| output.write_all(end)).map_err(Ended::failed)
 }
