--- a/crates/cluster-simulation/src/calls.rs
+++ b/crates/cluster-simulation/src/calls.rs
@@ -10,8 +10,6 @@
 #[derive(Debug)]
 pub struct OpenCall {
     reply: oneshot::Receiver<Reply>,
-    /// When it was sent.
-    pub sent_at: u64,
     /// After this the caller waits no longer.
     gives_up_at: u64,
 }
@@ -31,7 +29,7 @@
 pub fn call(request: Request, now: u64, wait_ms: u64) -> (ControlCall, OpenCall) {
     let (answerer, reply) = oneshot::channel();
     let call = ControlCall { request, answerer, remaining_ms: wait_ms };
-    (call, OpenCall { reply, sent_at: now, gives_up_at: now + wait_ms + 250 })
+    (call, OpenCall { reply, gives_up_at: now + wait_ms + 250 })
 }
 
 impl OpenCall {
--- a/crates/cluster-simulation/src/workload.rs
+++ b/crates/cluster-simulation/src/workload.rs
@@ -116,8 +116,4 @@
     pub fn is_lasting(&self) -> bool {
         self.spec.steps.iter().any(|step| step.long_running)
     }
-
-    pub fn is_hopeless(&self) -> bool {
-        self.own_failures > self.max_retries && !self.is_lasting()
-    }
 }
