--- a/crates/cluster-simulation/src/workload.rs
+++ b/crates/cluster-simulation/src/workload.rs
@@ -30,6 +30,7 @@
         needs: needs(240, 100, 0),
         estimate_ms: 400,
         affinity,
+        speculative: rng.u32(0..4) == 0,
         ..Step::default()
     };
     let second = Step { depends_on: vec![0], affinity: String::new(), ..first.clone() };
@@ -115,8 +116,4 @@
     pub fn is_lasting(&self) -> bool {
         self.spec.steps.iter().any(|step| step.long_running)
     }
-
-    pub fn is_hopeless(&self) -> bool {
-        self.own_failures > self.max_retries && !self.is_lasting()
-    }
 }
