Failure detection: the arithmetic of SWIM detectors in a crate of its own

Local health, length of suspicions and retransmissions were part of the fronts' SWIM machine; the cluster's membership needs the same with another roster. Moved unchanged, so that neither is written twice. Ruled out: making the fronts' machine generic over its roster; its members are indices in bit sets and its lives are ordered by time.

--- a/crates/membership/src/swim.rs
+++ b/crates/membership/src/swim.rs
@@ -3,11 +3,11 @@
 //! The roster is fixed. A front that was never heard of is *unknown*, which is not dead: nothing is concluded from it.
 
 use crate::bits::Bits;
+use lupinrack_failure_detection as arithmetic;
+use lupinrack_failure_detection::LocalHealth;
 use lupinrack_policy::Micros;
 use std::collections::VecDeque;
 
-/// Local health at its worst: periods and patience are that many times longer, and once.
-const HEALTH_WORST: u32 = 8;
 /// Fronts asked to probe in one's stead.
 const HELPERS: usize = 3;
 /// Independent suspicions after which one's own patience is at its least.
@@ -173,7 +173,7 @@
     favours: VecDeque<Favour>,
     next: Micros,
     periods: u32,
-    health: u32,
+    health: LocalHealth,
     nonce: u32,
     dice: fastrand::Rng,
 }
@@ -201,7 +201,7 @@
             favours: VecDeque::new(),
             next,
             periods: 0,
-            health: 0,
+            health: LocalHealth::default(),
             nonce: 0,
             dice,
         }
@@ -214,7 +214,7 @@
 
     /// Local health: 0 is well; this many times longer is waited.
     pub fn health(&self) -> u32 {
-        self.health
+        self.health.score()
     }
 
     /// Who is held for there, suspects included.
@@ -243,19 +243,19 @@
     }
 
     fn scale(&self, span: Micros) -> Micros {
-        span * Micros::from(1 + self.health)
+        span * Micros::from(self.health.multiplier())
     }
 
     /// The size of the fleet as it counts for spreading: the common logarithm, one at the least.
     pub fn size(&self) -> f64 {
-        (self.members.len() as f64 + 1.0).log10().max(1.0)
+        arithmetic::size_factor(self.members.len())
     }
 
     fn tellings(&self, news: &News) -> u32 {
         let plain = news.state == State::Alive && news.inc == 0;
         match plain {
-            true => (self.size() * TELLINGS_THERE).ceil() as u32,
-            false => (self.size() * TELLINGS).max(TELLINGS_LEAST).ceil() as u32,
+            true => arithmetic::retransmissions(self.size(), TELLINGS_THERE, 0.0),
+            false => arithmetic::retransmissions(self.size(), TELLINGS, TELLINGS_LEAST),
         }
     }
 
@@ -292,7 +292,7 @@
         if news.of == self.me {
             let wrong = news.life == m.life && news.state != State::Alive && news.inc >= m.inc;
             if wrong && m.state == State::Alive {
-                self.health = (self.health + 1).min(HEALTH_WORST);
+                self.health.worsen();
                 let inc = news.inc.saturating_add(1);
                 self.set(now, News { inc, state: State::Alive, by: self.me, ..news }, changes);
             }
@@ -394,7 +394,7 @@
     pub fn answered(&mut self, from: u16, nonce: u32, out: &mut Vec<Out>) {
         if self.probe.as_ref().is_some_and(|p| p.of == from && p.nonce == nonce) {
             self.probe = None;
-            self.health = self.health.saturating_sub(1);
+            self.health.improve();
         }
         if let Some(at) = self.favours.iter().position(|f| f.nonce == nonce) {
             if let Some(f) = self.favours.remove(at) {
@@ -431,7 +431,7 @@
         let Some(p) = self.probe.as_mut().filter(|p| p.nonce == nonce) else { return };
         if reached {
             self.probe = None;
-            self.health = self.health.saturating_sub(1);
+            self.health.improve();
         } else {
             p.nacks += 1;
         }
@@ -441,20 +441,18 @@
     pub fn paused(&mut self, now: Micros, gap: Micros) {
         self.probe = None;
         self.favours.clear();
-        self.health = (self.health + 1).min(HEALTH_WORST);
+        self.health.worsen();
         self.members.iter_mut().filter(|m| m.state == State::Suspect).for_each(|m| m.since += gap);
         self.next = now + self.pace.period;
     }
 
     /// How long a suspicion that began is to last.
     fn lasts(&self, m: &Member) -> Micros {
-        let confirms = CONFIRMS.min(self.members.len().saturating_sub(2)).max(1);
-        let agreed = m.suspects.len().saturating_sub(1).min(confirms) as f64;
+        let confirms = arithmetic::confirmations_needed(CONFIRMS, self.members.len());
+        let agreed = m.suspects.len().saturating_sub(1);
         // A refutation has to come round first, which takes longer in a large fleet.
         let least = self.scale(self.pace.suspicion) as f64 * self.size();
-        let most = least * PATIENCE;
-        let part = (agreed + 1.0).ln() / (confirms as f64 + 1.0).ln();
-        (most - (most - least) * part).max(least) as Micros
+        arithmetic::suspicion_length(least, PATIENCE, agreed, confirms) as Micros
     }
 
     /// Carries on at a moment.
@@ -483,7 +481,9 @@
         if let Some(p) = self.probe.take_if(|p| p.ends <= now) {
             // Helpers that said nothing tell of this front's own health.
             let silent = p.asked.len() - p.nacks.min(p.asked.len());
-            self.health = (self.health + u32::from(p.asked.is_empty() || silent > 0)).min(HEALTH_WORST);
+            if p.asked.is_empty() || silent > 0 {
+                self.health.worsen();
+            }
             self.suspect(now, &p, changes);
         }
         let suspected: Vec<u16> = self.suspected.iter().collect();
