Cluster API: rendezvous hashing in one place

The owner of a shard was chosen by hashes in the node's code; home processes need the same rule. Moved unchanged: every key keeps its owner.

--- a/crates/cluster-api/src/lib.rs
+++ b/crates/cluster-api/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod identity;
 pub mod job;
 pub mod operation;
+pub mod rendezvous;
 pub mod request;
 pub mod server;
 pub mod time;
