--- /dev/null
+++ b/crates/cluster-membership/src/swim.rs
@@ -0,0 +1,553 @@
+//! The state machine of one member.
+//!
+//! In every period a member probes one other. Where no acknowledgement comes in time it asks a few helpers to probe in its
+//! stead, and where that fails too it suspects the member. A suspicion that is not refuted for long enough is a death.
+//! Local health makes a member that is slow itself wait longer: for direct answers within the period, and before its
+//! suspicions end. News rides on probes and acknowledgements.
+//!
+//! Messages per period are bounded at every member whatever their number: one probe (repeated while it is not
+//! answered), one request to each helper, one probe of a seed or dead member every few periods, one request for a page of the roster every few
+//! periods while rosters differ; and answers to what others send, which is the same in the mean.
+
+use crate::datagram::{encoded_len, room_for_updates, Datagram, Message};
+use crate::gossip::Gossip;
+use crate::live_table::{LiveMember, LiveTable};
+use crate::member::{MemberState, MemberUpdate};
+use crate::probing::{Probe, ProbeOrder, Relay};
+use crate::roster::{presence_digest, Applied, Roster};
+use crate::settings::SwimSettings;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_failure_detection::{retransmissions, size_factor, LocalHealth};
+use std::cmp::Ordering;
+use std::mem;
+
+/// News is told this many times the common logarithm of the number of members, and so often at least.
+const TRANSMISSIONS_FACTOR: f64 = 3.0;
+const TRANSMISSIONS_LEAST: f64 = 4.0;
+/// The most probes for others that are remembered at once; the oldest gives way.
+const RELAYS_MOST: usize = 64;
+/// However bad the local health is, helpers are asked before this part of the period is over, in hundredths.
+const DIRECT_PERCENT_MOST: u64 = 60;
+/// Every so many periods the probe goes to a suspect, if there is one, so that it hears of it and refutes it.
+const SUSPECT_EVERY: u64 = 2;
+/// A member that leaves tells this many others.
+const FAREWELLS: usize = 4;
+
+/// A datagram to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// To whom.
+    pub to: PeerAddress,
+    /// What.
+    pub datagram: Datagram,
+}
+
+/// A walk through the rosters of others, page by page: the whole once after the start, and single pages later while
+/// rosters differ.
+#[derive(Clone, Debug)]
+struct Paging {
+    cursor: Option<PeerAddress>,
+    /// Until a walk has reached the end for the first time.
+    joining: bool,
+    /// Whether the last page told of members that were not known.
+    fruitful: bool,
+    due: Millis,
+}
+
+/// One member's protocol state.
+#[derive(Clone, Debug)]
+pub struct Swim {
+    own: MemberUpdate,
+    seeds: Vec<PeerAddress>,
+    settings: SwimSettings,
+    roster: Roster,
+    gossip: Gossip,
+    order: ProbeOrder,
+    probe: Option<Probe>,
+    relays: Vec<Relay>,
+    paging: Paging,
+    /// Somebody whose roster is another one.
+    differs: Option<PeerAddress>,
+    health: LocalHealth,
+    random: fastrand::Rng,
+    last_nonce: u32,
+    periods: u64,
+    next_period: Millis,
+    last_tick: Millis,
+    version: u64,
+    outgoing: Vec<Outgoing>,
+}
+
+impl Swim {
+    /// A member that begins now and knows nobody but its seeds, by their addresses.
+    ///
+    /// `life` has to be drawn at random for each process, and `seed` for its choices.
+    pub fn new(
+        own: LiveMember,
+        seeds: Vec<PeerAddress>,
+        settings: SwimSettings,
+        seed: u64,
+        now: Millis,
+    ) -> Swim {
+        let mut random = fastrand::Rng::with_seed(seed);
+        // Members that start together do not probe in step.
+        let next_period = now.plus(random.u64(0..settings.period_ms.max(1)));
+        let LiveMember { address, role, zone, life } = own;
+        let own = MemberUpdate { address, role, zone, life, incarnation: 0, state: MemberState::Alive };
+        let seeds = seeds.into_iter().filter(|seed| *seed != address).collect();
+        Swim {
+            own,
+            seeds,
+            settings,
+            roster: Roster::default(),
+            gossip: Gossip::default(),
+            order: ProbeOrder::default(),
+            probe: None,
+            relays: Vec::new(),
+            paging: Paging { cursor: None, joining: true, fruitful: false, due: now },
+            differs: None,
+            health: LocalHealth::default(),
+            random,
+            last_nonce: 0,
+            periods: 0,
+            next_period,
+            last_tick: now,
+            version: 1,
+            outgoing: Vec::new(),
+        }
+    }
+
+    /// Rises whenever [`Swim::live_table`] changes.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The members that are held for there, suspects and this one included.
+    pub fn live_table(&self) -> LiveTable {
+        let present = self.roster.present().chain([&self.own]);
+        LiveTable::new(present.map(live_member).collect())
+    }
+
+    /// Word of every other member that is not forgotten, by address.
+    pub fn members(&self) -> impl Iterator<Item = &MemberUpdate> {
+        self.roster.iter()
+    }
+
+    /// The own incarnation.
+    pub fn incarnation(&self) -> u32 {
+        self.own.incarnation
+    }
+
+    /// The local health score; 0 is well.
+    pub fn health_score(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// When [`Swim::tick`] has something to do. It may be called earlier and more often.
+    pub fn next_wakeup(&self) -> Millis {
+        let probe = self.probe.as_ref().map(Probe::due);
+        let relays = self.relays.iter().map(Relay::due);
+        let page = self.wants_page().then_some(self.paging.due);
+        relays.chain(probe).chain(page).fold(self.next_period, Millis::min)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Millis) -> Vec<Outgoing> {
+        if self.has_left() {
+            return Vec::new();
+        }
+        let frozen_ms = now.since(self.last_tick);
+        self.last_tick = self.last_tick.max(now);
+        if frozen_ms > self.settings.frozen_ms {
+            self.resume(frozen_ms, now);
+        }
+        self.continue_relays(now);
+        self.continue_probe(now);
+        if now >= self.next_period {
+            self.begin_period(now);
+        }
+        if self.wants_page() && now >= self.paging.due {
+            self.request_page(now);
+        }
+        mem::take(&mut self.outgoing)
+    }
+
+    /// Takes a datagram that came from this address.
+    pub fn receive(&mut self, from: PeerAddress, datagram: Datagram, now: Millis) -> Vec<Outgoing> {
+        let genuine = datagram.sender.address == from && from != self.own.address;
+        let speaks = matches!(datagram.sender.state, MemberState::Alive | MemberState::Left);
+        if self.has_left() || !genuine || !speaks {
+            return Vec::new();
+        }
+        self.learn(&datagram.sender, now);
+        let version = self.version;
+        for update in &datagram.updates {
+            self.learn(update, now);
+        }
+        let fruitful = self.version != version;
+        match datagram.message {
+            Message::Probe { nonce } => {
+                self.compare_rosters(from, datagram.roster_digest);
+                self.reply(&datagram.sender, Message::Acknowledge { nonce });
+            }
+            Message::ProbeRequest { nonce, target } => self.relay(from, nonce, target, now),
+            Message::Acknowledge { nonce } => {
+                self.compare_rosters(from, datagram.roster_digest);
+                self.acknowledged(from, nonce);
+            }
+            Message::NotReached { nonce } => self.not_reached(from, nonce),
+            Message::PageRequest { after } => self.send_page(&datagram.sender, after),
+            Message::Page { last } => self.take_page(last, fruitful, now),
+            Message::News => {}
+        }
+        mem::take(&mut self.outgoing)
+    }
+
+    /// Says to some others that this member leaves. It does nothing more afterwards.
+    pub fn leave(&mut self) -> Vec<Outgoing> {
+        if self.has_left() {
+            return Vec::new();
+        }
+        self.own.state = MemberState::Left;
+        let mut others: Vec<PeerAddress> = self.roster.present().map(|update| update.address).collect();
+        self.random.shuffle(&mut others);
+        for to in others.into_iter().take(FAREWELLS) {
+            self.send(to, Message::News);
+        }
+        mem::take(&mut self.outgoing)
+    }
+
+    fn has_left(&self) -> bool {
+        self.own.state == MemberState::Left
+    }
+
+    // News.
+
+    fn learn(&mut self, update: &MemberUpdate, now: Millis) {
+        if update.address == self.own.address {
+            self.refute(update);
+            return;
+        }
+        let applied = self.roster.apply(update, self.settings.confirmations, now);
+        if applied == Applied::Nothing {
+            return;
+        }
+        if applied == Applied::Presence {
+            self.version += 1;
+        }
+        let size = size_factor(self.roster.present_count());
+        let transmissions = retransmissions(size, TRANSMISSIONS_FACTOR, TRANSMISSIONS_LEAST);
+        self.gossip.put(update.address, transmissions);
+    }
+
+    /// Word of this member itself: where it is wrong and would be believed, a higher incarnation puts it right.
+    fn refute(&mut self, update: &MemberUpdate) {
+        let same_life = update.life == self.own.life;
+        if same_life && update.state == MemberState::Alive {
+            self.own.incarnation = self.own.incarnation.max(update.incarnation);
+            return;
+        }
+        if update.incarnation < self.own.incarnation {
+            return;
+        }
+        self.own.incarnation = update.incarnation.saturating_add(1);
+        if same_life {
+            self.health.worsen();
+        }
+    }
+
+    fn compare_rosters(&mut self, other: PeerAddress, digest: u64) {
+        if digest != self.roster_digest() {
+            self.differs = Some(other);
+        } else if self.differs == Some(other) {
+            self.differs = None;
+        }
+    }
+
+    fn roster_digest(&self) -> u64 {
+        self.roster.digest() ^ presence_digest(&self.own)
+    }
+
+    fn send(&mut self, to: PeerAddress, message: Message) {
+        self.send_with(to, message, Vec::new());
+    }
+
+    /// Answers a member; where it is held for something else than it says, it is told so.
+    fn reply(&mut self, sender: &MemberUpdate, message: Message) {
+        let held = self.roster.get(sender.address);
+        let contradicts = held.filter(|held| held.compare_age(sender) == Ordering::Greater);
+        let first = contradicts.cloned().into_iter().collect();
+        self.send_with(sender.address, message, first);
+    }
+
+    fn send_with(&mut self, to: PeerAddress, message: Message, first: Vec<MemberUpdate>) {
+        let used: usize = first.iter().map(encoded_len).sum();
+        let room = room_for_updates(&self.own).saturating_sub(used);
+        let mut updates = first;
+        updates.extend(self.gossip.take(&self.roster, room));
+        self.push(to, message, updates);
+    }
+
+    fn push(&mut self, to: PeerAddress, message: Message, updates: Vec<MemberUpdate>) {
+        let sender = self.own.clone();
+        let datagram = Datagram { sender, roster_digest: self.roster_digest(), message, updates };
+        self.outgoing.push(Outgoing { to, datagram });
+    }
+
+    // Probes.
+
+    fn begin_period(&mut self, now: Millis) {
+        self.fail_probe(now);
+        self.periods += 1;
+        self.next_period = now.plus(self.settings.period_ms);
+        for death in self.roster.expired(&self.settings, self.health, now) {
+            self.learn(&death, now);
+        }
+        self.roster.forget(self.settings.forget_ms, now);
+        if self.periods.is_multiple_of(self.settings.reach_every.max(1)) {
+            self.reach_out();
+        }
+        if let Some(target) = self.choose_target() {
+            self.begin_probe(target, now);
+        }
+    }
+
+    fn choose_target(&mut self) -> Option<PeerAddress> {
+        if self.periods.is_multiple_of(SUSPECT_EVERY) {
+            let suspects: Vec<PeerAddress> = self.roster.suspects().map(|update| update.address).collect();
+            if let Some(suspect) = self.random.choice(suspects) {
+                return Some(suspect);
+            }
+        }
+        let distant = self.periods.is_multiple_of(self.settings.distant_every.max(1));
+        self.order.next(&self.roster, &self.own.zone, distant, &mut self.random)
+    }
+
+    fn begin_probe(&mut self, target: PeerAddress, now: Millis) {
+        let Some(life) = self.roster.get(target).map(|update| update.life) else {
+            return;
+        };
+        let nonce = self.draw_nonce();
+        let direct_ms = self.settings.direct_ms;
+        let patience_most = self.settings.period_ms * DIRECT_PERCENT_MOST / 100;
+        let patience = (direct_ms * u64::from(self.health.multiplier())).min(patience_most).max(direct_ms);
+        self.probe = Some(Probe {
+            target,
+            life,
+            nonce,
+            again_at: now.plus(self.settings.repeat_ms),
+            helpers_at: Some(now.plus(patience)),
+            ends: self.next_period,
+            silent_helpers: Vec::new(),
+            helpers_asked: 0,
+        });
+        self.send_probe(target, nonce);
+    }
+
+    /// A member that is suspected hears of it with the probe.
+    fn send_probe(&mut self, target: PeerAddress, nonce: u32) {
+        let suspected = self.roster.get(target).filter(|held| held.state != MemberState::Alive);
+        let first = suspected.cloned().into_iter().collect();
+        self.send_with(target, Message::Probe { nonce }, first);
+    }
+
+    fn continue_probe(&mut self, now: Millis) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        let (target, nonce) = (probe.target, probe.nonce);
+        let repeat = now >= probe.again_at && now < probe.ends;
+        if repeat {
+            probe.again_at = now.plus(self.settings.repeat_ms);
+        }
+        let ask = probe.helpers_at.take_if(|at| now >= *at).is_some();
+        if repeat {
+            self.send_probe(target, nonce);
+        }
+        if ask {
+            self.ask_helpers(target, nonce);
+        }
+    }
+
+    fn ask_helpers(&mut self, target: PeerAddress, nonce: u32) {
+        let alive = self.roster.iter().filter(|update| update.state == MemberState::Alive);
+        let addresses = alive.map(|update| update.address);
+        let mut helpers: Vec<PeerAddress> = addresses.filter(|address| *address != target).collect();
+        self.random.shuffle(&mut helpers);
+        helpers.truncate(self.settings.helpers);
+        for helper in &helpers {
+            self.send(*helper, Message::ProbeRequest { nonce, target });
+        }
+        if let Some(probe) = &mut self.probe {
+            probe.helpers_asked = helpers.len();
+            probe.silent_helpers = helpers;
+        }
+    }
+
+    /// The period is over: whoever did not answer is suspected. Helpers that said nothing tell of the own health, but not
+    /// where the target was suspected already: then silence was to be expected.
+    fn fail_probe(&mut self, now: Millis) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let held = self.roster.get(probe.target);
+        let Some(held) = held.filter(|held| held.life == probe.life && held.state.is_present()) else {
+            return;
+        };
+        let all_answered = probe.helpers_asked > 0 && probe.silent_helpers.is_empty();
+        if held.state == MemberState::Alive && !all_answered {
+            self.health.worsen();
+        }
+        let state = MemberState::Suspect { by: self.own.address };
+        let suspicion = MemberUpdate { state, ..held.clone() };
+        self.learn(&suspicion, now);
+    }
+
+    fn acknowledged(&mut self, from: PeerAddress, nonce: u32) {
+        let answers = |probe: &Probe| probe.nonce == nonce;
+        if self.probe.as_ref().is_some_and(answers) {
+            self.probe = None;
+            self.health.improve();
+        }
+        let relayed = self.relays.iter().position(|relay| relay.nonce == nonce && relay.target == from);
+        if let Some(index) = relayed {
+            let relay = self.relays.remove(index);
+            self.send(relay.asker, Message::Acknowledge { nonce: relay.asker_nonce });
+        }
+    }
+
+    fn not_reached(&mut self, helper: PeerAddress, nonce: u32) {
+        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.nonce == nonce) {
+            probe.silent_helpers.retain(|silent| *silent != helper);
+        }
+    }
+
+    fn relay(&mut self, asker: PeerAddress, asker_nonce: u32, target: PeerAddress, now: Millis) {
+        if target == self.own.address {
+            self.send(asker, Message::Acknowledge { nonce: asker_nonce });
+            return;
+        }
+        if self.relays.len() >= RELAYS_MOST {
+            self.relays.remove(0);
+        }
+        let nonce = self.draw_nonce();
+        let again_at = Some(now.plus(self.settings.repeat_ms));
+        let ends = now.plus(self.settings.relay_ms);
+        self.relays.push(Relay { target, nonce, asker, asker_nonce, again_at, ends });
+        self.send_probe(target, nonce);
+    }
+
+    fn continue_relays(&mut self, now: Millis) {
+        let due =
+            |relay: &mut Relay| relay.again_at.take_if(|at| now >= *at).map(|_| (relay.target, relay.nonce));
+        let again: Vec<(PeerAddress, u32)> = self.relays.iter_mut().filter_map(due).collect();
+        for (target, nonce) in again {
+            self.send_probe(target, nonce);
+        }
+        self.end_relays(now);
+    }
+
+    fn end_relays(&mut self, now: Millis) {
+        let (over, open) = mem::take(&mut self.relays).into_iter().partition(|relay| relay.ends <= now);
+        self.relays = open;
+        let over: Vec<Relay> = over;
+        for relay in over {
+            self.send(relay.asker, Message::NotReached { nonce: relay.asker_nonce });
+        }
+    }
+
+    /// Looks for a seed or member that is not held for there, which may be on the other side of a cut.
+    fn reach_out(&mut self) {
+        let gone =
+            self.roster.iter().filter(|update| !update.state.is_present()).map(|update| update.address);
+        let mut away: Vec<PeerAddress> = self.seeds.iter().copied().chain(gone).collect();
+        away.retain(|address| !self.roster.is_present(*address));
+        if let Some(target) = self.random.choice(away) {
+            let nonce = self.draw_nonce();
+            self.send_probe(target, nonce);
+        }
+    }
+
+    /// This process was frozen: what ran out meanwhile says nothing of others.
+    fn resume(&mut self, frozen_ms: u64, now: Millis) {
+        self.probe = None;
+        self.relays.clear();
+        self.roster.extend_suspicions(frozen_ms);
+        self.health.worsen();
+        self.next_period = now;
+    }
+
+    fn draw_nonce(&mut self) -> u32 {
+        self.last_nonce = self.last_nonce.wrapping_add(1);
+        self.last_nonce
+    }
+
+    // Pages.
+
+    fn wants_page(&self) -> bool {
+        self.paging.joining || self.differs.is_some()
+    }
+
+    fn request_page(&mut self, now: Millis) {
+        let hurries = self.paging.joining || self.paging.fruitful;
+        let pause = match hurries {
+            true => self.settings.join_ms,
+            false => self.settings.page_every * self.settings.period_ms,
+        };
+        self.paging.fruitful = false;
+        self.paging.due = now.plus(pause.max(1));
+        let Some(source) = self.page_source() else {
+            return;
+        };
+        let after = self.paging.cursor;
+        self.send(source, Message::PageRequest { after });
+    }
+
+    /// While this member joins, a seed or anybody it has heard of; later, whoever has another roster.
+    fn page_source(&mut self) -> Option<PeerAddress> {
+        if !self.paging.joining {
+            return self.differs;
+        }
+        let ask_seed = self.roster.present_count() == 0 || self.random.bool();
+        let seed = match ask_seed {
+            true => self.random.choice(self.seeds.iter().copied()),
+            false => None,
+        };
+        seed.or_else(|| self.order.next(&self.roster, &self.own.zone, false, &mut self.random))
+    }
+
+    fn send_page(&mut self, sender: &MemberUpdate, after: Option<PeerAddress>) {
+        let held = self.roster.get(sender.address);
+        let contradicts = held.filter(|held| held.compare_age(sender) == Ordering::Greater);
+        let mut updates: Vec<MemberUpdate> = contradicts.cloned().into_iter().collect();
+        let mut room = room_for_updates(&self.own).saturating_sub(updates.iter().map(encoded_len).sum());
+        let mut last = None;
+        for update in self.roster.after(after) {
+            let Some(left) = room.checked_sub(encoded_len(update)) else {
+                last = updates.last().map(|update| update.address);
+                break;
+            };
+            room = left;
+            updates.push(update.clone());
+        }
+        self.push(sender.address, Message::Page { last }, updates);
+    }
+
+    fn take_page(&mut self, last: Option<PeerAddress>, fruitful: bool, now: Millis) {
+        self.paging.cursor = last;
+        self.paging.fruitful = fruitful;
+        if fruitful {
+            self.paging.due = self.paging.due.min(now.plus(self.settings.join_ms));
+        }
+        if last.is_none() {
+            self.paging.joining = false;
+            self.differs = None;
+        }
+    }
+}
+
+fn live_member(update: &MemberUpdate) -> LiveMember {
+    let MemberUpdate { address, role, zone, life, .. } = update.clone();
+    LiveMember { address, role, zone, life }
+}
--- /dev/null
+++ b/crates/cluster-membership/tests/common/mod.rs
@@ -0,0 +1,266 @@
+//! A simulated network of members: delays, loss, cuts, freezes and restarts, all from one seed.
+#![allow(dead_code, reason = "every test file uses another part")]
+
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::wire::Role;
+use lupinrack_cluster_membership::{Datagram, LiveMember, Outgoing, Swim, SwimSettings};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+pub const ZONES: [&str; 3] = ["east", "north", "west"];
+const SEEDS: usize = 3;
+const PORT: u16 = 7_000;
+const DELAY_LEAST_MS: u64 = 1;
+const DELAY_MOST_MS: u64 = 12;
+/// Bytes that UDP and IP add to a datagram.
+const HEADER_BYTES: u64 = 28;
+
+pub fn address(index: usize) -> PeerAddress {
+    let [_, _, high, low] = (index as u32 + 1).to_be_bytes();
+    PeerAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, high, low), PORT))
+}
+
+pub fn zone_of(index: usize) -> &'static str {
+    ZONES[index % ZONES.len()]
+}
+
+/// What one member sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sent {
+    pub datagrams: u64,
+    pub bytes: u64,
+    pub bytes_between_zones: u64,
+}
+
+struct Node {
+    swim: Option<Swim>,
+    frozen: bool,
+    waiting: Vec<(usize, Vec<u8>)>,
+    island: usize,
+    sent: Sent,
+}
+
+pub struct Network {
+    pub now: Millis,
+    pub settings: SwimSettings,
+    pub loss_percent: u64,
+    nodes: Vec<Node>,
+    in_flight: BinaryHeap<Reverse<(u64, u64, usize, usize)>>,
+    contents: BTreeMap<u64, Vec<u8>>,
+    sequence: u64,
+    random: fastrand::Rng,
+}
+
+impl Network {
+    /// So many members that begin within 300 ms of each other, with the first of them as seeds.
+    pub fn start(count: usize, loss_percent: u64, seed: u64) -> Network {
+        let mut network = Network::empty(loss_percent, seed);
+        for _ in 0..count {
+            network.add();
+        }
+        network
+    }
+
+    pub fn empty(loss_percent: u64, seed: u64) -> Network {
+        Network {
+            now: Millis(1_000),
+            settings: SwimSettings::default(),
+            loss_percent,
+            nodes: Vec::new(),
+            in_flight: BinaryHeap::new(),
+            contents: BTreeMap::new(),
+            sequence: 0,
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// Adds a member; its index.
+    pub fn add(&mut self) -> usize {
+        let index = self.nodes.len();
+        self.nodes.push(Node {
+            swim: None,
+            frozen: false,
+            waiting: Vec::new(),
+            island: 0,
+            sent: Sent::default(),
+        });
+        self.restart(index);
+        index
+    }
+
+    /// Begins another life of a member.
+    pub fn restart(&mut self, index: usize) {
+        let role = match index % 4 {
+            0 => Role::Core,
+            1 => Role::Frontend,
+            _ => Role::Agent,
+        };
+        let zone = zone_of(index).to_string();
+        let own = LiveMember { address: address(index), role, zone, life: self.random.u64(..) };
+        let seeds = (0..SEEDS).map(address).collect();
+        let swim = Swim::new(own, seeds, self.settings, self.random.u64(..), self.now);
+        self.nodes[index].swim = Some(swim);
+        self.nodes[index].frozen = false;
+        self.nodes[index].waiting.clear();
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].swim = None;
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        let outgoing = self.swim_mut(index).leave();
+        self.send_all(index, outgoing);
+        self.kill(index);
+    }
+
+    pub fn freeze(&mut self, index: usize) {
+        self.nodes[index].frozen = true;
+    }
+
+    /// What came meanwhile is received at once, as from the buffer of a socket.
+    pub fn thaw(&mut self, index: usize) {
+        self.nodes[index].frozen = false;
+        for (from, bytes) in std::mem::take(&mut self.nodes[index].waiting) {
+            self.receive(from, index, &bytes);
+        }
+    }
+
+    /// Puts a member on an island: datagrams pass only within one.
+    pub fn move_to_island(&mut self, index: usize, island: usize) {
+        self.nodes[index].island = island;
+    }
+
+    pub fn swim(&self, index: usize) -> &Swim {
+        self.nodes[index].swim.as_ref().expect("the member runs")
+    }
+
+    fn swim_mut(&mut self, index: usize) -> &mut Swim {
+        self.nodes[index].swim.as_mut().expect("the member runs")
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|index| self.nodes[*index].swim.is_some()).collect()
+    }
+
+    /// Whether every one of these has all of these, and nobody else, in its table.
+    pub fn agree_on(&self, members: &[usize]) -> bool {
+        let mut wanted: Vec<PeerAddress> = members.iter().map(|index| address(*index)).collect();
+        wanted.sort();
+        members.iter().all(|index| self.table_of(*index) == wanted)
+    }
+
+    pub fn table_of(&self, index: usize) -> Vec<PeerAddress> {
+        self.swim(index).live_table().members().iter().map(|member| member.address).collect()
+    }
+
+    /// How many of these hold this one for there.
+    pub fn holders(&self, observers: &[usize], of: usize) -> usize {
+        let holds = |index: &&usize| self.swim(**index).live_table().get(address(of)).is_some();
+        observers.iter().filter(holds).count()
+    }
+
+    pub fn sent(&self, index: usize) -> Sent {
+        self.nodes[index].sent
+    }
+
+    pub fn clear_sent(&mut self) {
+        self.nodes.iter_mut().for_each(|node| node.sent = Sent::default());
+    }
+
+    /// Runs on for so long.
+    pub fn run(&mut self, milliseconds: u64) {
+        let end = self.now.plus(milliseconds);
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until this holds, looked at every 100 ms; the milliseconds that it took, none where it took longer.
+    pub fn run_until(&mut self, most_ms: u64, holds: impl Fn(&Network) -> bool) -> Option<u64> {
+        let began = self.now;
+        while self.now.since(began) <= most_ms {
+            if holds(self) {
+                return Some(self.now.since(began));
+            }
+            self.run(100);
+        }
+        None
+    }
+
+    /// A millisecond.
+    fn step(&mut self) {
+        self.now = self.now.plus(1);
+        while let Some(Reverse((at, number, from, to))) = self.in_flight.peek().copied() {
+            if at > self.now.0 {
+                break;
+            }
+            self.in_flight.pop();
+            if let Some(bytes) = self.contents.remove(&number) {
+                self.arrive(from, to, bytes);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            self.tick(index);
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        let Some(swim) = node.swim.as_mut().filter(|_| !node.frozen) else {
+            return;
+        };
+        if swim.next_wakeup() <= now {
+            let outgoing = swim.tick(now);
+            self.send_all(index, outgoing);
+        }
+    }
+
+    fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        if self.nodes[from].island != self.nodes[to].island {
+            return;
+        }
+        match self.nodes[to].frozen {
+            true => self.nodes[to].waiting.push((from, bytes)),
+            false => self.receive(from, to, &bytes),
+        }
+    }
+
+    fn receive(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let now = self.now;
+        let datagram = Datagram::decode(bytes).expect("members send what can be read");
+        let Some(swim) = self.nodes[to].swim.as_mut() else {
+            return;
+        };
+        let outgoing = swim.receive(address(from), datagram, now);
+        self.send_all(to, outgoing);
+    }
+
+    fn send_all(&mut self, from: usize, outgoing: Vec<Outgoing>) {
+        for Outgoing { to, datagram } in outgoing {
+            let bytes = datagram.encode();
+            assert_eq!(Datagram::decode(&bytes).as_ref(), Ok(&datagram), "nothing was cut off");
+            let to = index_of(to);
+            let between = to.is_none_or(|to| zone_of(from) != zone_of(to));
+            let sent = &mut self.nodes[from].sent;
+            sent.datagrams += 1;
+            sent.bytes += bytes.len() as u64 + HEADER_BYTES;
+            sent.bytes_between_zones += if between { bytes.len() as u64 + HEADER_BYTES } else { 0 };
+            let lost = self.random.u64(0..100) < self.loss_percent;
+            let Some(to) = to.filter(|to| !lost && *to < self.nodes.len()) else {
+                continue;
+            };
+            self.sequence += 1;
+            let at = self.now.0 + self.random.u64(DELAY_LEAST_MS..=DELAY_MOST_MS);
+            self.in_flight.push(Reverse((at, self.sequence, from, to)));
+            self.contents.insert(self.sequence, bytes);
+        }
+    }
+}
+
+fn index_of(peer: PeerAddress) -> Option<usize> {
+    (u32::from(*peer.0.ip()) & 0xffff).checked_sub(1).map(|index| index as usize)
+}
--- /dev/null
+++ b/crates/cluster-membership/tests/datagrams.rs
@@ -0,0 +1,146 @@
+//! The form of datagrams on the wire.
+
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::wire::Role;
+use lupinrack_cluster_membership::datagram::{DatagramError, DATAGRAM_BYTES_MOST};
+use lupinrack_cluster_membership::member::ZONE_BYTES_MOST;
+use lupinrack_cluster_membership::{
+    Datagram, LiveMember, MemberState, MemberUpdate, Message, Swim, SwimSettings,
+};
+use quickcheck::{quickcheck, Arbitrary, Gen};
+use std::net::SocketAddrV4;
+
+#[derive(Clone, Debug)]
+struct AnyUpdate(MemberUpdate);
+
+#[derive(Clone, Debug)]
+struct AnyDatagram(Datagram);
+
+fn any_address(random: &mut Gen) -> PeerAddress {
+    let octet = u8::arbitrary(random) % 8;
+    PeerAddress(SocketAddrV4::new([10, 0, 0, octet].into(), 7_000))
+}
+
+impl Arbitrary for AnyUpdate {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let by = any_address(random);
+        let states = [MemberState::Alive, MemberState::Suspect { by }, MemberState::Dead, MemberState::Left];
+        let roles = [Role::Frontend, Role::Agent, Role::Core];
+        AnyUpdate(MemberUpdate {
+            address: any_address(random),
+            role: random.choose(&roles).copied().unwrap_or(Role::Core),
+            zone: "z".repeat(usize::arbitrary(random) % (ZONE_BYTES_MOST + 1)),
+            life: u64::arbitrary(random) % 3,
+            incarnation: u32::arbitrary(random) % 4,
+            state: random.choose(&states).copied().unwrap_or(MemberState::Alive),
+        })
+    }
+}
+
+impl Arbitrary for AnyDatagram {
+    fn arbitrary(random: &mut Gen) -> Self {
+        let nonce = u32::arbitrary(random);
+        let messages = [
+            Message::Probe { nonce },
+            Message::ProbeRequest { nonce, target: any_address(random) },
+            Message::Acknowledge { nonce },
+            Message::NotReached { nonce },
+            Message::PageRequest { after: bool::arbitrary(random).then(|| any_address(random)) },
+            Message::Page { last: bool::arbitrary(random).then(|| any_address(random)) },
+            Message::News,
+        ];
+        let AnyUpdate(sender) = AnyUpdate::arbitrary(random);
+        let updates = Vec::<AnyUpdate>::arbitrary(random);
+        AnyDatagram(Datagram {
+            sender,
+            roster_digest: u64::arbitrary(random),
+            message: random.choose(&messages).copied().unwrap_or(Message::News),
+            updates: updates.into_iter().map(|AnyUpdate(update)| update).collect(),
+        })
+    }
+}
+
+fn swim() -> Swim {
+    let own = LiveMember {
+        address: PeerAddress(SocketAddrV4::new([10, 0, 0, 1].into(), 7_000)),
+        role: Role::Core,
+        zone: "z".to_string(),
+        life: 1,
+    };
+    Swim::new(own, Vec::new(), SwimSettings::default(), 5, Millis(1))
+}
+
+quickcheck! {
+    fn garbage_is_no_datagram_and_no_end(bytes: Vec<u8>) -> bool {
+        Datagram::decode(&bytes).is_err()
+    }
+
+    fn a_datagram_comes_back_as_far_as_it_fits(any: AnyDatagram) -> bool {
+        let AnyDatagram(datagram) = any;
+        let bytes = datagram.encode();
+        let Ok(decoded) = Datagram::decode(&bytes) else { return false };
+        let head = (decoded.sender, decoded.roster_digest, decoded.message);
+        let same = head == (datagram.sender, datagram.roster_digest, datagram.message);
+        same && bytes.len() <= DATAGRAM_BYTES_MOST && datagram.updates.starts_with(&decoded.updates)
+    }
+
+    fn a_damaged_datagram_is_refused_or_read(any: AnyDatagram, at: usize, byte: u8, cut: bool) -> bool {
+        let mut bytes = any.0.encode();
+        let at = at % bytes.len();
+        if cut {
+            bytes.truncate(at);
+            return Datagram::decode(&bytes).is_err();
+        }
+        bytes[at] = byte;
+        match Datagram::decode(&bytes) {
+            Ok(decoded) => decoded.encode() == bytes,
+            Err(_) => true,
+        }
+    }
+
+    fn nonsense_does_not_end_a_member(datagrams: Vec<AnyDatagram>) -> bool {
+        let mut swim = swim();
+        let mut now = Millis(1);
+        for AnyDatagram(datagram) in datagrams {
+            let sent = swim.receive(datagram.sender.address, datagram, now);
+            now = now.plus(170);
+            let ticked = swim.tick(now);
+            let fits = |outgoing: &lupinrack_cluster_membership::Outgoing| {
+                Datagram::decode(&outgoing.datagram.encode()).as_ref() == Ok(&outgoing.datagram)
+            };
+            if !sent.iter().chain(&ticked).all(fits) {
+                return false;
+            }
+        }
+        swim.live_table().get(PeerAddress(SocketAddrV4::new([10, 0, 0, 1].into(), 7_000))).is_some()
+    }
+}
+
+#[test]
+fn too_many_bytes_are_refused_unread() {
+    let bytes = vec![1; DATAGRAM_BYTES_MOST + 1];
+    assert_eq!(Datagram::decode(&bytes), Err(DatagramError::TooLarge));
+    assert_eq!(Datagram::decode(&[]), Err(DatagramError::Malformed));
+    assert_eq!(Datagram::decode(&[9, 9]), Err(DatagramError::UnknownForm));
+}
+
+#[test]
+fn a_zone_of_too_long_a_name_is_refused() {
+    let mut datagram = Datagram {
+        sender: MemberUpdate {
+            address: PeerAddress(SocketAddrV4::new([10, 0, 0, 2].into(), 7_000)),
+            role: Role::Core,
+            zone: "z".repeat(ZONE_BYTES_MOST + 1),
+            life: 1,
+            incarnation: 0,
+            state: MemberState::Alive,
+        },
+        roster_digest: 0,
+        message: Message::News,
+        updates: Vec::new(),
+    };
+    assert_eq!(Datagram::decode(&datagram.encode()), Err(DatagramError::Malformed));
+    datagram.sender.zone.pop();
+    assert_eq!(Datagram::decode(&datagram.encode()), Ok(datagram));
+}
--- /dev/null
+++ b/crates/cluster-membership/tests/rules.rs
@@ -0,0 +1,154 @@
+//! Single rules of the state machine.
+
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::wire::Role;
+use lupinrack_cluster_membership::{
+    Datagram, LiveMember, MemberState, MemberUpdate, Message, Outgoing, Swim, SwimSettings,
+};
+use std::net::SocketAddrV4;
+
+fn address(number: u8) -> PeerAddress {
+    PeerAddress(SocketAddrV4::new([10, 0, 0, number].into(), 7_000))
+}
+
+fn alive(number: u8) -> MemberUpdate {
+    MemberUpdate {
+        address: address(number),
+        role: Role::Agent,
+        zone: "east".to_string(),
+        life: u64::from(number),
+        incarnation: 0,
+        state: MemberState::Alive,
+    }
+}
+
+fn swim() -> Swim {
+    let own = LiveMember { address: address(1), role: Role::Agent, zone: "east".to_string(), life: 1 };
+    Swim::new(own, vec![address(2)], SwimSettings::default(), 5, Millis(0))
+}
+
+fn say(swim: &mut Swim, from: u8, message: Message, updates: Vec<MemberUpdate>, now: u64) -> Vec<Outgoing> {
+    let datagram = Datagram { sender: alive(from), roster_digest: 0, message, updates };
+    swim.receive(address(from), datagram, Millis(now))
+}
+
+#[test]
+fn a_probe_is_acknowledged_with_its_number() {
+    let mut swim = swim();
+    let sent = say(&mut swim, 2, Message::Probe { nonce: 77 }, Vec::new(), 10);
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].to, address(2));
+    assert_eq!(sent[0].datagram.message, Message::Acknowledge { nonce: 77 });
+    assert!(swim.live_table().get(address(2)).is_some(), "who probes is there");
+}
+
+#[test]
+fn a_sender_at_another_address_is_not_believed() {
+    let mut swim = swim();
+    let datagram = Datagram {
+        sender: alive(2),
+        roster_digest: 0,
+        message: Message::Probe { nonce: 1 },
+        updates: Vec::new(),
+    };
+    assert!(swim.receive(address(3), datagram, Millis(10)).is_empty());
+    assert_eq!(swim.live_table().members().len(), 1);
+}
+
+#[test]
+fn a_suspicion_of_oneself_is_refuted_by_a_higher_incarnation() {
+    let mut swim = swim();
+    let state = MemberState::Suspect { by: address(3) };
+    let suspicion = MemberUpdate { state, incarnation: 4, ..alive(1) };
+    let sent = say(&mut swim, 2, Message::Probe { nonce: 1 }, vec![suspicion.clone()], 10);
+    assert_eq!(swim.incarnation(), 5);
+    assert_eq!(sent[0].datagram.sender.incarnation, 5);
+    assert_eq!(swim.health_score(), 1);
+    say(&mut swim, 2, Message::News, vec![suspicion], 20);
+    assert_eq!(swim.incarnation(), 5, "an old suspicion needs no further refutation");
+}
+
+#[test]
+fn a_new_life_rises_above_the_old_ones_incarnation() {
+    let mut swim = swim();
+    let old_life = MemberUpdate { life: 900, incarnation: 3, state: MemberState::Dead, ..alive(1) };
+    say(&mut swim, 2, Message::News, vec![old_life], 10);
+    assert_eq!(swim.incarnation(), 4);
+    assert_eq!(swim.health_score(), 0, "the end of an old life tells nothing of the own health");
+}
+
+#[test]
+fn who_is_held_for_dead_is_told_so() {
+    let mut swim = swim();
+    say(&mut swim, 2, Message::News, vec![alive(3)], 10);
+    let death = MemberUpdate { state: MemberState::Dead, ..alive(3) };
+    say(&mut swim, 2, Message::News, vec![death.clone()], 20);
+    assert!(swim.live_table().get(address(3)).is_none());
+    let sent = say(&mut swim, 3, Message::Probe { nonce: 9 }, Vec::new(), 30);
+    assert_eq!(sent[0].datagram.updates.first(), Some(&death));
+}
+
+#[test]
+fn a_suspect_is_still_held_for_there_until_the_suspicion_ends() {
+    let mut swim = swim();
+    say(&mut swim, 2, Message::News, vec![alive(3)], 10);
+    let suspicion = MemberUpdate { state: MemberState::Suspect { by: address(2) }, ..alive(3) };
+    say(&mut swim, 2, Message::News, vec![suspicion], 20);
+    assert!(swim.live_table().get(address(3)).is_some());
+    for now in (100..30_000).step_by(100) {
+        swim.tick(Millis(now));
+    }
+    assert!(swim.live_table().get(address(3)).is_none());
+}
+
+#[test]
+fn the_end_of_an_unknown_member_is_no_news() {
+    let mut swim = swim();
+    for state in [MemberState::Dead, MemberState::Left] {
+        say(&mut swim, 2, Message::News, vec![MemberUpdate { state, ..alive(7) }], 10);
+    }
+    assert!(swim.members().all(|update| update.address != address(7)));
+}
+
+#[test]
+fn a_helper_passes_the_answer_on_or_says_that_there_was_none() {
+    let mut swim = swim();
+    say(&mut swim, 3, Message::News, Vec::new(), 10);
+    let request = Message::ProbeRequest { nonce: 50, target: address(3) };
+    let sent = say(&mut swim, 2, request, Vec::new(), 20);
+    let Message::Probe { nonce } = sent[0].datagram.message else { panic!("a probe of the target") };
+    assert_eq!(sent[0].to, address(3));
+    let passed = say(&mut swim, 3, Message::Acknowledge { nonce }, Vec::new(), 30);
+    assert_eq!((passed[0].to, passed[0].datagram.message), (address(2), Message::Acknowledge { nonce: 50 }));
+
+    say(&mut swim, 2, Message::ProbeRequest { nonce: 51, target: address(3) }, Vec::new(), 40);
+    let settings = SwimSettings::default();
+    let sent = swim.tick(Millis(40 + settings.relay_ms));
+    let told = sent.iter().find(|outgoing| outgoing.datagram.message == Message::NotReached { nonce: 51 });
+    assert_eq!(told.map(|outgoing| outgoing.to), Some(address(2)));
+}
+
+#[test]
+fn a_member_that_has_left_is_silent() {
+    let mut swim = swim();
+    say(&mut swim, 2, Message::News, vec![alive(3)], 10);
+    let farewells = swim.leave();
+    assert_eq!(farewells.len(), 2);
+    assert!(farewells.iter().all(|outgoing| outgoing.datagram.sender.state == MemberState::Left));
+    assert!(swim.tick(Millis(5_000)).is_empty());
+    assert!(say(&mut swim, 2, Message::Probe { nonce: 1 }, Vec::new(), 6_000).is_empty());
+    assert!(swim.leave().is_empty());
+}
+
+#[test]
+fn the_version_rises_with_the_table_only() {
+    let mut swim = swim();
+    let before = swim.version();
+    say(&mut swim, 2, Message::News, Vec::new(), 10);
+    let joined = swim.version();
+    assert!(joined > before);
+    let state = MemberState::Suspect { by: address(3) };
+    say(&mut swim, 2, Message::News, vec![MemberUpdate { state, ..alive(2) }], 20);
+    assert_eq!(swim.version(), joined, "a suspect stays in the table");
+}
