--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -20,7 +20,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Hello, ReplicaReport, Role};
-use lupinrack_cluster_net::peers::{PeerEvent, Peers, PeerSettings};
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_view_agreement::{Agreement, Effect as AgreementEffect, PolicySettings, ViewPolicy, VoteState};
@@ -37,8 +37,10 @@
 /// Between two questions whether the own view rules, in milliseconds.
 const CONFIRM_MS: u64 = 300;
 /// Between two rounds of the schedulers, in milliseconds: at least, and at most.
-const ROUND_LEAST_MS: u64 = 20;
+const ROUND_LEAST_MS: u64 = 5;
 const ROUND_MOST_MS: u64 = 100;
+/// Between two lines on the services in the log, in milliseconds.
+const SUMMARY_MS: u64 = 1_000;
 /// How long a process that is told to end goes on, so that its place in the chain is taken over, in milliseconds.
 const LEAVE_MS: u64 = 1_500;
 
@@ -68,6 +70,7 @@
     authority_until: Millis,
     last_heartbeat: Millis,
     last_round: Millis,
+    last_summary: Millis,
     round_due: bool,
     leaving_since: Option<Millis>,
     /// Agreement messages to this process itself.
@@ -133,6 +136,7 @@
         authority_until: Millis(0),
         last_heartbeat: Millis(0),
         last_round: Millis(0),
+        last_summary: Millis(0),
         round_due: false,
         leaving_since: None,
         own_messages: VecDeque::new(),
@@ -162,6 +166,7 @@
             Some(outcome) = outcomes.recv() => process.on_write_outcome(outcome),
             Some(call) = calls.recv() => process.on_control_call(call),
             _ = timer.tick() => process.on_tick(),
+            () = process.round_is_due() => {}
             () = signals.terminated() => process.leave(),
         }
         process.settle();
@@ -654,6 +659,15 @@
         }
     }
 
+    /// Ends when a round that something has asked for may be run.
+    async fn round_is_due(&self) {
+        if !self.round_due || self.shards.is_empty() {
+            return std::future::pending().await;
+        }
+        let since = self.clock.now().since(self.last_round);
+        tokio::time::sleep(Duration::from_millis(ROUND_LEAST_MS.saturating_sub(since))).await;
+    }
+
     fn run_round(&mut self, now: Millis) {
         if self.shards.is_empty() {
             return;
@@ -664,6 +678,7 @@
             return;
         }
         self.last_round = now;
+        self.log_services(now);
         self.round_due = false;
         let wall = self.clock.wall();
         let rounds = self.shards.round(&self.replica.state, now, wall, self.authority_until);
@@ -677,6 +692,18 @@
         }
     }
 
+    /// A line a second and service, for whoever looks for the reason of a wait.
+    fn log_services(&mut self, now: Millis) {
+        let due = now.since(self.last_summary) >= SUMMARY_MS;
+        if !due || !spdlog::default_logger().should_log(spdlog::Level::Debug) {
+            return;
+        }
+        self.last_summary = now;
+        for (service, summary) in self.shards.summaries(now) {
+            spdlog::debug!("service {}: {summary}", service.0);
+        }
+    }
+
     /// Asks the head now and then whether this process's view still rules; its authority is counted from the question.
     fn confirm_view(&mut self, now: Millis) {
         let acts = !self.shards.is_empty() || self.chain.is_head();
