--- a/crates/cluster-api/src/wire.rs
+++ b/crates/cluster-api/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::identity::{DiskId, PeerAddress};
 use crate::operation::{LogEntry, Operation};
 use crate::request::{Reply, Request};
+use crate::time::Millis;
 use crate::view::{View, Voter};
 use borsh::{BorshDeserialize, BorshSerialize};
 
@@ -219,9 +220,16 @@
     Subscribe {
         /// The version of the configuration that the sender has; 0 for none.
         have: u64,
+        /// When the sender sent this, by its own steady clock.
+        asked_at: Millis,
     },
-    /// To a subscriber: the newest configuration, certain at the moment of sending; none where the subscriber has it.
+    /// To a subscriber: the newest configuration; none where the subscriber has it. It was certain `age_ms` before
+    /// this was sent, which was after `asked_at`: however long this takes on its way, the subscriber knows from when on.
     ConfigurationNews {
+        /// The subscriber's word of when it subscribed last, by its own steady clock.
+        asked_at: Millis,
+        /// For how long the sender has not had it confirmed itself, in milliseconds; 0 from the head.
+        age_ms: u64,
         /// The newest version.
         version: u64,
         /// The configuration.
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -12,4 +12,4 @@
 mod waiting;
 
 pub use process::run;
-pub use subscribers::VIEWS_ONLY;
+pub use subscribers::{Subscribers, VIEWS_ONLY};
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -9,6 +9,7 @@
 use crate::clock::{draw, Clock};
 use crate::control_api::{self, ControlCall};
 use crate::head_client::{HeadClient, Outgoing};
+use crate::membership::Membership;
 use crate::scheduling::scheduler_settings;
 use crate::signals::Signals;
 use crate::NodeError;
@@ -20,6 +21,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Hello, ReplicaReport, Role};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{Batch, ControlStore, StoreSettings, WriteOutcome, Writer};
@@ -80,6 +82,7 @@
     other_cores: Vec<PeerAddress>,
     /// The disk of the process at the other end of each connection from a core process.
     connections: BTreeMap<u64, DiskId>,
+    membership: Membership,
 }
 
 /// Runs until the process is told to end.
@@ -143,6 +146,12 @@
         own_calls: VecDeque::new(),
         other_cores: Vec::new(),
         connections: BTreeMap::new(),
+        membership: Membership::start(
+            LiveMember { address, role: Role::Core, zone: settings.zone.clone(), life },
+            settings.seed_internal(),
+            SwimSettings::default(),
+            clock,
+        ),
         clock,
         settings,
         me,
@@ -256,7 +265,11 @@
                 self.shards.receive(from, connection, message, now);
                 self.round_due = true;
             }
-            Frame::Subscribe { have } => self.on_subscribe(from, connection, have, now),
+            Frame::Subscribe { have, asked_at } => {
+                let subscriber = self.subscribers.heard(connection, from, have);
+                subscriber.asked_at = asked_at;
+                self.answer_subscriber(connection, now);
+            }
             Frame::ViewNews(view) => {
                 let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
@@ -735,15 +748,18 @@
 
     // Subscribers.
 
-    fn on_subscribe(&mut self, from: PeerAddress, connection: u64, have: u64, now: Millis) {
+    fn answer_subscriber(&mut self, connection: u64, now: Millis) {
         let view = self.agreement.current();
-        let subscriber = self.subscribers.heard(connection, from, have);
+        let Some(subscriber) = self.subscribers.get_mut(connection) else {
+            return;
+        };
+        let (have, asked_at) = (subscriber.have, subscriber.asked_at);
         if subscriber.told_view < view.number {
             subscriber.told_view = view.number;
             self.peers.send_on(connection, Frame::ViewNews(view.clone()));
         }
         if have != VIEWS_ONLY && self.knows_configuration(now) {
-            let frame = self.configuration_news(have);
+            let frame = self.configuration_news(have, asked_at);
             self.peers.send_on(connection, frame);
         }
     }
@@ -753,10 +769,10 @@
         version > 0 && self.chain.is_head() && self.chain.ready() && now < self.authority_until
     }
 
-    fn configuration_news(&self, have: u64) -> Frame {
+    fn configuration_news(&self, have: u64, asked_at: Millis) -> Frame {
         let newest = &self.replica.state.configuration;
         let configuration = (have != newest.version).then(|| newest.clone());
-        Frame::ConfigurationNews { version: newest.version, configuration }
+        Frame::ConfigurationNews { asked_at, age_ms: 0, version: newest.version, configuration }
     }
 
     fn tell_configuration(&mut self, now: Millis) {
@@ -769,8 +785,12 @@
                 continue;
             }
             subscriber.have = newest.version;
-            let news =
-                Frame::ConfigurationNews { version: newest.version, configuration: Some(newest.clone()) };
+            let news = Frame::ConfigurationNews {
+                asked_at: subscriber.asked_at,
+                age_ms: 0,
+                version: newest.version,
+                configuration: Some(newest.clone()),
+            };
             self.peers.send_on(*connection, news);
         }
     }
@@ -782,6 +802,7 @@
             let now = self.clock.now();
             spdlog::info!("told to end");
             self.leaving_since = Some(now);
+            self.membership.leave();
             self.send_heartbeats(now);
         }
     }
--- a/crates/cluster-node/src/core/subscribers.rs
+++ b/crates/cluster-node/src/core/subscribers.rs
@@ -1,6 +1,7 @@
 //! Processes that asked to be told of views and configurations.
 
 use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
 use std::collections::BTreeMap;
 
 /// What a subscriber that wants no configuration says that it has.
@@ -21,17 +22,24 @@
     pub have: u64,
     /// The number of the view that it was told last.
     pub told_view: u64,
+    /// When it subscribed last, by its own clock.
+    pub asked_at: Millis,
 }
 
 impl Subscribers {
     /// A process subscribed, or said again what it has.
     pub fn heard(&mut self, connection: u64, address: PeerAddress, have: u64) -> &mut Subscriber {
         let entry = self.by_connection.entry(connection);
-        let subscriber = entry.or_insert(Subscriber { address, have, told_view: 0 });
+        let subscriber = entry.or_insert(Subscriber { address, have, told_view: 0, asked_at: Millis(0) });
         subscriber.have = have;
         subscriber
     }
 
+    /// The subscriber at the other end of a connection.
+    pub fn get_mut(&mut self, connection: u64) -> Option<&mut Subscriber> {
+        self.by_connection.get_mut(&connection)
+    }
+
     /// Its connection ended.
     pub fn closed(&mut self, connection: u64) {
         self.by_connection.remove(&connection);
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -3,6 +3,9 @@
 use crate::clock::{draw, Clock};
 use crate::control_api::{ask, ControlCall};
 use crate::head_client::{HeadClient, Outgoing};
+use crate::home::Home;
+use crate::membership::Membership;
+use crate::relay::{Known, Relay, RelayedFrame};
 use crate::signals::Signals;
 use crate::subscription::Subscription;
 use crate::NodeError;
@@ -11,7 +14,9 @@
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
 use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
 use lupinrack_cluster_net::listen;
@@ -53,14 +58,16 @@
     client: HeadClient,
     subscription: Subscription,
     table: Arc<Snapshot<FrontTable>>,
-    subscribed_at: Millis,
+    membership: Membership,
+    home: Home,
+    relay: Relay,
 }
 
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
     let address = PeerAddress(settings.internal_address);
-    let hello =
-        Hello { address, role: Role::Frontend, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (zone, life) = (settings.zone.clone(), draw());
+    let hello = Hello { address, role: Role::Frontend, zone: zone.clone(), life, disk: None };
     let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let table = Arc::new(Snapshot::new(FrontTable::default()));
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(1024);
@@ -72,7 +79,14 @@
         client: HeadClient::default(),
         subscription: Subscription::new(settings.seed_internal(), SUBSCRIBE_MS, clock.now()),
         table,
-        subscribed_at: Millis(0),
+        membership: Membership::start(
+            LiveMember { address, role: Role::Frontend, zone: zone.clone(), life },
+            settings.seed_internal(),
+            SwimSettings::default(),
+            clock,
+        ),
+        home: Home::new(address, zone),
+        relay: Relay::default(),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -117,8 +131,10 @@
     fn on_peer_event(&mut self, event: PeerEvent) {
         let now = self.clock.now();
         match event {
-            PeerEvent::Frame { frame, .. } => self.on_frame(frame, now),
-            PeerEvent::Closed { from, .. } => {
+            PeerEvent::Frame { from, connection, frame, .. } => self.on_frame(from, connection, frame, now),
+            PeerEvent::Closed { from, connection, .. } => {
+                self.relay.closed(connection);
+                self.home.closed(from, now);
                 self.subscription.hurry();
                 let outgoing = self.client.closed(from, now);
                 self.send_all(outgoing);
@@ -126,42 +142,82 @@
         }
     }
 
-    fn on_frame(&mut self, frame: Frame, now: Millis) {
+    fn on_frame(&mut self, from: PeerAddress, connection: u64, frame: Frame, now: Millis) {
         match frame {
             Frame::Reply { id, reply } => {
                 let outgoing = self.client.answered(id, reply, now);
                 self.send_all(outgoing);
             }
-            Frame::ViewNews(view) => {
-                if view.number > self.client.view().number {
-                    self.subscription.hurry();
+            Frame::ViewNews(view) => self.on_view(&view, now),
+            Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
+                let confirmed_at = Millis(asked_at.0.saturating_sub(age_ms));
+                if self.on_configuration(version, configuration, confirmed_at, now) {
+                    self.subscription.heard_news(confirmed_at);
+                    self.home.confirmed(from, now);
                 }
-                let outgoing = self.client.learn(&view, now);
-                self.send_all(outgoing);
             }
-            Frame::ConfigurationNews { version, configuration } => {
-                self.subscription.heard_news(now);
-                self.on_configuration(version, configuration, now);
+            Frame::Subscribe { have, asked_at } => {
+                let known = self.known();
+                let frames = self.relay.subscribed(connection, from, have, asked_at, &known, now);
+                self.send_relayed(frames);
             }
             _ => {}
         }
     }
 
-    /// Never back to an older configuration in one life of the process.
-    fn on_configuration(&mut self, version: u64, configuration: Option<Configuration>, now: Millis) {
+    fn on_view(&mut self, view: &View, now: Millis) {
+        if view.number > self.client.view().number {
+            self.subscription.hurry();
+        }
+        let outgoing = self.client.learn(view, now);
+        self.send_all(outgoing);
+        let frames = self.relay.tell_view(self.client.view());
+        self.send_relayed(frames);
+    }
+
+    /// Takes over a configuration that certainly was the newest one at a moment; never back to an older one in one life
+    /// of the process. Whether this process's knowledge is fresher now.
+    fn on_configuration(
+        &mut self,
+        version: u64,
+        configuration: Option<Configuration>,
+        confirmed_at: Millis,
+        now: Millis,
+    ) -> bool {
         let table = self.table.load();
         let known = table.configuration.version;
         if version < known {
-            return;
+            return false;
         }
         let mut next = FrontTable::clone(&table);
         match configuration {
             Some(newer) if newer.version > known => next.configuration = Arc::new(newer),
-            _ if version > known => return,
+            _ if version > known => return false,
             _ => {}
         }
-        next.confirmed_at = now;
+        let fresher = confirmed_at > table.confirmed_at || version > known;
+        next.confirmed_at = table.confirmed_at.max(confirmed_at);
         self.table.replace(Arc::new(next));
+        if version > known {
+            let frames = self.relay.tell_configuration(&self.known(), now);
+            self.send_relayed(frames);
+        }
+        fresher
+    }
+
+    fn known(&self) -> Known {
+        let table = self.table.load();
+        Known {
+            view: self.client.view().clone(),
+            configuration: table.configuration.clone(),
+            confirmed_at: table.confirmed_at,
+        }
+    }
+
+    fn send_relayed(&self, frames: Vec<RelayedFrame>) {
+        for RelayedFrame { connection, frame } in frames {
+            self.peers.send_on(connection, frame);
+        }
     }
 
     fn on_call(&mut self, call: ControlCall) {
@@ -175,15 +231,21 @@
         let now = self.clock.now();
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
+        if self.home.tick(&self.membership.table(), now) {
+            self.subscription.hurry();
+        }
         let have = self.table.load().configuration.version;
-        if let Some(subscribe) = self.subscription.tick(self.client.view(), have, now) {
-            self.subscribed_at = now;
-            self.peers.send(subscribe.to, subscribe.frame);
+        let view = self.client.view();
+        if let Some(subscribe) = self.subscription.tick(view, have, now) {
+            let home = self.home.source().filter(|_| view.number > 0);
+            let to = home.unwrap_or(subscribe.to);
+            self.peers.send(to, subscribe.frame);
         }
     }
 
     fn drain(&mut self) {
         spdlog::info!("told to end");
+        self.membership.leave();
         let mut next = FrontTable::clone(&self.table.load());
         next.draining = true;
         self.table.replace(Arc::new(next));
--- /dev/null
+++ b/crates/cluster-node/src/relay.rs
@@ -0,0 +1,102 @@
+//! News passed on by a front to others that subscribed to it: to the fronts of its zone, whose home it is, and to agents
+//! that want views only.
+//!
+//! What is passed on says how old it is, so that the freshness of every process counts from a confirmation by the head.
+
+use crate::core::{Subscribers, VIEWS_ONLY};
+use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::Frame;
+use std::sync::Arc;
+
+/// A configuration that was not confirmed for longer than this is not passed on, in milliseconds: subscribers that hear
+/// nothing turn to the head.
+pub const AGE_MOST_MS: u64 = 600;
+
+/// What a front knows that it may pass on.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The newest view.
+    pub view: View,
+    /// The newest configuration.
+    pub configuration: Arc<Configuration>,
+    /// A moment at which it certainly was the newest one.
+    pub confirmed_at: Millis,
+}
+
+/// A frame for a subscriber.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayedFrame {
+    /// The subscriber's connection.
+    pub connection: u64,
+    /// What.
+    pub frame: Frame,
+}
+
+/// The subscribers of a front.
+#[derive(Debug, Default)]
+pub struct Relay {
+    subscribers: Subscribers,
+}
+
+impl Relay {
+    /// A process subscribed, or said again what it has.
+    pub fn subscribed(
+        &mut self,
+        connection: u64,
+        from: PeerAddress,
+        have: u64,
+        asked_at: Millis,
+        known: &Known,
+        now: Millis,
+    ) -> Vec<RelayedFrame> {
+        self.subscribers.heard(connection, from, have).asked_at = asked_at;
+        let mut frames = self.tell_view(&known.view);
+        if have != VIEWS_ONLY {
+            frames.extend(news(connection, have, asked_at, known, now));
+        }
+        frames
+    }
+
+    /// A connection ended.
+    pub fn closed(&mut self, connection: u64) {
+        self.subscribers.closed(connection);
+    }
+
+    /// Tells the view to whom it was not told yet.
+    pub fn tell_view(&mut self, view: &View) -> Vec<RelayedFrame> {
+        let mut frames = Vec::new();
+        for (connection, subscriber) in self.subscribers.iter_mut() {
+            if subscriber.told_view < view.number {
+                subscriber.told_view = view.number;
+                frames.push(RelayedFrame { connection: *connection, frame: Frame::ViewNews(view.clone()) });
+            }
+        }
+        frames
+    }
+
+    /// Tells a new configuration to all who want it.
+    pub fn tell_configuration(&mut self, known: &Known, now: Millis) -> Vec<RelayedFrame> {
+        let mut frames = Vec::new();
+        for (connection, subscriber) in self.subscribers.iter_mut() {
+            if subscriber.have == VIEWS_ONLY || subscriber.have >= known.configuration.version {
+                continue;
+            }
+            frames.extend(news(*connection, subscriber.have, subscriber.asked_at, known, now));
+            subscriber.have = known.configuration.version;
+        }
+        frames
+    }
+}
+
+fn news(connection: u64, have: u64, asked_at: Millis, known: &Known, now: Millis) -> Option<RelayedFrame> {
+    let age_ms = now.since(known.confirmed_at);
+    let version = known.configuration.version;
+    if version == 0 || age_ms > AGE_MOST_MS {
+        return None;
+    }
+    let configuration = (have != version).then(|| Configuration::clone(&known.configuration));
+    Some(RelayedFrame { connection, frame: Frame::ConfigurationNews { asked_at, age_ms, version, configuration } })
+}
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -1,6 +1,7 @@
 //! The agent's process, beside one server.
 
 use crate::clock::{draw, Clock};
+use crate::membership::Membership;
 use crate::owner::owner_address;
 use crate::signals::Signals;
 use crate::subscription::Subscription;
@@ -11,6 +12,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
@@ -28,6 +30,8 @@
 const SUBSCRIBE_MS: u64 = 1_500;
 /// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
 const OWNER_SILENT_MS: u64 = 600;
+/// After its owner was silent an agent asks the head for views itself for so long, in milliseconds.
+const ASK_HEAD_MS: u64 = 3_000;
 /// Between heartbeats of a server on which nothing happens, in milliseconds.
 const IDLE_BEAT_MS: u64 = 60;
 /// Between heartbeats of a server on which runs start or end, in milliseconds.
@@ -49,12 +53,18 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    zone: String,
+    address: PeerAddress,
+    membership: Membership,
+    subscribed_to: Option<PeerAddress>,
+    ask_head_until: Millis,
 }
 
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
     let address = PeerAddress(settings.internal_address);
-    let hello = Hello { address, role: Role::Agent, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (zone, life) = (settings.zone.clone(), draw());
+    let hello = Hello { address, role: Role::Agent, zone: zone.clone(), life, disk: None };
     let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let (calls_in, mut calls) = mpsc::channel::<ServerCall>(64);
     let server = serve(&settings, calls_in)?;
@@ -75,6 +85,16 @@
         owner: None,
         owner_heard: now,
         session: 0,
+        zone: zone.clone(),
+        address,
+        membership: Membership::start(
+            LiveMember { address, role: Role::Agent, zone, life },
+            settings.seed_internal(),
+            SwimSettings::default(),
+            clock,
+        ),
+        subscribed_to: None,
+        ask_head_until: Millis(0),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -86,6 +106,9 @@
             _ = timer.tick() => side.on_tick(),
             () = signals.terminated() => {
                 drop(server);
+                side.membership.leave();
+                // The farewell is sent by a task of its own.
+                tokio::task::yield_now().await;
                 return Ok(());
             }
         }
@@ -115,6 +138,10 @@
                     self.begin_session(now);
                     self.subscription.hurry();
                 }
+                if Some(from) == self.subscribed_to {
+                    self.ask_head_until = now.plus(ASK_HEAD_MS);
+                    self.subscription.hurry();
+                }
             }
         }
     }
@@ -167,13 +194,28 @@
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
         if silent {
+            self.ask_head_until = now.plus(ASK_HEAD_MS);
+            self.subscription.hurry();
             self.begin_session(now);
         }
         self.send_to_owner(now);
         let have = crate::core::VIEWS_ONLY;
         if let Some(subscribe) = self.subscription.tick(&self.view, have, now) {
-            self.peers.send(subscribe.to, subscribe.frame);
+            let to = self.view_source(subscribe.to, now).unwrap_or(subscribe.to);
+            self.subscribed_to = Some(to);
+            self.peers.send(to, subscribe.frame);
+        }
+    }
+
+    /// The process of the own zone that is asked in place of the head, so that not all agents ask the head. None where
+    /// another process than the head is to be asked, or where the owner's silence may tell of a view that the zone does
+    /// not know yet.
+    fn view_source(&self, asked: PeerAddress, now: Millis) -> Option<PeerAddress> {
+        let head = self.view.head().and_then(|disk| self.view.address(disk));
+        if Some(asked) != head || now < self.ask_head_until {
+            return None;
         }
+        self.membership.table().view_source(&self.zone, self.address)
     }
 
     fn send_to_owner(&mut self, now: Millis) {
--- a/crates/cluster-node/src/subscription.rs
+++ b/crates/cluster-node/src/subscription.rs
@@ -30,9 +30,9 @@
         Subscription { seeds, every_ms: every_ms.max(KNOWN_MS), last_sent: None, last_news: now, turn: 0 }
     }
 
-    /// Something came from the head.
-    pub fn heard_news(&mut self, now: Millis) {
-        self.last_news = now;
+    /// News came that was true at this moment.
+    pub fn heard_news(&mut self, at: Millis) {
+        self.last_news = self.last_news.max(at);
     }
 
     /// Something that the subscription depends on has changed: the next tick subscribes at once.
@@ -49,7 +49,7 @@
         }
         self.last_sent = Some(now);
         let to = if searching { self.next_candidate(view)? } else { view.address(view.head()?)? };
-        Some(Outgoing { to, frame: Frame::Subscribe { have } })
+        Some(Outgoing { to, frame: Frame::Subscribe { have, asked_at: now } })
     }
 
     fn next_candidate(&mut self, view: &View) -> Option<PeerAddress> {
