--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -4,18 +4,18 @@
 //! process. Each runs on one thread; a core process has one more for its disk.
 
 mod clock;
-mod control_api;
-mod core;
+pub mod control_api;
+pub mod core;
 mod front;
-mod head_client;
-mod home;
+pub mod head_client;
+pub mod home;
 mod membership;
-mod owner;
-mod relay;
+pub mod owner;
+pub mod relay;
 mod scheduling;
 mod side;
 mod signals;
-mod subscription;
+pub mod subscription;
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
--- a/crates/cluster-node/src/membership.rs
+++ b/crates/cluster-node/src/membership.rs
@@ -30,7 +30,12 @@
 
 impl Membership {
     /// Begins to take part, from these seeds on. To be called within a runtime.
-    pub fn start(own: LiveMember, seeds: Vec<PeerAddress>, settings: SwimSettings, clock: Clock) -> Membership {
+    pub fn start(
+        own: LiveMember,
+        seeds: Vec<PeerAddress>,
+        settings: SwimSettings,
+        clock: Clock,
+    ) -> Membership {
         let membership = Membership {
             table: Arc::new(Snapshot::new(LiveTable::default())),
             leaving: Arc::new(Notify::new()),
--- a/crates/cluster-node/src/relay.rs
+++ b/crates/cluster-node/src/relay.rs
@@ -98,5 +98,8 @@
         return None;
     }
     let configuration = (have != version).then(|| Configuration::clone(&known.configuration));
-    Some(RelayedFrame { connection, frame: Frame::ConfigurationNews { asked_at, age_ms, version, configuration } })
+    Some(RelayedFrame {
+        connection,
+        frame: Frame::ConfigurationNews { asked_at, age_ms, version, configuration },
+    })
 }
