Node: news of a front as one machine, with tests of homes and of nonsense in the table

Freshness counts from the question to the head less the ages of what was passed on; so a home that was frozen cannot make others take old news for fresh. Fronts of a simulated zone stay fresh with silent homes and with arbitrary tables of members.

--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -2,14 +2,13 @@
 
 use crate::clock::{draw, Clock};
 use crate::control_api::{ask, ControlCall};
+use crate::front_news::FrontNews;
 use crate::head_client::{HeadClient, Outgoing};
-use crate::home::Home;
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
 use crate::membership::Membership;
-use crate::relay::{Known, Relay, RelayedFrame};
+use crate::relay::RelayedFrame;
 use crate::signals::Signals;
-use crate::subscription::Subscription;
 use crate::NodeError;
-use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
@@ -29,8 +28,6 @@
 
 /// How often the process looks at its clock, in milliseconds.
 const TICK_MS: u64 = 50;
-/// The front subscribes again at least so often, in milliseconds.
-const SUBSCRIBE_MS: u64 = 400;
 /// A configuration that was not confirmed for this long says nothing on what does not exist, in milliseconds.
 const FRESH_MS: u64 = 900;
 /// A front that was not confirmed for this long is not ready, in milliseconds.
@@ -47,8 +44,7 @@
 /// What the handlers of calls know, swapped whole.
 #[derive(Clone, Debug, Default)]
 struct FrontTable {
-    configuration: Arc<Configuration>,
-    confirmed_at: Millis,
+    known: KnownConfiguration,
     draining: bool,
 }
 
@@ -56,11 +52,9 @@
     clock: Clock,
     peers: Peers,
     client: HeadClient,
-    subscription: Subscription,
+    news: FrontNews,
     table: Arc<Snapshot<FrontTable>>,
     membership: Membership,
-    home: Home,
-    relay: Relay,
 }
 
 /// Runs until the process is told to end.
@@ -77,16 +71,14 @@
         clock,
         peers,
         client: HeadClient::default(),
-        subscription: Subscription::new(settings.seed_internal(), SUBSCRIBE_MS, clock.now()),
+        news: FrontNews::new(address, zone.clone(), settings.seed_internal(), clock.now()),
         table,
         membership: Membership::start(
-            LiveMember { address, role: Role::Frontend, zone: zone.clone(), life },
+            LiveMember { address, role: Role::Frontend, zone, life },
             settings.seed_internal(),
             SwimSettings::default(),
             clock,
         ),
-        home: Home::new(address, zone),
-        relay: Relay::default(),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -133,9 +125,7 @@
         match event {
             PeerEvent::Frame { from, connection, frame, .. } => self.on_frame(from, connection, frame, now),
             PeerEvent::Closed { from, connection, .. } => {
-                self.relay.closed(connection);
-                self.home.closed(from, now);
-                self.subscription.hurry();
+                self.news.closed(from, connection, now);
                 let outgoing = self.client.closed(from, now);
                 self.send_all(outgoing);
             }
@@ -150,15 +140,11 @@
             }
             Frame::ViewNews(view) => self.on_view(&view, now),
             Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
-                let confirmed_at = Millis(asked_at.0.saturating_sub(age_ms));
-                if self.on_configuration(version, configuration, confirmed_at, now) {
-                    self.subscription.heard_news(confirmed_at);
-                    self.home.confirmed(from, now);
-                }
+                self.on_news(from, ConfigurationNews { asked_at, age_ms, version, configuration }, now);
             }
             Frame::Subscribe { have, asked_at } => {
-                let known = self.known();
-                let frames = self.relay.subscribed(connection, from, have, asked_at, &known, now);
+                let view = self.client.view();
+                let frames = self.news.subscribed(connection, from, have, asked_at, view, now);
                 self.send_relayed(frames);
             }
             _ => {}
@@ -166,52 +152,21 @@
     }
 
     fn on_view(&mut self, view: &View, now: Millis) {
-        if view.number > self.client.view().number {
-            self.subscription.hurry();
+        if view.number <= self.client.view().number {
+            return;
         }
         let outgoing = self.client.learn(view, now);
         self.send_all(outgoing);
-        let frames = self.relay.tell_view(self.client.view());
+        let frames = self.news.view_changed(view);
         self.send_relayed(frames);
     }
 
-    /// Takes over a configuration that certainly was the newest one at a moment; never back to an older one in one life
-    /// of the process. Whether this process's knowledge is fresher now.
-    fn on_configuration(
-        &mut self,
-        version: u64,
-        configuration: Option<Configuration>,
-        confirmed_at: Millis,
-        now: Millis,
-    ) -> bool {
-        let table = self.table.load();
-        let known = table.configuration.version;
-        if version < known {
-            return false;
-        }
-        let mut next = FrontTable::clone(&table);
-        match configuration {
-            Some(newer) if newer.version > known => next.configuration = Arc::new(newer),
-            _ if version > known => return false,
-            _ => {}
-        }
-        let fresher = confirmed_at > table.confirmed_at || version > known;
-        next.confirmed_at = table.confirmed_at.max(confirmed_at);
+    fn on_news(&mut self, from: PeerAddress, news: ConfigurationNews, now: Millis) {
+        let frames = self.news.receive(from, news, self.client.view(), now);
+        let mut next = FrontTable::clone(&self.table.load());
+        next.known = self.news.known().clone();
         self.table.replace(Arc::new(next));
-        if version > known {
-            let frames = self.relay.tell_configuration(&self.known(), now);
-            self.send_relayed(frames);
-        }
-        fresher
-    }
-
-    fn known(&self) -> Known {
-        let table = self.table.load();
-        Known {
-            view: self.client.view().clone(),
-            configuration: table.configuration.clone(),
-            confirmed_at: table.confirmed_at,
-        }
+        self.send_relayed(frames);
     }
 
     fn send_relayed(&self, frames: Vec<RelayedFrame>) {
@@ -231,15 +186,9 @@
         let now = self.clock.now();
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
-        if self.home.tick(&self.membership.table(), now) {
-            self.subscription.hurry();
-        }
-        let have = self.table.load().configuration.version;
-        let view = self.client.view();
-        if let Some(subscribe) = self.subscription.tick(view, have, now) {
-            let home = self.home.source().filter(|_| view.number > 0);
-            let to = home.unwrap_or(subscribe.to);
-            self.peers.send(to, subscribe.frame);
+        let table = self.membership.table();
+        if let Some(subscribe) = self.news.tick(&table, self.client.view(), now) {
+            self.peers.send(subscribe.to, subscribe.frame);
         }
     }
 
@@ -274,8 +223,8 @@
 }
 
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
-    let knows = table.configuration.version > 0;
-    knows && !table.draining && now.since(table.confirmed_at) < READY_MS
+    let knows = table.known.configuration.version > 0;
+    knows && !table.draining && now.since(table.known.confirmed_at) < READY_MS
 }
 
 fn serve_jobs(
@@ -325,8 +274,8 @@
 
 fn request_of(call: &HttpCall, table: &FrontTable, now: Millis) -> Result<Request, ErrorKind> {
     let target = Target { host: call.host.clone(), path: call.path.clone() };
-    let known = table.configuration.route(&target.host, &target.path).is_some();
-    let fresh = table.configuration.version > 0 && now.since(table.confirmed_at) < FRESH_MS;
+    let known = table.known.configuration.route(&target.host, &target.path).is_some();
+    let fresh = table.known.configuration.version > 0 && now.since(table.known.confirmed_at) < FRESH_MS;
     if !known && fresh {
         return Err(ErrorKind::UnknownQueue);
     }
--- /dev/null
+++ b/crates/cluster-node/src/front_news.rs
@@ -0,0 +1,107 @@
+//! How a front learns of views and configurations, and passes them on: from the home front of its zone where there is
+//! one that answers, and else from the head of the chain.
+
+use crate::head_client::Outgoing;
+use crate::home::Home;
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
+use crate::relay::{Relay, RelayedFrame, RelayedKnowledge};
+use crate::subscription::Subscription;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_membership::LiveTable;
+
+/// The front subscribes again at least so often, in milliseconds.
+const SUBSCRIBE_MS: u64 = 400;
+
+/// The news of one front.
+#[derive(Debug)]
+pub struct FrontNews {
+    subscription: Subscription,
+    home: Home,
+    relay: Relay,
+    known: KnownConfiguration,
+}
+
+impl FrontNews {
+    /// Of a front at this address in this zone that begins now.
+    pub fn new(own: PeerAddress, zone: String, seeds: Vec<PeerAddress>, now: Millis) -> FrontNews {
+        FrontNews {
+            subscription: Subscription::new(seeds, SUBSCRIBE_MS, now),
+            home: Home::new(own, zone),
+            relay: Relay::default(),
+            known: KnownConfiguration::default(),
+        }
+    }
+
+    /// The configuration as it is known.
+    pub fn known(&self) -> &KnownConfiguration {
+        &self.known
+    }
+
+    /// The home that is asked at present; none for the head.
+    pub fn source(&self) -> Option<PeerAddress> {
+        self.home.source()
+    }
+
+    /// The subscription that is due, if any.
+    pub fn tick(&mut self, table: &LiveTable, view: &View, now: Millis) -> Option<Outgoing> {
+        if self.home.tick(table, now) {
+            self.subscription.hurry();
+        }
+        let subscribe = self.subscription.tick(view, self.known.configuration.version, now)?;
+        let home = self.home.source().filter(|_| view.number > 0);
+        Some(Outgoing { to: home.unwrap_or(subscribe.to), frame: subscribe.frame })
+    }
+
+    /// News of the configuration came; what is to be passed on. With `view` as the newest view known.
+    pub fn receive(
+        &mut self,
+        from: PeerAddress,
+        news: ConfigurationNews,
+        view: &View,
+        now: Millis,
+    ) -> Vec<RelayedFrame> {
+        let held_at = news.held_at();
+        let learned = self.known.learn(news);
+        if learned.fresher {
+            self.subscription.heard_news(held_at);
+            self.home.confirmed(from, now);
+        }
+        match learned.newer {
+            true => self.relay.tell_configuration(&self.knowledge(view), now),
+            false => Vec::new(),
+        }
+    }
+
+    /// A newer view is known; what is to be passed on.
+    pub fn view_changed(&mut self, view: &View) -> Vec<RelayedFrame> {
+        self.subscription.hurry();
+        self.relay.tell_view(view)
+    }
+
+    /// Another process subscribed here; what is to be passed on.
+    pub fn subscribed(
+        &mut self,
+        connection: u64,
+        from: PeerAddress,
+        have: u64,
+        asked_at: Millis,
+        view: &View,
+        now: Millis,
+    ) -> Vec<RelayedFrame> {
+        let knowledge = self.knowledge(view);
+        self.relay.subscribed(connection, from, have, asked_at, &knowledge, now)
+    }
+
+    /// A connection ended.
+    pub fn closed(&mut self, from: PeerAddress, connection: u64, now: Millis) {
+        self.relay.closed(connection);
+        self.home.closed(from, now);
+        self.subscription.hurry();
+    }
+
+    fn knowledge(&self, view: &View) -> RelayedKnowledge {
+        RelayedKnowledge { view: view.clone(), known: self.known.clone() }
+    }
+}
--- a/crates/cluster-node/src/relay.rs
+++ b/crates/cluster-node/src/relay.rs
@@ -4,26 +4,24 @@
 //! What is passed on says how old it is, so that the freshness of every process counts from a confirmation by the head.
 
 use crate::core::{Subscribers, VIEWS_ONLY};
+use crate::known_configuration::KnownConfiguration;
 use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::Frame;
-use std::sync::Arc;
 
 /// A configuration that was not confirmed for longer than this is not passed on, in milliseconds: subscribers that hear
 /// nothing turn to the head.
 pub const AGE_MOST_MS: u64 = 600;
 
 /// What a front knows that it may pass on.
-#[derive(Clone, Debug)]
-pub struct Known {
+#[derive(Clone, Debug, Default)]
+pub struct RelayedKnowledge {
     /// The newest view.
     pub view: View,
     /// The newest configuration.
-    pub configuration: Arc<Configuration>,
-    /// A moment at which it certainly was the newest one.
-    pub confirmed_at: Millis,
+    pub known: KnownConfiguration,
 }
 
 /// A frame for a subscriber.
@@ -49,13 +47,13 @@
         from: PeerAddress,
         have: u64,
         asked_at: Millis,
-        known: &Known,
+        knowledge: &RelayedKnowledge,
         now: Millis,
     ) -> Vec<RelayedFrame> {
         self.subscribers.heard(connection, from, have).asked_at = asked_at;
-        let mut frames = self.tell_view(&known.view);
+        let mut frames = self.tell_view(&knowledge.view);
         if have != VIEWS_ONLY {
-            frames.extend(news(connection, have, asked_at, known, now));
+            frames.extend(news(connection, have, asked_at, knowledge, now));
         }
         frames
     }
@@ -78,26 +76,32 @@
     }
 
     /// Tells a new configuration to all who want it.
-    pub fn tell_configuration(&mut self, known: &Known, now: Millis) -> Vec<RelayedFrame> {
+    pub fn tell_configuration(&mut self, knowledge: &RelayedKnowledge, now: Millis) -> Vec<RelayedFrame> {
         let mut frames = Vec::new();
         for (connection, subscriber) in self.subscribers.iter_mut() {
-            if subscriber.have == VIEWS_ONLY || subscriber.have >= known.configuration.version {
+            if subscriber.have == VIEWS_ONLY || subscriber.have >= knowledge.known.configuration.version {
                 continue;
             }
-            frames.extend(news(*connection, subscriber.have, subscriber.asked_at, known, now));
-            subscriber.have = known.configuration.version;
+            frames.extend(news(*connection, subscriber.have, subscriber.asked_at, knowledge, now));
+            subscriber.have = knowledge.known.configuration.version;
         }
         frames
     }
 }
 
-fn news(connection: u64, have: u64, asked_at: Millis, known: &Known, now: Millis) -> Option<RelayedFrame> {
-    let age_ms = now.since(known.confirmed_at);
-    let version = known.configuration.version;
+fn news(
+    connection: u64,
+    have: u64,
+    asked_at: Millis,
+    knowledge: &RelayedKnowledge,
+    now: Millis,
+) -> Option<RelayedFrame> {
+    let age_ms = now.since(knowledge.known.confirmed_at);
+    let version = knowledge.known.configuration.version;
     if version == 0 || age_ms > AGE_MOST_MS {
         return None;
     }
-    let configuration = (have != version).then(|| Configuration::clone(&known.configuration));
+    let configuration = (have != version).then(|| Configuration::clone(&knowledge.known.configuration));
     Some(RelayedFrame {
         connection,
         frame: Frame::ConfigurationNews { asked_at, age_ms, version, configuration },
--- /dev/null
+++ b/crates/cluster-node/tests/zone_news.rs
@@ -0,0 +1,265 @@
+//! Fronts of a zone, a head, and a table of live members that may be nonsense: everybody stays fresh, and nobody takes
+//! itself for fresher than it is.
+
+use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{Frame, Role};
+use lupinrack_cluster_membership::{LiveMember, LiveTable};
+use lupinrack_cluster_node::front_news::FrontNews;
+use lupinrack_cluster_node::home::HOME_SILENT_MS;
+use lupinrack_cluster_node::known_configuration::ConfigurationNews;
+use quickcheck::{QuickCheck, TestResult};
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+
+const ZONE: &str = "east";
+const TICK_MS: u64 = 50;
+const DELAY_MS: u64 = 2;
+const HEAD: usize = 0;
+/// A front that is older than this passes what it does not know on to the head.
+const FRESH_MS: u64 = 900;
+
+fn address(index: usize) -> PeerAddress {
+    PeerAddress(SocketAddrV4::new([10, 0, 0, index as u8 + 1].into(), 7_000))
+}
+
+fn index_of(address: PeerAddress) -> usize {
+    usize::from(address.0.ip().octets()[3]) - 1
+}
+
+fn view() -> View {
+    let voter = Voter { disk: DiskId(1), address: address(HEAD), zone: ZONE.to_string() };
+    View { number: 1, voters: vec![voter], chain: vec![DiskId(1)] }
+}
+
+fn table_of(fronts: impl IntoIterator<Item = usize>) -> LiveTable {
+    let member =
+        |index| LiveMember { address: address(index), role: Role::Frontend, zone: ZONE.to_string(), life: 1 };
+    LiveTable::new(fronts.into_iter().map(member).collect())
+}
+
+struct InFlight {
+    at: u64,
+    from: usize,
+    to: usize,
+    frame: Frame,
+}
+
+/// Index 0 is the head, the others are fronts. Every pair has one connection, numbered by the other's index.
+struct Zone {
+    now: u64,
+    /// When each version was committed, from version 1 on.
+    committed: Vec<u64>,
+    fronts: Vec<FrontNews>,
+    tables: Vec<LiveTable>,
+    silent: Vec<bool>,
+    in_flight: VecDeque<InFlight>,
+    asked_head: u64,
+}
+
+impl Zone {
+    fn new(fronts: usize) -> Zone {
+        let seeds = || vec![address(HEAD)];
+        let news = |index| FrontNews::new(address(index), ZONE.to_string(), seeds(), Millis(1_000));
+        let table = table_of(1..=fronts);
+        Zone {
+            now: 1_000,
+            committed: vec![1_000],
+            fronts: (1..=fronts).map(news).collect(),
+            tables: vec![table; fronts],
+            silent: vec![false; fronts + 1],
+            in_flight: VecDeque::new(),
+            asked_head: 0,
+        }
+    }
+
+    fn home(&self) -> usize {
+        let home = self.tables[0].home_front(ZONE, None).expect("a zone of several fronts has a home");
+        index_of(home)
+    }
+
+    fn age_ms(&self, front: usize) -> u64 {
+        Millis(self.now).since(self.fronts[front - 1].known().confirmed_at)
+    }
+
+    fn version(&self, front: usize) -> u64 {
+        self.fronts[front - 1].known().configuration.version
+    }
+
+    fn run(&mut self, milliseconds: u64) {
+        for _ in 0..milliseconds {
+            self.now += 1;
+            self.deliver();
+            if self.now.is_multiple_of(TICK_MS) {
+                (1..=self.fronts.len()).for_each(|front| self.tick(front));
+            }
+            (1..=self.fronts.len()).for_each(|front| self.assert_honest(front));
+        }
+    }
+
+    /// What a front holds for certain at a moment was the newest version then.
+    fn assert_honest(&self, front: usize) {
+        let known = self.fronts[front - 1].known();
+        let newest_then = self.committed.iter().filter(|at| **at <= known.confirmed_at.0).count() as u64;
+        let version = known.configuration.version;
+        assert!(version == 0 || version >= newest_then, "front {front} holds version {version}");
+    }
+
+    fn tick(&mut self, front: usize) {
+        if self.silent[front] {
+            return;
+        }
+        let subscribe = self.fronts[front - 1].tick(&self.tables[front - 1], &view(), Millis(self.now));
+        if let Some(subscribe) = subscribe {
+            self.send(front, index_of(subscribe.to), subscribe.frame);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        self.in_flight.push_back(InFlight { at: self.now + DELAY_MS, from, to, frame });
+    }
+
+    /// What reaches a silent process waits for it; what goes to a process that never existed is lost.
+    fn deliver(&mut self) {
+        for _ in 0..self.in_flight.len() {
+            let Some(next) = self.in_flight.pop_front() else { break };
+            let Some(silent) = self.silent.get(next.to) else { continue };
+            match next.at <= self.now && !silent {
+                true if next.to == HEAD => self.at_head(next),
+                true => self.at_front(next),
+                false => self.in_flight.push_back(next),
+            }
+        }
+    }
+
+    fn at_head(&mut self, InFlight { from, frame, .. }: InFlight) {
+        let Frame::Subscribe { have, asked_at } = frame else { return };
+        self.asked_head += 1;
+        let version = self.committed.len() as u64;
+        let configuration = (have != version).then(|| Configuration { version, ..Configuration::default() });
+        self.send(HEAD, from, Frame::ConfigurationNews { asked_at, age_ms: 0, version, configuration });
+    }
+
+    fn at_front(&mut self, InFlight { from, to, frame, .. }: InFlight) {
+        let now = Millis(self.now);
+        let front = &mut self.fronts[to - 1];
+        let frames = match frame {
+            Frame::Subscribe { have, asked_at } => {
+                front.subscribed(from as u64, address(from), have, asked_at, &view(), now)
+            }
+            Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
+                let news = ConfigurationNews { asked_at, age_ms, version, configuration };
+                front.receive(address(from), news, &view(), now)
+            }
+            _ => Vec::new(),
+        };
+        for relayed in frames {
+            self.send(to, relayed.connection as usize, relayed.frame);
+        }
+    }
+}
+
+#[test]
+fn only_the_home_asks_the_head() {
+    let mut zone = Zone::new(5);
+    zone.run(5_000);
+    zone.asked_head = 0;
+    zone.run(10_000);
+    assert!((20..=30).contains(&zone.asked_head), "{} questions", zone.asked_head);
+    for front in 1..=5 {
+        assert_eq!(zone.version(front), 1);
+        assert_eq!(zone.fronts[front - 1].source().is_none(), front == zone.home());
+    }
+}
+
+#[test]
+fn a_single_front_asks_the_head() {
+    let mut zone = Zone::new(1);
+    zone.run(5_000);
+    assert_eq!(zone.fronts[0].source(), None);
+    assert_eq!(zone.version(1), 1);
+}
+
+#[test]
+fn freshness_adds_up_and_stays_within_what_fronts_need() {
+    let mut zone = Zone::new(4);
+    zone.run(5_000);
+    for _ in 0..10_000 {
+        zone.run(1);
+        for front in 1..=4 {
+            assert!(zone.age_ms(front) < FRESH_MS, "front {front} is {} ms old", zone.age_ms(front));
+        }
+    }
+}
+
+#[test]
+fn a_new_configuration_reaches_all() {
+    let mut zone = Zone::new(4);
+    zone.run(5_000);
+    zone.committed.push(zone.now);
+    zone.run(900);
+    assert!((1..=4).all(|front| zone.version(front) == 2));
+}
+
+#[test]
+fn a_silent_home_is_left_for_the_head() {
+    let mut zone = Zone::new(4);
+    zone.run(5_000);
+    let home = zone.home();
+    zone.silent[home] = true;
+    zone.run(HOME_SILENT_MS + 200);
+    zone.committed.push(zone.now);
+    zone.run(500);
+    for front in (1..=4).filter(|front| *front != home) {
+        assert_eq!(zone.version(front), 2);
+        assert!(zone.age_ms(front) < FRESH_MS);
+    }
+}
+
+#[test]
+fn a_home_that_wakes_up_makes_nobody_fresher_than_it_is() {
+    let mut zone = Zone::new(4);
+    zone.run(5_000);
+    let home = zone.home();
+    zone.silent[home] = true;
+    zone.run(150);
+    zone.committed.push(zone.now);
+    zone.run(4_000);
+    zone.silent[home] = false;
+    zone.run(10_000);
+    assert!((1..=4).all(|front| zone.version(front) == 2));
+}
+
+#[test]
+fn a_closed_connection_to_the_home_is_as_good_as_silence() {
+    let mut zone = Zone::new(3);
+    zone.run(5_000);
+    let home = zone.home();
+    let other = (1..=3).find(|front| *front != home).expect("there are others");
+    zone.fronts[other - 1].closed(address(home), home as u64, Millis(zone.now));
+    assert_eq!(zone.fronts[other - 1].source(), None);
+}
+
+#[test]
+fn nonsense_in_the_tables_leaves_every_front_fresh() {
+    fn property(masks: Vec<u8>, silent: u8) -> TestResult {
+        let count = 5;
+        let mut zone = Zone::new(count);
+        zone.silent[1 + usize::from(silent) % count] = true;
+        zone.run(3_000);
+        for (turn, mask) in masks.iter().take(8).enumerate() {
+            let front = turn % count;
+            // Whoever this front holds for there, also such as never existed; it may leave itself out.
+            zone.tables[front] = table_of((1..=8).filter(|index| mask & (1 << (index - 1)) != 0));
+            zone.run(1_500);
+        }
+        zone.committed.push(zone.now);
+        zone.run(2_500);
+        let fresh =
+            |front: usize| zone.silent[front] || (zone.version(front) == 2 && zone.age_ms(front) < 2_500);
+        TestResult::from_bool((1..=count).all(fresh))
+    }
+    QuickCheck::new().tests(60).quickcheck(property as fn(Vec<u8>, u8) -> TestResult);
+}
--- a/crates/cluster-simulation/src/front.rs
+++ b/crates/cluster-simulation/src/front.rs
@@ -1,6 +1,5 @@
 //! A front, without its sockets: the glue of the real one around the same state machines.
 
-use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::request::{Reply, Request, Target};
@@ -8,6 +7,7 @@
 use lupinrack_cluster_api::wire::Frame;
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::head_client::{HeadClient, Outgoing};
+use lupinrack_cluster_node::known_configuration::{ConfigurationNews, KnownConfiguration};
 use lupinrack_cluster_node::subscription::Subscription;
 
 /// The front subscribes again at least so often, in milliseconds.
@@ -22,8 +22,7 @@
 pub struct Front {
     client: HeadClient,
     subscription: Subscription,
-    configuration: Configuration,
-    confirmed_at: Millis,
+    known: KnownConfiguration,
 }
 
 impl Front {
@@ -32,14 +31,13 @@
         Front {
             client: HeadClient::default(),
             subscription: Subscription::new(seeds, SUBSCRIBE_MS, now),
-            configuration: Configuration::default(),
-            confirmed_at: Millis(0),
+            known: KnownConfiguration::default(),
         }
     }
 
     /// Whether it takes new connections.
     pub fn is_ready(&self, now: Millis) -> bool {
-        self.configuration.version > 0 && now.since(self.confirmed_at) < READY_MS
+        self.known.configuration.version > 0 && now.since(self.known.confirmed_at) < READY_MS
     }
 
     /// A frame came.
@@ -53,28 +51,17 @@
                 self.client.learn(&view, now)
             }
             Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
-                let confirmed_at = Millis(asked_at.0.saturating_sub(age_ms));
-                self.subscription.heard_news(confirmed_at);
-                self.on_configuration(version, configuration, confirmed_at);
+                let news = ConfigurationNews { asked_at, age_ms, version, configuration };
+                let held_at = news.held_at();
+                if self.known.learn(news).fresher {
+                    self.subscription.heard_news(held_at);
+                }
                 Vec::new()
             }
             _ => Vec::new(),
         }
     }
 
-    fn on_configuration(&mut self, version: u64, configuration: Option<Configuration>, confirmed_at: Millis) {
-        let known = self.configuration.version;
-        if version < known {
-            return;
-        }
-        match configuration {
-            Some(newer) if newer.version > known => self.configuration = newer,
-            _ if version > known => return,
-            _ => {}
-        }
-        self.confirmed_at = self.confirmed_at.max(confirmed_at);
-    }
-
     /// A connection ended.
     pub fn on_closed(&mut self, from: PeerAddress, now: Millis) -> Vec<Outgoing> {
         self.subscription.hurry();
@@ -84,8 +71,8 @@
     /// A client's call; answered at once where the queue is known not to exist.
     pub fn on_call(&mut self, call: ControlCall, now: Millis) -> Vec<Outgoing> {
         let known = target_of(&call.request)
-            .is_none_or(|target| self.configuration.route(&target.host, &target.path).is_some());
-        let fresh = self.configuration.version > 0 && now.since(self.confirmed_at) < FRESH_MS;
+            .is_none_or(|target| self.known.configuration.route(&target.host, &target.path).is_some());
+        let fresh = self.known.configuration.version > 0 && now.since(self.known.confirmed_at) < FRESH_MS;
         if !known && fresh {
             // A client that has gone needs no answer.
             let _ = call.answerer.send(Reply::Error(ErrorKind::UnknownQueue));
@@ -98,7 +85,7 @@
     /// Time has passed.
     pub fn on_tick(&mut self, now: Millis) -> Vec<Outgoing> {
         let mut outgoing = self.client.tick(now);
-        let have = self.configuration.version;
+        let have = self.known.configuration.version;
         outgoing.extend(self.subscription.tick(self.client.view(), have, now));
         outgoing
     }
