--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -3,7 +3,7 @@
 //! What a process does follows from `serves` in its settings: a front for clients, an agent beside a server, or a core
 //! process. Each runs on one thread; a core process has one more for its disk.
 
-mod clock;
+pub mod clock;
 pub mod control_api;
 pub mod core;
 mod front;
@@ -11,13 +11,14 @@
 pub mod head_client;
 pub mod home;
 pub mod known_configuration;
-mod membership;
+pub mod membership;
 pub mod owner;
 pub mod relay;
 mod scheduling;
 mod side;
 mod signals;
 pub mod subscription;
+pub mod view_source;
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -5,6 +5,7 @@
 use crate::owner::owner_address;
 use crate::signals::Signals;
 use crate::subscription::Subscription;
+use crate::view_source::ViewSource;
 use crate::NodeError;
 use lupinrack_cluster_api::agent::AgentMessage;
 use lupinrack_cluster_api::error::ErrorKind;
@@ -30,8 +31,6 @@
 const SUBSCRIBE_MS: u64 = 1_500;
 /// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
 const OWNER_SILENT_MS: u64 = 600;
-/// After its owner was silent an agent asks the head for views itself for so long, in milliseconds.
-const ASK_HEAD_MS: u64 = 3_000;
 /// Between heartbeats of a server on which nothing happens, in milliseconds.
 const IDLE_BEAT_MS: u64 = 60;
 /// Between heartbeats of a server on which runs start or end, in milliseconds.
@@ -53,11 +52,8 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
-    zone: String,
-    address: PeerAddress,
     membership: Membership,
-    subscribed_to: Option<PeerAddress>,
-    ask_head_until: Millis,
+    view_source: ViewSource,
 }
 
 /// Runs until the process is told to end.
@@ -85,16 +81,13 @@
         owner: None,
         owner_heard: now,
         session: 0,
-        zone: zone.clone(),
-        address,
+        view_source: ViewSource::new(address, zone.clone()),
         membership: Membership::start(
             LiveMember { address, role: Role::Agent, zone, life },
             settings.seed_internal(),
             SwimSettings::default(),
             clock,
         ),
-        subscribed_to: None,
-        ask_head_until: Millis(0),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -138,8 +131,7 @@
                     self.begin_session(now);
                     self.subscription.hurry();
                 }
-                if Some(from) == self.subscribed_to {
-                    self.ask_head_until = now.plus(ASK_HEAD_MS);
+                if self.view_source.closed(from, now) {
                     self.subscription.hurry();
                 }
             }
@@ -194,30 +186,19 @@
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
         if silent {
-            self.ask_head_until = now.plus(ASK_HEAD_MS);
+            self.view_source.doubt(now);
             self.subscription.hurry();
             self.begin_session(now);
         }
         self.send_to_owner(now);
         let have = crate::core::VIEWS_ONLY;
         if let Some(subscribe) = self.subscription.tick(&self.view, have, now) {
-            let to = self.view_source(subscribe.to, now).unwrap_or(subscribe.to);
-            self.subscribed_to = Some(to);
+            let head = self.view.head().and_then(|disk| self.view.address(disk));
+            let to = self.view_source.choose(subscribe.to, head, &self.membership.table(), now);
             self.peers.send(to, subscribe.frame);
         }
     }
 
-    /// The process of the own zone that is asked in place of the head, so that not all agents ask the head. None where
-    /// another process than the head is to be asked, or where the owner's silence may tell of a view that the zone does
-    /// not know yet.
-    fn view_source(&self, asked: PeerAddress, now: Millis) -> Option<PeerAddress> {
-        let head = self.view.head().and_then(|disk| self.view.address(disk));
-        if Some(asked) != head || now < self.ask_head_until {
-            return None;
-        }
-        self.membership.table().view_source(&self.zone, self.address)
-    }
-
     fn send_to_owner(&mut self, now: Millis) {
         let Some(owner) = self.owner else {
             return;
