--- a/crates/cluster-membership/src/swim.rs
+++ b/crates/cluster-membership/src/swim.rs
@@ -5,9 +5,12 @@
 //! Local health makes a member that is slow itself wait longer: for direct answers within the period, and before its
 //! suspicions end. News rides on probes and acknowledgements.
 //!
-//! Messages per period are bounded at every member whatever their number: one probe (repeated while it is not
-//! answered), one request to each helper, one probe of a seed or dead member every few periods, one request for a page of the roster every few
-//! periods while rosters differ; and answers to what others send, which is the same in the mean.
+//! Messages per period are bounded at every member whatever their number: one probe (repeated while it is not answered),
+//! one request to each helper, one probe of a seed or dead member every few periods, one request for a page of the roster
+//! every few periods while rosters differ; and answers to what others send, which is the same in the mean.
+
+mod pages;
+mod probes;
 
 use crate::datagram::{encoded_len, room_for_updates, Datagram, Message};
 use crate::gossip::Gossip;
@@ -222,8 +225,6 @@
         self.own.state == MemberState::Left
     }
 
-    // News.
-
     fn learn(&mut self, update: &MemberUpdate, now: Millis) {
         if update.address == self.own.address {
             self.refute(update);
@@ -275,12 +276,17 @@
 
     /// Answers a member; where it is held for something else than it says, it is told so.
     fn reply(&mut self, sender: &MemberUpdate, message: Message) {
-        let held = self.roster.get(sender.address);
-        let contradicts = held.filter(|held| held.compare_age(sender) == Ordering::Greater);
-        let first = contradicts.cloned().into_iter().collect();
+        let first = self.contradiction(sender);
         self.send_with(sender.address, message, first);
     }
 
+    /// What a member should hear of itself, if it is held for something newer than it says.
+    fn contradiction(&self, sender: &MemberUpdate) -> Vec<MemberUpdate> {
+        let held = self.roster.get(sender.address);
+        let newer = held.filter(|held| held.compare_age(sender) == Ordering::Greater);
+        newer.cloned().into_iter().collect()
+    }
+
     fn send_with(&mut self, to: PeerAddress, message: Message, first: Vec<MemberUpdate>) {
         let used: usize = first.iter().map(encoded_len).sum();
         let room = room_for_updates(&self.own).saturating_sub(used);
@@ -294,257 +300,6 @@
         let datagram = Datagram { sender, roster_digest: self.roster_digest(), message, updates };
         self.outgoing.push(Outgoing { to, datagram });
     }
-
-    // Probes.
-
-    fn begin_period(&mut self, now: Millis) {
-        self.fail_probe(now);
-        self.periods += 1;
-        self.next_period = now.plus(self.settings.period_ms);
-        for death in self.roster.expired(&self.settings, self.health, now) {
-            self.learn(&death, now);
-        }
-        self.roster.forget(self.settings.forget_ms, now);
-        if self.periods.is_multiple_of(self.settings.reach_every.max(1)) {
-            self.reach_out();
-        }
-        if let Some(target) = self.choose_target() {
-            self.begin_probe(target, now);
-        }
-    }
-
-    fn choose_target(&mut self) -> Option<PeerAddress> {
-        if self.periods.is_multiple_of(SUSPECT_EVERY) {
-            let suspects: Vec<PeerAddress> = self.roster.suspects().map(|update| update.address).collect();
-            if let Some(suspect) = self.random.choice(suspects) {
-                return Some(suspect);
-            }
-        }
-        let distant = self.periods.is_multiple_of(self.settings.distant_every.max(1));
-        self.order.next(&self.roster, &self.own.zone, distant, &mut self.random)
-    }
-
-    fn begin_probe(&mut self, target: PeerAddress, now: Millis) {
-        let Some(life) = self.roster.get(target).map(|update| update.life) else {
-            return;
-        };
-        let nonce = self.draw_nonce();
-        let direct_ms = self.settings.direct_ms;
-        let patience_most = self.settings.period_ms * DIRECT_PERCENT_MOST / 100;
-        let patience = (direct_ms * u64::from(self.health.multiplier())).min(patience_most).max(direct_ms);
-        self.probe = Some(Probe {
-            target,
-            life,
-            nonce,
-            again_at: now.plus(self.settings.repeat_ms),
-            helpers_at: Some(now.plus(patience)),
-            ends: self.next_period,
-            silent_helpers: Vec::new(),
-            helpers_asked: 0,
-        });
-        self.send_probe(target, nonce);
-    }
-
-    /// A member that is suspected hears of it with the probe.
-    fn send_probe(&mut self, target: PeerAddress, nonce: u32) {
-        let suspected = self.roster.get(target).filter(|held| held.state != MemberState::Alive);
-        let first = suspected.cloned().into_iter().collect();
-        self.send_with(target, Message::Probe { nonce }, first);
-    }
-
-    fn continue_probe(&mut self, now: Millis) {
-        let Some(probe) = &mut self.probe else {
-            return;
-        };
-        let (target, nonce) = (probe.target, probe.nonce);
-        let repeat = now >= probe.again_at && now < probe.ends;
-        if repeat {
-            probe.again_at = now.plus(self.settings.repeat_ms);
-        }
-        let ask = probe.helpers_at.take_if(|at| now >= *at).is_some();
-        if repeat {
-            self.send_probe(target, nonce);
-        }
-        if ask {
-            self.ask_helpers(target, nonce);
-        }
-    }
-
-    fn ask_helpers(&mut self, target: PeerAddress, nonce: u32) {
-        let alive = self.roster.iter().filter(|update| update.state == MemberState::Alive);
-        let addresses = alive.map(|update| update.address);
-        let mut helpers: Vec<PeerAddress> = addresses.filter(|address| *address != target).collect();
-        self.random.shuffle(&mut helpers);
-        helpers.truncate(self.settings.helpers);
-        for helper in &helpers {
-            self.send(*helper, Message::ProbeRequest { nonce, target });
-        }
-        if let Some(probe) = &mut self.probe {
-            probe.helpers_asked = helpers.len();
-            probe.silent_helpers = helpers;
-        }
-    }
-
-    /// The period is over: whoever did not answer is suspected. Helpers that said nothing tell of the own health, but not
-    /// where the target was suspected already: then silence was to be expected.
-    fn fail_probe(&mut self, now: Millis) {
-        let Some(probe) = self.probe.take() else {
-            return;
-        };
-        let held = self.roster.get(probe.target);
-        let Some(held) = held.filter(|held| held.life == probe.life && held.state.is_present()) else {
-            return;
-        };
-        let all_answered = probe.helpers_asked > 0 && probe.silent_helpers.is_empty();
-        if held.state == MemberState::Alive && !all_answered {
-            self.health.worsen();
-        }
-        let state = MemberState::Suspect { by: self.own.address };
-        let suspicion = MemberUpdate { state, ..held.clone() };
-        self.learn(&suspicion, now);
-    }
-
-    fn acknowledged(&mut self, from: PeerAddress, nonce: u32) {
-        let answers = |probe: &Probe| probe.nonce == nonce;
-        if self.probe.as_ref().is_some_and(answers) {
-            self.probe = None;
-            self.health.improve();
-        }
-        let relayed = self.relays.iter().position(|relay| relay.nonce == nonce && relay.target == from);
-        if let Some(index) = relayed {
-            let relay = self.relays.remove(index);
-            self.send(relay.asker, Message::Acknowledge { nonce: relay.asker_nonce });
-        }
-    }
-
-    fn not_reached(&mut self, helper: PeerAddress, nonce: u32) {
-        if let Some(probe) = self.probe.as_mut().filter(|probe| probe.nonce == nonce) {
-            probe.silent_helpers.retain(|silent| *silent != helper);
-        }
-    }
-
-    fn relay(&mut self, asker: PeerAddress, asker_nonce: u32, target: PeerAddress, now: Millis) {
-        if target == self.own.address {
-            self.send(asker, Message::Acknowledge { nonce: asker_nonce });
-            return;
-        }
-        if self.relays.len() >= RELAYS_MOST {
-            self.relays.remove(0);
-        }
-        let nonce = self.draw_nonce();
-        let again_at = Some(now.plus(self.settings.repeat_ms));
-        let ends = now.plus(self.settings.relay_ms);
-        self.relays.push(Relay { target, nonce, asker, asker_nonce, again_at, ends });
-        self.send_probe(target, nonce);
-    }
-
-    fn continue_relays(&mut self, now: Millis) {
-        let due =
-            |relay: &mut Relay| relay.again_at.take_if(|at| now >= *at).map(|_| (relay.target, relay.nonce));
-        let again: Vec<(PeerAddress, u32)> = self.relays.iter_mut().filter_map(due).collect();
-        for (target, nonce) in again {
-            self.send_probe(target, nonce);
-        }
-        self.end_relays(now);
-    }
-
-    fn end_relays(&mut self, now: Millis) {
-        let (over, open) = mem::take(&mut self.relays).into_iter().partition(|relay| relay.ends <= now);
-        self.relays = open;
-        let over: Vec<Relay> = over;
-        for relay in over {
-            self.send(relay.asker, Message::NotReached { nonce: relay.asker_nonce });
-        }
-    }
-
-    /// Looks for a seed or member that is not held for there, which may be on the other side of a cut.
-    fn reach_out(&mut self) {
-        let gone =
-            self.roster.iter().filter(|update| !update.state.is_present()).map(|update| update.address);
-        let mut away: Vec<PeerAddress> = self.seeds.iter().copied().chain(gone).collect();
-        away.retain(|address| !self.roster.is_present(*address));
-        if let Some(target) = self.random.choice(away) {
-            let nonce = self.draw_nonce();
-            self.send_probe(target, nonce);
-        }
-    }
-
-    /// This process was frozen: what ran out meanwhile says nothing of others.
-    fn resume(&mut self, frozen_ms: u64, now: Millis) {
-        self.probe = None;
-        self.relays.clear();
-        self.roster.extend_suspicions(frozen_ms);
-        self.health.worsen();
-        self.next_period = now;
-    }
-
-    fn draw_nonce(&mut self) -> u32 {
-        self.last_nonce = self.last_nonce.wrapping_add(1);
-        self.last_nonce
-    }
-
-    // Pages.
-
-    fn wants_page(&self) -> bool {
-        self.paging.joining || self.differs.is_some()
-    }
-
-    fn request_page(&mut self, now: Millis) {
-        let hurries = self.paging.joining || self.paging.fruitful;
-        let pause = match hurries {
-            true => self.settings.join_ms,
-            false => self.settings.page_every * self.settings.period_ms,
-        };
-        self.paging.fruitful = false;
-        self.paging.due = now.plus(pause.max(1));
-        let Some(source) = self.page_source() else {
-            return;
-        };
-        let after = self.paging.cursor;
-        self.send(source, Message::PageRequest { after });
-    }
-
-    /// While this member joins, a seed or anybody it has heard of; later, whoever has another roster.
-    fn page_source(&mut self) -> Option<PeerAddress> {
-        if !self.paging.joining {
-            return self.differs;
-        }
-        let ask_seed = self.roster.present_count() == 0 || self.random.bool();
-        let seed = match ask_seed {
-            true => self.random.choice(self.seeds.iter().copied()),
-            false => None,
-        };
-        seed.or_else(|| self.order.next(&self.roster, &self.own.zone, false, &mut self.random))
-    }
-
-    fn send_page(&mut self, sender: &MemberUpdate, after: Option<PeerAddress>) {
-        let held = self.roster.get(sender.address);
-        let contradicts = held.filter(|held| held.compare_age(sender) == Ordering::Greater);
-        let mut updates: Vec<MemberUpdate> = contradicts.cloned().into_iter().collect();
-        let mut room = room_for_updates(&self.own).saturating_sub(updates.iter().map(encoded_len).sum());
-        let mut last = None;
-        for update in self.roster.after(after) {
-            let Some(left) = room.checked_sub(encoded_len(update)) else {
-                last = updates.last().map(|update| update.address);
-                break;
-            };
-            room = left;
-            updates.push(update.clone());
-        }
-        self.push(sender.address, Message::Page { last }, updates);
-    }
-
-    fn take_page(&mut self, last: Option<PeerAddress>, fruitful: bool, now: Millis) {
-        self.paging.cursor = last;
-        self.paging.fruitful = fruitful;
-        if fruitful {
-            self.paging.due = self.paging.due.min(now.plus(self.settings.join_ms));
-        }
-        if last.is_none() {
-            self.paging.joining = false;
-            self.differs = None;
-        }
-    }
 }
 
 fn live_member(update: &MemberUpdate) -> LiveMember {
