--- a/crates/cluster-membership/tests/rules.rs
+++ b/crates/cluster-membership/tests/rules.rs
@@ -152,3 +152,30 @@
     say(&mut swim, 2, Message::News, vec![MemberUpdate { state, ..alive(2) }], 20);
     assert_eq!(swim.version(), joined, "a suspect stays in the table");
 }
+
+#[test]
+fn the_time_of_a_freeze_does_not_count_against_a_suspect() {
+    let mut swim = swim();
+    say(&mut swim, 2, Message::News, vec![alive(3)], 10);
+    let suspicion = MemberUpdate { state: MemberState::Suspect { by: address(2) }, ..alive(3) };
+    say(&mut swim, 2, Message::News, vec![suspicion], 20);
+    swim.tick(Millis(500));
+    for now in (60_000..61_500).step_by(100) {
+        swim.tick(Millis(now));
+        assert!(swim.live_table().get(address(3)).is_some(), "its refutation may wait in the socket");
+    }
+}
+
+#[test]
+fn a_probe_from_before_a_freeze_makes_nobody_suspect() {
+    let mut swim = swim();
+    say(&mut swim, 2, Message::News, Vec::new(), 10);
+    let probed = (100..2_000).step_by(50).map(Millis).find(|now| {
+        let sent = swim.tick(*now);
+        sent.iter().any(|outgoing| matches!(outgoing.datagram.message, Message::Probe { .. }))
+    });
+    let probed = probed.expect("a probe in each period");
+    swim.tick(probed.plus(30_000));
+    let states: Vec<MemberState> = swim.members().map(|update| update.state).collect();
+    assert_eq!(states, [MemberState::Alive]);
+}
