--- a/crates/cluster-membership/tests/common/mod.rs
+++ b/crates/cluster-membership/tests/common/mod.rs
@@ -39,6 +39,8 @@
     frozen: bool,
     waiting: Vec<(usize, Vec<u8>)>,
     island: usize,
+    /// Members whose datagrams do not reach this one.
+    deaf_to: Vec<usize>,
     sent: Sent,
 }
 
@@ -84,6 +86,7 @@
             frozen: false,
             waiting: Vec::new(),
             island: 0,
+            deaf_to: Vec::new(),
             sent: Sent::default(),
         });
         self.restart(index);
@@ -133,6 +136,12 @@
         self.nodes[index].island = island;
     }
 
+    /// Breaks the link between two members, both ways.
+    pub fn break_link(&mut self, one: usize, other: usize) {
+        self.nodes[one].deaf_to.push(other);
+        self.nodes[other].deaf_to.push(one);
+    }
+
     pub fn swim(&self, index: usize) -> &Swim {
         self.nodes[index].swim.as_ref().expect("the member runs")
     }
@@ -220,7 +229,8 @@
     }
 
     fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        if self.nodes[from].island != self.nodes[to].island {
+        let reaches = self.nodes[from].island == self.nodes[to].island;
+        if !reaches || self.nodes[to].deaf_to.contains(&from) {
             return;
         }
         match self.nodes[to].frozen {
--- a/crates/cluster-membership/tests/failures.rs
+++ b/crates/cluster-membership/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{address, zone_of, Network, ZONES};
+use lupinrack_cluster_membership::MemberState;
 
 /// A death has been noticed by all after so long, in milliseconds.
 const DETECT_MS: u64 = 40_000;
@@ -159,3 +160,18 @@
     let took = network.run_until(90_000, |network| network.agree_on(&rest));
     assert!(took.is_some());
 }
+
+#[test]
+fn a_broken_link_makes_nobody_a_suspect() {
+    let mut network = Network::start(12, 0, 71);
+    network.run(20_000);
+    network.break_link(3, 6);
+    network.break_link(3, 9);
+    for _ in 0..600 {
+        network.run(100);
+        for index in network.running() {
+            let alive = network.swim(index).members().all(|update| update.state == MemberState::Alive);
+            assert!(alive, "helpers reach whom a member does not reach itself");
+        }
+    }
+}
