--- a/crates/cluster-node/src/core/machine/ending.rs
+++ b/crates/cluster-node/src/core/machine/ending.rs
@@ -1,6 +1,9 @@
 //! Ending in order, and what operators are shown.
 
 use super::*;
+use crate::status::CoreStatus;
+use lupinrack_cluster_api::identity::ServiceName;
+use lupinrack_scheduler::ServiceSummary;
 
 impl CoreMachine {
     pub(super) fn leave(&mut self) {
@@ -23,20 +26,20 @@
     }
 
     pub(super) fn status(&self) -> String {
-        let view = self.agreement.current();
-        let services: Vec<&str> = self.shards.services().map(|service| service.0.as_str()).collect();
-        format!(
-            "node {}\ndisk {:016x}\nview {}\nvoters {}\nchain position {:?}\napplied {}\ncommitted {}\nconfiguration {}\njobs {}\nowns {}\n",
-            self.name,
-            self.me.disk.0,
-            view.number,
-            view.voters.len(),
-            view.position(self.me.disk),
-            self.replica.applied,
-            self.chain.committed(),
-            self.replica.state.configuration.version,
-            self.replica.state.jobs.len(),
-            services.join(" ")
-        )
+        let services: Vec<(ServiceName, ServiceSummary)> = self
+            .shards
+            .summaries(self.moment.now)
+            .map(|(service, summary)| (service.clone(), summary))
+            .collect();
+        let status = CoreStatus {
+            node: &self.name,
+            me: &self.me,
+            view: self.agreement.current(),
+            state: &self.replica.state,
+            applied: self.replica.applied,
+            committed: self.chain.committed(),
+            services: &services,
+        };
+        status.to_string()
     }
 }
--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -74,7 +74,7 @@
                 self.round_due = true;
             }
             Frame::Subscribe { have, asked_at } => {
-                self.subscribers.heard(connection, from, have).asked_at = asked_at;
+                self.subscribers.heard(connection, have).asked_at = asked_at;
                 self.answer_subscriber(connection, now);
             }
             Frame::ViewNews(view) => {
--- a/crates/cluster-node/src/core/subscribers.rs
+++ b/crates/cluster-node/src/core/subscribers.rs
@@ -1,6 +1,5 @@
 //! Processes that asked to be told of views and configurations.
 
-use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
 use std::collections::BTreeMap;
 
@@ -16,8 +15,6 @@
 /// One of them.
 #[derive(Clone, Copy, Debug)]
 pub struct Subscriber {
-    /// Its process.
-    pub address: PeerAddress,
     /// The version of the configuration that it has.
     pub have: u64,
     /// The number of the view that it was told last.
@@ -28,9 +25,9 @@
 
 impl Subscribers {
     /// A process subscribed, or said again what it has.
-    pub fn heard(&mut self, connection: u64, address: PeerAddress, have: u64) -> &mut Subscriber {
+    pub fn heard(&mut self, connection: u64, have: u64) -> &mut Subscriber {
         let entry = self.by_connection.entry(connection);
-        let subscriber = entry.or_insert(Subscriber { address, have, told_view: 0, asked_at: Millis(0) });
+        let subscriber = entry.or_insert(Subscriber { have, told_view: 0, asked_at: Millis(0) });
         subscriber.have = have;
         subscriber
     }
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -8,6 +8,7 @@
 use crate::membership::Membership;
 use crate::relay::RelayedFrame;
 use crate::signals::Signals;
+use crate::status::{FrontStatus, STATUS_PATH};
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
@@ -45,6 +46,7 @@
 #[derive(Clone, Debug, Default)]
 struct FrontTable {
     known: KnownConfiguration,
+    view: Arc<View>,
     draining: bool,
 }
 
@@ -144,7 +146,7 @@
             }
             Frame::Subscribe { have, asked_at } => {
                 let view = self.client.view();
-                let frames = self.news.subscribed(connection, from, have, asked_at, view, now);
+                let frames = self.news.subscribed(connection, have, asked_at, view, now);
                 self.send_relayed(frames);
             }
             _ => {}
@@ -186,12 +188,23 @@
         let now = self.clock.now();
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
+        self.publish_view();
         let table = self.membership.table();
         if let Some(subscribe) = self.news.tick(&table, self.client.view(), now) {
             self.peers.send(subscribe.to, subscribe.frame);
         }
     }
 
+    /// Shows the handlers of calls the newest view.
+    fn publish_view(&mut self) {
+        let table = self.table.load();
+        let newest = self.client.view();
+        if newest.number > table.view.number {
+            let next = FrontTable { view: Arc::new(newest.clone()), ..FrontTable::clone(&table) };
+            self.table.replace(Arc::new(next));
+        }
+    }
+
     fn drain(&mut self) {
         spdlog::info!("told to end");
         self.membership.leave();
@@ -215,13 +228,31 @@
     let address = settings.readiness.ok_or(NodeError::NoAddress)?;
     let listener = listen::bind_once(address)?;
     let table = table.clone();
-    let handler = move |_call: HttpCall| {
-        let ready = is_ready(&table.load(), clock.now());
-        async move { HttpAnswer::empty(if ready { 200 } else { 503 }) }
+    let node = settings.node.clone();
+    let handler = move |call: HttpCall| {
+        let table = table.load();
+        let ready = is_ready(&table, clock.now());
+        let answer = match call.path.as_str() {
+            STATUS_PATH => HttpAnswer::json(status(&node, &table, clock.now())),
+            _ => HttpAnswer::empty(if ready { 200 } else { 503 }),
+        };
+        async move { answer }
     };
     Ok(http_server::serve(listener, Arc::new(Snapshot::new(HttpLimits::default())), handler)?)
 }
 
+fn status(node: &str, table: &FrontTable, now: Millis) -> String {
+    let confirmed = table.known.confirmed_at > Millis(0);
+    let status = FrontStatus {
+        node,
+        ready: is_ready(table, now),
+        view: &table.view,
+        configuration: table.known.configuration.version,
+        confirmed_ms_ago: confirmed.then(|| now.since(table.known.confirmed_at)),
+    };
+    status.to_string()
+}
+
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
     let knows = table.known.configuration.version > 0;
     knows && !table.draining && now.since(table.known.confirmed_at) < READY_MS
--- a/crates/cluster-node/src/front_news.rs
+++ b/crates/cluster-node/src/front_news.rs
@@ -84,14 +84,13 @@
     pub fn subscribed(
         &mut self,
         connection: u64,
-        from: PeerAddress,
         have: u64,
         asked_at: Millis,
         view: &View,
         now: Millis,
     ) -> Vec<RelayedFrame> {
         let knowledge = self.knowledge(view);
-        self.relay.subscribed(connection, from, have, asked_at, &knowledge, now)
+        self.relay.subscribed(connection, have, asked_at, &knowledge, now)
     }
 
     /// A connection ended.
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod scheduling;
 mod side;
 mod signals;
+pub mod status;
 pub mod subscription;
 pub mod view_source;
 
--- a/crates/cluster-node/src/relay.rs
+++ b/crates/cluster-node/src/relay.rs
@@ -6,7 +6,6 @@
 use crate::core::{Subscribers, VIEWS_ONLY};
 use crate::known_configuration::KnownConfiguration;
 use lupinrack_cluster_api::configuration::Configuration;
-use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::Frame;
@@ -44,13 +43,12 @@
     pub fn subscribed(
         &mut self,
         connection: u64,
-        from: PeerAddress,
         have: u64,
         asked_at: Millis,
         knowledge: &RelayedKnowledge,
         now: Millis,
     ) -> Vec<RelayedFrame> {
-        self.subscribers.heard(connection, from, have).asked_at = asked_at;
+        self.subscribers.heard(connection, have).asked_at = asked_at;
         let mut frames = self.tell_view(&knowledge.view);
         if have != VIEWS_ONLY {
             frames.extend(news(connection, have, asked_at, knowledge, now));
--- a/crates/cluster-node/tests/relay.rs
+++ b/crates/cluster-node/tests/relay.rs
@@ -32,7 +32,7 @@
 }
 
 fn subscribe(relay: &mut Relay, have: u64, knowledge: &RelayedKnowledge, now: u64) -> Vec<Frame> {
-    let frames = relay.subscribed(5, address(7), have, Millis(300), knowledge, Millis(now));
+    let frames = relay.subscribed(5, have, Millis(300), knowledge, Millis(now));
     assert!(frames.iter().all(|relayed| relayed.connection == 5));
     frames.into_iter().map(|relayed| relayed.frame).collect()
 }
--- a/crates/cluster-node/tests/zone_news.rs
+++ b/crates/cluster-node/tests/zone_news.rs
@@ -147,7 +147,7 @@
         let front = &mut self.fronts[to - 1];
         let frames = match frame {
             Frame::Subscribe { have, asked_at } => {
-                front.subscribed(from as u64, address(from), have, asked_at, &view(), now)
+                front.subscribed(from as u64, have, asked_at, &view(), now)
             }
             Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
                 let news = ConfigurationNews { asked_at, age_ms, version, configuration };
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -17,6 +17,7 @@
 mod machine;
 mod network;
 mod operator;
+mod plan;
 mod planted;
 mod processes;
 mod server;
@@ -25,7 +26,7 @@
 mod workload;
 mod world;
 
-pub use day::{play, DayReport};
-pub use faults::{CoreTrouble, Entry, Plan, Trouble};
+pub use day::{play, play_plan, DayReport};
+pub use plan::{CoreTrouble, Entry, Plan, Trouble};
 pub use planted::PlantedFault;
 pub use world::DaySettings;
