--- a/crates/cluster-node/src/core/machine/subscriptions.rs
+++ b/crates/cluster-node/src/core/machine/subscriptions.rs
@@ -3,15 +3,18 @@
 use super::*;
 
 impl CoreMachine {
-    pub(super) fn on_subscribe(&mut self, connection: u64, have: u64, now: Millis) {
+    pub(super) fn answer_subscriber(&mut self, connection: u64, now: Millis) {
         let view = self.agreement.current();
-        let subscriber = self.subscribers.heard(connection, have);
+        let Some(subscriber) = self.subscribers.get_mut(connection) else {
+            return;
+        };
+        let (have, asked_at) = (subscriber.have, subscriber.asked_at);
         if subscriber.told_view < view.number {
             subscriber.told_view = view.number;
             self.outbox.send_on(connection, Frame::ViewNews(view.clone()));
         }
         if have != VIEWS_ONLY && self.knows_configuration(now) {
-            let frame = self.configuration_news(have);
+            let frame = self.configuration_news(have, asked_at);
             self.outbox.send_on(connection, frame);
         }
     }
@@ -21,10 +24,10 @@
         version > 0 && self.chain.is_head() && self.chain.ready() && now < self.authority_until
     }
 
-    pub(super) fn configuration_news(&self, have: u64) -> Frame {
+    pub(super) fn configuration_news(&self, have: u64, asked_at: Millis) -> Frame {
         let newest = &self.replica.state.configuration;
         let configuration = (have != newest.version).then(|| newest.clone());
-        Frame::ConfigurationNews { version: newest.version, configuration }
+        Frame::ConfigurationNews { asked_at, age_ms: 0, version: newest.version, configuration }
     }
 
     pub(super) fn tell_configuration(&mut self, now: Millis) {
@@ -37,8 +40,12 @@
                 continue;
             }
             subscriber.have = newest.version;
-            let news =
-                Frame::ConfigurationNews { version: newest.version, configuration: Some(newest.clone()) };
+            let news = Frame::ConfigurationNews {
+                asked_at: subscriber.asked_at,
+                age_ms: 0,
+                version: newest.version,
+                configuration: Some(newest.clone()),
+            };
             self.outbox.send_on(*connection, news);
         }
     }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -3,10 +3,12 @@
 use super::machine::{CoreEffect, CoreEvent, CoreMachine, CoreSettings};
 use crate::clock::{draw, Clock};
 use crate::control_api::{self, ControlCall};
+use crate::membership::Membership;
 use crate::signals::Signals;
 use crate::NodeError;
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::wire::{Hello, Role};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_settings::NodeSettings;
 use lupinrack_control_store::{ControlStore, StoreSettings, WriteOutcome, Writer, WriterHandle};
@@ -36,6 +38,8 @@
         // The process ends with its receiver; nobody is left to tell then.
         let _ = outcomes_in.send(outcome);
     })?;
+    let membership =
+        Membership::start(member(&core_settings), settings.seed_internal(), SwimSettings::default(), clock);
     let machine = CoreMachine::new(core_settings, recovered, clock.moment())?;
     let mut driver = Driver { clock, machine, peers, writer };
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(256);
@@ -56,7 +60,10 @@
             Some(call) = calls.recv() => driver.receive(CoreEvent::Call(call)),
             _ = timer.tick() => driver.receive(CoreEvent::Tick),
             () = driver.round_may_run() => {}
-            () = signals.terminated() => driver.receive(CoreEvent::Terminate),
+            () = signals.terminated() => {
+                membership.leave();
+                driver.receive(CoreEvent::Terminate);
+            }
         }
         driver.settle();
         if driver.machine.has_left(clock.now()) {
@@ -76,6 +83,15 @@
     }
 }
 
+fn member(settings: &CoreSettings) -> LiveMember {
+    LiveMember {
+        address: settings.me.address,
+        role: Role::Core,
+        zone: settings.me.zone.clone(),
+        life: settings.life,
+    }
+}
+
 fn of_peer(event: PeerEvent) -> CoreEvent {
     match event {
         PeerEvent::Frame { from, life, connection, frame, .. } => {
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -2,12 +2,14 @@
 
 use crate::clock::{draw, Clock};
 use crate::control_api::{ask, ControlCall};
+use crate::front_news::FrontNews;
 use crate::head_client::{HeadClient, Outgoing};
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
+use crate::membership::Membership;
+use crate::relay::RelayedFrame;
 use crate::signals::Signals;
 use crate::status::{FrontStatus, STATUS_PATH};
-use crate::subscription::Subscription;
 use crate::NodeError;
-use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
@@ -15,6 +17,7 @@
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
 use lupinrack_cluster_net::listen;
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
@@ -26,8 +29,6 @@
 
 /// How often the process looks at its clock, in milliseconds.
 const TICK_MS: u64 = 50;
-/// The front subscribes again at least so often, in milliseconds.
-const SUBSCRIBE_MS: u64 = 400;
 /// A configuration that was not confirmed for this long says nothing on what does not exist, in milliseconds.
 const FRESH_MS: u64 = 900;
 /// A front that was not confirmed for this long is not ready, in milliseconds.
@@ -44,8 +45,7 @@
 /// What the handlers of calls know, swapped whole.
 #[derive(Clone, Debug, Default)]
 struct FrontTable {
-    configuration: Arc<Configuration>,
-    confirmed_at: Millis,
+    known: KnownConfiguration,
     view: Arc<View>,
     draining: bool,
 }
@@ -54,16 +54,16 @@
     clock: Clock,
     peers: Peers,
     client: HeadClient,
-    subscription: Subscription,
+    news: FrontNews,
     table: Arc<Snapshot<FrontTable>>,
-    subscribed_at: Millis,
+    membership: Membership,
 }
 
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
     let address = PeerAddress(settings.internal_address);
-    let hello =
-        Hello { address, role: Role::Frontend, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (zone, life) = (settings.zone.clone(), draw());
+    let hello = Hello { address, role: Role::Frontend, zone: zone.clone(), life, disk: None };
     let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let table = Arc::new(Snapshot::new(FrontTable::default()));
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(1024);
@@ -73,9 +73,14 @@
         clock,
         peers,
         client: HeadClient::default(),
-        subscription: Subscription::new(settings.seed_internal(), SUBSCRIBE_MS, clock.now()),
+        news: FrontNews::new(address, zone.clone(), settings.seed_internal(), clock.now()),
         table,
-        subscribed_at: Millis(0),
+        membership: Membership::start(
+            LiveMember { address, role: Role::Frontend, zone, life },
+            settings.seed_internal(),
+            SwimSettings::default(),
+            clock,
+        ),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -120,51 +125,56 @@
     fn on_peer_event(&mut self, event: PeerEvent) {
         let now = self.clock.now();
         match event {
-            PeerEvent::Frame { frame, .. } => self.on_frame(frame, now),
-            PeerEvent::Closed { from, .. } => {
-                self.subscription.hurry();
+            PeerEvent::Frame { from, connection, frame, .. } => self.on_frame(from, connection, frame, now),
+            PeerEvent::Closed { from, connection, .. } => {
+                self.news.closed(from, connection, now);
                 let outgoing = self.client.closed(from, now);
                 self.send_all(outgoing);
             }
         }
     }
 
-    fn on_frame(&mut self, frame: Frame, now: Millis) {
+    fn on_frame(&mut self, from: PeerAddress, connection: u64, frame: Frame, now: Millis) {
         match frame {
             Frame::Reply { id, reply } => {
                 let outgoing = self.client.answered(id, reply, now);
                 self.send_all(outgoing);
             }
-            Frame::ViewNews(view) => {
-                if view.number > self.client.view().number {
-                    self.subscription.hurry();
-                }
-                let outgoing = self.client.learn(&view, now);
-                self.send_all(outgoing);
+            Frame::ViewNews(view) => self.on_view(&view, now),
+            Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
+                self.on_news(from, ConfigurationNews { asked_at, age_ms, version, configuration }, now);
             }
-            Frame::ConfigurationNews { version, configuration } => {
-                self.subscription.heard_news(now);
-                self.on_configuration(version, configuration, now);
+            Frame::Subscribe { have, asked_at } => {
+                let view = self.client.view();
+                let frames = self.news.subscribed(connection, have, asked_at, view, now);
+                self.send_relayed(frames);
             }
             _ => {}
         }
     }
 
-    /// Never back to an older configuration in one life of the process.
-    fn on_configuration(&mut self, version: u64, configuration: Option<Configuration>, now: Millis) {
-        let table = self.table.load();
-        let known = table.configuration.version;
-        if version < known {
+    fn on_view(&mut self, view: &View, now: Millis) {
+        if view.number <= self.client.view().number {
             return;
         }
-        let mut next = FrontTable::clone(&table);
-        match configuration {
-            Some(newer) if newer.version > known => next.configuration = Arc::new(newer),
-            _ if version > known => return,
-            _ => {}
-        }
-        next.confirmed_at = now;
+        let outgoing = self.client.learn(view, now);
+        self.send_all(outgoing);
+        let frames = self.news.view_changed(view);
+        self.send_relayed(frames);
+    }
+
+    fn on_news(&mut self, from: PeerAddress, news: ConfigurationNews, now: Millis) {
+        let frames = self.news.receive(from, news, self.client.view(), now);
+        let mut next = FrontTable::clone(&self.table.load());
+        next.known = self.news.known().clone();
         self.table.replace(Arc::new(next));
+        self.send_relayed(frames);
+    }
+
+    fn send_relayed(&self, frames: Vec<RelayedFrame>) {
+        for RelayedFrame { connection, frame } in frames {
+            self.peers.send_on(connection, frame);
+        }
     }
 
     fn on_call(&mut self, call: ControlCall) {
@@ -179,9 +189,8 @@
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
         self.publish_view();
-        let have = self.table.load().configuration.version;
-        if let Some(subscribe) = self.subscription.tick(self.client.view(), have, now) {
-            self.subscribed_at = now;
+        let table = self.membership.table();
+        if let Some(subscribe) = self.news.tick(&table, self.client.view(), now) {
             self.peers.send(subscribe.to, subscribe.frame);
         }
     }
@@ -198,6 +207,7 @@
 
     fn drain(&mut self) {
         spdlog::info!("told to end");
+        self.membership.leave();
         let mut next = FrontTable::clone(&self.table.load());
         next.draining = true;
         self.table.replace(Arc::new(next));
@@ -232,20 +242,20 @@
 }
 
 fn status(node: &str, table: &FrontTable, now: Millis) -> String {
-    let confirmed = table.confirmed_at > Millis(0);
+    let confirmed = table.known.confirmed_at > Millis(0);
     let status = FrontStatus {
         node,
         ready: is_ready(table, now),
         view: &table.view,
-        configuration: table.configuration.version,
-        confirmed_ms_ago: confirmed.then(|| now.since(table.confirmed_at)),
+        configuration: table.known.configuration.version,
+        confirmed_ms_ago: confirmed.then(|| now.since(table.known.confirmed_at)),
     };
     status.to_string()
 }
 
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
-    let knows = table.configuration.version > 0;
-    knows && !table.draining && now.since(table.confirmed_at) < READY_MS
+    let knows = table.known.configuration.version > 0;
+    knows && !table.draining && now.since(table.known.confirmed_at) < READY_MS
 }
 
 fn serve_jobs(
@@ -295,8 +305,8 @@
 
 fn request_of(call: &HttpCall, table: &FrontTable, now: Millis) -> Result<Request, ErrorKind> {
     let target = Target { host: call.host.clone(), path: call.path.clone() };
-    let known = table.configuration.route(&target.host, &target.path).is_some();
-    let fresh = table.configuration.version > 0 && now.since(table.confirmed_at) < FRESH_MS;
+    let known = table.known.configuration.route(&target.host, &target.path).is_some();
+    let fresh = table.known.configuration.version > 0 && now.since(table.known.confirmed_at) < FRESH_MS;
     if !known && fresh {
         return Err(ErrorKind::UnknownQueue);
     }
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -1,10 +1,12 @@
 //! The agent's process, beside one server.
 
 use crate::clock::{draw, Clock};
+use crate::membership::Membership;
 use crate::owner::owner_address;
 use crate::signals::Signals;
 use crate::status::{AgentStatus, STATUS_PATH};
 use crate::subscription::Subscription;
+use crate::view_source::ViewSource;
 use crate::NodeError;
 use lupinrack_cluster_api::agent::AgentMessage;
 use lupinrack_cluster_api::error::ErrorKind;
@@ -12,6 +14,7 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
@@ -56,6 +59,8 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    membership: Membership,
+    view_source: ViewSource,
     open: Option<OpenCall>,
 }
 
@@ -69,7 +74,8 @@
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
     let address = PeerAddress(settings.internal_address);
-    let hello = Hello { address, role: Role::Agent, zone: settings.zone.clone(), life: draw(), disk: None };
+    let (zone, life) = (settings.zone.clone(), draw());
+    let hello = Hello { address, role: Role::Agent, zone: zone.clone(), life, disk: None };
     let (peers, mut events) = Peers::start(address.0, hello, PeerSettings::default())?;
     let (calls_in, mut calls) = mpsc::channel::<ServerCall>(64);
     let server = serve(&settings, calls_in)?;
@@ -91,6 +97,13 @@
         owner: None,
         owner_heard: now,
         session: 0,
+        view_source: ViewSource::new(address, zone.clone()),
+        membership: Membership::start(
+            LiveMember { address, role: Role::Agent, zone, life },
+            settings.seed_internal(),
+            SwimSettings::default(),
+            clock,
+        ),
         open: None,
     };
     let mut signals = Signals::listen()?;
@@ -104,6 +117,9 @@
             () = side.wait_is_over() => side.answer_if_due(clock.now()),
             () = signals.terminated() => {
                 drop(server);
+                side.membership.leave();
+                // The farewell is sent by a task of its own.
+                tokio::task::yield_now().await;
                 return Ok(());
             }
         }
@@ -134,6 +150,9 @@
                     self.begin_session(now);
                     self.subscription.hurry();
                 }
+                if self.view_source.closed(from, now) {
+                    self.subscription.hurry();
+                }
             }
         }
     }
@@ -248,12 +267,16 @@
         let now = self.clock.now();
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
         if silent {
+            self.view_source.doubt(now);
+            self.subscription.hurry();
             self.begin_session(now);
         }
         self.send_to_owner(now);
         let have = crate::core::VIEWS_ONLY;
         if let Some(subscribe) = self.subscription.tick(&self.view, have, now) {
-            self.peers.send(subscribe.to, subscribe.frame);
+            let head = self.view.head().and_then(|disk| self.view.address(disk));
+            let to = self.view_source.choose(subscribe.to, head, &self.membership.table(), now);
+            self.peers.send(to, subscribe.frame);
         }
     }
 
--- a/crates/cluster-node/tests/subscription.rs
+++ b/crates/cluster-node/tests/subscription.rs
@@ -57,10 +57,10 @@
 }
 
 #[test]
-fn the_frame_tells_what_the_process_has() {
+fn the_frame_tells_what_the_process_has_and_when_it_asked() {
     let mut subscription = subscription(&[1]);
     let outgoing = subscription.tick(&View::default(), 17, BEGAN).expect("the first tick subscribes");
-    assert_eq!(outgoing.frame, Frame::Subscribe { have: 17 });
+    assert_eq!(outgoing.frame, Frame::Subscribe { have: 17, asked_at: BEGAN });
 }
 
 #[test]
