Record beside which agent each life of a server runs; a new owner ends earlier lives at once

The place of a life is now recorded in the chain when its owner first meets it; of two lives beside one agent the later one ends the earlier one. A late word of the earlier life ends nothing, since its place is older. Ruled out: a shorter hold (it would end work in each outage of the core that it outlasts now). Tests: four of the record, two of the scheduler (without the change the first waits for the bound).

--- a/crates/cluster-api/src/operation.rs
+++ b/crates/cluster-api/src/operation.rs
@@ -5,7 +5,9 @@
 
 use crate::configuration::Configuration;
 use crate::error::ErrorKind;
-use crate::identity::{Attempt, DiskId, FencingToken, JobId, QueueName, ServerId, ServiceName, TaskId};
+use crate::identity::{
+    Attempt, DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName, TaskId,
+};
 use crate::job::{JobSpec, JobState};
 use crate::server::RunEnd;
 use crate::time::WallMillis;
@@ -109,6 +111,18 @@
         /// When they were recorded, by the clock of the owner.
         at: WallMillis,
     },
+    /// Records beside which agent a life of a server runs, when an owner first meets it. An agent stands beside one server
+    /// at a time: every life that was recorded there earlier is over, also for an owner that never met it.
+    RecordServer {
+        /// The shard.
+        service: ServiceName,
+        /// The owner's token.
+        token: FencingToken,
+        /// The life.
+        server: ServerId,
+        /// Its agent.
+        agent: PeerAddress,
+    },
     /// Drops jobs that ended before this moment.
     ForgetJobs {
         /// The moment.
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -20,4 +20,6 @@
 pub use configuration_fault::{ConfigurationFault, FaultReason};
 pub use record::{JobRecord, Occurrence, TaskRecord, TaskStatus};
 pub use snapshot::SnapshotFault;
-pub use state::{ControlState, Shard, CHANGES_REMEMBERED, TASKS_PER_OCCURRENCE_MOST};
+pub use state::{
+    ControlState, ServerPlace, Shard, CHANGES_REMEMBERED, PLACES_MOST, TASKS_PER_OCCURRENCE_MOST,
+};
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -1,11 +1,13 @@
 //! The state machine.
 
 use crate::configuration_document::ConfigurationDocument;
-use crate::record::JobRecord;
+use crate::record::{JobRecord, TaskRecord, TaskStatus};
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::configuration::{Configuration, Route};
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::{DiskId, FencingToken, JobId, QueueName, ServiceName};
+use lupinrack_cluster_api::identity::{
+    DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName,
+};
 use lupinrack_cluster_api::job::{JobSpec, JobState};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::time::WallMillis;
@@ -14,6 +16,9 @@
 /// How many changes of the configuration are remembered as taken.
 pub const CHANGES_REMEMBERED: usize = 2048;
 
+/// The most places of servers that are remembered; beyond it the oldest go, and with them only a short cut.
+pub const PLACES_MOST: usize = 20_000;
+
 /// The most tasks that one time of a job may have; a record of them is made at the first start.
 pub const TASKS_PER_OCCURRENCE_MOST: u64 = 100_000;
 
@@ -41,6 +46,19 @@
     pub open_jobs: BTreeMap<ServiceName, BTreeSet<JobId>>,
     /// Who schedules what.
     pub shards: BTreeMap<ServiceName, Shard>,
+    /// Beside which agents the known lives of servers run.
+    pub servers: BTreeMap<ServerId, ServerPlace>,
+    /// The number of the last place that was recorded.
+    pub places_recorded: u64,
+}
+
+/// Where a life of a server was met.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct ServerPlace {
+    /// The agent on its machine.
+    pub agent: PeerAddress,
+    /// Rises with every place that is recorded: of two lives beside one agent the later one has the higher number.
+    pub order: u64,
 }
 
 impl ControlState {
@@ -55,6 +73,9 @@
             Operation::RecordEnds { service, token, ends, at } => {
                 self.record_ends(service, *token, ends, *at)
             }
+            Operation::RecordServer { service, token, server, agent } => {
+                self.record_server(service, *token, server, *agent)
+            }
             Operation::ForgetJobs { ended_before } => self.forget_jobs(*ended_before),
             Operation::Nothing => OperationResult::Done,
         }
@@ -81,6 +102,60 @@
         self.shards.get(service).is_some_and(|shard| token < shard.token)
     }
 
+    /// Lives that were recorded beside this agent before this one, and are over therefore.
+    pub fn earlier_lives(&self, server: &ServerId) -> Vec<&ServerId> {
+        let Some(own) = self.servers.get(server) else {
+            return Vec::new();
+        };
+        let earlier = |place: &ServerPlace| place.agent == own.agent && place.order < own.order;
+        self.servers.iter().filter(|(_, place)| earlier(place)).map(|(id, _)| id).collect()
+    }
+
+    fn record_server(
+        &mut self,
+        service: &ServiceName,
+        token: FencingToken,
+        server: &ServerId,
+        agent: PeerAddress,
+    ) -> OperationResult {
+        if self.is_fenced(service, token) {
+            return OperationResult::Refused(ErrorKind::Fenced);
+        }
+        if !self.servers.contains_key(server) {
+            self.drop_unused_places();
+            self.places_recorded += 1;
+            let place = ServerPlace { agent, order: self.places_recorded };
+            self.servers.insert(server.clone(), place);
+        }
+        OperationResult::Done
+    }
+
+    /// Drops the places of lives that are neither the newest beside their agent nor have a run that is recorded.
+    fn drop_unused_places(&mut self) {
+        let mut newest: BTreeMap<PeerAddress, u64> = BTreeMap::new();
+        for place in self.servers.values() {
+            let order = newest.entry(place.agent).or_default();
+            *order = place.order.max(*order);
+        }
+        let used = self.servers_in_use();
+        self.servers.retain(|id, place| newest.get(&place.agent) == Some(&place.order) || used.contains(id));
+        while self.servers.len() >= PLACES_MOST {
+            let oldest = self.servers.iter().min_by_key(|(_, place)| place.order).map(|(id, _)| id.clone());
+            oldest.map(|id| self.servers.remove(&id));
+        }
+    }
+
+    /// The servers to which a task is assigned.
+    fn servers_in_use(&self) -> BTreeSet<ServerId> {
+        let occurrences = self.jobs.values().flat_map(|job| job.occurrences.values());
+        let tasks = occurrences.flat_map(|occurrence| occurrence.steps.iter().flatten());
+        let server_of = |task: &TaskRecord| match &task.status {
+            TaskStatus::Assigned { server } => Some(server.clone()),
+            TaskStatus::Waiting | TaskStatus::Done => None,
+        };
+        tasks.filter_map(server_of).collect()
+    }
+
     fn accept_job(
         &mut self,
         job: JobId,
--- a/crates/control-state/tests/model/mod.rs
+++ b/crates/control-state/tests/model/mod.rs
@@ -84,6 +84,10 @@
                 ends.iter().for_each(|end| self.end(&service.0, end, at.0));
                 OperationResult::Done
             }
+            Operation::RecordServer { service, token, .. } => match self.is_fenced(&service.0, token.0) {
+                true => OperationResult::Refused(ErrorKind::Fenced),
+                false => OperationResult::Done,
+            },
             Operation::ForgetJobs { ended_before } => {
                 self.jobs.retain(|_, job| !job.state.is_final() || job.ended_at >= ended_before.0);
                 self.tasks.retain(|id, _| self.jobs.contains_key(&id.job));
--- /dev/null
+++ b/crates/control-state/tests/places.rs
@@ -0,0 +1,81 @@
+//! Where lives of servers run: which of them are over because a later one runs beside the same agent.
+
+mod common;
+
+use common::*;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::{FencingToken, PeerAddress, ServerId, ServiceName};
+use lupinrack_cluster_api::operation::{Operation, OperationResult};
+use lupinrack_control_state::ControlState;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+const TOKEN: FencingToken = FencingToken(5);
+
+fn life(name: &str) -> ServerId {
+    ServerId(name.to_owned())
+}
+
+fn agent(machine: u8) -> PeerAddress {
+    PeerAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, machine), 7_000))
+}
+
+fn place(server: &str, machine: u8, token: FencingToken) -> Operation {
+    Operation::RecordServer {
+        service: ServiceName("one".to_owned()),
+        token,
+        server: life(server),
+        agent: agent(machine),
+    }
+}
+
+fn record(state: &mut ControlState, server: &str, machine: u8) {
+    assert_eq!(state.apply(&place(server, machine, TOKEN)), OperationResult::Done);
+}
+
+fn earlier(state: &ControlState, server: &str) -> Vec<String> {
+    state.earlier_lives(&life(server)).into_iter().map(|id| id.0.clone()).collect()
+}
+
+#[test]
+fn a_later_life_beside_the_same_agent_follows_the_earlier_one() {
+    let mut state = state_with(vec![step(1)]);
+    assert!(try_start(&mut state, task(0, 0, 0), 1));
+    let first = start(task(0, 0, 0), 1).server.0;
+    record(&mut state, &first, 1);
+    record(&mut state, "elsewhere", 2);
+    record(&mut state, "second", 1);
+    assert_eq!(earlier(&state, "second"), vec![first.clone()]);
+    assert!(earlier(&state, &first).is_empty(), "a late word of the first life ends nothing");
+    assert!(earlier(&state, "elsewhere").is_empty());
+    assert!(earlier(&state, "never met").is_empty());
+}
+
+#[test]
+fn a_life_that_is_recorded_again_keeps_its_place() {
+    let mut state = state_with(vec![step(1)]);
+    assert!(try_start(&mut state, task(0, 0, 0), 1));
+    let first = start(task(0, 0, 0), 1).server.0;
+    record(&mut state, &first, 1);
+    record(&mut state, "second", 1);
+    record(&mut state, &first, 1);
+    assert_eq!(earlier(&state, "second"), vec![first.clone()]);
+    assert!(earlier(&state, &first).is_empty());
+}
+
+#[test]
+fn places_without_runs_are_dropped_once_a_later_life_is_there() {
+    let mut state = state_with(vec![step(1)]);
+    for number in 0..50 {
+        record(&mut state, &format!("life-{number}"), 1);
+    }
+    assert!(state.servers.len() <= 2, "{} places are kept", state.servers.len());
+}
+
+#[test]
+fn an_old_token_records_nothing() {
+    let mut state = state_with(vec![step(1)]);
+    state.apply(&take("one", TOKEN));
+    let refused = state.apply(&place("first", 1, FencingToken(TOKEN.0 - 1)));
+    assert_eq!(refused, OperationResult::Refused(ErrorKind::Fenced));
+    assert!(state.servers.is_empty());
+}
--- a/crates/scheduler/src/lapses.rs
+++ b/crates/scheduler/src/lapses.rs
@@ -40,6 +40,7 @@
         self.lapse_runs(server);
         self.withdraw_server(server);
         self.servers.remove(server);
+        self.placed.remove(server);
         self.evidence.forget_server(server);
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,6 +28,7 @@
 mod lapses;
 mod orders;
 mod placement;
+mod places;
 mod preemption;
 mod queueing;
 mod rows;
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -17,7 +17,7 @@
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_control_state::ControlState;
 use lupinrack_dispatch::Dispatcher;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A message to an agent, and the connection that it goes out on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +49,8 @@
     /// Up to when runs may be held that were granted by earlier owners.
     pub(crate) takeover_bound: Millis,
     pub(crate) adopted: bool,
+    /// Servers whose place is recorded and was looked at.
+    pub(crate) placed: BTreeSet<ServerId>,
     pub(crate) servers: ServerTable,
     pub(crate) runs: RunLedger,
     pub(crate) jobs: JobBoard,
@@ -71,6 +73,7 @@
         Scheduler {
             takeover_bound: now.plus(settings.takeover_bound_ms()),
             adopted: false,
+            placed: BTreeSet::new(),
             servers: ServerTable::default(),
             runs: RunLedger::default(),
             jobs: JobBoard::default(),
@@ -203,6 +206,7 @@
         self.adopt(state, now);
         self.read_heartbeats(state, now);
         self.expire_servers(now);
+        self.follow_places(state);
         let closed = self.refresh_jobs(state, now, wall);
         closed.into_iter().for_each(|job| self.close_job(job));
         self.settle_runs(now);
--- a/crates/scheduler/src/submissions.rs
+++ b/crates/scheduler/src/submissions.rs
@@ -4,7 +4,7 @@
 //! not. Both kinds may be applied twice without harm: a start holds only for a task that waits, an end only for the
 //! start that it names.
 
-use lupinrack_cluster_api::identity::{Attempt, FencingToken, ServiceName, TaskId};
+use lupinrack_cluster_api::identity::{Attempt, FencingToken, PeerAddress, ServerId, ServiceName, TaskId};
 use lupinrack_cluster_api::operation::{EndRecord, Operation, StartRecord};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use std::collections::BTreeMap;
@@ -26,6 +26,12 @@
     submitted_at: Option<Millis>,
 }
 
+#[derive(Clone, Debug)]
+struct PendingServer {
+    agent: PeerAddress,
+    submitted_at: Option<Millis>,
+}
+
 /// The operations of one owner that are on their way.
 #[derive(Clone, Debug)]
 pub struct Submissions {
@@ -34,12 +40,20 @@
     resubmit_ms: u64,
     starts: Vec<StartBatch>,
     ends: BTreeMap<(TaskId, Attempt), PendingEnd>,
+    servers: BTreeMap<ServerId, PendingServer>,
 }
 
 impl Submissions {
     /// None yet, for this owner.
     pub fn new(service: ServiceName, token: FencingToken, resubmit_ms: u64) -> Submissions {
-        Submissions { service, token, resubmit_ms, starts: Vec::new(), ends: BTreeMap::new() }
+        Submissions {
+            service,
+            token,
+            resubmit_ms,
+            starts: Vec::new(),
+            ends: BTreeMap::new(),
+            servers: BTreeMap::new(),
+        }
     }
 
     /// Adds starts that were decided together. Members of one gang have to be given in one call, side by side.
@@ -62,6 +76,16 @@
         self.ends.entry(key).or_insert(PendingEnd { record, submitted_at: None });
     }
 
+    /// Adds the place of a server; one that is there already stays.
+    pub fn add_server(&mut self, server: ServerId, agent: PeerAddress) {
+        self.servers.entry(server).or_insert(PendingServer { agent, submitted_at: None });
+    }
+
+    /// Notes that the place of a server was applied.
+    pub fn server_applied(&mut self, server: &ServerId) {
+        self.servers.remove(server);
+    }
+
     /// Notes that these starts were applied.
     pub fn starts_applied(&mut self, starts: &[StartRecord]) {
         self.starts.retain(|batch| batch.starts != starts);
@@ -75,7 +99,8 @@
     /// The operations that are to be submitted now: new ones, and those that were not applied in time. Ends go first,
     /// since the starts may need them.
     pub fn due(&mut self, now: Millis, wall: WallMillis) -> Vec<Operation> {
-        let mut operations = self.due_ends(now, wall);
+        let mut operations = self.due_servers(now);
+        operations.extend(self.due_ends(now, wall));
         for batch in &mut self.starts {
             if is_due(batch.submitted_at, now, self.resubmit_ms) {
                 batch.submitted_at = Some(now);
@@ -89,6 +114,22 @@
         operations
     }
 
+    fn due_servers(&mut self, now: Millis) -> Vec<Operation> {
+        let mut due = Vec::new();
+        for (server, pending) in &mut self.servers {
+            if is_due(pending.submitted_at, now, self.resubmit_ms) {
+                pending.submitted_at = Some(now);
+                due.push(Operation::RecordServer {
+                    service: self.service.clone(),
+                    token: self.token,
+                    server: server.clone(),
+                    agent: pending.agent,
+                });
+            }
+        }
+        due
+    }
+
     fn due_ends(&mut self, now: Millis, wall: WallMillis) -> Vec<Operation> {
         let mut due = Vec::new();
         for end in self.ends.values_mut() {
--- a/crates/scheduler/tests/decisions/lapses.rs
+++ b/crates/scheduler/tests/decisions/lapses.rs
@@ -100,3 +100,23 @@
     let stop = &bench.messages[newest].1.stop;
     assert!(stop.contains(&(task(7, 0, 0), 1)), "it is still listed, and nobody asks for it");
 }
+
+#[test]
+fn a_new_owner_knows_that_a_later_life_beside_the_same_agent_ended_the_old_one() {
+    let mut bench = one_running();
+    bench.take_over(2);
+    // The server lost power with everything else: it comes back as another life, beside a fresh agent.
+    bench.attach(MACHINE, 2, &["a", "r1"]);
+    let lapsed = silent_until_lapsed(&mut bench, 20_000).expect("the old life is over");
+    assert!(lapsed <= 200, "{lapsed} ms, although the bound is {} ms", bench.settings.takeover_bound_ms());
+}
+
+#[test]
+fn a_new_owner_does_not_take_a_life_elsewhere_for_the_old_one_s_end() {
+    let mut bench = one_running();
+    bench.take_over(2);
+    bench.attach(2, 1, &["a", "r1"]);
+    let lapsed = silent_until_lapsed(&mut bench, 20_000).expect("every hold ends");
+    let bound_ms = bench.settings.takeover_bound_ms();
+    assert!(lapsed > bound_ms, "{lapsed} of {bound_ms} ms");
+}
