Worker agent: tests of answers that are left open, also in the model

The two-step heartbeat came without tests of its own. New: what is left open and what is answered at once, when there are orders to wait for, that a hold counts from the arrival, and which orders the next heartbeat covers. The model leaves answers open for a drawn time, in which owners' messages arrive; its check of the hold counts from the arrival, which is the same moment as before where the answer is not left open.

--- a/crates/worker-agent/tests/model.rs
+++ b/crates/worker-agent/tests/model.rs
@@ -1,6 +1,8 @@
 //! The agent between a modelled server and modelled owners, through crashes, lost and late answers, broken connections,
 //! restarts of the agent and changes of the owner. The model's parts panic where a rule is broken.
 
+#[path = "model/answers.rs"]
+mod answers;
 #[path = "model/owner.rs"]
 mod owner;
 #[path = "model/random.rs"]
@@ -39,6 +41,9 @@
         sum.never_ran += counts.never_ran;
         sum.lapses += counts.lapses;
         sum.refused_messages += counts.refused_messages;
+        sum.waits += counts.waits;
+        sum.waits_for_orders += counts.waits_for_orders;
+        sum.messages_meanwhile += counts.messages_meanwhile;
     }
     let counts = [
         ("starts", sum.server.starts),
@@ -51,6 +56,9 @@
         ("runs shown never to have started", sum.never_ran),
         ("lapses at the owner", sum.lapses),
         ("refused messages", sum.refused_messages),
+        ("answers that waited in vain", sum.waits),
+        ("answers that waited until orders came", sum.waits_for_orders),
+        ("messages of the owner while an answer waited", sum.messages_meanwhile),
     ];
     for (name, count) in counts {
         println!("{name}: {count}");
--- a/crates/worker-agent/tests/model/world.rs
+++ b/crates/worker-agent/tests/model/world.rs
@@ -1,5 +1,6 @@
 //! Server, agent, owners and the network between them.
 
+use crate::answers::{BeatCall, OpenCall};
 use crate::owner::{Owner, HOLD_MS};
 use crate::random::Random;
 use crate::record::{Place, Record};
@@ -7,17 +8,19 @@
 use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
 use lupinrack_cluster_api::identity::{FencingToken, JobId, ServerId, TaskId};
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_worker_agent::heartbeat_json::{parse, render};
-use lupinrack_worker_agent::{Agent, AgentSettings};
+use lupinrack_worker_agent::heartbeat_json::parse;
+use lupinrack_worker_agent::{Agent, AgentSettings, HeartbeatReceipt};
 use std::collections::BTreeMap;
 
 const STEP_MS: u64 = 10;
-const TROUBLE_MS: u64 = 15_000;
+pub const TROUBLE_MS: u64 = 15_000;
 const CALM_MS: u64 = 40_000;
 const TASKS: u32 = 24;
+/// An answer is left open for less than this, in milliseconds.
+const OPEN_MS: u64 = 400;
 
 /// Something on its way.
-enum Packet {
+pub enum Packet {
     Beat { server: ServerId, sequence: u64, body: String },
     Answer { server: ServerId, sequence: u64, body: String },
     Leave(ServerId),
@@ -46,21 +49,28 @@
     pub never_ran: u64,
     pub lapses: u64,
     pub refused_messages: u64,
+    /// Answers that waited in vain.
+    pub waits: u64,
+    /// Answers that waited until orders came.
+    pub waits_for_orders: u64,
+    /// Answers during whose waiting the owner said something.
+    pub messages_meanwhile: u64,
 }
 
 pub struct World {
-    now: u64,
-    random: Random,
+    pub now: u64,
+    pub random: Random,
     record: Record,
     server: Option<Server>,
     server_back: u64,
     lives: u64,
-    agent: Agent,
+    pub agent: Agent,
     agent_born: u64,
+    pub open: Option<OpenCall>,
     /// The highest token in an answer of this agent.
-    answered_token: FencingToken,
+    pub answered_token: FencingToken,
     /// The end of what was granted to each life in messages that this agent took, by the model's clock.
-    granted_until: BTreeMap<ServerId, u64>,
+    pub granted_until: BTreeMap<ServerId, u64>,
     owners: Vec<Owner>,
     link: Option<Link>,
     /// Until this moment the agent reaches no owner.
@@ -69,7 +79,7 @@
     packets: Vec<Sent>,
     to_owner_free: u64,
     to_agent_free: u64,
-    counts: Counts,
+    pub counts: Counts,
 }
 
 impl World {
@@ -86,6 +96,7 @@
             lives: 0,
             agent: new_agent(),
             agent_born: 0,
+            open: None,
             answered_token: FencingToken::default(),
             granted_until: BTreeMap::new(),
             owners: vec![owner],
@@ -125,6 +136,7 @@
         self.connect(calm);
         self.tick_server(calm);
         self.deliver();
+        self.answer_if_due();
         if self.agent.next_poll().is_some_and(|due| due <= self.agent_now()) {
             self.poll_agent();
         }
@@ -132,7 +144,7 @@
         self.check_no_second_run();
     }
 
-    fn agent_now(&self) -> Millis {
+    pub fn agent_now(&self) -> Millis {
         Millis(self.now - self.agent_born)
     }
 
@@ -182,6 +194,7 @@
         self.packets.retain(|sent| !to_agent(sent));
         self.agent = new_agent();
         self.agent_born = self.now;
+        self.open = None;
         self.answered_token = FencingToken::default();
         self.granted_until.clear();
         self.counts.agent_restarts += 1;
@@ -247,12 +260,12 @@
         }
     }
 
-    fn delay(&mut self, calm: bool) -> u64 {
+    pub fn delay(&mut self, calm: bool) -> u64 {
         let long = !calm && self.random.once_in(30);
         self.random.below(if long { 2_500 } else { 30 })
     }
 
-    fn send(&mut self, packet: Packet, delay: u64) {
+    pub fn send(&mut self, packet: Packet, delay: u64) {
         self.packets.push(Sent { arrives: self.now + delay, packet });
     }
 
@@ -287,17 +300,15 @@
     fn beat_agent(&mut self, server: ServerId, sequence: u64, body: &str) {
         let now = self.agent_now();
         let beat = parse(&server.0, body.as_bytes()).expect("a heartbeat of the model");
-        let answer = self.agent.heartbeat(beat, now);
-        if answer.token != FencingToken::default() {
-            assert!(answer.token >= self.answered_token, "the token fell");
-            self.answered_token = answer.token;
-        }
-        let granted_until = self.granted_until.get(&server).copied().unwrap_or(0);
-        assert!(answer.hold_ms == 0 || self.now + answer.hold_ms <= granted_until, "a hold beyond the grant");
-        let lost = self.now < TROUBLE_MS && self.random.once_in(10);
-        let delay = self.delay(self.now >= TROUBLE_MS);
-        if !lost {
-            self.send(Packet::Answer { server, sequence, body: render(&answer) }, delay);
+        self.answer_open();
+        let call = BeatCall { server, sequence, arrived_at: self.now };
+        match self.agent.receive_heartbeat(beat, now) {
+            HeartbeatReceipt::Answer(answer) => self.send_answer(call, &answer),
+            HeartbeatReceipt::Open(open) => {
+                let wait_ms = if self.random.once_in(3) { 0 } else { self.random.below(OPEN_MS) };
+                self.open = Some(OpenCall { open, call, until: self.now + wait_ms, messages: 0 });
+                self.answer_if_due();
+            }
         }
         self.poll_agent();
     }
@@ -312,6 +323,10 @@
             Ok(()) => {
                 let granted = self.granted_until.entry(server).or_insert(0);
                 *granted = until.max(*granted);
+                if let Some(open) = &mut self.open {
+                    open.messages += 1;
+                }
+                self.answer_if_due();
             }
             Err(_) => self.counts.refused_messages += 1,
         }
