--- a/crates/worker-agent/tests/open_heartbeats.rs
+++ b/crates/worker-agent/tests/open_heartbeats.rs
@@ -173,6 +173,18 @@
     assert_eq!(started(&agent.answer_heartbeat(&open, Millis(210))), [(2, 1)]);
 }
 
+#[test]
+fn orders_of_an_answer_that_was_never_given_are_not_seen() {
+    let mut agent = without_orders();
+    tell(&mut agent, second_message(), 90);
+    leave_open(&mut agent, beat_with_run(3), 100);
+    let mut progressed = beat_with_run(4);
+    progressed.heartbeat.running[0].percent = 50;
+    leave_open(&mut agent, progressed, 200);
+    let messages = agent.poll(Millis(200));
+    assert_eq!(reported(&messages).map(|heartbeat| heartbeat.orders_seen), Some(1));
+}
+
 #[test]
 fn a_server_whose_answer_is_open_is_not_silent() {
     let mut agent = attached();
