Scheduler: tests of spread, even rest and the wait for near data

Each fails without its part: without the spread of lasting work, without the weight of unevenness, and with the extra time of far work counted once or three times.

--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! Single decisions of the scheduler, one situation each.
 
 mod bench;
+mod fit;
 mod lapses;
 mod orders;
 mod placement;
