Scheduler: the choice of a server sees its queue; lasting work is spread evenly

Two faults that the new tests of the choice showed. What was placed in the same round was not counted, since it waits in the server's queue and the free room changes only when it starts: all lasting tasks of one step went to one server. And the spread of lasting work turned the sign of unevenness too, so such work went where one resource was nearly used up and another free. Ruled out: counting only the queue of the same or higher priority, since lower work placed there takes its room later as well.

--- a/crates/scheduler/src/rows.rs
+++ b/crates/scheduler/src/rows.rs
@@ -40,6 +40,15 @@
     pub needs: Resources,
 }
 
+/// What is left of a server, in parts of its capacity.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeftRoom {
+    /// The sum of the free parts of each resource.
+    pub total: f64,
+    /// By how much the free parts of processor and memory differ.
+    pub unevenness: f64,
+}
+
 /// A server that may be given work.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -100,16 +109,16 @@
         })
     }
 
-    /// How much of it would be left free, as a sum of parts of each resource, and how unevenly processor and memory would
-    /// be left; smaller is a better fit.
-    pub fn slack_after(&self, needs: &Resources) -> f64 {
-        let left = difference(&self.free, needs);
+    /// What would be left of it with `needs` taken, beside all that waits in its queue.
+    pub fn left_after(&self, needs: &Resources) -> LeftRoom {
+        let queued = self.queued.iter().fold(self.free, |free, queued| difference(&free, &queued.needs));
+        let left = difference(&queued, needs);
         let part = |left: u64, capacity: u64| if capacity == 0 { 0.0 } else { left as f64 / capacity as f64 };
         let capacity = &self.facts.capacity;
         let cpu = part(left.cpu, capacity.cpu);
         let memory = part(left.memory_mb, capacity.memory_mb);
         let gpu = part(left.gpu, capacity.gpu);
-        cpu + memory + gpu + (cpu - memory).abs()
+        LeftRoom { total: cpu + memory + gpu, unevenness: (cpu - memory).abs() }
     }
 
     /// Keeps room, beside what is kept already.
--- a/crates/scheduler/src/singles.rs
+++ b/crates/scheduler/src/singles.rs
@@ -85,8 +85,9 @@
         }
     }
 
-    /// The best row that has room now; among those of one grade, the one that is left with least. Work that does not end
-    /// by itself is spread instead: where it gathers, one resource of a server is used up for good and the others lie idle.
+    /// The best row that has room now; among those of one grade, the one that is left with least and most evenly. Work
+    /// that does not end by itself is spread instead, to where most is left: where it gathers, one resource of a server is
+    /// used up for good and the others lie idle.
     fn room_now(&self, demand: &Demand<'_>, choices: &[Choice]) -> Option<Choice> {
         let needs = &demand.step.needs;
         let has_room = |choice: &&Choice| {
@@ -97,9 +98,12 @@
                 && self.headroom.allows(demand.job.priority, needs, 1)
         };
         let spread = if demand.step.long_running { -1.0 } else { 1.0 };
-        let slack = |choice: &Choice| spread * self.rows[choice.place].slack_after(needs);
+        let cost = |choice: &Choice| {
+            let left = self.rows[choice.place].left_after(needs);
+            spread * left.total + left.unevenness
+        };
         let order =
-            |a: &&Choice, b: &&Choice| a.grade().cmp(&b.grade()).then_with(|| slack(a).total_cmp(&slack(b)));
+            |a: &&Choice, b: &&Choice| a.grade().cmp(&b.grade()).then_with(|| cost(a).total_cmp(&cost(b)));
         choices.iter().filter(has_room).min_by(order).copied()
     }
 
--- a/crates/scheduler/tests/decisions/fit.rs
+++ b/crates/scheduler/tests/decisions/fit.rs
@@ -37,6 +37,14 @@
     assert_eq!(machines_of_two_jobs(&lasting(1)), vec![1, 2]);
 }
 
+#[test]
+fn lasting_tasks_of_one_step_go_to_different_servers() {
+    let mut bench = two_servers();
+    bench.accept_steps(1, 1, vec![lasting(2)]);
+    bench.run_for(200);
+    assert_eq!(bench.machines_of(1), vec![1, 2]);
+}
+
 #[test]
 fn short_tasks_are_packed() {
     let machines = machines_of_two_jobs(&step(1, 1_000, 60_000));
@@ -55,6 +63,18 @@
     bench.run_for(200);
 }
 
+#[test]
+fn a_lasting_task_goes_where_it_uses_up_no_resource() {
+    // The first server would be left with more in sum (0.96 against 0.94), but with hardly any memory.
+    let mut bench = two_servers();
+    occupy(&mut bench, 1, "first", 100, 24_000);
+    occupy(&mut bench, 2, "second", 6_500, 12_000);
+    let needs = Resources { cpu: 1_000, memory_mb: 7_000, gpu: 0 };
+    bench.accept_steps(3, 1, vec![Step { needs, ..lasting(1) }]);
+    bench.run_for(200);
+    assert_eq!(bench.machines_of(3), vec![2]);
+}
+
 /// The machine that a task with these needs takes, of a first one with 14 cores and 8 GB free and a second one with
 /// `cpu` and `memory_mb` used.
 fn machine_beside(cpu: u64, memory_mb: u64, needs: Resources) -> Vec<u16> {
