--- a/crates/cluster-simulation/src/machine.rs
+++ b/crates/cluster-simulation/src/machine.rs
@@ -3,13 +3,13 @@
 use crate::clock::MachineClock;
 use crate::disk::SimulatedDisk;
 use crate::front::Front;
-use crate::side::Side;
+use crate::side::{Side, SideAnswer};
 use lupinrack_cluster_api::identity::{PeerAddress, ServerId};
 use lupinrack_cluster_api::wire::{Frame, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine};
 use lupinrack_cluster_node::head_client::Outgoing;
-use lupinrack_worker_agent::{HeartbeatAnswer, ServerHeartbeat};
+use lupinrack_worker_agent::ServerHeartbeat;
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -71,6 +71,8 @@
         /// When the server sent it.
         sent_at: u64,
     },
+    /// An open heartbeat has waited for long enough.
+    AnswerDue,
     /// The server has left in order.
     Left(ServerId),
     /// Time has passed.
@@ -84,15 +86,8 @@
 pub enum ProcessEffect {
     /// An effect on the network or the disk.
     Core(CoreEffect),
-    /// An answer to the server's heartbeat.
-    Answer {
-        /// The server's life.
-        server: ServerId,
-        /// When the heartbeat was sent.
-        sent_at: u64,
-        /// The answer.
-        answer: HeartbeatAnswer,
-    },
+    /// An answer to a heartbeat of the server.
+    Answer(SideAnswer),
 }
 
 /// One machine.
@@ -131,6 +126,14 @@
         }
     }
 
+    /// Whether a heartbeat that was left open is to be answered now.
+    pub fn is_answer_due(&self, now: u64) -> bool {
+        match &self.process {
+            Some(Process::Side(side)) => side.is_answer_due(self.clock.read(now).now),
+            _ => false,
+        }
+    }
+
     /// Hands an event to the process.
     pub fn handle(&mut self, event: ProcessEvent, now: u64) -> Vec<ProcessEffect> {
         let moment = self.clock.read(now);
@@ -148,20 +151,19 @@
                 ProcessEvent::Tick => front.on_tick(now),
                 _ => Vec::new(),
             }),
-            (Some(Process::Side(side)), event) => match event {
-                ProcessEvent::Frame { from, frame, .. } => sends(side.on_frame(address_of(from), frame, now)),
-                ProcessEvent::Closed { from, .. } => sends(side.on_closed(address_of(from), now)),
-                ProcessEvent::Heartbeat { beat, sent_at } => {
-                    let server = beat.facts.id.clone();
-                    let (answer, outgoing) = side.on_heartbeat(*beat, now);
-                    let mut effects = sends(outgoing);
-                    effects.push(ProcessEffect::Answer { server, sent_at, answer });
-                    effects
-                }
-                ProcessEvent::Left(server) => sends(side.on_leave(server, now)),
-                ProcessEvent::Tick => sends(side.on_tick(now)),
-                _ => Vec::new(),
-            },
+            (Some(Process::Side(side)), event) => {
+                let outgoing = match event {
+                    ProcessEvent::Frame { from, frame, .. } => side.on_frame(address_of(from), frame, now),
+                    ProcessEvent::Closed { from, .. } => side.on_closed(address_of(from), now),
+                    ProcessEvent::Heartbeat { beat, sent_at } => side.on_heartbeat(*beat, sent_at, now),
+                    ProcessEvent::AnswerDue => side.on_answer_due(now),
+                    ProcessEvent::Left(server) => side.on_leave(server, now),
+                    ProcessEvent::Tick => side.on_tick(now),
+                    _ => Vec::new(),
+                };
+                let answers = side.take_answers().into_iter().map(ProcessEffect::Answer);
+                sends(outgoing).into_iter().chain(answers).collect()
+            }
             (None, _) => Vec::new(),
         }
     }
@@ -178,7 +180,7 @@
         ProcessEvent::Call(call) => CoreEvent::Call(call),
         ProcessEvent::Tick => CoreEvent::Tick,
         ProcessEvent::Terminate => CoreEvent::Terminate,
-        ProcessEvent::Heartbeat { .. } | ProcessEvent::Left(_) => return None,
+        ProcessEvent::Heartbeat { .. } | ProcessEvent::AnswerDue | ProcessEvent::Left(_) => return None,
     })
 }
 
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -6,7 +6,7 @@
 use crate::network::Arrival;
 use crate::planted::PlantedFault;
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
-use crate::side::Side;
+use crate::side::{HeartbeatCall, Side, SideAnswer};
 use crate::world::{LocalMessage, World};
 use lupinrack_cluster_api::identity::{DiskId, FencingToken};
 use lupinrack_cluster_api::operation::Operation;
@@ -146,6 +146,9 @@
             let is_core = self.machines[machine].role == Role::Core;
             let every = if is_core { CORE_TICK_MS } else { OTHER_TICK_MS };
             let due = (self.now + machine as u64 * 7).is_multiple_of(every);
+            if !self.machines[machine].frozen && self.machines[machine].is_answer_due(self.now) {
+                self.dispatch(machine, ProcessEvent::AnswerDue);
+            }
             if due && !self.machines[machine].frozen {
                 self.dispatch(machine, ProcessEvent::Tick);
                 self.end_if_left(machine);
@@ -183,14 +186,13 @@
             one.inbox.push_back(event);
             return;
         }
-        let listed = highest_end(&event);
         let effects = one.handle(event, now);
         for effect in effects {
-            self.carry_out(machine, effect, listed);
+            self.carry_out(machine, effect);
         }
     }
 
-    fn carry_out(&mut self, machine: usize, effect: ProcessEffect, listed: u64) {
+    fn carry_out(&mut self, machine: usize, effect: ProcessEffect) {
         let now = self.now;
         match effect {
             ProcessEffect::Core(CoreEffect::Send { to, frame }) => {
@@ -202,10 +204,11 @@
                 self.network.send_on(machine, connection, frame, now);
             }
             ProcessEffect::Core(CoreEffect::Write { ticket, batch }) => self.write(machine, ticket, batch),
-            ProcessEffect::Answer { server, sent_at, answer } => {
+            ProcessEffect::Answer(SideAnswer { call, answer }) => {
+                let HeartbeatCall { server, sent_at, highest_end } = call;
                 let place = machine - self.settings.cores - self.settings.fronts;
                 if self.places[place].server.as_ref().is_some_and(|known| *known.id() == server) {
-                    let answer = self.planted_answer(answer, listed);
+                    let answer = self.planted_answer(answer, highest_end);
                     let life = self.places[place].life;
                     let answer = LocalMessage::Answer(life, beat_answer(answer, sent_at));
                     self.send_local(place, answer);
@@ -275,11 +278,6 @@
     AgentSettings { hold_max_ms: HOLD_MOST_MS, heartbeat_ms: 1_000, idle_beat_ms: 400, busy_beat_ms: 100 }
 }
 
-fn highest_end(event: &ProcessEvent) -> u64 {
-    let ProcessEvent::Heartbeat { beat, .. } = event else { return 0 };
-    beat.heartbeat.finished.iter().map(|end| end.number).max().unwrap_or(0)
-}
-
 fn beat_answer(answer: HeartbeatAnswer, beat_sent_at: u64) -> BeatAnswer {
     let starts = answer.starts.into_iter().map(|start| StartOrder {
         task: start.task,
--- a/crates/cluster-simulation/src/side.rs
+++ b/crates/cluster-simulation/src/side.rs
@@ -8,12 +8,46 @@
 use lupinrack_cluster_node::head_client::Outgoing;
 use lupinrack_cluster_node::owner::owner_address;
 use lupinrack_cluster_node::subscription::Subscription;
-use lupinrack_worker_agent::{Agent, AgentSettings, HeartbeatAnswer, ServerHeartbeat};
+use lupinrack_worker_agent::{
+    Agent, AgentSettings, HeartbeatAnswer, HeartbeatReceipt, OpenHeartbeat, ServerHeartbeat,
+};
 
 /// Between two subscriptions to views, in milliseconds.
 const SUBSCRIBE_MS: u64 = 1_500;
 /// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
 const OWNER_SILENT_MS: u64 = 600;
+/// How long the answer to a heartbeat that lists ends waits for what takes their place, in milliseconds.
+const WAIT_AFTER_ENDS_MS: u64 = 80;
+/// How long the answer to a server on which nothing runs waits for work, in milliseconds.
+const WAIT_IDLE_MS: u64 = 300;
+
+/// A heartbeat of the server, as it is known again in the answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeartbeatCall {
+    /// The server's life.
+    pub server: ServerId,
+    /// When the server sent it.
+    pub sent_at: u64,
+    /// The highest number of an end that it lists; 0 without any.
+    pub highest_end: u64,
+}
+
+/// An answer to a heartbeat.
+#[derive(Debug)]
+pub struct SideAnswer {
+    /// The heartbeat.
+    pub call: HeartbeatCall,
+    /// Its answer.
+    pub answer: HeartbeatAnswer,
+}
+
+/// A heartbeat whose answer waits for orders.
+#[derive(Debug)]
+struct OpenCall {
+    open: OpenHeartbeat,
+    call: HeartbeatCall,
+    until: Millis,
+}
 
 /// The process of an agent.
 #[derive(Debug)]
@@ -25,6 +59,9 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    open: Option<OpenCall>,
+    /// Answers that are to be sent.
+    answers: Vec<SideAnswer>,
 }
 
 impl Side {
@@ -38,6 +75,8 @@
             owner: None,
             owner_heard: now,
             session: 0,
+            open: None,
+            answers: Vec::new(),
         }
     }
 
@@ -49,6 +88,7 @@
                 self.subscription.heard_news(now);
                 // A refused order is asked for again by the agent.
                 let _ = self.agent.owner_message(self.session, message, now);
+                self.answer_if_due(now);
                 Vec::new()
             }
             Frame::ViewNews(view) => self.on_view(view, now),
@@ -91,15 +131,68 @@
     }
 
     /// A heartbeat of the server came.
-    pub fn on_heartbeat(&mut self, beat: ServerHeartbeat, now: Millis) -> (HeartbeatAnswer, Vec<Outgoing>) {
+    pub fn on_heartbeat(&mut self, beat: ServerHeartbeat, sent_at: u64, now: Millis) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         if self.service.as_ref() != Some(&beat.facts.service) {
             self.service = Some(beat.facts.service.clone());
             outgoing.extend(self.find_owner(now));
         }
-        let answer = self.agent.heartbeat(beat, now);
+        self.answer_open(now);
+        self.take_heartbeat(beat, sent_at, now);
         outgoing.extend(self.poll_agent(now));
-        (answer, outgoing)
+        outgoing
+    }
+
+    /// The open heartbeat has waited for long enough.
+    pub fn on_answer_due(&mut self, now: Millis) -> Vec<Outgoing> {
+        self.answer_if_due(now);
+        Vec::new()
+    }
+
+    /// The answers that are due since the last call.
+    pub fn take_answers(&mut self) -> Vec<SideAnswer> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// Takes a heartbeat. Its answer waits a moment where orders are likely to come.
+    fn take_heartbeat(&mut self, beat: ServerHeartbeat, sent_at: u64, now: Millis) {
+        let call = HeartbeatCall {
+            server: beat.facts.id.clone(),
+            sent_at,
+            highest_end: beat.heartbeat.finished.iter().map(|end| end.number).max().unwrap_or(0),
+        };
+        let open = match self.agent.receive_heartbeat(beat, now) {
+            HeartbeatReceipt::Open(open) => open,
+            HeartbeatReceipt::Answer(answer) => return self.answers.push(SideAnswer { call, answer }),
+        };
+        let wait_ms = match (open.ends, open.idle) {
+            (true, _) => WAIT_AFTER_ENDS_MS,
+            (_, true) => WAIT_IDLE_MS,
+            _ => 0,
+        };
+        self.open = Some(OpenCall { open, call, until: now.plus(wait_ms) });
+        self.answer_if_due(now);
+    }
+
+    /// Answers the open heartbeat if there are orders, or if it has waited for long enough.
+    fn answer_if_due(&mut self, now: Millis) {
+        let waits = self.open.as_ref().is_some_and(|open| now < open.until);
+        if waits && !self.agent.has_orders(now) {
+            return;
+        }
+        self.answer_open(now);
+    }
+
+    fn answer_open(&mut self, now: Millis) {
+        if let Some(OpenCall { open, call, .. }) = self.open.take() {
+            let answer = self.agent.answer_heartbeat(&open, now);
+            self.answers.push(SideAnswer { call, answer });
+        }
+    }
+
+    /// Whether the open heartbeat has waited for long enough.
+    pub fn is_answer_due(&self, now: Millis) -> bool {
+        self.open.as_ref().is_some_and(|open| now >= open.until)
     }
 
     /// The server has left in order.
