--- a/crates/cluster-simulation/src/clients.rs
+++ b/crates/cluster-simulation/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: each hands in a job, asks for its state, and may cancel it.
 
 use crate::calls::{call, OpenCall, Outcome};
+use crate::configuration::HOST;
 use crate::planted::PlantedFault;
 use crate::world::World;
 use lupinrack_cluster_api::error::ErrorKind;
@@ -12,9 +13,6 @@
 const WAIT_MS: u64 = 2_250;
 /// Tries after which a client gives up what is always refused.
 const TRIES_MOST: u32 = 12;
-/// The host of all routes.
-pub const HOST: &str = "h";
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Intent {
     Submit,
@@ -60,140 +58,125 @@
         self.job
     }
 
-    fn target(&self) -> Target {
-        Target { host: HOST.to_owned(), path: format!("/{}/{}", self.queue, self.job) }
+    /// Does what is due.
+    pub fn serve(&mut self, world: &mut World) {
+        if !self.finished {
+            self.read_answer(world);
+            self.begin_call(world);
+        }
     }
-}
 
-impl World {
-    /// Lets every client do what is due.
-    pub fn serve_clients(&mut self) {
-        for number in 0..self.clients.len() {
-            if self.clients[number].finished {
-                continue;
-            }
-            self.read_answer(number);
-            self.begin_call(number);
-        }
+    fn target(&self) -> Target {
+        Target { host: HOST.to_owned(), path: format!("/{}/{}", self.queue, self.job) }
     }
 
-    fn begin_call(&mut self, number: usize) {
-        let now = self.now;
-        let client = &self.clients[number];
-        if client.finished || client.open.is_some() || now < client.next_at {
+    fn begin_call(&mut self, world: &mut World) {
+        let now = world.now;
+        if self.finished || self.open.is_some() || now < self.next_at {
             return;
         }
-        let Some(front) = self.ready_front() else { return };
-        let client = &mut self.clients[number];
-        let (target, job) = (client.target(), client.job);
-        let Some(truth) = self.checks.jobs.get_mut(&job) else { return };
-        let (intent, request) = if client.accepted_at.is_none() {
+        let Some(front) = world.ready_front() else { return };
+        let (target, job) = (self.target(), self.job);
+        let Some(truth) = world.checks.jobs.get_mut(&job) else { return };
+        let (intent, request) = if self.accepted_at.is_none() {
             truth.sent = true;
             (Intent::Submit, Request::SubmitJob { target, job, spec: truth.spec.clone() })
-        } else if client.cancel_at.is_some_and(|at| now >= at) {
+        } else if self.cancel_at.is_some_and(|at| now >= at) {
             truth.cancel_sent = true;
             (Intent::Cancel, Request::CancelJob { target, job })
         } else {
             (Intent::Ask, Request::ReadJob { target, job })
         };
         let (call, open) = call(request, now, WAIT_MS);
-        client.open = Some((intent, open));
-        self.call_front(front, call);
+        self.open = Some((intent, open));
+        world.call_front(front, call);
     }
 
-    fn read_answer(&mut self, number: usize) {
-        let now = self.now;
-        let planted = self.planted;
-        let client = &mut self.clients[number];
-        let Some((intent, open)) = &mut client.open else { return };
+    fn read_answer(&mut self, world: &mut World) {
+        let now = world.now;
+        let Some((intent, open)) = &mut self.open else { return };
         let Some(mut outcome) = open.outcome(now) else { return };
-        if planted == Some(PlantedFault::RefusedInDoubt) && outcome == Outcome::Doubt {
+        if world.planted == Some(PlantedFault::RefusedInDoubt) && outcome == Outcome::Doubt {
             outcome = Outcome::Refused(ErrorKind::NotTaken);
         }
         let intent = *intent;
-        client.open = None;
-        client.next_at = now + 100 + self.rng.u64(0..300);
+        self.open = None;
+        self.next_at = now + 100 + world.rng.u64(0..300);
         match intent {
-            Intent::Submit => self.submitted(number, outcome),
-            Intent::Ask => self.asked(number, outcome),
-            Intent::Cancel => self.cancelled(number, outcome),
+            Intent::Submit => self.submitted(outcome, world),
+            Intent::Ask => self.asked(outcome, world),
+            Intent::Cancel => self.cancelled(outcome, world),
         }
     }
 
-    fn submitted(&mut self, number: usize, outcome: Outcome) {
-        let now = self.now;
-        let gives_up = self.rng.u32(0..3) == 0;
-        let client = &mut self.clients[number];
-        let job = client.job;
+    fn submitted(&mut self, outcome: Outcome, world: &mut World) {
+        let now = world.now;
+        let gives_up = world.rng.u32(0..3) == 0;
+        let job = self.job;
         match outcome {
             Outcome::Success(Reply::Job(_)) => {
-                client.accepted_at = Some(now);
-                self.strike_on_acceptance();
+                self.accepted_at = Some(now);
+                world.strike_on_acceptance();
             }
-            Outcome::Doubt => client.in_doubt = true,
+            Outcome::Doubt => self.in_doubt = true,
             Outcome::Refused(ErrorKind::NotTaken | ErrorKind::Overloaded | ErrorKind::ShuttingDown) => {
-                client.refusals += 1;
-                if !client.in_doubt && (gives_up || client.refusals > TRIES_MOST) {
-                    client.finished = true;
-                    if let Some(truth) = self.checks.jobs.get_mut(&job) {
+                self.refusals += 1;
+                if !self.in_doubt && (gives_up || self.refusals > TRIES_MOST) {
+                    self.finished = true;
+                    if let Some(truth) = world.checks.jobs.get_mut(&job) {
                         truth.refused = true;
                     }
                 }
             }
-            other => self.checks.broke(now, format!("CONFIG: submission of {job} answered {other:?}")),
+            other => world.checks.broke(now, format!("CONFIG: submission of {job} answered {other:?}")),
         }
     }
 
-    fn asked(&mut self, number: usize, outcome: Outcome) {
-        let now = self.now;
-        let job = self.clients[number].job;
-        let pause = self.rng.u64(400..1_500);
-        self.clients[number].next_at = now + pause;
+    fn asked(&mut self, outcome: Outcome, world: &mut World) {
+        let now = world.now;
+        self.next_at = now + world.rng.u64(400..1_500);
         match outcome {
-            Outcome::Success(Reply::Job(state)) => self.shown(number, state),
-            Outcome::Refused(ErrorKind::UnknownJob) => {
-                self.checks.broke(now, format!("LOST: accepted job {job} is not known"));
-                self.clients[number].finished = true;
-            }
+            Outcome::Success(Reply::Job(state)) => self.shown(state, world),
+            Outcome::Refused(ErrorKind::UnknownJob) => self.unknown(world),
             Outcome::Refused(ErrorKind::UnknownQueue) => {
-                self.checks.broke(now, format!("CONFIG: the queue of {job} is not known"));
+                world.checks.broke(now, format!("CONFIG: the queue of {} is not known", self.job));
             }
             _ => {}
         }
     }
 
-    fn shown(&mut self, number: usize, state: JobState) {
-        let now = self.now;
-        let job = self.clients[number].job;
-        let cancel_sent = self.checks.jobs.get(&job).is_some_and(|truth| truth.cancel_sent);
-        if state == JobState::Succeeded && !self.checks.all_done(job) {
-            self.checks.broke(now, format!("MIXED: {job} is shown as succeeded"));
+    fn unknown(&mut self, world: &mut World) {
+        world.checks.broke(world.now, format!("LOST: accepted job {} is not known", self.job));
+        self.finished = true;
+    }
+
+    fn shown(&mut self, state: JobState, world: &mut World) {
+        let (now, job) = (world.now, self.job);
+        let checks = &mut world.checks;
+        let cancel_sent = checks.jobs.get(&job).is_some_and(|truth| truth.cancel_sent);
+        if state == JobState::Succeeded && !checks.all_done(job) {
+            checks.broke(now, format!("MIXED: {job} is shown as succeeded"));
         }
-        if state == JobState::Failed && !self.checks.has_cause_to_fail(job) {
-            self.checks.broke(now, format!("LOST: {job} is shown as failed without cause"));
+        if state == JobState::Failed && !checks.has_cause_to_fail(job) {
+            checks.broke(now, format!("LOST: {job} is shown as failed without cause"));
         }
         if state == JobState::Cancelled && !cancel_sent {
-            self.checks.broke(now, format!("LOST: {job} is shown as cancelled without cause"));
+            checks.broke(now, format!("LOST: {job} is shown as cancelled without cause"));
         }
         if state.is_final() {
-            self.clients[number].finished = true;
+            self.finished = true;
         }
     }
 
-    fn cancelled(&mut self, number: usize, outcome: Outcome) {
-        let now = self.now;
-        let job = self.clients[number].job;
+    fn cancelled(&mut self, outcome: Outcome, world: &mut World) {
         match outcome {
             Outcome::Success(Reply::Job(state)) => {
-                if let Some(truth) = self.checks.jobs.get_mut(&job) {
-                    truth.cancelled_at = Some(now);
+                if let Some(truth) = world.checks.jobs.get_mut(&self.job) {
+                    truth.cancelled_at = Some(world.now);
                 }
-                self.shown(number, state);
-            }
-            Outcome::Refused(ErrorKind::UnknownJob) => {
-                self.checks.broke(now, format!("LOST: accepted job {job} is not known"));
-                self.clients[number].finished = true;
+                self.shown(state, world);
             }
+            Outcome::Refused(ErrorKind::UnknownJob) => self.unknown(world),
             _ => {}
         }
     }
--- a/crates/cluster-simulation/src/configuration.rs
+++ b/crates/cluster-simulation/src/configuration.rs
@@ -1,9 +1,11 @@
 //! Bodies of the operator's changes.
 
-use crate::clients::HOST;
 use crate::workload::{MAX_RETRIES, QUEUES};
 use lupinrack_cluster_api::operation::ConfigurationBody;
 
+/// The host of all routes.
+pub const HOST: &str = "h";
+
 /// The services; each queue belongs to the one of its place.
 pub const SERVICES: [&str; 2] = ["alpha", "beta"];
 
--- a/crates/cluster-simulation/src/day.rs
+++ b/crates/cluster-simulation/src/day.rs
@@ -1,7 +1,16 @@
 //! A whole day: traffic and faults, then time to finish, then the last questions.
 
-use crate::plan::Plan;
-use crate::world::{DaySettings, World};
+use crate::clients::Client;
+use crate::clock::WALL_BEGIN_MS;
+use crate::operator::Operator;
+use crate::plan::{Entry, OperatorOrder, Plan, Trouble};
+use crate::settings::DaySettings;
+use crate::workload::draw;
+use crate::world::World;
+use lupinrack_cluster_api::identity::JobId;
+
+/// Servers, clients and the operator are moved on by this, in milliseconds.
+const WORK_STEP_MS: u64 = 5;
 
 /// How a day ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -18,34 +27,83 @@
 
 /// Plays the day of a seed.
 pub fn play(seed: u64, settings: DaySettings) -> DayReport {
-    play_world(World::new(seed, settings))
+    Day::new(seed, settings).play()
 }
 
 /// Plays the day of a seed with these faults in place of its own.
 pub fn play_plan(seed: u64, settings: DaySettings, plan: Plan) -> DayReport {
-    let mut world = World::new(seed, DaySettings { faults: false, ..settings });
-    world.plan = plan;
-    play_world(world)
+    let mut day = Day::new(seed, DaySettings { faults: false, ..settings });
+    day.plan = plan;
+    day.play()
+}
+
+/// The world and those who act on it.
+#[derive(Debug)]
+struct Day {
+    world: World,
+    plan: Plan,
+    clients: Vec<Client>,
+    operator: Operator,
 }
 
-fn play_world(mut world: World) -> DayReport {
-    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
-    let settings = world.settings;
-    while world.now < settings.traffic_ms + 6_000 {
-        world.step();
+impl Day {
+    fn new(seed: u64, settings: DaySettings) -> Day {
+        let mut world = World::new(fastrand::Rng::with_seed(seed), settings);
+        let plan = if settings.faults { Plan::draw(&mut world.rng, &settings) } else { Plan::default() };
+        world.seed_network();
+        let clients = draw_clients(&mut world);
+        let mut operator = Operator::default();
+        operator.begin(OperatorOrder::Change, &mut world);
+        Day { world, plan, clients, operator }
     }
-    world.begin_closing();
-    while world.now < settings.traffic_ms + settings.finish_ms && !world.is_finished() {
-        world.step();
+
+    fn play(mut self) -> DayReport {
+        spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+        let settings = self.world.settings;
+        while self.world.now < settings.traffic_ms + 6_000 {
+            self.step();
+        }
+        self.begin_closing();
+        while self.world.now < settings.traffic_ms + settings.finish_ms && !self.is_finished() {
+            self.step();
+        }
+        self.check_end();
+        self.report()
+    }
+
+    /// Moves on by a millisecond.
+    fn step(&mut self) {
+        self.world.step();
+        if self.world.now.is_multiple_of(WORK_STEP_MS) {
+            self.act();
+        }
+    }
+
+    fn act(&mut self) {
+        self.world.work(WORK_STEP_MS);
+        self.world.send_heartbeats();
+        for client in &mut self.clients {
+            client.serve(&mut self.world);
+        }
+        self.operator.serve(&mut self.world);
+        self.follow_plan();
+    }
+
+    fn follow_plan(&mut self) {
+        self.world.end_troubles();
+        while let Some(entry) = self.plan.take_due(self.world.now) {
+            match entry {
+                Entry { trouble: Trouble::Operator(order), .. } => {
+                    self.operator.begin(order, &mut self.world);
+                }
+                entry => self.world.begin_trouble(entry),
+            }
+        }
     }
-    world.check_end();
-    world.report()
-}
 
-impl World {
     /// The last questions begin: every accepted job is asked for once more.
     fn begin_closing(&mut self) {
-        self.closing = true;
+        self.world.closing = true;
         for client in &mut self.clients {
             client.finished = client.accepted_at.is_none() && client.finished;
         }
@@ -57,33 +115,42 @@
     }
 
     fn check_end(&mut self) {
-        let now = self.now;
-        let unfinished: Vec<String> = self
-            .clients
-            .iter()
-            .filter(|client| !client.finished)
-            .map(|client| {
-                let shape = self.checks.jobs.get(&client.job()).map(|truth| truth.spec.steps.len());
-                format!("{} accepted at {:?}, steps {shape:?}", client.job(), client.accepted_at)
-            })
-            .collect();
-        for job in unfinished {
-            self.checks.broke(now, format!("LOST: not finished: {job}"));
+        let now = self.world.now;
+        for client in self.clients.iter().filter(|client| !client.finished) {
+            let shape = self.world.checks.jobs.get(&client.job()).map(|truth| truth.spec.steps.len());
+            let (job, accepted_at) = (client.job(), client.accepted_at);
+            let text = format!("LOST: not finished: {job} accepted at {accepted_at:?}, steps {shape:?}");
+            self.world.checks.broke(now, text);
         }
         if self.operator.is_busy() {
-            self.checks.broke(now, "CONFIG: a change has no clear answer".to_owned());
+            self.world.checks.broke(now, "CONFIG: a change has no clear answer".to_owned());
         }
         if self.operator.read_at_end.is_none() {
-            self.checks.broke(now, "CONFIG: the configuration is not read back".to_owned());
+            self.world.checks.broke(now, "CONFIG: the configuration is not read back".to_owned());
         }
     }
 
     fn report(self) -> DayReport {
+        let checks = self.world.checks;
         DayReport {
             accepted: self.clients.iter().filter(|client| client.accepted_at.is_some()).count(),
-            tasks_started: self.checks.tasks.len(),
-            tasks_done: self.checks.tasks.values().filter(|task| task.done_at.is_some()).count(),
-            broken: self.checks.broken,
+            tasks_started: checks.tasks.len(),
+            tasks_done: checks.tasks.values().filter(|task| task.done_at.is_some()).count(),
+            broken: checks.broken,
         }
     }
 }
+
+fn draw_clients(world: &mut World) -> Vec<Client> {
+    (1..=world.settings.jobs).map(|number| draw_client(number, world)).collect()
+}
+
+fn draw_client(number: u64, world: &mut World) -> Client {
+    let begins_at = 2_500 + world.rng.u64(0..world.settings.traffic_ms - 10_000);
+    let drawn = draw(&mut world.rng, number, WALL_BEGIN_MS + begins_at);
+    let cancelled = drawn.truth.is_lasting() || world.rng.u32(0..15) == 0;
+    let cancel_at = cancelled.then(|| begins_at + world.rng.u64(500..9_000));
+    let job = JobId(number);
+    world.checks.jobs.insert(job, drawn.truth);
+    Client::new(job, drawn.queue, begins_at, cancel_at)
+}
--- a/crates/cluster-simulation/src/faults.rs
+++ b/crates/cluster-simulation/src/faults.rs
@@ -4,29 +4,14 @@
 use crate::machine::ProcessEvent;
 use crate::plan::{CoreTrouble, Entry, Trouble};
 use crate::server::Conduct;
-use crate::world::{LocalMessage, World, CONTACT_MS};
+use crate::world::{LocalMessage, World};
 
 /// How much longer frames take on slow links at most, in milliseconds.
 const SLOW_MS: u64 = 400;
 
-/// What is under way.
-#[derive(Clone, Debug, Default)]
-pub struct Troubles {
-    ends: Vec<(u64, Trouble)>,
-    last_over: u64,
-    strike_on_acceptance: Option<Trouble>,
-    acknowledgements_lost: bool,
-}
-
-impl Troubles {
-    /// Whether all machines are in touch.
-    pub fn is_calm(&self, now: u64) -> bool {
-        self.ends.is_empty() && now >= self.last_over + CONTACT_MS
-    }
-}
-
 impl World {
-    pub(crate) fn follow_plan(&mut self) {
+    /// Ends what is over.
+    pub(crate) fn end_troubles(&mut self) {
         let now = self.now;
         let over: Vec<(u64, Trouble)> =
             self.troubles.ends.iter().copied().filter(|(at, _)| *at <= now).collect();
@@ -35,17 +20,13 @@
             self.end_trouble(trouble);
             self.troubles.last_over = now;
         }
-        while let Some(entry) = self.plan.take_due(now) {
-            self.begin_trouble(entry);
-        }
     }
 
-    fn begin_trouble(&mut self, entry: Entry) {
+    /// Begins what the plan has due, but for the work of the operator.
+    pub(crate) fn begin_trouble(&mut self, entry: Entry) {
         let Entry { for_ms, trouble, .. } = entry;
         match trouble {
-            Trouble::Change => return self.begin_change(),
-            Trouble::Race => return self.begin_race(),
-            Trouble::BadChange => return self.begin_bad_change(),
+            Trouble::Operator(_) => return,
             Trouble::AcknowledgementsLost => self.troubles.acknowledgements_lost = true,
             Trouble::Core(kind, machine) => self.begin_core_trouble(kind, machine, for_ms),
             Trouble::AllPower | Trouble::WipeOnAcceptance(_) => {
--- a/crates/cluster-simulation/src/operator.rs
+++ b/crates/cluster-simulation/src/operator.rs
@@ -1,8 +1,8 @@
 //! The operator: changes with races, repeats and faults, and reads, checked against the rules of the configuration.
 
 use crate::calls::{call, OpenCall, Outcome};
-use crate::clients::HOST;
-use crate::configuration::{cut_short, mark_of, patch, unknown_service, whole};
+use crate::configuration::{cut_short, mark_of, patch, unknown_service, whole, HOST};
+use crate::plan::OperatorOrder;
 use crate::world::World;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
@@ -67,58 +67,67 @@
 }
 
 impl Operator {
-    /// Whether the first configuration was taken.
-    pub fn has_begun(&self) -> bool {
-        self.acknowledged > 0
-    }
-
     /// Whether any change is still being sent.
     pub fn is_busy(&self) -> bool {
         self.changes.iter().any(|change| !change.over)
     }
-}
 
-impl World {
+    /// Begins what the plan has it do.
+    pub fn begin(&mut self, order: OperatorOrder, world: &mut World) {
+        match order {
+            OperatorOrder::Change => self.begin_change(world),
+            OperatorOrder::Race => self.begin_race(world),
+            OperatorOrder::BadChange => self.begin_bad_change(world),
+        }
+    }
+
     /// Begins a change on top of the newest known version.
-    pub fn begin_change(&mut self) {
-        let number = self.operator.changes.len();
-        let if_match = self.operator.known;
-        let version = if_match + 1 + self.rng.u64(0..3);
-        let is_whole = if_match == 0 || self.rng.u32(0..3) == 0;
+    fn begin_change(&mut self, world: &mut World) {
+        let number = self.changes.len();
+        let if_match = self.known;
+        let version = if_match + 1 + world.rng.u64(0..3);
+        let is_whole = if_match == 0 || world.rng.u32(0..3) == 0;
         let body = if is_whole { whole(version, number) } else { patch(version, number) };
-        self.send_change(if_match, version, body, true);
+        self.send_change(if_match, version, body, true, world);
     }
 
     /// Begins two changes on the same version.
-    pub fn begin_race(&mut self) {
-        self.begin_change();
-        self.begin_change();
+    fn begin_race(&mut self, world: &mut World) {
+        self.begin_change(world);
+        self.begin_change(world);
     }
 
     /// Begins a change that is invalid, or builds on a version that is not current.
-    pub fn begin_bad_change(&mut self) {
-        let number = self.operator.changes.len();
-        let known = self.operator.known;
+    fn begin_bad_change(&mut self, world: &mut World) {
+        let number = self.changes.len();
+        let known = self.known;
         if known == 0 {
             return;
         }
-        match self.rng.u32(0..4) {
-            0 => self.send_change(known, known + 1, unknown_service(known + 1, number), false),
-            1 => self.send_change(known, known + 1, cut_short(known + 1), false),
-            2 => self.send_change(known, known, patch(known, number), false),
-            _ => self.send_change(known - 1, known + 5, patch(known + 5, number), false),
+        match world.rng.u32(0..4) {
+            0 => self.send_change(known, known + 1, unknown_service(known + 1, number), false, world),
+            1 => self.send_change(known, known + 1, cut_short(known + 1), false, world),
+            2 => self.send_change(known, known, patch(known, number), false, world),
+            _ => self.send_change(known - 1, known + 5, patch(known + 5, number), false, world),
         }
     }
 
-    fn send_change(&mut self, if_match: u64, version: u64, body: ConfigurationBody, valid: bool) {
-        let repeats_left = self.rng.u32(0..3);
-        self.operator.changes.push(Change {
+    fn send_change(
+        &mut self,
+        if_match: u64,
+        version: u64,
+        body: ConfigurationBody,
+        valid: bool,
+        world: &mut World,
+    ) {
+        let repeats_left = world.rng.u32(0..3);
+        self.changes.push(Change {
             if_match,
             version,
             body,
             valid,
             open: None,
-            next_at: self.now,
+            next_at: world.now,
             pause: 50,
             acknowledged_at: None,
             refused: false,
@@ -128,65 +137,64 @@
     }
 
     /// Lets the operator do what is due.
-    pub fn serve_operator(&mut self) {
-        for number in 0..self.operator.changes.len() {
-            self.go_on_with_change(number);
+    pub fn serve(&mut self, world: &mut World) {
+        for number in 0..self.changes.len() {
+            self.go_on_with_change(number, world);
         }
-        self.go_on_with_read();
-        self.go_on_with_count();
+        self.go_on_with_read(world);
+        self.go_on_with_count(world);
     }
 
-    fn go_on_with_change(&mut self, number: usize) {
-        let now = self.now;
-        let change = &mut self.operator.changes[number];
+    fn go_on_with_change(&mut self, number: usize, world: &mut World) {
+        let now = world.now;
+        let change = &mut self.changes[number];
         if let Some((open, lost)) = &mut change.open {
             let Some(outcome) = open.outcome(now) else { return };
             let outcome = if *lost { Outcome::Doubt } else { outcome };
             change.open = None;
-            self.change_answered(number, outcome);
+            self.change_answered(number, outcome, world);
             return;
         }
         if change.over || now < change.next_at {
             return;
         }
-        let Some(core) = self.some_core() else { return };
-        let lost = self.loses_acknowledgement();
-        let change = &mut self.operator.changes[number];
+        let Some(core) = world.some_core() else { return };
+        let lost = world.loses_acknowledgement();
+        let change = &mut self.changes[number];
         let body = change.body.clone();
         let request = Request::ChangeConfiguration(ConfigurationChange { if_match: change.if_match, body });
         let (call, open) = call(request, now, SILENCE_MS);
         change.open = Some((open, lost));
-        self.call_core(core, call);
+        world.call_core(core, call);
     }
 
-    fn change_answered(&mut self, number: usize, outcome: Outcome) {
-        let now = self.now;
+    fn change_answered(&mut self, number: usize, outcome: Outcome, world: &mut World) {
+        let now = world.now;
         match outcome {
-            Outcome::Success(_) => self.change_acknowledged(number),
+            Outcome::Success(_) => self.change_acknowledged(number, world),
             Outcome::Refused(
                 kind @ (ErrorKind::VersionConflict | ErrorKind::InvalidConfiguration | ErrorKind::Malformed),
-            ) => self.change_refused(number, kind),
+            ) => self.change_refused(number, kind, world),
             Outcome::Refused(_) | Outcome::Doubt => {
-                let change = &mut self.operator.changes[number];
+                let change = &mut self.changes[number];
                 change.pause = (change.pause * 2).min(800);
                 change.next_at = now + change.pause;
             }
         }
     }
 
-    fn change_acknowledged(&mut self, number: usize) {
-        let now = self.now;
-        let (if_match, version) =
-            (self.operator.changes[number].if_match, self.operator.changes[number].version);
-        let rival = self.operator.changes.iter().enumerate().find(|(other, change)| {
+    fn change_acknowledged(&mut self, number: usize, world: &mut World) {
+        let now = world.now;
+        let (if_match, version) = (self.changes[number].if_match, self.changes[number].version);
+        let rival = self.changes.iter().enumerate().find(|(other, change)| {
             *other != number && change.if_match == if_match && change.acknowledged_at.is_some()
         });
         if let Some((rival, _)) = rival {
-            self.checks.broke(now, format!("CONFIG: changes {rival} and {number} on version {if_match}"));
+            world.checks.broke(now, format!("CONFIG: changes {rival} and {number} on version {if_match}"));
         }
-        let change = &mut self.operator.changes[number];
+        let change = &mut self.changes[number];
         if !change.valid || change.refused {
-            self.checks.broke(now, format!("CONFIG: change {number} to {version} is acknowledged"));
+            world.checks.broke(now, format!("CONFIG: change {number} to {version} is acknowledged"));
         }
         change.acknowledged_at.get_or_insert(now);
         if change.repeats_left > 0 {
@@ -195,105 +203,106 @@
         } else {
             change.over = true;
         }
-        self.operator.acknowledged = self.operator.acknowledged.max(version);
-        self.operator.known = self.operator.known.max(version);
+        self.acknowledged = self.acknowledged.max(version);
+        world.has_configuration = true;
+        self.known = self.known.max(version);
     }
 
-    fn change_refused(&mut self, number: usize, kind: ErrorKind) {
-        let now = self.now;
-        let change = &mut self.operator.changes[number];
+    fn change_refused(&mut self, number: usize, kind: ErrorKind, world: &mut World) {
+        let now = world.now;
+        let change = &mut self.changes[number];
         if change.acknowledged_at.is_some() {
-            self.checks.broke(now, format!("CONFIG: change {number}, acknowledged, is refused: {kind}"));
+            world.checks.broke(now, format!("CONFIG: change {number}, acknowledged, is refused: {kind}"));
         }
-        let current = self.operator.read_version;
-        let change = &mut self.operator.changes[number];
+        let current = self.read_version;
+        let change = &mut self.changes[number];
         if change.valid && kind != ErrorKind::VersionConflict && current <= change.if_match {
-            self.checks.broke(now, format!("CONFIG: change {number}, valid, is refused: {kind}"));
+            world.checks.broke(now, format!("CONFIG: change {number}, valid, is refused: {kind}"));
         }
-        let change = &mut self.operator.changes[number];
+        let change = &mut self.changes[number];
         change.refused = true;
         change.over = true;
-        self.operator.next_read_at = now;
+        self.next_read_at = now;
     }
 
-    fn go_on_with_read(&mut self) {
-        let now = self.now;
-        if let Some(read) = &mut self.operator.read {
+    fn go_on_with_read(&mut self, world: &mut World) {
+        let now = world.now;
+        if let Some(read) = &mut self.read {
             let Some(outcome) = read.call.outcome(now) else { return };
             let acknowledged = read.acknowledged;
-            self.operator.read = None;
+            self.read = None;
             if let Outcome::Success(Reply::ConfigurationDocument(text)) = outcome {
-                self.configuration_read(&text, acknowledged);
+                self.configuration_read(&text, acknowledged, world);
             }
             return;
         }
-        if now < self.operator.next_read_at {
+        if now < self.next_read_at {
             return;
         }
-        let Some(core) = self.some_core() else { return };
-        self.operator.next_read_at = now + 400 + self.rng.u64(0..600);
+        let Some(core) = world.some_core() else { return };
+        self.next_read_at = now + 400 + world.rng.u64(0..600);
         let (call, open) = call(Request::ReadConfiguration, now, SILENCE_MS);
-        self.operator.read = Some(OpenRead { call: open, acknowledged: self.operator.acknowledged });
-        self.call_core(core, call);
+        self.read = Some(OpenRead { call: open, acknowledged: self.acknowledged });
+        world.call_core(core, call);
     }
 
-    fn configuration_read(&mut self, text: &str, acknowledged: u64) {
-        let now = self.now;
+    fn configuration_read(&mut self, text: &str, acknowledged: u64, world: &mut World) {
+        let now = world.now;
         let Ok(configuration) = check_configuration(text) else {
             if acknowledged > 0 {
-                self.checks.broke(now, "CONFIG: what is read back is no configuration".to_owned());
+                world.checks.broke(now, "CONFIG: what is read back is no configuration".to_owned());
             }
             return;
         };
         let version = configuration.version;
         if version < acknowledged {
             let text = format!("CONFIG: version {version} is read, {acknowledged} was acknowledged");
-            self.checks.broke(now, text);
+            world.checks.broke(now, text);
         }
-        if version < self.operator.read_version {
-            self.checks.broke(now, format!("CONFIG: back from {} to {version}", self.operator.read_version));
+        if version < self.read_version {
+            world.checks.broke(now, format!("CONFIG: back from {} to {version}", self.read_version));
         }
         let has_mark = |number: usize| {
             let mark = mark_of(number);
             configuration.routes.iter().any(|route| route.name.0 == mark)
         };
-        let rightful = self.operator.changes.iter().enumerate().any(|(number, change)| {
+        let rightful = self.changes.iter().enumerate().any(|(number, change)| {
             change.version == version && change.valid && !change.refused && has_mark(number)
         });
         if !rightful {
-            self.checks.broke(now, format!("CONFIG: version {version} in force was refused or never sent"));
+            world.checks.broke(now, format!("CONFIG: version {version} in force was refused or never sent"));
         }
-        self.operator.read_version = self.operator.read_version.max(version);
-        self.operator.known = self.operator.known.max(version);
-        if self.is_closing() {
-            self.operator.read_at_end = Some(now);
+        self.read_version = self.read_version.max(version);
+        self.known = self.known.max(version);
+        if world.closing {
+            self.read_at_end = Some(now);
         }
     }
 
-    fn go_on_with_count(&mut self) {
-        let now = self.now;
-        if let Some(count) = &mut self.operator.count {
+    fn go_on_with_count(&mut self, world: &mut World) {
+        let now = world.now;
+        if let Some(count) = &mut self.count {
             let Some(outcome) = count.call.outcome(now) else { return };
-            let Some(count) = self.operator.count.take() else { return };
-            if self.is_calm() {
-                self.count_answered(&count, &outcome);
+            let Some(count) = self.count.take() else { return };
+            if world.is_calm() {
+                self.count_answered(&count, &outcome, world);
             }
             return;
         }
-        if now < self.operator.next_count_at || !self.is_calm() {
+        if now < self.next_count_at || !world.is_calm() {
             return;
         }
-        self.operator.next_count_at = now + COUNT_EVERY_MS;
-        let Some((mark, is_there)) = self.settled_mark() else { return };
-        let Some(front) = self.ready_front() else { return };
+        self.next_count_at = now + COUNT_EVERY_MS;
+        let Some((mark, is_there)) = self.settled_mark(world.now) else { return };
+        let Some(front) = world.ready_front() else { return };
         let target = Target { host: HOST.to_owned(), path: format!("/{mark}/") };
         let (call, open) = call(Request::ReadQueue { target }, now, SILENCE_MS);
-        self.operator.count = Some(OpenCount { call: open, mark, is_there });
-        self.call_front(front, call);
+        self.count = Some(OpenCount { call: open, mark, is_there });
+        world.call_front(front, call);
     }
 
-    fn count_answered(&mut self, count: &OpenCount, outcome: &Outcome) {
-        let now = self.now;
+    fn count_answered(&mut self, count: &OpenCount, outcome: &Outcome, world: &mut World) {
+        let now = world.now;
         let wrong = match outcome {
             Outcome::Success(_) => !count.is_there,
             Outcome::Refused(ErrorKind::UnknownQueue) => count.is_there,
@@ -302,28 +311,27 @@
         if wrong {
             let text =
                 format!("CONFIG: route {} is there: {}, answered {outcome:?}", count.mark, count.is_there);
-            self.checks.broke(now, text);
+            world.checks.broke(now, text);
         }
     }
 
     /// A route of which it is certain whether fronts in touch know it: the newest change is settled and nothing else was
     /// sent since.
-    fn settled_mark(&self) -> Option<(String, bool)> {
-        if self.operator.is_busy() {
+    fn settled_mark(&self, now: u64) -> Option<(String, bool)> {
+        if self.is_busy() {
             return None;
         }
         let newest = |change: &&Change| change.acknowledged_at.is_some();
-        let change = self.operator.changes.iter().filter(newest).max_by_key(|change| change.version)?;
-        if change.version != self.operator.known || change.acknowledged_at? + APPLY_MS > self.now {
+        let change = self.changes.iter().filter(newest).max_by_key(|change| change.version)?;
+        if change.version != self.known || change.acknowledged_at? + APPLY_MS > now {
             return None;
         }
         let number = self
-            .operator
             .changes
             .iter()
             .position(|other| other.version == change.version && other.acknowledged_at.is_some())?;
         let is_whole = matches!(change.body, ConfigurationBody::Whole(_));
-        if is_whole && number > 0 && self.now.is_multiple_of(2) {
+        if is_whole && number > 0 && now.is_multiple_of(2) {
             return Some((mark_of(number - 1), false));
         }
         Some((mark_of(number), true))
--- a/crates/cluster-simulation/src/plan.rs
+++ b/crates/cluster-simulation/src/plan.rs
@@ -1,7 +1,7 @@
 //! The plan of a day: faults and planned work, drawn from its seed.
 
 use crate::server::Conduct;
-use crate::world::DaySettings;
+use crate::settings::DaySettings;
 use std::collections::BTreeMap;
 
 /// Grace between the signal to end and the kill, in milliseconds.
@@ -40,6 +40,17 @@
     DiskFull,
 }
 
+/// What the operator begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperatorOrder {
+    /// A change of the configuration.
+    Change,
+    /// Two of them on the same version.
+    Race,
+    /// An invalid or stale one.
+    BadChange,
+}
+
 /// Anything that is planned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -75,12 +86,8 @@
     ServerConduct(usize, Conduct),
     /// A server drains and leaves.
     ServerLeaves(usize),
-    /// A change of the configuration.
-    Change,
-    /// Two of them on the same version.
-    Race,
-    /// An invalid or stale one.
-    BadChange,
+    /// Work of the operator.
+    Operator(OperatorOrder),
     /// Acknowledgements to the operator are lost.
     AcknowledgementsLost,
 }
@@ -88,7 +95,7 @@
 impl Trouble {
     /// Whether it leaves all machines in touch.
     fn is_planned(self) -> bool {
-        matches!(self, Trouble::Change | Trouble::Race | Trouble::BadChange | Trouble::ServerLeaves(_))
+        matches!(self, Trouble::Operator(_) | Trouble::ServerLeaves(_))
     }
 
     fn is_of_core(self) -> bool {
@@ -210,9 +217,9 @@
             11 => Trouble::ServerConduct(place, Conduct::Still),
             12 => Trouble::ServerConduct(place, Conduct::Slow),
             13 => Trouble::ServerLeaves(place),
-            14..17 => Trouble::Change,
-            17 => Trouble::Race,
-            18 => Trouble::BadChange,
+            14..17 => Trouble::Operator(OperatorOrder::Change),
+            17 => Trouble::Operator(OperatorOrder::Race),
+            18 => Trouble::Operator(OperatorOrder::BadChange),
             19 => Trouble::FrontCut(front),
             20 => Trouble::SideSlow(side),
             _ => Trouble::AcknowledgementsLost,
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -27,7 +27,20 @@
 const HOLD_EXCESS_MS: u64 = 1_000;
 
 impl World {
-    pub(crate) fn start_machines(&mut self) {
+    /// Moves machines, network and disks on by a millisecond.
+    pub(crate) fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        self.start_machines();
+        for (machine, arrival) in self.network.advance(now, &self.presences) {
+            self.arrive(machine, arrival);
+        }
+        self.advance_disks();
+        self.tick_machines();
+        self.deliver_local();
+    }
+
+    fn start_machines(&mut self) {
         for machine in 0..self.machines.len() {
             if self.machines[machine].starts_at.is_some_and(|at| self.now >= at) {
                 self.machines[machine].starts_at = None;
@@ -128,7 +141,7 @@
         inbox.into_iter().for_each(|event| self.dispatch(machine, event));
     }
 
-    pub(crate) fn arrive(&mut self, machine: usize, arrival: Arrival) {
+    fn arrive(&mut self, machine: usize, arrival: Arrival) {
         let event = match arrival {
             Arrival::Frame { from, connection, frame } => {
                 let life = match &self.presences[from].hello {
@@ -142,7 +155,7 @@
         self.dispatch(machine, event);
     }
 
-    pub(crate) fn tick_machines(&mut self) {
+    fn tick_machines(&mut self) {
         for machine in 0..self.machines.len() {
             let is_core = self.machines[machine].role == Role::Core;
             let every = if is_core { CORE_TICK_MS } else { OTHER_TICK_MS };
@@ -165,7 +178,7 @@
         }
     }
 
-    pub(crate) fn advance_disks(&mut self) {
+    fn advance_disks(&mut self) {
         for machine in self.cores() {
             let news = self.machines[machine].disk.advance(self.now);
             match news {
--- a/crates/cluster-simulation/src/work.rs
+++ b/crates/cluster-simulation/src/work.rs
@@ -2,7 +2,7 @@
 
 use crate::checks::{JobTruth, SeenStart};
 use crate::server::{BeatAnswer, Conduct, ServerRun, StartOrder};
-use crate::world::{World, WORK_STEP_MS};
+use crate::world::World;
 use lupinrack_cluster_api::identity::TaskId;
 use lupinrack_cluster_api::server::RunEnd;
 use std::collections::{BTreeMap, BTreeSet};
@@ -110,12 +110,12 @@
         })
     }
 
-    /// Moves everything on the servers on by one step of time.
-    pub fn work(&mut self) {
+    /// Moves everything on the servers on by a step of so many milliseconds.
+    pub fn work(&mut self, step_ms: u64) {
         let working_gangs = self.gangs_at_work();
         for machine in 0..self.places.len() {
             self.lapse(machine);
-            self.work_on(machine, &working_gangs);
+            self.work_on(machine, step_ms, &working_gangs);
         }
         self.end_gangs();
         for machine in 0..self.places.len() {
@@ -138,7 +138,7 @@
         }
     }
 
-    fn work_on(&mut self, machine: usize, working_gangs: &BTreeSet<(TaskId, u32)>) {
+    fn work_on(&mut self, machine: usize, step_ms: u64, working_gangs: &BTreeSet<(TaskId, u32)>) {
         let now = self.now;
         let Some(server) = self.places[machine].server.as_mut() else { return };
         let conduct = server.conduct;
@@ -159,7 +159,7 @@
             if conduct == Conduct::Still || now < run.works_from || !gang_works {
                 continue;
             }
-            run.done_ms += WORK_STEP_MS as f64 / if conduct == Conduct::Slow { SLOW_FACTOR } else { 1.0 };
+            run.done_ms += step_ms as f64 / if conduct == Conduct::Slow { SLOW_FACTOR } else { 1.0 };
             if run.checkpoints && run.done_ms >= run.saved_ms + SAVE_MS {
                 run.saved_ms = run.done_ms;
             }
