Configuration: a resend is never refused for age, and digests keep every bit

Cause: the record of changes kept 64 of a digest's 256 bits, and it was a set by the version set. After 2,048 later changes a resend of an order that had been taken was answered 412, as if it had never been. Two changes of which one was taken could be confused only by a collision of 64 bits; nothing proved that none is made on purpose. Also, an object with a field that comes twice was taken with the last one, so an order could mean two things.

An order on a version that the record no longer goes back to is left in doubt (504), never refused. The change on version 0 is never forgotten: who builds on nothing gets a clear answer for ever. A field that comes twice makes a body unreadable. check_body says which bodies are wrong whatever is current, for processes that do not know what is.

Ruled out by tests: orders that differ in one byte, in form or in kind are not confused; eight at once have one winner; versions at the ends of the range are read, beyond are refused.

--- a/crates/control-state/src/configuration_body.rs
+++ b/crates/control-state/src/configuration_body.rs
@@ -14,10 +14,13 @@
 /// The empty path, of the body itself.
 const WHOLE: &str = "";
 
+/// The version before the first configuration.
+const NO_VERSION: u64 = 0;
+
 /// Reads and checks the text of a whole configuration; the first fault is named with its place.
 pub fn check_configuration(text: &str) -> Result<Configuration, ConfigurationFault> {
     let document = read_whole(text)?;
-    check_version(&document, 0)?;
+    check_version(&document, NO_VERSION)?;
     document.check()
 }
 
@@ -32,6 +35,27 @@
     }
 }
 
+/// Refuses a body that is invalid whatever the current configuration is: one that cannot be read, that sets version 0, or
+/// whose items are faulty in themselves. So any process may refuse it, also one that does not know what is current.
+pub fn check_body(body: &ConfigurationBody) -> Result<(), ConfigurationFault> {
+    match body {
+        ConfigurationBody::Whole(text) => check_configuration(text).map(drop),
+        ConfigurationBody::Patch(text) => check_patch(text),
+    }
+}
+
+fn check_patch(text: &str) -> Result<(), ConfigurationFault> {
+    let Patch { version, upsert, .. } = read_patch(text)?;
+    let added = ConfigurationDocument {
+        version,
+        routes: upsert.routes,
+        services: upsert.services,
+        ..ConfigurationDocument::default()
+    };
+    check_version(&added, NO_VERSION)?;
+    added.check_items()
+}
+
 /// Refuses a version that is not above `current`.
 pub fn check_version(document: &ConfigurationDocument, current: u64) -> Result<(), ConfigurationFault> {
     if document.version > current {
@@ -57,11 +81,7 @@
     current: &ConfigurationDocument,
     text: &str,
 ) -> Result<ConfigurationDocument, ConfigurationFault> {
-    let mut body = JsonObject::split(text, WHOLE)?;
-    let version = take_version(&mut body)?;
-    let remove = take_part(&mut body, "remove", read_names)?;
-    let upsert = take_part(&mut body, "upsert", read_items)?;
-    body.expect_empty()?;
+    let Patch { version, remove, upsert } = read_patch(text)?;
     let mut document = current.clone();
     document.version = version;
     change_items(&mut document.routes, &remove.routes, upsert.routes);
@@ -69,6 +89,22 @@
     Ok(document)
 }
 
+/// The body of a `PATCH`.
+struct Patch {
+    version: u64,
+    remove: PatchPart<String>,
+    upsert: PatchPart<DocumentItem>,
+}
+
+fn read_patch(text: &str) -> Result<Patch, ConfigurationFault> {
+    let mut body = JsonObject::split(text, WHOLE)?;
+    let version = take_version(&mut body)?;
+    let remove = take_part(&mut body, "remove", read_names)?;
+    let upsert = take_part(&mut body, "upsert", read_items)?;
+    body.expect_empty()?;
+    Ok(Patch { version, remove, upsert })
+}
+
 /// The lists of one part of a `PATCH`.
 struct PatchPart<T> {
     routes: Vec<T>,
--- a/crates/control-state/src/configuration_document.rs
+++ b/crates/control-state/src/configuration_document.rs
@@ -55,6 +55,12 @@
         Ok(Configuration { version: self.version, routes: by_name(routes), services, limits })
     }
 
+    /// Checks the items for themselves: each of them, and that no two routes have the same host and prefix.
+    pub(crate) fn check_items(&self) -> Result<(), ConfigurationFault> {
+        self.read_services()?;
+        check_prefixes_differ(&self.read_routes()?)
+    }
+
     /// The services, sorted by name.
     fn read_services(&self) -> Result<Vec<Service>, ConfigurationFault> {
         check_names_differ(&self.services, "services")?;
--- a/crates/control-state/src/configuration_fault.rs
+++ b/crates/control-state/src/configuration_fault.rs
@@ -19,6 +19,8 @@
     MissingField,
     /// there is no such field or list here
     UnknownField,
+    /// the field comes twice
+    DuplicateField,
     /// the name is used twice
     DuplicateName,
     /// it has the host and prefix of route {0}
--- a/crates/control-state/src/json_text.rs
+++ b/crates/control-state/src/json_text.rs
@@ -7,10 +7,40 @@
 
 use crate::configuration_fault::{ConfigurationFault, FaultReason};
 use nanoserde::{DeJson, DeJsonErr, DeJsonErrReason};
+use serde::de::{MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
+use std::fmt;
 
-/// An object, split into its fields; of fields with the same name the last one counts.
+/// The fields of an object as they come, also such as come twice.
+struct FieldList(Vec<(String, Box<RawValue>)>);
+
+impl<'de> Deserialize<'de> for FieldList {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<FieldList, D::Error> {
+        deserializer.deserialize_map(FieldListVisitor)
+    }
+}
+
+struct FieldListVisitor;
+
+impl<'de> Visitor<'de> for FieldListVisitor {
+    type Value = FieldList;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<FieldList, A::Error> {
+        let mut fields = Vec::new();
+        while let Some(field) = map.next_entry()? {
+            fields.push(field);
+        }
+        Ok(FieldList(fields))
+    }
+}
+
+/// An object, split into its fields, of which no two have the same name.
 pub(crate) struct JsonObject {
     path: String,
     fields: BTreeMap<String, Box<RawValue>>,
@@ -19,7 +49,14 @@
 impl JsonObject {
     /// Splits the text of an object that stands at `path`.
     pub(crate) fn split(text: &str, path: &str) -> Result<JsonObject, ConfigurationFault> {
-        let fields = serde_json::from_str(text).map_err(|error| unreadable(path, error))?;
+        let FieldList(list) = serde_json::from_str(text).map_err(|error| unreadable(path, error))?;
+        let mut fields = BTreeMap::new();
+        for (name, value) in list {
+            let place = join(path, &name);
+            if fields.insert(name, value).is_some() {
+                return Err(ConfigurationFault::new(place, FaultReason::DuplicateField));
+            }
+        }
         Ok(JsonObject { path: path.to_owned(), fields })
     }
 
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -14,12 +14,12 @@
 pub mod snapshot;
 mod starts;
 pub mod state;
+mod taken_changes;
 
-pub use configuration_body::check_configuration;
+pub use configuration_body::{check_body, check_configuration};
 pub use configuration_document::{ConfigurationDocument, DocumentItem};
 pub use configuration_fault::{ConfigurationFault, FaultReason};
 pub use record::{JobRecord, Occurrence, TaskRecord, TaskStatus};
 pub use snapshot::SnapshotFault;
-pub use state::{
-    ControlState, ServerPlace, Shard, CHANGES_REMEMBERED, PLACES_MOST, TASKS_PER_OCCURRENCE_MOST,
-};
+pub use state::{ControlState, ServerPlace, Shard, PLACES_MOST, TASKS_PER_OCCURRENCE_MOST};
+pub use taken_changes::{ChangeDigest, TakenChanges, CHANGES_REMEMBERED, DIGEST_BYTES};
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration_document::ConfigurationDocument;
 use crate::record::{JobRecord, TaskRecord, TaskStatus};
+use crate::taken_changes::TakenChanges;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::configuration::{Configuration, Route};
 use lupinrack_cluster_api::error::ErrorKind;
@@ -13,9 +14,6 @@
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// How many changes of the configuration are remembered as taken.
-pub const CHANGES_REMEMBERED: usize = 2048;
-
 /// The most places of servers that are remembered; beyond it the oldest go, and with them only a short cut.
 pub const PLACES_MOST: usize = 20_000;
 
@@ -38,8 +36,8 @@
     pub configuration: Configuration,
     /// The same in the operator's words.
     pub document: ConfigurationDocument,
-    /// Digests of the changes that were taken, by the version that each of them set, oldest dropped first.
-    pub changes_taken: BTreeMap<u64, u64>,
+    /// The changes of it that were taken.
+    pub changes_taken: TakenChanges,
     /// All jobs that are remembered.
     pub jobs: BTreeMap<JobId, JobRecord>,
     /// Jobs that have not ended, by service; a service without any is not listed.
--- a/crates/control-state/tests/configuration.rs
+++ b/crates/control-state/tests/configuration.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{route, service_json, two_queues, whole, LIMITS};
-use lupinrack_cluster_api::operation::ConfigurationBody;
+use common::{patch, put, route, service_json, two_queues, whole, LIMITS};
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::operation::{ConfigurationBody, Operation, OperationResult};
 use lupinrack_control_state::configuration_body::{apply_body, apply_patch, read_whole};
-use lupinrack_control_state::{check_configuration, FaultReason};
+use lupinrack_control_state::{check_body, check_configuration, ControlState, FaultReason};
 use quickcheck::quickcheck;
 use serde_json::Value;
 
@@ -255,8 +256,108 @@
         }
     }
 
+    fn a_body_that_is_refused_for_itself_is_never_taken(place: usize, byte: u8, insert: bool, whole: bool) -> bool {
+        let patched = format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, route("c", "/c/", "one"));
+        let mut bytes = if whole { two_queues(2) } else { patched }.into_bytes();
+        let place = place % bytes.len();
+        if insert { bytes.insert(place, byte) } else { bytes[place] = byte }
+        let Ok(text) = String::from_utf8(bytes) else { return true };
+        let order = if whole { put(1, text) } else { patch(1, text) };
+        let Operation::ChangeConfiguration(change) = &order else { return false };
+        let mut state = ControlState::default();
+        state.apply(&put(0, two_queues(1)));
+        check_body(&change.body).is_ok() || state.apply(&order) != OperationResult::Done
+    }
+
     fn any_text_is_read_without_panic(text: String) -> bool {
         let _ = apply_patch(&Default::default(), &text);
         check_configuration(&text).is_err()
     }
 }
+
+#[test]
+fn a_field_that_comes_twice_is_refused_with_its_place() {
+    let text = two_queues(1);
+    for (twice, path) in [
+        (text.replacen("{\"version\":1,", "{\"version\":1,\"version\":1,", 1), "version"),
+        (text.replacen("{\"version\":1,", "{\"version\":1,\"limits\":{},", 1), "limits"),
+        (text.replacen("{\"name\":\"a\",", "{\"name\":\"a\",\"timeout-ms\":1,", 1), "routes[0].timeout-ms"),
+        (text.replacen("{\"name\":\"one\",", "{\"name\":\"one\",\"name\":\"two\",", 1), "services[0].name"),
+    ] {
+        assert_ne!(twice, text);
+        assert_eq!(fault_path(&twice), path);
+        assert_eq!(fault_reason(&twice), FaultReason::DuplicateField);
+    }
+    let current = read_whole(&text).expect("it is good");
+    let fault =
+        apply_patch(&current, r#"{"version":2,"remove":{},"remove":{}}"#).expect_err("it comes twice");
+    assert_eq!((fault.path.as_str(), fault.reason), ("remove", FaultReason::DuplicateField));
+}
+
+#[test]
+fn versions_at_the_ends_of_the_range_are_read_and_beyond_are_refused() {
+    let with =
+        |version: &str| two_queues(1).replacen("\"version\":1,", &format!("\"version\":{version},"), 1);
+    assert_eq!(check_configuration(&with("18446744073709551615")).expect("it is valid").version, u64::MAX);
+    let beyond = [
+        "18446744073709551616",
+        "99999999999999999999999",
+        "-1",
+        "-0",
+        "1e3",
+        "0.5",
+        "null",
+        "true",
+        "\"1\"",
+        "[1]",
+    ];
+    for version in beyond {
+        assert_eq!(fault_path(&with(version)), "version", "{version}");
+    }
+    assert_eq!(fault_path(&with("0")), "version");
+}
+
+#[test]
+fn a_body_that_is_doubled_is_refused() {
+    let text = two_queues(1);
+    for doubled in
+        [format!("{text}{text}"), format!("{text}\n{text}"), format!("[{text}]"), format!("{text},")]
+    {
+        assert_eq!(fault_path(&doubled), "configuration");
+    }
+}
+
+#[test]
+fn a_body_that_is_wrong_whatever_is_current_is_known_without_knowing_that() {
+    let route_with = |from: &str, to: &str| route("c", "/c/", "one").replacen(from, to, 1);
+    let upsert = |items: &str| format!(r#"{{"version":2,"upsert":{{"routes":[{items}]}}}}"#);
+    let wrong = [
+        "{".to_owned(),
+        r#"{"version":0}"#.to_owned(),
+        upsert(&route_with("\"timeout-ms\":3000", "\"timeout-ms\":0")),
+        upsert(&format!("{},{}", route("c", "/c/", "one"), route("d", "/c/", "one"))),
+        upsert(&format!("{},{}", route("c", "/c/", "one"), route("c", "/d/", "one"))),
+        r#"{"version":2,"upsert":{"services":[{"name":"s","guards":7}]}}"#.to_owned(),
+    ];
+    for text in wrong {
+        assert!(check_body(&ConfigurationBody::Patch(text.clone())).is_err(), "{text}");
+        let mut state = ControlState::default();
+        state.apply(&put(0, two_queues(1)));
+        assert_eq!(state.apply(&patch(1, text)), OperationResult::Refused(ErrorKind::InvalidConfiguration));
+    }
+    assert!(check_body(&ConfigurationBody::Whole(two_queues(0))).is_err());
+    assert!(check_body(&ConfigurationBody::Whole(two_queues(1).replacen("3000", "0", 1))).is_err());
+}
+
+#[test]
+fn a_body_that_may_be_right_for_some_configuration_is_left_to_it() {
+    let depends = [
+        r#"{"version":1}"#.to_owned(),
+        r#"{"version":2,"remove":{"services":["one"]}}"#.to_owned(),
+        format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, route("c", "/a/", "unknown-here")),
+    ];
+    for text in depends {
+        assert_eq!(check_body(&ConfigurationBody::Patch(text)), Ok(()));
+    }
+    assert_eq!(check_body(&ConfigurationBody::Whole(two_queues(1))), Ok(()));
+}
--- /dev/null
+++ b/crates/control-state/tests/taken_changes.rs
@@ -0,0 +1,159 @@
+//! The record of changes that were taken: who sends an order again is never refused, and nobody else is confirmed.
+
+mod common;
+
+use common::{patch, put, two_queues};
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::operation::{Operation, OperationResult};
+use lupinrack_control_state::{
+    check_configuration, ControlState, TakenChanges, CHANGES_REMEMBERED, DIGEST_BYTES,
+};
+
+const CONFLICT: OperationResult = OperationResult::Refused(ErrorKind::VersionConflict);
+const IN_DOUBT: OperationResult = OperationResult::Refused(ErrorKind::InDoubt);
+
+/// A patch that changes nothing but the version.
+fn step(from: u64, to: u64) -> Operation {
+    patch(from, format!(r#"{{"version":{to}}}"#))
+}
+
+/// A state after this many changes, with the versions 2, 4, 6 and so on.
+fn after_changes(count: u64) -> ControlState {
+    let mut state = ControlState::default();
+    assert_eq!(state.apply(&put(0, two_queues(2))), OperationResult::Done);
+    for version in 1..count {
+        assert_eq!(state.apply(&step(version * 2, version * 2 + 2)), OperationResult::Done);
+    }
+    state
+}
+
+#[test]
+fn a_digest_keeps_every_bit() {
+    assert_eq!(DIGEST_BYTES, 32);
+}
+
+#[test]
+fn an_order_differs_from_every_other_that_differs_in_one_byte() {
+    let text = two_queues(3);
+    let mut state = ControlState::default();
+    assert_eq!(state.apply(&put(0, text.clone())), OperationResult::Done);
+    for place in 0..text.len() {
+        let mut bytes = text.clone().into_bytes();
+        bytes[place] = if bytes[place] == b' ' { b'x' } else { b' ' };
+        let other = String::from_utf8(bytes).expect("ASCII stays text");
+        assert_eq!(state.apply(&put(0, other)), CONFLICT, "byte {place}");
+    }
+    assert_eq!(state.apply(&put(0, text)), OperationResult::Done);
+}
+
+#[test]
+fn the_same_configuration_in_another_form_is_another_order() {
+    let mut state = ControlState::default();
+    state.apply(&put(0, two_queues(3)));
+    let spaced = two_queues(3).replacen("{\"version\":3,", "{ \"version\": 3, ", 1);
+    assert_eq!(state.apply(&put(0, spaced)), CONFLICT);
+    let without = two_queues(3).replacen("\"version\":3,", "", 1);
+    let moved = format!("{},\"version\":3}}", without.strip_suffix('}').expect("an object ends so"));
+    assert!(check_configuration(&moved).is_ok());
+    assert_eq!(state.apply(&put(0, moved)), CONFLICT);
+}
+
+#[test]
+fn of_eight_orders_at_once_one_is_taken_however_often_each_is_sent() {
+    let orders: Vec<Operation> = (0..8).map(|number| step(2, 3 + number % 3)).chain([step(2, 9)]).collect();
+    let mut distinct = orders.clone();
+    distinct.dedup();
+    for first in 0..orders.len() {
+        let mut state = after_changes(1);
+        assert_eq!(state.apply(&orders[first]), OperationResult::Done);
+        for order in orders.iter().chain(&orders) {
+            let expected = if *order == orders[first] { OperationResult::Done } else { CONFLICT };
+            assert_eq!(state.apply(order), expected);
+        }
+    }
+}
+
+#[test]
+fn an_order_under_a_number_by_which_another_won_is_refused_for_good() {
+    let mut state = after_changes(1);
+    let (winner, loser) = (step(2, 5), patch(2, r#"{"version":5,"remove":{}}"#));
+    assert_eq!(state.apply(&winner), OperationResult::Done);
+    assert_eq!(state.apply(&loser), CONFLICT);
+    assert_eq!(state.apply(&step(5, 6)), OperationResult::Done);
+    assert_eq!(state.apply(&loser), CONFLICT);
+    assert_eq!(state.apply(&winner), OperationResult::Done);
+}
+
+#[test]
+fn a_resend_after_more_changes_than_are_remembered_is_left_in_doubt() {
+    let remembered = CHANGES_REMEMBERED as u64;
+    let mut state = after_changes(remembered + 5);
+    assert_eq!(state.configuration.version, 2 * (remembered + 5));
+    let forgotten: Vec<u64> = (1..=4).map(|change| 2 * change).collect();
+    for version in forgotten {
+        let before = state.clone();
+        assert_eq!(state.apply(&step(version, version + 2)), IN_DOUBT, "on version {version}");
+        assert_eq!(state.apply(&step(version, version + 1)), IN_DOUBT, "it may be another, but who knows");
+        assert_eq!(state, before);
+    }
+    for version in [12, 2 * remembered, 2 * (remembered + 4)] {
+        assert_eq!(state.apply(&step(version, version + 2)), OperationResult::Done, "on version {version}");
+        assert_eq!(state.apply(&step(version, version + 1)), CONFLICT, "on version {version}");
+    }
+}
+
+#[test]
+fn the_first_order_is_remembered_for_ever() {
+    let mut state = after_changes(CHANGES_REMEMBERED as u64 + 50);
+    assert_eq!(state.apply(&put(0, two_queues(2))), OperationResult::Done);
+    assert_eq!(state.apply(&put(0, two_queues(3))), CONFLICT, "who builds on nothing is told for certain");
+}
+
+#[test]
+fn the_record_is_bounded() {
+    let mut state = after_changes(CHANGES_REMEMBERED as u64 + 50);
+    assert_eq!(state.changes_taken.len(), CHANGES_REMEMBERED);
+    state.apply(&step(2, 4));
+    assert_eq!(state.changes_taken.len(), CHANGES_REMEMBERED);
+}
+
+/// The state as another member has it that came by a snapshot.
+fn over_a_snapshot(state: &ControlState) -> ControlState {
+    let bytes = state.to_bytes().expect("a state can be written");
+    ControlState::from_bytes(&bytes).expect("what was written can be read")
+}
+
+#[test]
+fn the_record_lasts_over_a_snapshot() {
+    let remembered = CHANGES_REMEMBERED as u64;
+    for count in [1, 7, remembered + 5] {
+        let mut state = over_a_snapshot(&after_changes(count));
+        assert_eq!(state.apply(&put(0, two_queues(2))), OperationResult::Done);
+        if count > 1 {
+            let last = 2 * (count - 1);
+            assert_eq!(state.apply(&step(last, last + 2)), OperationResult::Done);
+            assert_eq!(state.apply(&step(last, last + 1)), CONFLICT);
+        }
+    }
+    let mut state = over_a_snapshot(&after_changes(remembered + 5));
+    assert_eq!(state.apply(&step(4, 6)), IN_DOUBT);
+}
+
+/// What the test above is for: a record that is lost on the way makes resends be refused.
+#[test]
+fn a_record_that_a_snapshot_does_not_keep_would_be_found_out() {
+    let mut state = over_a_snapshot(&after_changes(7));
+    state.changes_taken = TakenChanges::default();
+    assert_eq!(state.apply(&step(12, 14)), CONFLICT);
+}
+
+#[test]
+fn two_copies_of_one_order_in_the_log_have_one_result() {
+    let mut state = after_changes(1);
+    for order in [step(2, 4), step(2, 4), step(4, 5), step(2, 4)] {
+        assert_eq!(state.apply(&order), OperationResult::Done);
+    }
+    assert_eq!(state.configuration.version, 5);
+    let refused = [step(4, 6), step(4, 6), step(2, 9), step(2, 9)];
+    assert!(refused.iter().all(|order| state.apply(order) == CONFLICT));
+}
