--- a/crates/cluster-simulation/examples/hunt.rs
+++ b/crates/cluster-simulation/examples/hunt.rs
@@ -46,11 +46,13 @@
 }
 
 fn hunt(first: u64, count: u64, settings: DaySettings) {
-    let mut failed = 0;
-    let mut tasks = 0;
+    let (mut failed, mut tasks, mut changes, mut views, mut snapshots) = (0, 0, 0, 0, 0);
     for seed in first..first + count {
         let report = play(seed, settings);
         tasks += report.tasks_done;
+        changes += report.changes;
+        views += report.views;
+        snapshots += report.snapshots_sent;
         let played = seed + 1 - first;
         if played.is_multiple_of(PROGRESS_EVERY) {
             println!("{played} days played, {failed} failed before this one");
@@ -62,5 +64,7 @@
         println!("seed {seed}: {} broken, accepted {}", report.broken.len(), report.accepted);
         report.broken.iter().take(4).for_each(|line| println!("    {line}"));
     }
-    println!("{failed} of {count} days failed; {tasks} tasks done");
+    println!(
+        "{failed} of {count} days failed; {tasks} tasks done, {changes} changes, {views} views, {snapshots} snapshots"
+    );
 }
--- a/crates/cluster-simulation/src/day.rs
+++ b/crates/cluster-simulation/src/day.rs
@@ -23,6 +23,12 @@
     pub tasks_started: usize,
     /// Tasks that were done.
     pub tasks_done: usize,
+    /// Changes of the configuration that were acknowledged.
+    pub changes: usize,
+    /// The number of the newest view that a front knew.
+    pub views: u64,
+    /// Snapshots that disks were sent, by their first pieces.
+    pub snapshots_sent: usize,
 }
 
 /// Plays the day of a seed.
@@ -116,6 +122,7 @@
 
     fn check_end(&mut self) {
         let now = self.world.now;
+        self.operator.check_history(&mut self.world);
         for client in self.clients.iter().filter(|client| !client.finished) {
             let shape = self.world.checks.jobs.get(&client.job()).map(|truth| truth.spec.steps.len());
             let (job, accepted_at) = (client.job(), client.accepted_at);
@@ -131,11 +138,16 @@
     }
 
     fn report(self) -> DayReport {
+        let views = self.world.newest_view().map_or(0, |view| view.number);
+        let snapshots_sent = self.world.snapshots_sent;
         let checks = self.world.checks;
         DayReport {
             accepted: self.clients.iter().filter(|client| client.accepted_at.is_some()).count(),
             tasks_started: checks.tasks.len(),
             tasks_done: checks.tasks.values().filter(|task| task.done_at.is_some()).count(),
+            changes: self.operator.count_acknowledged(),
+            views,
+            snapshots_sent,
             broken: checks.broken,
         }
     }
--- a/crates/cluster-simulation/src/faults/core.rs
+++ b/crates/cluster-simulation/src/faults/core.rs
@@ -40,12 +40,15 @@
             CoreTrouble::Terminate => self.terminate(machine),
             CoreTrouble::Replace => return self.replace(machine, for_ms),
             CoreTrouble::ReplaceInOrder => return self.replace_in_order(machine, for_ms),
-            CoreTrouble::Cut(direction) => self.cut_off(machine, &self.cores(), direction),
+            CoreTrouble::Cut(direction) => self.cut(cuts_between(machine, &self.cores(), direction)),
             CoreTrouble::CutFromAll => {
                 let all: Vec<usize> = (0..self.machines.len()).collect();
-                self.cut_off(machine, &all, CutDirection::Both)
+                self.cut(cuts_between(machine, &all, CutDirection::Both))
+            }
+            CoreTrouble::CutWithCallers(direction) => self.cut_with_callers(&[machine], direction, for_ms),
+            CoreTrouble::CutMinorityWithCallers(direction) => {
+                self.cut_with_callers(&self.minority_of(machine), direction, for_ms)
             }
-            CoreTrouble::CutWithCallers(direction) => self.cut_with_callers(machine, direction, for_ms),
             CoreTrouble::LinksSlow => {
                 self.network.set_slow(machine, SLOW_MS);
                 Ending::MendLinks(machine)
@@ -67,39 +70,35 @@
             CoreChoice::Oldest => cores.iter().copied().min_by_key(disk_since),
             CoreChoice::Newest => cores.iter().copied().max_by_key(disk_since),
             CoreChoice::Head => self.head().filter(|head| cores.contains(head)),
+            CoreChoice::Spare => {
+                let chain = self.chain();
+                cores.iter().copied().find(|machine| !chain.contains(machine))
+            }
         };
         chosen.unwrap_or(cores[0])
     }
 
-    /// Cuts a machine off from others; what happens once that is over.
-    fn cut_off(&mut self, machine: usize, others: &[usize], direction: CutDirection) -> Ending {
-        let mut cuts = Vec::new();
-        for other in others.iter().copied().filter(|other| *other != machine) {
-            if direction != CutDirection::Outward {
-                cuts.push((other, machine));
-            }
-            if direction != CutDirection::Inward {
-                cuts.push((machine, other));
-            }
-        }
-        self.cut(cuts)
+    /// A machine and those that follow it in the list, as many as leave a majority.
+    fn minority_of(&self, machine: usize) -> Vec<usize> {
+        let cores = self.cores();
+        let place = cores.iter().position(|core| *core == machine).unwrap_or(0);
+        let count = (cores.len() - 1) / 2;
+        cores.iter().cycle().skip(place).take(count).copied().collect()
     }
 
-    /// Cuts a machine off together with the last front and every second agent, while callers insist on the two.
-    fn cut_with_callers(&mut self, machine: usize, direction: CutDirection, for_ms: u64) -> Ending {
+    /// Cuts core machines off together with the last front and every second agent, while callers insist on the first of
+    /// them and the front.
+    fn cut_with_callers(&mut self, cores: &[usize], direction: CutDirection, for_ms: u64) -> Ending {
         let front = self.fronts().end - 1;
-        let mut side = vec![machine, front];
-        side.extend((0..self.settings.servers).step_by(2).map(|place| self.side_of(place)));
-        let others: Vec<usize> = (0..self.machines.len()).filter(|other| !side.contains(other)).collect();
-        let mut cuts = Vec::new();
-        for near in side {
-            if let Ending::Join(own) = self.cut_off(near, &others, direction) {
-                cuts.extend(own);
-            }
-        }
-        self.troubles.lure = Some(Lure { core: machine, front });
+        let mut near = cores.to_vec();
+        near.push(front);
+        near.extend((0..self.settings.servers).step_by(2).map(|place| self.side_of(place)));
+        let others: Vec<usize> = (0..self.machines.len()).filter(|other| !near.contains(other)).collect();
+        let cuts = near.iter().flat_map(|machine| cuts_between(*machine, &others, direction)).collect();
+        self.troubles.lure = Some(Lure { core: cores[0], front });
         self.ends_after(for_ms, Ending::EndLure);
-        Ending::Join(cuts)
+        self.remove_voters_alone(cores);
+        self.cut(cuts)
     }
 
     fn trouble_disk(&mut self, machine: usize, trouble: DiskTrouble) -> Ending {
@@ -135,3 +134,17 @@
         self.draw_seeds();
     }
 }
+
+/// The cuts of a machine from others, each of a sender and a receiver.
+fn cuts_between(machine: usize, others: &[usize], direction: CutDirection) -> Vec<(usize, usize)> {
+    let mut cuts = Vec::new();
+    for other in others.iter().copied().filter(|other| *other != machine) {
+        if direction != CutDirection::Outward {
+            cuts.push((other, machine));
+        }
+        if direction != CutDirection::Inward {
+            cuts.push((machine, other));
+        }
+    }
+    cuts
+}
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -20,6 +20,7 @@
 mod operator;
 mod plan;
 mod planted;
+mod planting;
 mod processes;
 mod server;
 mod settings;
--- a/crates/cluster-simulation/src/network.rs
+++ b/crates/cluster-simulation/src/network.rs
@@ -80,6 +80,8 @@
     rng: fastrand::Rng,
     connections: BTreeMap<u64, Connection>,
     next_connection: u64,
+    /// Who opened each connection so far to whom.
+    opened: BTreeMap<u64, (MachineIndex, MachineIndex)>,
     dialing: BTreeMap<(MachineIndex, MachineIndex), Dialing>,
     /// Pairs of which the first reaches the second no longer, and by how many cuts.
     cuts: BTreeMap<(MachineIndex, MachineIndex), u32>,
@@ -95,6 +97,7 @@
             rng: fastrand::Rng::with_seed(seed),
             connections: BTreeMap::new(),
             next_connection: 0,
+            opened: BTreeMap::new(),
             dialing: BTreeMap::new(),
             cuts: BTreeMap::new(),
             slow: BTreeMap::new(),
@@ -116,6 +119,17 @@
         }
     }
 
+    /// Whether nothing from the first machine reaches the second.
+    pub fn is_cut(&self, from: MachineIndex, to: MachineIndex) -> bool {
+        self.cuts.contains_key(&(from, to))
+    }
+
+    /// The machine at the other end of a connection, also of one that has ended.
+    pub fn other_end(&self, machine: MachineIndex, connection: u64) -> Option<MachineIndex> {
+        let (a, b) = *self.opened.get(&connection)?;
+        Some(if a == machine { b } else { a })
+    }
+
     /// Has what a machine sends take up to so many milliseconds longer; 0 ends that.
     pub fn set_slow(&mut self, machine: MachineIndex, most_ms: u64) {
         self.slow.insert(machine, most_ms);
@@ -149,7 +163,8 @@
         connection.ends.iter_mut().find(|end| end.machine == machine)
     }
 
-    fn newest(&self, from: MachineIndex, to: MachineIndex) -> Option<u64> {
+    /// The newest connection that a machine has open to another.
+    pub fn newest(&self, from: MachineIndex, to: MachineIndex) -> Option<u64> {
         let joins = |connection: &Connection| {
             let [a, b] = &connection.ends;
             (a.machine == from && b.machine == to && a.open)
@@ -247,6 +262,7 @@
         let end =
             |machine| End { machine, open: true, outgoing: VecDeque::new(), unacknowledged_since: None };
         self.connections.insert(number, Connection { ends: [end(from), end(to)] });
+        self.opened.insert(number, (from, to));
         self.send_on(from, number, machines[from].hello.clone(), now);
         self.send_on(to, number, machines[to].hello.clone(), now);
         for (_, frame) in waiting {
--- /dev/null
+++ b/crates/cluster-simulation/src/operator/reads.rs
@@ -0,0 +1,97 @@
+//! Reads of the configuration.
+
+use super::{Operator, SILENCE_MS};
+use crate::calls::{call, OpenCall, Outcome};
+use crate::world::World;
+use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_configuration_history::{Answer, Call, CallNumber, ChangeId};
+use lupinrack_control_state::check_configuration;
+
+/// A read under way, and the newest version that was acknowledged when it began.
+#[derive(Debug)]
+pub struct OpenRead {
+    call: OpenCall,
+    number: CallNumber,
+    acknowledged: u64,
+}
+
+/// What a reader makes of a document.
+struct Document {
+    version: u64,
+    routes: Vec<String>,
+}
+
+impl Operator {
+    pub(super) fn go_on_with_read(&mut self, world: &mut World) {
+        let now = world.now;
+        if let Some(mut read) = self.read.take() {
+            match read.call.outcome(now) {
+                Some(Outcome::Success(Reply::ConfigurationDocument(text))) => {
+                    self.configuration_read(&text, &read, world);
+                }
+                Some(_) => self.history.answered(read.number, Answer::Unclear, now),
+                None => self.read = Some(read),
+            }
+            return;
+        }
+        if now < self.next_read_at {
+            return;
+        }
+        let Some(core) = world.some_core() else { return };
+        self.next_read_at = now + 400 + world.rng.u64(0..600);
+        let (control_call, open) = call(Request::ReadConfiguration, now, SILENCE_MS);
+        let number = self.history.began(Call::Read, now);
+        self.read = Some(OpenRead { call: open, number, acknowledged: self.acknowledged });
+        world.call_core(core, control_call);
+    }
+
+    fn configuration_read(&mut self, text: &str, read: &OpenRead, world: &mut World) {
+        let now = world.now;
+        let Some(document) = read_document(text) else {
+            self.history.answered(read.number, Answer::Observed { version: 0, change: None }, now);
+            if read.acknowledged > 0 {
+                world.checks.broke(now, "CONFIG: what is read back is no configuration".to_owned());
+            }
+            return;
+        };
+        let version = document.version;
+        let change = self.change_in_force(&document);
+        self.history.answered(read.number, Answer::Observed { version, change }, now);
+        self.check_read(version, read.acknowledged, world);
+        if change.is_none() {
+            let text = format!("CONFIG: version {version} in force was refused or never sent");
+            world.checks.broke(now, text);
+        }
+        self.read_version = self.read_version.max(version);
+        self.known = self.known.max(version);
+        if world.closing {
+            self.read_at_end = Some(now);
+        }
+    }
+
+    fn check_read(&self, version: u64, acknowledged: u64, world: &mut World) {
+        let now = world.now;
+        if version < acknowledged {
+            let text = format!("CONFIG: version {version} is read, {acknowledged} was acknowledged");
+            world.checks.broke(now, text);
+        }
+        if version < self.read_version {
+            world.checks.broke(now, format!("CONFIG: back from {} to {version}", self.read_version));
+        }
+    }
+
+    /// The change that set what was read, by its version and its mark. Of several that set one version only those that
+    /// were not refused may be in force.
+    fn change_in_force(&self, document: &Document) -> Option<ChangeId> {
+        let Document { version, routes } = document;
+        let changes = self.changes.iter().enumerate();
+        let mut rightful = changes.filter(|(number, change)| change.may_be(*number, *version, routes));
+        rightful.next().map(|(number, _)| ChangeId(number as u64))
+    }
+}
+
+fn read_document(text: &str) -> Option<Document> {
+    let configuration = check_configuration(text).ok()?;
+    let routes = configuration.routes.iter().map(|route| route.name.0.clone()).collect();
+    Some(Document { version: configuration.version, routes })
+}
--- a/crates/cluster-simulation/src/plan/trouble.rs
+++ b/crates/cluster-simulation/src/plan/trouble.rs
@@ -13,6 +13,8 @@
     Newest,
     /// The head of the chain, by the newest view that a front knows.
     Head,
+    /// One outside the chain, by that view.
+    Spare,
 }
 
 /// Which ways a cut holds back, seen from the machine that is cut off.
@@ -52,6 +54,8 @@
     /// It is cut off from all machines but the last front and every second agent, while the operator and the clients go
     /// on calling there.
     CutWithCallers(CutDirection),
+    /// It is cut off in the same way, together with as many others as leave a majority of the list.
+    CutMinorityWithCallers(CutDirection),
     /// What it sends takes longer.
     LinksSlow,
     /// Its disk takes longer.
@@ -106,6 +110,8 @@
     Crowd,
     /// An invalid or stale one.
     BadChange,
+    /// One that was acknowledged at any time before is sent again.
+    Resend,
 }
 
 /// Anything that is planned.
--- a/crates/cluster-simulation/src/plan/worst.rs
+++ b/crates/cluster-simulation/src/plan/worst.rs
@@ -204,7 +204,8 @@
         while at < self.settings.traffic_ms {
             at += self.rng.u64(150..gap_most);
             let trouble = match self.rng.u32(0..20) {
-                0..13 => Trouble::Operator(OperatorOrder::Change),
+                0..12 => Trouble::Operator(OperatorOrder::Change),
+                12 => Trouble::Operator(OperatorOrder::Resend),
                 13 | 14 => Trouble::Operator(OperatorOrder::Race),
                 15 => Trouble::Operator(OperatorOrder::Crowd),
                 16 | 17 => Trouble::Operator(OperatorOrder::BadChange),
--- a/crates/cluster-simulation/src/planted.rs
+++ b/crates/cluster-simulation/src/planted.rs
@@ -1,5 +1,7 @@
 //! Faults that are planted to see whether the checks find them.
 
+use lupinrack_cluster_api::wire::Frame;
+
 /// A fault in place of the right behaviour.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PlantedFault {
@@ -15,16 +17,56 @@
     VoteOfEmptyDisk,
     /// A process that takes a shard over asks for the lowest token. The record refuses that, and nobody owns the shard.
     TokenNotRaised,
+    /// A head that is cut off takes its successor's word for granted: its barriers pass without contact with a majority.
+    BarrierWithoutContact,
+    /// Machines that are cut off together agree on a view without the others: voters are removed without an overlap of
+    /// majorities.
+    VotersRemovedAlone,
+    /// The changes that were taken are not in the snapshots that other disks are sent.
+    TakenChangesNotInSnapshot,
+    /// A disk that is sent a snapshot is sent the first one that any disk was sent, as if it covered all that the newest
+    /// covers.
+    SnapshotTakenForNewer,
+    /// A copy of each answer comes late, on whatever connection its caller's machine has by then, so that the number alone
+    /// says which call it answers.
+    AnswerMatchedByNumber,
 }
 
 impl PlantedFault {
     /// All of them.
-    pub const ALL: [PlantedFault; 6] = [
+    pub const ALL: [PlantedFault; 11] = [
         PlantedFault::SyncLeftOut,
         PlantedFault::HoldTooLong,
         PlantedFault::RefusedInDoubt,
         PlantedFault::ObservedTooSoon,
         PlantedFault::VoteOfEmptyDisk,
         PlantedFault::TokenNotRaised,
+        PlantedFault::BarrierWithoutContact,
+        PlantedFault::VotersRemovedAlone,
+        PlantedFault::TakenChangesNotInSnapshot,
+        PlantedFault::SnapshotTakenForNewer,
+        PlantedFault::AnswerMatchedByNumber,
     ];
 }
+
+/// What has to be remembered for planted faults.
+#[derive(Debug, Default)]
+pub struct Planting {
+    /// The first snapshot that any disk was sent.
+    pub first_snapshot: Option<Vec<u8>>,
+    /// Copies of answers on their way.
+    pub late_answers: Vec<LateAnswer>,
+}
+
+/// A copy of an answer on its way.
+#[derive(Debug)]
+pub struct LateAnswer {
+    /// When it arrives.
+    pub due: u64,
+    /// The machine that answered.
+    pub from: usize,
+    /// The machine that called.
+    pub to: usize,
+    /// The answer.
+    pub frame: Frame,
+}
--- /dev/null
+++ b/crates/cluster-simulation/src/planting.rs
@@ -0,0 +1,125 @@
+//! Where planted faults change what processes send. Nothing of it is in the processes themselves.
+
+use crate::machine::{address_of, ProcessEvent};
+use crate::planted::{LateAnswer, PlantedFault};
+use crate::world::World;
+use lupinrack_cluster_api::identity::{DiskId, FencingToken};
+use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::{ChainMessage, Frame};
+use lupinrack_control_state::{ControlState, TakenChanges};
+use lupinrack_worker_agent::HeartbeatAnswer;
+
+/// How much longer than granted holds last, in milliseconds.
+const HOLD_EXCESS_MS: u64 = 1_000;
+/// Copies of answers come later than the answers by this, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 100..1_500;
+/// The numbers of connections that are made up begin here.
+const MADE_UP_CONNECTIONS: u64 = 1 << 62;
+
+impl World {
+    /// What a process sends, changed where a fault is planted.
+    pub(crate) fn planted_frame(&mut self, frame: Frame) -> Frame {
+        match (self.planted, frame) {
+            (
+                Some(PlantedFault::TokenNotRaised),
+                Frame::Submit(Operation::TakeShard { service, owner, .. }),
+            ) => Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner }),
+            (Some(planted), Frame::Chain(message)) => Frame::Chain(self.planted_message(planted, message)),
+            (_, frame) => frame,
+        }
+    }
+
+    /// Changes a snapshot that fits one message.
+    fn planted_message(&mut self, planted: PlantedFault, message: ChainMessage) -> ChainMessage {
+        let ChainMessage::Snapshot { view, index, piece: 0, pieces: 1, bytes } = message else {
+            return message;
+        };
+        let bytes = match planted {
+            PlantedFault::TakenChangesNotInSnapshot => without_taken_changes(bytes),
+            PlantedFault::SnapshotTakenForNewer => self.planting.first_snapshot.get_or_insert(bytes).clone(),
+            _ => bytes,
+        };
+        ChainMessage::Snapshot { view, index, piece: 0, pieces: 1, bytes }
+    }
+
+    pub(crate) fn planted_answer(&self, mut answer: HeartbeatAnswer, listed: u64) -> HeartbeatAnswer {
+        match self.planted {
+            Some(PlantedFault::HoldTooLong) if answer.hold_ms > 0 => answer.hold_ms += HOLD_EXCESS_MS,
+            Some(PlantedFault::ObservedTooSoon) => answer.observed = answer.observed.max(listed),
+            _ => {}
+        }
+        answer
+    }
+
+    /// Acknowledges a barrier in the place of a successor that is cut off.
+    pub(crate) fn answer_for_successor(&mut self, machine: usize, to: usize, frame: &Frame) {
+        let Frame::Chain(ChainMessage::Append { view, committed, barrier, .. }) = frame else { return };
+        let planted = self.planted == Some(PlantedFault::BarrierWithoutContact);
+        if !planted || !self.network.is_cut(machine, to) {
+            return;
+        }
+        let acknowledge = ChainMessage::Acknowledge { view: *view, synced: *committed, barrier: *barrier };
+        let hello = self.presences[to].hello.clone();
+        self.make_up_frame(machine, to, hello);
+        self.make_up_frame(machine, to, Frame::Chain(acknowledge));
+    }
+
+    /// Hands a process a frame as if another had sent it.
+    fn make_up_frame(&mut self, machine: usize, from: usize, frame: Frame) {
+        let (life, connection) = (self.machines[from].life, MADE_UP_CONNECTIONS + from as u64);
+        self.dispatch(machine, ProcessEvent::Frame { from, life, connection, frame });
+    }
+
+    /// Has a copy of each answer come late, on whatever connection its caller's machine has by then.
+    pub(crate) fn copy_answer(&mut self, machine: usize, connection: u64, frame: &Frame) {
+        let planted = self.planted == Some(PlantedFault::AnswerMatchedByNumber);
+        if !planted || !matches!(frame, Frame::Reply { .. }) {
+            return;
+        }
+        let Some(to) = self.network.other_end(machine, connection) else { return };
+        let due = self.now + self.rng.u64(LATE_MS);
+        self.planting.late_answers.push(LateAnswer { due, from: machine, to, frame: frame.clone() });
+    }
+
+    /// Delivers the copies of answers that are due.
+    pub(crate) fn deliver_late_answers(&mut self) {
+        let now = self.now;
+        let (due, later) =
+            std::mem::take(&mut self.planting.late_answers).into_iter().partition(|late| late.due <= now);
+        self.planting.late_answers = later;
+        let due: Vec<LateAnswer> = due;
+        for LateAnswer { from, to, frame, .. } in due {
+            let Some(connection) = self.network.newest(to, from) else { continue };
+            let life = self.machines[from].life;
+            self.dispatch(to, ProcessEvent::Frame { from, life, connection, frame });
+        }
+    }
+
+    /// Has machines that are cut off together learn of a view that they alone agreed on.
+    pub(crate) fn remove_voters_alone(&mut self, machines: &[usize]) {
+        if self.planted != Some(PlantedFault::VotersRemovedAlone) {
+            return;
+        }
+        let Some(view) = self.newest_view().map(|view| view_of(&view, machines)) else { return };
+        let from = machines[0];
+        for machine in machines {
+            self.make_up_frame(*machine, from, Frame::ViewNews(view.clone()));
+        }
+    }
+}
+
+/// The next view, with the voters at these machines alone.
+fn view_of(view: &View, machines: &[usize]) -> View {
+    let is_here = |voter: &Voter| machines.iter().any(|machine| voter.address == address_of(*machine));
+    let voters: Vec<Voter> = view.voters.iter().filter(|voter| is_here(voter)).cloned().collect();
+    let mut chain: Vec<DiskId> = voters.iter().map(|voter| voter.disk).collect();
+    chain.sort_by_key(|disk| view.position(*disk).unwrap_or(usize::MAX));
+    View { number: view.number + 1, voters, chain }
+}
+
+fn without_taken_changes(bytes: Vec<u8>) -> Vec<u8> {
+    let Ok(mut state) = ControlState::from_bytes(&bytes) else { return bytes };
+    state.changes_taken = TakenChanges::default();
+    state.to_bytes().unwrap_or(bytes)
+}
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -8,10 +8,9 @@
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
 use crate::side::{HeartbeatCall, Side, SideAnswer};
 use crate::world::{LocalMessage, World};
-use lupinrack_cluster_api::identity::{DiskId, FencingToken};
-use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::view::Voter;
-use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_api::wire::{ChainMessage, Frame, Hello, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{CoreEffect, CoreMachine, CoreSettings};
 use lupinrack_control_store::{Batch, Recovered};
@@ -23,8 +22,10 @@
 const OTHER_TICK_MS: u64 = 50;
 /// How soon a planted fault's writes reach the disk, in milliseconds.
 const UNSYNCED_MS: u64 = 400;
-/// How much longer than granted a planted fault's holds last, in milliseconds.
-const HOLD_EXCESS_MS: u64 = 1_000;
+
+/// Ended jobs are remembered for so much longer than the day lasts, since the last questions ask for all of them, in
+/// milliseconds.
+const REMEMBER_MARGIN_MS: u64 = 60_000;
 
 impl World {
     /// Moves machines, network and disks on by a millisecond.
@@ -38,6 +39,7 @@
         self.advance_disks();
         self.tick_machines();
         self.deliver_local();
+        self.deliver_late_answers();
     }
 
     fn start_machines(&mut self) {
@@ -92,7 +94,7 @@
             founders,
             seeds,
             tolerated_losses: self.settings.tolerance,
-            remember_ms: 180_000,
+            remember_ms: self.settings.traffic_ms + self.settings.finish_ms + REMEMBER_MARGIN_MS,
             scheduler: SchedulerSettings { hold_ms: HOLD_MOST_MS, ..SchedulerSettings::default() },
         };
         let moment = self.machines[machine].clock.read(self.now);
@@ -235,10 +237,15 @@
         match effect {
             ProcessEffect::Core(CoreEffect::Send { to, frame }) => {
                 let frame = self.planted_frame(frame);
-                self.network.send(machine, machine_at(to), frame, now);
+                self.count_frame(&frame);
+                let to = machine_at(to);
+                self.answer_for_successor(machine, to, &frame);
+                self.network.send(machine, to, frame, now);
             }
             ProcessEffect::Core(CoreEffect::SendOn { connection, frame }) => {
                 let frame = self.planted_frame(frame);
+                self.count_frame(&frame);
+                self.copy_answer(machine, connection, &frame);
                 self.network.send_on(machine, connection, frame, now);
             }
             ProcessEffect::Core(CoreEffect::Write { ticket, batch }) => self.write(machine, ticket, batch),
@@ -255,6 +262,12 @@
         }
     }
 
+    fn count_frame(&mut self, frame: &Frame) {
+        if matches!(frame, Frame::Chain(ChainMessage::Snapshot { piece: 0, .. })) {
+            self.snapshots_sent += 1;
+        }
+    }
+
     fn write(&mut self, machine: usize, ticket: u64, batch: Batch) {
         let sync_ms = self.rng.u64(1..8);
         let now = self.now;
@@ -266,26 +279,6 @@
         }
     }
 
-    fn planted_frame(&self, frame: Frame) -> Frame {
-        match frame {
-            Frame::Submit(Operation::TakeShard { service, owner, .. })
-                if self.planted == Some(PlantedFault::TokenNotRaised) =>
-            {
-                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner })
-            }
-            frame => frame,
-        }
-    }
-
-    fn planted_answer(&self, mut answer: HeartbeatAnswer, listed: u64) -> HeartbeatAnswer {
-        match self.planted {
-            Some(PlantedFault::HoldTooLong) if answer.hold_ms > 0 => answer.hold_ms += HOLD_EXCESS_MS,
-            Some(PlantedFault::ObservedTooSoon) => answer.observed = answer.observed.max(listed),
-            _ => {}
-        }
-        answer
-    }
-
     /// The front that a client calls: one that the platform gives new connections to, or the one that callers insist on.
     pub(crate) fn ready_front(&mut self) -> Option<usize> {
         if let Some(lure) = self.troubles.lure.filter(|_| self.rng.bool()) {
--- a/crates/cluster-simulation/src/settings.rs
+++ b/crates/cluster-simulation/src/settings.rs
@@ -17,6 +17,13 @@
     WorstOf(Scene),
 }
 
+impl DayKind {
+    /// Whether it is one of the worst days.
+    pub fn is_worst(self) -> bool {
+        matches!(self, DayKind::Worst | DayKind::WorstOf(_))
+    }
+}
+
 /// A scene of the worst days of the control side. Each takes as much at once as is tolerated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scene {
--- a/crates/cluster-simulation/src/world.rs
+++ b/crates/cluster-simulation/src/world.rs
@@ -5,7 +5,7 @@
 use crate::configuration::service_of_queue;
 use crate::machine::{address_of, machine_at, Machine, Process};
 use crate::network::{Network, Presence};
-use crate::planted::PlantedFault;
+use crate::planted::{PlantedFault, Planting};
 use crate::server::{BeatAnswer, ModelServer};
 use crate::settings::DaySettings;
 use crate::troubles::Troubles;
@@ -13,6 +13,7 @@
 use lupinrack_cluster_api::identity::{PeerAddress, ServerId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::server::ServerFacts;
+use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_worker_agent::ServerHeartbeat;
 use std::collections::BTreeMap;
@@ -50,6 +51,7 @@
     pub now: u64,
     pub(crate) settings: DaySettings,
     pub(crate) planted: Option<PlantedFault>,
+    pub(crate) planting: Planting,
     pub(crate) rng: fastrand::Rng,
     pub(crate) network: Network,
     pub(crate) machines: Vec<Machine>,
@@ -63,6 +65,8 @@
     pub(crate) sequence: u64,
     pub(crate) gangs: BTreeMap<(TaskId, u32), bool>,
     pub(crate) troubles: Troubles,
+    /// How many snapshots disks were sent, by their first pieces.
+    pub(crate) snapshots_sent: usize,
     /// What was seen.
     pub checks: Checks,
     /// Whether the operator knows that a configuration was taken.
@@ -92,6 +96,7 @@
         World {
             now: 0,
             planted: settings.planted,
+            planting: Planting::default(),
             network: Network::new(0),
             machines,
             presences,
@@ -102,6 +107,7 @@
             sequence: 0,
             gangs: BTreeMap::new(),
             troubles: Troubles::default(),
+            snapshots_sent: 0,
             checks: Checks::default(),
             has_configuration: false,
             closing: false,
@@ -155,14 +161,24 @@
         self.core_list.iter_mut().filter(|machine| **machine == old).for_each(|machine| *machine = new);
     }
 
-    /// The machine of the head of the chain, by the newest view that a front knows.
-    pub(crate) fn head(&self) -> Option<usize> {
+    /// The newest view that a front knows.
+    pub(crate) fn newest_view(&self) -> Option<View> {
         let views = self.fronts().filter_map(|front| match &self.machines[front].process {
             Some(Process::Front(front)) => Some(front.view()),
             _ => None,
         });
-        let view = views.max_by_key(|view| view.number)?;
-        view.address(view.head()?).map(machine_at)
+        views.max_by_key(|view| view.number).cloned()
+    }
+
+    /// The machines of the chain in that view, head first.
+    pub(crate) fn chain(&self) -> Vec<usize> {
+        let view = self.newest_view().unwrap_or_default();
+        view.chain.iter().filter_map(|disk| view.address(*disk)).map(machine_at).collect()
+    }
+
+    /// The machine of the head in that view.
+    pub(crate) fn head(&self) -> Option<usize> {
+        self.chain().first().copied()
     }
 
     pub(crate) fn wall(&self) -> u64 {
