Fronts and orders: a 404 needs a confirmation within a bound of the settings

A front says 404 for itself for half of bounds.config-apply-ms at most (900 ms at most) after its configuration was confirmed, not for 900 ms in every deployment. The rule stands in KnownConfiguration now, beside what it is counted from, and is tested with standing still between question, news and call; so are a home front that is cut off from the head alone (its zone goes on with the head and nobody takes the home's word), and the question that follows a change told unasked.

--- a/crates/cluster-node/src/control_api.rs
+++ b/crates/cluster-node/src/control_api.rs
@@ -1,15 +1,14 @@
 //! The operator's HTTP interface, served by every core process.
 
+use crate::configuration_order::read_order;
 use crate::status::STATUS_PATH;
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
 use lupinrack_cluster_net::snapshot::Snapshot;
 use lupinrack_cluster_settings::NodeSettings;
-use lupinrack_control_state::check_body;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
 
@@ -58,8 +57,7 @@
     answer_of(ask(&calls, request, call_ms(call.body.len())).await)
 }
 
-/// How a reply to a call of the operator is answered.
-pub fn answer_of(reply: Reply) -> HttpAnswer {
+fn answer_of(reply: Reply) -> HttpAnswer {
     match reply {
         Reply::Done | Reply::Job(_) | Reply::Pending(_) => HttpAnswer::empty(200),
         Reply::ConfigurationDocument(document) => HttpAnswer::json(document),
@@ -79,29 +77,11 @@
     reply.await.unwrap_or(Reply::Error(ErrorKind::InDoubt))
 }
 
-/// What a call of the operator asks for. A body that is wrong whatever configuration is current is refused here, also by a
-/// process that cannot know what is current; everything else is for the head.
-///
-/// # Errors
-///
-/// Where nothing is asked for, with how the call is answered.
-pub fn request_of(call: &HttpCall) -> Result<Request, ErrorKind> {
+fn request_of(call: &HttpCall) -> Result<Request, ErrorKind> {
     match (call.method.as_str(), call.path.as_str()) {
         ("GET", CONFIGURATION_PATH) => Ok(Request::ReadConfiguration),
         ("GET", STATUS_PATH) => Ok(Request::Status),
-        ("PUT", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Whole),
-        ("PATCH", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Patch),
+        ("PUT" | "PATCH", CONFIGURATION_PATH) => read_order(call).map(Request::ChangeConfiguration),
         _ => Err(ErrorKind::NotServed),
     }
 }
-
-fn change_of(call: &HttpCall, kind: fn(String) -> ConfigurationBody) -> Result<Request, ErrorKind> {
-    let if_match = call.if_match.ok_or(ErrorKind::Malformed)?;
-    let text = std::str::from_utf8(&call.body).map_err(|_| ErrorKind::Malformed)?;
-    let body = kind(text.to_owned());
-    if let Err(fault) = check_body(&body) {
-        spdlog::info!("an order is refused: {fault}");
-        return Err(ErrorKind::InvalidConfiguration);
-    }
-    Ok(Request::ChangeConfiguration(ConfigurationChange { if_match, body }))
-}
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -4,7 +4,7 @@
 use crate::control_api::{ask, ControlCall};
 use crate::front_news::FrontNews;
 use crate::head_client::{HeadClient, Outgoing};
-use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
+use crate::known_configuration::{trusted_ms, ConfigurationNews, KnownConfiguration};
 use crate::membership::Membership;
 use crate::relay::RelayedFrame;
 use crate::signals::Signals;
@@ -29,8 +29,6 @@
 
 /// How often the process looks at its clock, in milliseconds.
 const TICK_MS: u64 = 50;
-/// A configuration that was not confirmed for this long says nothing on what does not exist, in milliseconds.
-const FRESH_MS: u64 = 900;
 /// A front that was not confirmed for this long is not ready, in milliseconds.
 const READY_MS: u64 = 2_500;
 /// What is kept of a client's time for the answer's way back, in milliseconds.
@@ -254,8 +252,7 @@
 }
 
 fn is_ready(table: &FrontTable, now: Millis) -> bool {
-    let knows = table.known.configuration.version > 0;
-    knows && !table.draining && now.since(table.known.confirmed_at) < READY_MS
+    !table.draining && table.known.is_confirmed_within(READY_MS, now)
 }
 
 fn serve_jobs(
@@ -267,10 +264,11 @@
     let address = settings.front.ok_or(NodeError::NoAddress)?;
     let listener = listen::bind_once(address)?;
     let table = table.clone();
+    let trusted_ms = trusted_ms(settings.bounds.config_apply_ms);
     let handler = move |call: HttpCall| {
         let table = table.load();
         let calls = calls.clone();
-        async move { answer(call, table, calls, clock).await }
+        async move { answer(call, table, calls, trusted_ms, clock).await }
     };
     Ok(http_server::serve(listener, Arc::new(Snapshot::new(HttpLimits::default())), handler)?)
 }
@@ -279,9 +277,10 @@
     call: HttpCall,
     table: Arc<FrontTable>,
     calls: mpsc::Sender<ControlCall>,
+    trusted_ms: u64,
     clock: Clock,
 ) -> HttpAnswer {
-    match request_of(&call, &table, clock.now()) {
+    match request_of(&call, &table, trusted_ms, clock.now()) {
         Err(kind) => HttpAnswer::error(kind),
         Ok(request) => {
             let remaining = call.deadline_remaining_ms.unwrap_or(WAIT_MS).min(WAIT_MS);
@@ -303,11 +302,14 @@
     }
 }
 
-fn request_of(call: &HttpCall, table: &FrontTable, now: Millis) -> Result<Request, ErrorKind> {
+fn request_of(
+    call: &HttpCall,
+    table: &FrontTable,
+    trusted_ms: u64,
+    now: Millis,
+) -> Result<Request, ErrorKind> {
     let target = Target { host: call.host.clone(), path: call.path.clone() };
-    let known = table.known.configuration.route(&target.host, &target.path).is_some();
-    let fresh = table.known.configuration.version > 0 && now.since(table.known.confirmed_at) < FRESH_MS;
-    if !known && fresh {
+    if table.known.lacks_queue(&target, trusted_ms, now) {
         return Err(ErrorKind::UnknownQueue);
     }
     let job = target_of(&call.path).job;
--- a/crates/cluster-node/src/known_configuration.rs
+++ b/crates/cluster-node/src/known_configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration as a process without a disk knows it, and from when on it is certain.
 
 use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::request::Target;
 use lupinrack_cluster_api::time::Millis;
 use std::sync::Arc;
 
@@ -47,7 +48,28 @@
     }
 }
 
+/// The most for which a confirmation is trusted where the settings allow more, in milliseconds.
+const TRUSTED_MOST_MS: u64 = 900;
+
+/// For how long after its confirmation a configuration says what does not exist, in milliseconds: for half of the time
+/// that a change may take to be in force, since other times add to it.
+pub fn trusted_ms(config_apply_ms: u64) -> u64 {
+    (config_apply_ms / 2).min(TRUSTED_MOST_MS)
+}
+
 impl KnownConfiguration {
+    /// Whether it certainly was the newest one at a moment less than `bound_ms` ago. Before the first one nothing is.
+    pub fn is_confirmed_within(&self, bound_ms: u64, now: Millis) -> bool {
+        self.configuration.version > 0 && now.since(self.confirmed_at) < bound_ms
+    }
+
+    /// Whether there is no queue for a target, as far as a configuration that was confirmed within `bound_ms` says. Where
+    /// it says nothing the head is to be asked.
+    pub fn lacks_queue(&self, target: &Target, bound_ms: u64, now: Millis) -> bool {
+        let is_known = self.configuration.route(&target.host, &target.path).is_some();
+        !is_known && self.is_confirmed_within(bound_ms, now)
+    }
+
     /// Takes news over; never back to an older configuration in one life of the process.
     pub fn learn(&mut self, news: ConfigurationNews) -> Learned {
         let held_at = news.held_at();
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -4,6 +4,7 @@
 //! process. Each runs on one thread; a core process has one more for its disk.
 
 pub mod clock;
+pub mod configuration_order;
 pub mod control_api;
 pub mod core;
 mod front;
--- a/crates/cluster-node/tests/known_configuration.rs
+++ b/crates/cluster-node/tests/known_configuration.rs
@@ -1,8 +1,11 @@
 //! What a process without a disk takes over of news.
 
 use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::request::Target;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_cluster_node::known_configuration::{ConfigurationNews, KnownConfiguration, Learned};
+use lupinrack_cluster_node::known_configuration::{
+    trusted_ms, ConfigurationNews, KnownConfiguration, Learned,
+};
 use quickcheck::quickcheck;
 
 fn news(version: u64, whole: bool, asked_at: u64, age_ms: u64) -> ConfigurationNews {
@@ -35,6 +38,40 @@
     assert_eq!((known.configuration.version, known.confirmed_at), (3, Millis(1_000)));
 }
 
+#[test]
+fn news_that_nobody_vouches_for_is_taken_and_makes_nothing_more_certain() {
+    let mut known = KnownConfiguration::default();
+    known.learn(news(3, true, 1_000, 0));
+    let unasked = news(4, true, 0, 0);
+    assert!(!unasked.is_vouched_for());
+    assert_eq!(known.learn(unasked), Learned { newer: true, fresher: true });
+    assert_eq!((known.configuration.version, known.confirmed_at), (4, Millis(1_000)));
+}
+
+fn lacks(known: &KnownConfiguration, path: &str, bound_ms: u64, now: u64) -> bool {
+    let target = Target { host: "h.example".to_owned(), path: path.to_owned() };
+    known.lacks_queue(&target, bound_ms, Millis(now))
+}
+
+#[test]
+fn what_does_not_exist_is_only_said_within_the_bound_of_a_confirmation() {
+    let mut known = KnownConfiguration::default();
+    assert!(!lacks(&known, "/a/", 900, 1), "nothing is known yet");
+    known.learn(news(3, true, 5_000, 200));
+    for (now, says) in [(5_000, true), (5_699, true), (5_700, false), (25_000, false)] {
+        assert_eq!(
+            lacks(&known, "/a/", 900, now),
+            says,
+            "at {now}, also where the process stood still meanwhile"
+        );
+    }
+}
+
+#[test]
+fn a_configuration_is_trusted_for_half_of_the_time_that_a_change_may_take() {
+    assert_eq!([0, 600, 1_000, 2_000, 60_000].map(trusted_ms), [0, 300, 500, 900, 900]);
+}
+
 quickcheck! {
     fn it_never_goes_back(all: Vec<(u8, bool, u16, u16)>) -> bool {
         let mut known = KnownConfiguration::default();
--- a/crates/cluster-node/tests/zone_news.rs
+++ b/crates/cluster-node/tests/zone_news.rs
@@ -55,6 +55,8 @@
     fronts: Vec<FrontNews>,
     tables: Vec<LiveTable>,
     silent: Vec<bool>,
+    /// Fronts between which and the head nothing passes.
+    cut_off: Vec<bool>,
     in_flight: VecDeque<InFlight>,
     asked_head: u64,
 }
@@ -70,6 +72,7 @@
             fronts: (1..=fronts).map(news).collect(),
             tables: vec![table; fronts],
             silent: vec![false; fronts + 1],
+            cut_off: vec![false; fronts + 1],
             in_flight: VecDeque::new(),
             asked_head: 0,
         }
@@ -118,6 +121,9 @@
     }
 
     fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        if (from == HEAD && self.cut_off[to]) || (to == HEAD && self.cut_off[from]) {
+            return;
+        }
         self.in_flight.push_back(InFlight { at: self.now + DELAY_MS, from, to, frame });
     }
 
@@ -232,6 +238,44 @@
     assert!((1..=4).all(|front| zone.version(front) == 2));
 }
 
+#[test]
+fn a_home_that_is_cut_off_from_the_head_passes_nothing_on_as_fresh() {
+    let mut zone = Zone::new(4);
+    zone.run(5_000);
+    let home = zone.home();
+    zone.cut_off[home] = true;
+    zone.run(100);
+    for _ in 0..40 {
+        zone.committed.push(zone.now);
+        zone.run(500);
+    }
+    let newest = zone.committed.len() as u64;
+    for front in (1..=4).filter(|front| *front != home) {
+        assert!(zone.version(front) + 1 >= newest, "front {front} goes on with the head");
+        assert!(zone.age_ms(front) < FRESH_MS);
+    }
+    assert!(zone.age_ms(home) > 20_000, "nobody made the home fresher");
+    zone.cut_off[home] = false;
+    zone.run(1_000);
+    assert!((1..=4).all(|front| zone.version(front) == newest && zone.age_ms(front) < FRESH_MS));
+}
+
+#[test]
+fn a_change_that_is_told_unasked_is_asked_for_at_once() {
+    let mut zone = Zone::new(1);
+    zone.run(5_000);
+    let changed_at = zone.now;
+    zone.committed.push(changed_at);
+    let configuration = Some(Configuration { version: 2, ..Configuration::default() });
+    let unasked = Frame::ConfigurationNews { asked_at: Millis(0), age_ms: 0, version: 2, configuration };
+    zone.send(HEAD, 1, unasked);
+    zone.run(DELAY_MS);
+    assert_eq!(zone.version(1), 2);
+    assert!(zone.fronts[0].known().confirmed_at.0 < changed_at);
+    zone.run(TICK_MS + 2 * DELAY_MS);
+    assert!(zone.fronts[0].known().confirmed_at.0 >= changed_at);
+}
+
 #[test]
 fn a_closed_connection_to_the_home_is_as_good_as_silence() {
     let mut zone = Zone::new(3);
