Jobs: one that was taken is not answered 404 when its queue is gone

A submission that a head had appended could be judged once more after a change of the view, or after the client's process sent it again to the next head. If a configuration had removed its queue meanwhile, the answer was 404, which says that nothing was taken, though the job is kept and runs. Now that is left in doubt (504). A job that never was taken is still answered 404, and a cancel or read of a removed queue too.

--- a/crates/cluster-node/src/core/calls.rs
+++ b/crates/cluster-node/src/core/calls.rs
@@ -1,7 +1,7 @@
 //! What the head does with calls.
 
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::QueueName;
+use lupinrack_cluster_api::identity::{JobId, QueueName};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
@@ -36,7 +36,11 @@
 /// The look at a call after a barrier: the applied state is certain now.
 pub fn second_step(state: &ControlState, view: u64, request: &Request, wall: WallMillis) -> Step {
     match request {
-        Request::SubmitJob { .. } | Request::CancelJob { .. } => {
+        Request::SubmitJob { job, .. } => {
+            let refusal = || Step::Answer(Reply::Error(refusal_of_job(state, *job)));
+            operation_on_job(state, request, wall).map_or_else(refusal, Step::Submit)
+        }
+        Request::CancelJob { .. } => {
             let unknown = || Step::Answer(Reply::Error(unknown_queue(state)));
             operation_on_job(state, request, wall).map_or_else(unknown, Step::Submit)
         }
@@ -88,6 +92,15 @@
     Some(&route.name)
 }
 
+/// Why a job is not taken for whose target no queue is configured.
+fn refusal_of_job(state: &ControlState, job: JobId) -> ErrorKind {
+    if state.configuration.version == 0 {
+        ErrorKind::NotTaken
+    } else {
+        state.refusal_without_queue(job)
+    }
+}
+
 /// A queue that is not configured; before the first configuration nothing is known.
 fn unknown_queue(state: &ControlState) -> ErrorKind {
     if state.configuration.version == 0 {
--- a/crates/cluster-node/tests/calls.rs
+++ b/crates/cluster-node/tests/calls.rs
@@ -127,6 +127,19 @@
     }
 }
 
+#[test]
+fn a_job_that_was_taken_is_not_answered_as_one_of_no_queue() {
+    let mut state = with_job();
+    let remove = ConfigurationBody::Patch(r#"{"version":2,"remove":{"routes":["orders"]}}"#.to_owned());
+    let change = ConfigurationChange { if_match: 1, body: remove };
+    assert_eq!(state.apply(&Operation::ChangeConfiguration(change)), OperationResult::Done);
+    assert_eq!(second(&state, &submission(orders())), error(ErrorKind::InDoubt));
+    let other = Request::SubmitJob { target: orders(), job: JobId(8), spec: spec() };
+    assert_eq!(second(&state, &other), error(ErrorKind::UnknownQueue), "one that never was");
+    let cancel = Request::CancelJob { target: orders(), job: JOB };
+    assert_eq!(second(&state, &cancel), error(ErrorKind::UnknownQueue), "a cancel changes nothing then");
+}
+
 #[test]
 fn before_the_first_configuration_nothing_is_said_not_to_exist() {
     let read = Request::ReadJob { target: orders(), job: JOB };
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -162,7 +162,7 @@
         at: WallMillis,
     ) -> OperationResult {
         let Some(route) = self.configuration.queue(queue) else {
-            return OperationResult::Refused(ErrorKind::UnknownQueue);
+            return OperationResult::Refused(self.refusal_without_queue(job));
         };
         if let Some(known) = self.jobs.get(&job) {
             return OperationResult::Job(known.state);
@@ -180,6 +180,16 @@
         OperationResult::Job(JobState::Queued)
     }
 
+    /// Why a job is not accepted whose queue is not configured. Of one that was taken while it was, a refusal would be
+    /// false: it is kept.
+    pub fn refusal_without_queue(&self, job: JobId) -> ErrorKind {
+        let is_configured = |job: &JobRecord| self.configuration.queue(&job.queue).is_some();
+        match self.job(job) {
+            Some(known) if !is_configured(known) => ErrorKind::InDoubt,
+            _ => ErrorKind::UnknownQueue,
+        }
+    }
+
     fn cancel_job(&mut self, job: JobId, at: WallMillis) -> OperationResult {
         self.finish_job(job, JobState::Cancelled, at)
     }
