--- /dev/null
+++ b/crates/cluster-node/src/client_call.rs
@@ -0,0 +1,45 @@
+//! What a client's call at a front asks the head for.
+
+use crate::known_configuration::KnownConfiguration;
+use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::JobId;
+use lupinrack_cluster_api::request::{Request, Target};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_json::{parse_job, target_of, JobLimits};
+use lupinrack_cluster_net::http_server::HttpCall;
+
+/// Reads a client's call. That there is no queue is said here only by a configuration that was confirmed within
+/// `trusted_ms`; whatever else depends on the state of the cluster is for the head.
+///
+/// # Errors
+///
+/// Where the head need not be asked, with how the call is answered.
+pub fn read_call(
+    call: &HttpCall,
+    known: &KnownConfiguration,
+    trusted_ms: u64,
+    now: Millis,
+) -> Result<Request, ErrorKind> {
+    let target = Target { host: call.host.clone(), path: call.path.clone() };
+    if known.lacks_queue(&target, trusted_ms, now) {
+        return Err(ErrorKind::UnknownQueue);
+    }
+    let job = target_of(&call.path).job;
+    match (call.method.as_str(), job) {
+        ("POST", Some(job)) => submission(target, job, call),
+        ("GET", Some(job)) => Ok(Request::ReadJob { target, job }),
+        ("DELETE", Some(job)) => Ok(Request::CancelJob { target, job }),
+        ("GET", None) => Ok(Request::ReadQueue { target }),
+        _ => Err(ErrorKind::Malformed),
+    }
+}
+
+fn submission(target: Target, job: JobId, call: &HttpCall) -> Result<Request, ErrorKind> {
+    match parse_job(&call.body, JobLimits::default()) {
+        Ok(spec) => Ok(Request::SubmitJob { target, job, spec }),
+        Err(fault) => {
+            spdlog::debug!("job {job} is malformed: {fault}");
+            Err(ErrorKind::Malformed)
+        }
+    }
+}
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -1,5 +1,6 @@
 //! A front: takes clients' calls, checks them, and asks the head of the chain.
 
+use crate::client_call::read_call;
 use crate::clock::{draw, Clock};
 use crate::control_api::{ask, ControlCall};
 use crate::front_news::FrontNews;
@@ -11,12 +12,12 @@
 use crate::status::{FrontStatus, STATUS_PATH};
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::{JobId, PeerAddress};
-use lupinrack_cluster_api::request::{Reply, Request, Target};
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::request::Reply;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
-use lupinrack_cluster_json::{job_state_body, parse_job, pending_body, target_of, JobLimits};
+use lupinrack_cluster_json::{job_state_body, pending_body};
 use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::http_server::{self, DrainTimes, HttpAnswer, HttpCall, HttpLimits};
 use lupinrack_cluster_net::listen;
@@ -280,7 +281,7 @@
     trusted_ms: u64,
     clock: Clock,
 ) -> HttpAnswer {
-    match request_of(&call, &table, trusted_ms, clock.now()) {
+    match read_call(&call, &table.known, trusted_ms, clock.now()) {
         Err(kind) => HttpAnswer::error(kind),
         Ok(request) => {
             let remaining = call.deadline_remaining_ms.unwrap_or(WAIT_MS).min(WAIT_MS);
@@ -301,33 +302,3 @@
         }
     }
 }
-
-fn request_of(
-    call: &HttpCall,
-    table: &FrontTable,
-    trusted_ms: u64,
-    now: Millis,
-) -> Result<Request, ErrorKind> {
-    let target = Target { host: call.host.clone(), path: call.path.clone() };
-    if table.known.lacks_queue(&target, trusted_ms, now) {
-        return Err(ErrorKind::UnknownQueue);
-    }
-    let job = target_of(&call.path).job;
-    match (call.method.as_str(), job) {
-        ("POST", Some(job)) => submission(target, job, call),
-        ("GET", Some(job)) => Ok(Request::ReadJob { target, job }),
-        ("DELETE", Some(job)) => Ok(Request::CancelJob { target, job }),
-        ("GET", None) => Ok(Request::ReadQueue { target }),
-        _ => Err(ErrorKind::Malformed),
-    }
-}
-
-fn submission(target: Target, job: JobId, call: &HttpCall) -> Result<Request, ErrorKind> {
-    match parse_job(&call.body, JobLimits::default()) {
-        Ok(spec) => Ok(Request::SubmitJob { target, job, spec }),
-        Err(fault) => {
-            spdlog::debug!("job {job} is malformed: {fault}");
-            Err(ErrorKind::Malformed)
-        }
-    }
-}
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -3,6 +3,7 @@
 //! What a process does follows from `serves` in its settings: a front for clients, an agent beside a server, or a core
 //! process. Each runs on one thread; a core process has one more for its disk.
 
+pub mod client_call;
 pub mod clock;
 pub mod configuration_order;
 pub mod control_api;
