View agreement: count what three to thirteen voters bear, over all sets of losses

The table of losses that each number of voters bears, at once and in the rhythm of replacements, is checked over all sets of lost disks, all views on the way of their replacement by the policy, and all sets of processes whose votes are enough by the agreement itself.

With a policy that knows only a new disk at the same address the tests of replacements fail; with it as it is all nine pass.

--- a/crates/view-agreement/tests/policy/main.rs
+++ b/crates/view-agreement/tests/policy/main.rs
@@ -7,4 +7,5 @@
 mod leaving;
 mod replacement;
 mod rules;
+mod tolerance;
 mod watch;
