--- a/crates/cluster-node/tests/restarted_owner.rs
+++ b/crates/cluster-node/tests/restarted_owner.rs
@@ -23,6 +23,8 @@
 const HEAD: u8 = 1;
 const OWNER: u8 = 2;
 const TICK_MS: u64 = 25;
+const CATCH_UP_MS: u64 = 4_000;
+const GRACE_MS: u64 = 6_000;
 /// The token that the earlier life of the owner took the shard under.
 const OLD_TOKEN: FencingToken = FencingToken(1);
 const OLD_LIFE: u64 = 1;
@@ -98,6 +100,8 @@
             seeds: (1..=3).map(|number| voter(number).address).collect(),
             founders: Vec::new(),
             tolerated_losses: 1,
+            catch_up_ms: CATCH_UP_MS,
+            grace_ms: GRACE_MS,
             remember_ms: 60_000,
             scheduler: SchedulerSettings::default(),
         };
