--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -45,7 +45,7 @@
                     self.refuse(from, duplicate);
                     return;
                 }
-                self.note_core(from);
+                self.other_cores.insert(from, now);
                 let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
             }
@@ -94,12 +94,6 @@
         }
     }
 
-    pub(super) fn note_core(&mut self, address: PeerAddress) {
-        if !self.other_cores.contains(&address) {
-            self.other_cores.push(address);
-        }
-    }
-
     pub(super) fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
         self.agreement.current().address(disk).or_else(|| self.policy.address_of(disk))
     }
--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -58,6 +58,8 @@
 const SUMMARY_MS: u64 = 1_000;
 /// Between two looks for ended jobs that need not be remembered any longer, in milliseconds.
 const FORGET_EVERY_MS: u64 = 5_000;
+/// A process that is no voter and is silent for so many times the time to catch up is called no more.
+const FORGOTTEN_CATCH_UPS: u64 = 3;
 /// How long a process that is told to end goes on at least, so that those who call it learn of the next view, in
 /// milliseconds.
 const LEAVE_LEAST_MS: u64 = 500;
@@ -108,7 +110,9 @@
     own_messages: VecDeque<AgreementMessage>,
     /// Calls to this process itself.
     own_calls: VecDeque<WaitingCall>,
-    other_cores: Vec<PeerAddress>,
+    /// Core processes that were heard, and when last.
+    other_cores: BTreeMap<PeerAddress, Millis>,
+    catch_up_ms: u64,
     /// How often a process claimed a disk that another has.
     refused_identities: u64,
     /// The disk of the process at the other end of each connection from a core process.
@@ -176,7 +180,8 @@
             leaving_since: None,
             own_messages: VecDeque::new(),
             own_calls: VecDeque::new(),
-            other_cores: Vec::new(),
+            other_cores: BTreeMap::new(),
+            catch_up_ms,
             refused_identities: 0,
             connections: BTreeMap::new(),
             me,
--- a/crates/cluster-node/src/core/machine/views.rs
+++ b/crates/cluster-node/src/core/machine/views.rs
@@ -71,6 +71,7 @@
         let _ = self.policy.heard(self.me.clone(), report, now);
         let voter = self.me.clone();
         let frame = Frame::Heartbeat { voter, view: view.clone(), disk_healthy, leaving, replica };
+        self.forget_cores(now);
         for address in self.core_addresses(&view) {
             self.outbox.send(address, frame.clone());
         }
@@ -88,12 +89,19 @@
         }
     }
 
+    /// Drops processes that fell silent: a machine that was replaced is not called for ever. Voters are called in any
+    /// case, and whoever is no voter calls them.
+    fn forget_cores(&mut self, now: Millis) {
+        let limit = FORGOTTEN_CATCH_UPS * self.catch_up_ms;
+        self.other_cores.retain(|_, heard_at| now.since(*heard_at) <= limit);
+    }
+
     pub(super) fn core_addresses(&self, view: &View) -> Vec<PeerAddress> {
         let mut addresses: Vec<PeerAddress> = view.voters.iter().map(|voter| voter.address).collect();
         if view.voter(self.me.disk).is_none() {
             addresses.extend(self.seeds.iter().copied());
         }
-        addresses.extend(self.other_cores.iter().copied());
+        addresses.extend(self.other_cores.keys().copied());
         addresses.sort();
         addresses.dedup();
         addresses.retain(|address| *address != self.me.address);
--- a/crates/cluster-node/tests/core_machine.rs
+++ b/crates/cluster-node/tests/core_machine.rs
@@ -293,3 +293,21 @@
     driven.pass(1_000);
     assert!(!driven.leads_in(7), "the view in the heartbeat is not taken");
 }
+
+#[test]
+fn a_machine_that_is_gone_and_no_voter_is_called_no_more() {
+    let mut driven = Driven::new(2);
+    driven.heartbeat(1, view(1, [1, 2]));
+    driven.heartbeat(9, view(1, [1, 2]));
+    let called = |driven: &mut Driven, number: u8| {
+        driven.sent.clear();
+        driven.pass(500);
+        driven.sent.iter().any(|(to, _)| *to == voter(number).address)
+    };
+    assert!(called(&mut driven, 9));
+    driven.pass(4 * CATCH_UP_MS);
+    assert!(!called(&mut driven, 9));
+    assert!(called(&mut driven, 3), "a voter that was never heard");
+    driven.heartbeat(9, view(1, [1, 2]));
+    assert!(called(&mut driven, 9));
+}
--- a/crates/view-agreement/tests/simulation/machine.rs
+++ b/crates/view-agreement/tests/simulation/machine.rs
@@ -23,6 +23,8 @@
     pub policy: ViewPolicy,
     pub writes: Vec<Write>,
     pub started: Millis,
+    /// When it was told to end.
+    pub leaving_since: Option<Millis>,
 }
 
 pub struct Machine {
@@ -46,7 +48,8 @@
     pub fn start(&mut self, life: u64, founders: Vec<PeerAddress>, now: Millis) {
         let agreement = Agreement::new(self.voter.clone(), life, self.stored.clone(), founders);
         let policy = ViewPolicy::new(POLICY, agreement.founders().to_vec());
-        self.process = Some(Process { life, agreement, policy, writes: Vec::new(), started: now });
+        let writes = Vec::new();
+        self.process = Some(Process { life, agreement, policy, writes, started: now, leaving_since: None });
     }
 
     /// Ends the process. The first `survivors` of the writes that were not synced reach the disk all the same.
--- a/crates/view-agreement/tests/simulation/main.rs
+++ b/crates/view-agreement/tests/simulation/main.rs
@@ -4,5 +4,6 @@
 mod links;
 mod machine;
 mod random_proposals;
+mod replacement;
 mod with_policy;
 mod world;
--- a/crates/view-agreement/tests/simulation/with_policy.rs
+++ b/crates/view-agreement/tests/simulation/with_policy.rs
@@ -17,7 +17,7 @@
 }
 
 /// Asserts that everybody who runs knows one view, and that its chain is whole.
-fn assert_settled(world: &World, seed: u64) -> View {
+pub fn assert_settled(world: &World, seed: u64) -> View {
     assert_eq!(world.checker.violations, Vec::<Violation>::new(), "seed {seed}");
     let view = world.checker.newest();
     let runs =
@@ -30,7 +30,7 @@
     view
 }
 
-fn machine_of(world: &World, disk: lupinrack_cluster_api::identity::DiskId) -> usize {
+pub fn machine_of(world: &World, disk: lupinrack_cluster_api::identity::DiskId) -> usize {
     (0..world.machines.len())
         .find(|m| world.machines[*m].voter.disk == disk)
         .expect("a machine has this disk")
--- a/crates/view-agreement/tests/simulation/world.rs
+++ b/crates/view-agreement/tests/simulation/world.rs
@@ -19,6 +19,8 @@
 const SLOW_SYNC_MS_MOST: u64 = 300;
 /// Milliseconds that a process outside the chain needs until it has caught up.
 const CATCH_UP_MS: u64 = 400;
+/// A process that was told to end does so by then.
+const LEAVE_MS_MOST: u64 = 4500;
 
 /// A fault that is planted, to see that the checker finds it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,7 +37,14 @@
 #[derive(Clone, Debug)]
 enum Message {
     Agreement(AgreementMessage),
-    Heartbeat { voter: Voter, life: u64, view: View, disk_healthy: bool, replica: ReplicaReport },
+    Heartbeat {
+        voter: Voter,
+        life: u64,
+        view: View,
+        disk_healthy: bool,
+        leaving: bool,
+        replica: ReplicaReport,
+    },
 }
 
 enum Event {
@@ -133,6 +142,14 @@
         self.machines[machine].kill(survivors);
     }
 
+    /// Tells a process to end; it does so once its places are taken.
+    pub fn terminate(&mut self, machine: usize) {
+        let now = self.now;
+        if let Some(process) = &mut self.machines[machine].process {
+            process.leaving_since = Some(now);
+        }
+    }
+
     pub fn start(&mut self, machine: usize) {
         if self.machines[machine].process.is_none() {
             self.start_with(machine, Vec::new());
@@ -208,11 +225,11 @@
                 self.plant_old_votes(to, &message);
                 self.receive(from, to, message);
             }
-            Message::Heartbeat { voter, life, view, disk_healthy, replica } => {
+            Message::Heartbeat { voter, life, view, disk_healthy, leaving, replica } => {
                 let now = self.now;
                 let Some(process) = &mut self.machines[to].process else { return };
                 let view_number = view.number;
-                let report = PeerReport { life, view_number, disk_healthy, leaving: false, replica };
+                let report = PeerReport { life, view_number, disk_healthy, leaving, replica };
                 process.policy.heard(voter, report, now).expect("every machine has its own disk");
                 let effects = process.agreement.learn(view);
                 self.perform(to, effects);
@@ -260,7 +277,16 @@
         let effects = process.agreement.tick(now);
         let current = process.agreement.current().clone();
         let desired = process.policy.desired(&current, &voter, now);
+        let leaving_since = process.leaving_since;
+        let ends = leaving_since.is_some_and(|since| {
+            let handed_over = process.policy.may_end(&current, &voter, now);
+            now.since(since) >= LEAVE_MS_MOST || handed_over
+        });
         self.perform(machine, effects);
+        if ends {
+            return self.kill(machine);
+        }
+        let desired = desired.filter(|_| leaving_since.is_none());
         if let Some(view) = desired.filter(|_| self.policy_proposes) {
             self.propose(machine, view);
         }
@@ -274,10 +300,10 @@
         let in_chain = view.position(voter.disk).is_some();
         let caught_up = in_chain || self.now.since(process.started) >= CATCH_UP_MS;
         let replica = ReplicaReport { caught_up, complete: in_chain, needs_view: false };
-        let (voter, disk_healthy) = (voter.clone(), *disk_healthy);
+        let (voter, disk_healthy, leaving) = (voter.clone(), *disk_healthy, process.leaving_since.is_some());
         for to in (0..self.machines.len()).map(address) {
             let (voter, view) = (voter.clone(), view.clone());
-            self.send(machine, to, Message::Heartbeat { voter, life, view, disk_healthy, replica });
+            self.send(machine, to, Message::Heartbeat { voter, life, view, disk_healthy, leaving, replica });
         }
     }
 
