Scheduler and agent: late words end nothing, and a server that leaves first serves on

Causes, found by asking of each way in which a run ends without its server's word why it holds: - Of two lives beside one agent the one that attached last was taken for the later one. Heartbeats may be late, so an agent may take a dead life for the living; its attach ended the living one's runs. Now the record of places decides; only a life that nobody has met before is later than those that are known. What the earlier life listed last is read before it is ended. - A leave ended all runs of the server. Some servers send it first, without draining, and serve on. The agent now takes such a leave for draining; its runs and its hold go on. - A message of an earlier session whose number followed was taken for one of the present session; its hold_from now refuses it. - An attach that was overtaken rolled back draining and facts; the owner orders by sequence too. Draining does not end at the owner either, and what a draining server has not started is not told again, so an agent that was restarted and has forgotten the leave starts nothing. - A draining server that names no time to stay is held to stay for drain-ms; what would not end there is moved.

A core process writes a line for each run that is over without its server's word, with the rule (20 a round at most).

New with the names of rules: decisions/unlisted.rs (7).

Tests changed: a_new_life_is_taken_at_once_after_the_other_left and a_leave_is_told_to_this_and_to_each_later_owner let the server drain before it leaves, since a leave without draining no longer ends a life; that case has tests of its own.

--- a/crates/cluster-node/src/core/machine/ownership.rs
+++ b/crates/cluster-node/src/core/machine/ownership.rs
@@ -1,6 +1,10 @@
 //! The shards that this process owns, and its authority over them.
 
 use super::*;
+use lupinrack_scheduler::LapsedRun;
+
+/// Lines on runs that lapsed in one round, at most.
+const LAPSED_LINES_MOST: usize = 20;
 
 impl CoreMachine {
     pub(super) fn follow_view(&mut self, now: Millis) {
@@ -32,6 +36,7 @@
         let wall = self.moment.wall;
         let rounds = self.shards.round(&self.replica.state, now, wall, self.authority_until);
         for round in rounds {
+            log_lapsed(&round.lapsed);
             for operation in round.operations {
                 self.submit_anywhere(operation, now);
             }
@@ -82,3 +87,14 @@
         self.confirmation = None;
     }
 }
+
+/// Lines on runs that are over without their servers' word, for whoever looks for the reason of a second start.
+fn log_lapsed(lapsed: &[LapsedRun]) {
+    for run in lapsed.iter().take(LAPSED_LINES_MOST) {
+        let LapsedRun { task, attempt, server, rule } = run;
+        spdlog::info!("run {attempt} of task {task} on {} is over: {rule}", server.0);
+    }
+    if lapsed.len() > LAPSED_LINES_MOST {
+        spdlog::info!("{} more runs are over likewise", lapsed.len() - LAPSED_LINES_MOST);
+    }
+}
--- a/crates/scheduler/src/draining.rs
+++ b/crates/scheduler/src/draining.rs
@@ -69,13 +69,18 @@
         stops.into_iter().for_each(|task| self.stop_run(task, StopReason::Draining));
     }
 
+    /// Until when a draining server stays at least, by its own word or by the rule.
+    fn leaves_at(&self, server: &Server, now: Millis) -> Millis {
+        let since = server.draining_since.unwrap_or(now);
+        server.leaves_at.unwrap_or_else(|| since.plus(self.settings.drain_ms))
+    }
+
     fn decide(&self, server: &Server, run: &Run, now: Millis) -> Move {
         if run.running_since.is_none() {
             let since = server.draining_since.unwrap_or(now);
             return if now.since(since) >= UNSTARTED_MS { Move::Now } else { Move::Stay };
         }
-        let Some(leaves_at) = server.leaves_at else { return Move::Stay };
-        let left_ms = leaves_at.since(now);
+        let left_ms = self.leaves_at(server, now).since(now);
         let rest = rest_ms(run, &self.durations, &self.settings, now);
         if rest <= left_ms {
             return Move::Stay;
--- a/crates/scheduler/src/heartbeats.rs
+++ b/crates/scheduler/src/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Reading of heartbeats: progress, ends, runs that no record asks for, and proofs that a stopped run never runs.
 
+use crate::lapses::LapseRule;
 use crate::runs::{Run, RunPhase, StopReason};
 use crate::scheduler::Scheduler;
 use crate::servers::{ForeignRun, Server, UnreadHeartbeat};
@@ -142,11 +143,9 @@
                 .is_some_and(|sent| sent.session == session.id && sent.number <= heartbeat.orders_seen);
             seen && !run.ended && !reading.listed.contains(&(run.task, run.attempt))
         };
-        let stopped: Vec<_> =
-            self.runs.of_server(reading.server).filter(proven).map(|run| (run.task, run.attempt)).collect();
-        for (task, attempt) in stopped {
-            self.end_run(EndRecord { task, attempt, end: RunEnd::Stopped, saved: String::new() });
-        }
+        let stopped: Vec<TaskId> =
+            self.runs.of_server(reading.server).filter(proven).map(|run| run.task).collect();
+        stopped.into_iter().for_each(|task| self.end_unlisted(task, LapseRule::StopSeen));
     }
 
     /// Notes that the record has taken note of an end, or never will.
--- a/crates/scheduler/src/lapses.rs
+++ b/crates/scheduler/src/lapses.rs
@@ -3,12 +3,44 @@
 
 use crate::runs::{Run, RunPhase, RunTraits};
 use crate::scheduler::Scheduler;
-use lupinrack_cluster_api::identity::{JobId, ServerId, TaskId};
+use lupinrack_cluster_api::identity::{Attempt, JobId, ServerId, TaskId};
 use lupinrack_cluster_api::operation::{EndRecord, StartRecord};
 use lupinrack_cluster_api::server::RunEnd;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_control_state::{ControlState, JobRecord, TaskStatus};
 
+/// Why a run is over although its server did not list its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum LapseRule {
+    /// its server left in order
+    ServerLeft,
+    /// a later life runs beside the same agent
+    LaterLife,
+    /// every hold that its server was granted is over
+    HoldOver,
+    /// its server is not known, and every hold that an earlier owner granted is over
+    TakeoverBound,
+    /// its server was gone before it was told of it
+    NeverTold,
+    /// it was stopped before its server was told of it
+    StoppedUntold,
+    /// its server has seen the stop and lists it nowhere
+    StopSeen,
+}
+
+/// A run that is over without its server's word.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LapsedRun {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the start.
+    pub attempt: Attempt,
+    /// The server that it was assigned to.
+    pub server: ServerId,
+    /// Why it is over.
+    pub rule: LapseRule,
+}
+
 impl Scheduler {
     /// Takes over the runs of the record, in the first round. Those of jobs that are not open any longer are among them:
     /// they may still take room.
@@ -36,11 +68,12 @@
     }
 
     /// A life of a server is over, and all that ran in it.
-    pub(crate) fn server_gone(&mut self, server: &ServerId) {
-        self.lapse_runs(server);
+    pub(crate) fn server_gone(&mut self, server: &ServerId, rule: LapseRule) {
+        self.lapse_runs(server, rule);
         self.withdraw_server(server);
         self.servers.remove(server);
         self.placed.remove(server);
+        self.submissions.forget_server(server);
         self.evidence.forget_server(server);
     }
 
@@ -56,8 +89,8 @@
             over.map(|(id, server)| (id.clone(), server.session.is_none())).collect();
         for (server, detached) in over {
             if detached {
-                self.server_gone(&server);
-            } else if self.lapse_runs(&server) {
+                self.server_gone(&server, LapseRule::HoldOver);
+            } else if self.lapse_runs(&server, LapseRule::HoldOver) {
                 self.withdraw_server(&server);
                 self.servers.renew_session(&server);
             }
@@ -65,32 +98,45 @@
     }
 
     /// Ends all runs of a server; tells whether there were any.
-    fn lapse_runs(&mut self, server: &ServerId) -> bool {
+    fn lapse_runs(&mut self, server: &ServerId, rule: LapseRule) -> bool {
         let held = |run: &Run| run.phase == RunPhase::Recorded && !run.ended;
         let tasks: Vec<TaskId> =
             self.runs.of_server(server).filter(|run| held(run)).map(|run| run.task).collect();
-        tasks.iter().for_each(|task| self.end_early(*task, RunEnd::Lapsed));
+        tasks.iter().for_each(|task| self.end_unlisted(*task, rule));
         !tasks.is_empty()
     }
 
     /// Has the end of a run recorded that its server did not list.
-    fn end_early(&mut self, task: TaskId, end: RunEnd) {
-        let Some(attempt) = self.runs.get(task).map(|run| run.attempt) else { return };
+    pub(crate) fn end_unlisted(&mut self, task: TaskId, rule: LapseRule) {
+        let Some(run) = self.runs.get(task) else { return };
+        let (attempt, server) = (run.attempt, run.server.clone());
+        let end = match rule {
+            LapseRule::StoppedUntold | LapseRule::StopSeen => RunEnd::Stopped,
+            _ => RunEnd::Lapsed,
+        };
+        self.lapsed.push(LapsedRun { task, attempt, server, rule });
         self.end_run(EndRecord { task, attempt, end, saved: String::new() });
     }
 
     /// Ends runs that provably never began, and those whose server is not known and cannot hold them any longer.
     pub(crate) fn settle_runs(&mut self, now: Millis) {
-        let mut over = Vec::new();
-        for run in self.runs.iter().filter(|run| run.phase == RunPhase::Recorded && !run.ended) {
-            if run.stop.is_some() && !run.may_be_known() {
-                over.push((run.task, RunEnd::Stopped));
-            } else if self.servers.get(&run.server).is_none() && (!run.inherited || now > self.takeover_bound)
-            {
-                over.push((run.task, RunEnd::Lapsed));
-            }
+        let recorded = self.runs.iter().filter(|run| run.phase == RunPhase::Recorded && !run.ended);
+        let over: Vec<(TaskId, LapseRule)> =
+            recorded.filter_map(|run| Some((run.task, self.settled_by(run, now)?))).collect();
+        over.into_iter().for_each(|(task, rule)| self.end_unlisted(task, rule));
+    }
+
+    fn settled_by(&self, run: &Run, now: Millis) -> Option<LapseRule> {
+        if run.stop.is_some() && !run.may_be_known() {
+            return Some(LapseRule::StoppedUntold);
+        }
+        if self.servers.get(&run.server).is_some() {
+            return None;
+        }
+        match run.inherited {
+            false => Some(LapseRule::NeverTold),
+            true => (now > self.takeover_bound).then_some(LapseRule::TakeoverBound),
         }
-        over.into_iter().for_each(|(task, end)| self.end_early(task, end));
     }
 }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -42,6 +42,7 @@
 mod submissions;
 mod summary;
 
+pub use lapses::{LapseRule, LapsedRun};
 pub use scheduler::{AgentOrder, Round, Scheduler};
 pub use settings::SchedulerSettings;
 pub use summary::{ServerSummary, ServiceSummary, WaitingSummary};
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -63,8 +63,11 @@
     fn changes(&self, state: &ControlState, server: &ServerId, session: &Session) -> Changes {
         let mut changes = Changes::default();
         let mut bytes = 0;
+        let draining = self.servers.get(server).is_some_and(|entry| entry.draining_since.is_some());
+        // An agent that was restarted has forgotten that its server leaves.
+        let may_start = |run: &Run| !draining || run.running_since.is_some();
         for run in self.runs.of_server(server) {
-            if needs_start(run, session) && bytes < TEXT_BYTES_MOST {
+            if needs_start(run, session) && may_start(run) && bytes < TEXT_BYTES_MOST {
                 if let Some(assignment) = assignment(state, run) {
                     bytes += assignment.spec.len();
                     changes.assign.push(assignment);
--- a/crates/scheduler/src/places.rs
+++ b/crates/scheduler/src/places.rs
@@ -2,9 +2,13 @@
 //!
 //! After a loss of power both the owner and the agents have forgotten which life ran where, and the servers come back as
 //! new lives. Without the record of places a new owner would have to wait for the longest hold of every old life.
+//!
+//! Heartbeats may be late, so a life that attaches is not always the later one: the record tells which of two was met
+//! first, and only a life that nobody has met before is later than all that were.
 
+use crate::lapses::LapseRule;
 use crate::scheduler::Scheduler;
-use lupinrack_cluster_api::identity::ServerId;
+use lupinrack_cluster_api::identity::{PeerAddress, ServerId};
 use lupinrack_control_state::ControlState;
 
 impl Scheduler {
@@ -14,14 +18,25 @@
             self.servers.iter().filter(|(id, server)| server.session.is_some() && !self.placed.contains(*id));
         let unplaced: Vec<_> = attached.map(|(id, server)| (id.clone(), server.agent)).collect();
         for (server, agent) in unplaced {
-            if !state.servers.contains_key(&server) {
+            if state.servers.contains_key(&server) {
+                self.submissions.forget_server(&server);
+                let earlier = state.earlier_lives(&server).into_iter().cloned().collect();
+                self.end_lives(earlier);
+                self.placed.insert(server);
+            } else {
+                self.end_lives(self.others_beside(agent, &server));
                 self.submissions.add_server(server, agent);
-                continue;
             }
-            self.submissions.server_applied(&server);
-            let over: Vec<ServerId> = state.earlier_lives(&server).into_iter().cloned().collect();
-            over.iter().for_each(|earlier| self.server_gone(earlier));
-            self.placed.insert(server);
         }
     }
+
+    /// The other lives that this owner met beside an agent.
+    fn others_beside(&self, agent: PeerAddress, life: &ServerId) -> Vec<ServerId> {
+        let others = self.servers.iter().filter(|(id, server)| server.agent == agent && *id != life);
+        others.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn end_lives(&mut self, lives: Vec<ServerId>) {
+        lives.iter().for_each(|life| self.server_gone(life, LapseRule::LaterLife));
+    }
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -4,6 +4,7 @@
 use crate::evidence::Evidence;
 use crate::headroom::UrgentUse;
 use crate::jobs::{JobBoard, JobView};
+use crate::lapses::{LapseRule, LapsedRun};
 use crate::queueing::QueuedTask;
 use crate::runs::{Run, RunLedger, RunPhase, RunTraits, StopReason};
 use crate::servers::{Attachment, ReportTimes, ServerTable};
@@ -37,6 +38,8 @@
     pub operations: Vec<Operation>,
     /// Messages that are to be sent to agents.
     pub messages: Vec<AgentOrder>,
+    /// Runs whose ends are among the operations although their servers did not list them.
+    pub lapsed: Vec<LapsedRun>,
 }
 
 /// What the owner of a service's shard decides. A state machine without I/O: messages, applied operations and moments
@@ -60,6 +63,8 @@
     pub(crate) submissions: Submissions,
     pub(crate) dispatcher: Dispatcher<ServerId, QueueName, TaskId>,
     pub(crate) queued: BTreeMap<TaskId, QueuedTask>,
+    /// Runs that were found to be over without their servers' word since the last round.
+    pub(crate) lapsed: Vec<LapsedRun>,
 }
 
 impl Scheduler {
@@ -83,6 +88,7 @@
             submissions: Submissions::new(service.clone(), token, settings.resubmit_ms),
             dispatcher: Dispatcher::new(settings.dispatch),
             queued: BTreeMap::new(),
+            lapsed: Vec::new(),
             service,
             token,
             settings,
@@ -107,7 +113,7 @@
             }
             AgentMessage::Leave { server } => {
                 if self.servers.in_session(agent, connection).is_some_and(|known| known.facts.id == server) {
-                    self.server_gone(&server);
+                    self.server_gone(&server, LapseRule::ServerLeft);
                 }
             }
         }
@@ -120,11 +126,9 @@
     }
 
     fn attach(&mut self, attachment: Attachment, now: Millis) {
-        let known = self.servers.beside(attachment.agent);
-        if let Some(old_life) = known.filter(|known| **known != attachment.facts.id).cloned() {
-            self.server_gone(&old_life);
-        }
         if attachment.facts.service == self.service {
+            // Which of two lives beside one agent is over is decided by the record, in the next round.
+            self.placed.remove(&attachment.facts.id);
             self.servers.attach(attachment, self.takeover_bound.max(now));
         }
     }
@@ -218,7 +222,7 @@
         }
         let operations = self.submissions.due(now, wall);
         let messages = if has_authority { self.orders(state, now) } else { Vec::new() };
-        Round { operations, messages }
+        Round { operations, messages, lapsed: std::mem::take(&mut self.lapsed) }
     }
 
     fn refresh_jobs(&mut self, state: &ControlState, now: Millis, wall: WallMillis) -> Vec<JobId> {
--- a/crates/scheduler/src/servers.rs
+++ b/crates/scheduler/src/servers.rs
@@ -66,7 +66,9 @@
     pub agent: PeerAddress,
     /// The connection to its agent, while there is one.
     pub session: Option<Session>,
-    /// Since when it drains, if it does.
+    /// The highest sequence number of a heartbeat of it; what comes under a lower one is late and tells nothing.
+    pub sequence: u64,
+    /// Since when it drains, if it does. That does not end.
     pub draining_since: Option<Millis>,
     /// While it drains, until when it stays at least.
     pub leaves_at: Option<Millis>,
@@ -107,9 +109,15 @@
         }
     }
 
-    /// Notes a heartbeat for the next round.
+    /// Notes a heartbeat for the next round; a late one is dropped.
     pub fn take_heartbeat(&mut self, heartbeat: Heartbeat, of_session: bool, received_at: Millis) {
-        self.draining_since = heartbeat.draining.then(|| self.draining_since.unwrap_or(received_at));
+        if heartbeat.sequence < self.sequence {
+            return;
+        }
+        self.sequence = heartbeat.sequence;
+        if heartbeat.draining {
+            self.draining_since.get_or_insert(received_at);
+        }
         self.leaves_at = heartbeat.remaining_ms.map(|left| received_at.plus(left));
         self.unread = Some(UnreadHeartbeat { heartbeat, of_session, received_at });
     }
@@ -154,11 +162,13 @@
         let Attachment { agent, connection, facts, heartbeat, report } = attachment;
         let id = facts.id.clone();
         self.sessions += 1;
+        self.end_session_beside(agent, &id);
         let facts = Arc::new(facts);
         let server = self.servers.entry(id.clone()).or_insert_with(|| Server {
             facts: facts.clone(),
             agent,
             session: None,
+            sequence: 0,
             draining_since: None,
             leaves_at: None,
             unread: None,
@@ -167,7 +177,9 @@
             last_contact: report.received_at,
             hold_bound,
         });
-        server.facts = facts;
+        if heartbeat.sequence >= server.sequence {
+            server.facts = facts;
+        }
         server.agent = agent;
         server.session = Some(Session::new(self.sessions, connection, report));
         server.heard(report);
@@ -185,6 +197,14 @@
         }
     }
 
+    /// An agent speaks for one life at a time.
+    fn end_session_beside(&mut self, agent: PeerAddress, life: &ServerId) {
+        let before = self.by_agent.get(&agent).filter(|before| *before != life);
+        if let Some(server) = before.and_then(|before| self.servers.get_mut(before)) {
+            server.session = None;
+        }
+    }
+
     /// Ends the session of this connection.
     pub fn detach(&mut self, agent: PeerAddress, connection: u64) {
         if let Some(server) = self.in_session(agent, connection) {
@@ -199,11 +219,6 @@
         current.then_some(server)
     }
 
-    /// The life that was last known beside this agent.
-    pub fn beside(&self, agent: PeerAddress) -> Option<&ServerId> {
-        self.by_agent.get(&agent)
-    }
-
     /// A server.
     pub fn get(&self, id: &ServerId) -> Option<&Server> {
         self.servers.get(id)
--- a/crates/scheduler/src/submissions.rs
+++ b/crates/scheduler/src/submissions.rs
@@ -81,8 +81,8 @@
         self.servers.entry(server).or_insert(PendingServer { agent, submitted_at: None });
     }
 
-    /// Notes that the place of a server was applied.
-    pub fn server_applied(&mut self, server: &ServerId) {
+    /// Drops the place of a server: it was applied, or the server is gone.
+    pub fn forget_server(&mut self, server: &ServerId) {
         self.servers.remove(server);
     }
 
--- a/crates/scheduler/tests/decisions/bench.rs
+++ b/crates/scheduler/tests/decisions/bench.rs
@@ -24,7 +24,9 @@
     pub connection: u64,
     pub running: Vec<RunningTask>,
     pub finished: Vec<FinishedTask>,
+    pub draining: bool,
     pub remaining_ms: Option<u64>,
+    pub sequence: u64,
     pub orders_seen: u64,
     pub facts: ServerFacts,
     /// How many ends were listed so far.
@@ -130,7 +132,9 @@
             connection,
             running: Vec::new(),
             finished: Vec::new(),
+            draining: false,
             remaining_ms: None,
+            sequence: 0,
             orders_seen: 0,
             facts,
             ends: 0,
@@ -160,6 +164,13 @@
         self.scheduler.receive(address(machine), place.connection, message, Millis(self.now));
     }
 
+    /// A server leaves, having drained.
+    pub fn leave(&mut self, machine: u16) {
+        let place = &self.places[&machine];
+        let message = AgentMessage::Leave { server: place.id.clone() };
+        self.scheduler.receive(address(machine), place.connection, message, Millis(self.now));
+    }
+
     pub fn disconnect(&mut self, machine: u16) {
         let connection = self.places[&machine].connection;
         self.scheduler.disconnected(address(machine), connection, Millis(self.now));
@@ -276,8 +287,8 @@
 fn heartbeat(place: &Place) -> Heartbeat {
     Heartbeat {
         server: place.id.clone(),
-        sequence: 0,
-        draining: place.remaining_ms.is_some(),
+        sequence: place.sequence,
+        draining: place.draining || place.remaining_ms.is_some(),
         remaining_ms: place.remaining_ms,
         running: place.running.clone(),
         finished: place.finished.clone(),
--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -3,7 +3,9 @@
 mod bench;
 mod fit;
 mod lapses;
+mod late;
 mod orders;
 mod placement;
 mod replays;
 mod room;
+mod unlisted;
--- /dev/null
+++ b/crates/scheduler/tests/decisions/unlisted.rs
@@ -0,0 +1,137 @@
+//! Each way in which a run is over without its server's word, and the rule that is named for it.
+
+use crate::bench::{step, task, Bench};
+use lupinrack_cluster_api::server::RunEnd;
+use lupinrack_scheduler::{LapseRule, Round};
+
+const MACHINE: u16 = 1;
+const JOB: u64 = 7;
+
+fn with_server() -> Bench {
+    let mut bench = Bench::new();
+    bench.attach(MACHINE, 1, &["a", "r1"]);
+    bench.run_for(bench.settings.takeover_bound_ms());
+    bench
+}
+
+fn running() -> Bench {
+    let mut bench = with_server();
+    bench.accept_steps(JOB, 1, vec![step(1, 1_000, 60_000)]);
+    bench.run_for(500);
+    assert_eq!(bench.machines_of(JOB), [MACHINE]);
+    bench
+}
+
+/// A start was proposed, and its record is on its way.
+fn proposed() -> Bench {
+    let mut bench = with_server();
+    bench.holds_operations = true;
+    bench.accept_steps(JOB, 1, vec![step(1, 1_000, 60_000)]);
+    let starts = |bench: &Bench| Bench::starts(&bench.held).len();
+    while starts(&bench) == 0 {
+        bench.now += 50;
+        bench.beat(MACHINE);
+        bench.round();
+    }
+    bench.holds_operations = false;
+    bench
+}
+
+fn apply_held(bench: &mut Bench) {
+    let held = std::mem::take(&mut bench.held);
+    held.into_iter().for_each(|operation| bench.apply(operation));
+}
+
+/// The end and the rule of the only run that lapsed in this round.
+fn lapsed(round: &Round) -> (RunEnd, LapseRule) {
+    let ends = Bench::ends(&round.operations);
+    let [end] = ends.as_slice() else { panic!("one end: {ends:?}") };
+    let [lapsed] = round.lapsed.as_slice() else { panic!("one lapse: {:?}", round.lapsed) };
+    assert_eq!((end.task, end.attempt), (lapsed.task, lapsed.attempt));
+    assert_eq!(end.task, task(JOB, 0, 0));
+    (end.end, lapsed.rule)
+}
+
+fn rounds_until_lapsed(bench: &mut Bench, at_most_ms: u64) -> Round {
+    let until = bench.now + at_most_ms;
+    while bench.now < until {
+        bench.now += 50;
+        let round = bench.round();
+        if !round.lapsed.is_empty() {
+            return round;
+        }
+    }
+    panic!("nothing lapsed");
+}
+
+#[test]
+fn a_drained_server_that_left_runs_nothing() {
+    let mut bench = running();
+    bench.leave(MACHINE);
+    assert_eq!(lapsed(&bench.round()), (RunEnd::Lapsed, LapseRule::ServerLeft));
+}
+
+#[test]
+fn a_later_life_beside_the_same_agent_ends_the_earlier() {
+    let mut bench = running();
+    bench.attach(MACHINE, 2, &["a", "r1"]);
+    assert_eq!(lapsed(&bench.round()), (RunEnd::Lapsed, LapseRule::LaterLife));
+}
+
+#[test]
+fn a_hold_that_is_over_ends_a_run() {
+    let mut bench = running();
+    let round = rounds_until_lapsed(&mut bench, 10_000);
+    assert_eq!(lapsed(&round), (RunEnd::Lapsed, LapseRule::HoldOver));
+}
+
+#[test]
+fn a_run_that_a_new_owner_never_hears_of_is_over_after_the_longest_hold() {
+    let mut bench = running();
+    bench.take_over(2);
+    let began = bench.now;
+    let round = rounds_until_lapsed(&mut bench, 20_000);
+    assert_eq!(lapsed(&round), (RunEnd::Lapsed, LapseRule::TakeoverBound));
+    assert!(bench.now - began > bench.settings.takeover_bound_ms());
+}
+
+#[test]
+fn a_start_that_is_recorded_after_its_server_has_gone_was_never_told() {
+    let mut bench = proposed();
+    bench.leave(MACHINE);
+    bench.round();
+    apply_held(&mut bench);
+    assert_eq!(lapsed(&bench.round()), (RunEnd::Lapsed, LapseRule::NeverTold));
+}
+
+#[test]
+fn a_start_whose_job_is_cancelled_before_it_is_recorded_was_never_told() {
+    let mut bench = proposed();
+    apply_held(&mut bench);
+    bench.cancel(JOB);
+    let round = bench.round();
+    assert!(round.messages.iter().all(|order| order.message.assign.is_empty()));
+    assert_eq!(lapsed(&round), (RunEnd::Stopped, LapseRule::StoppedUntold));
+}
+
+#[test]
+fn a_stop_that_the_server_has_seen_ends_a_run_that_it_lists_nowhere() {
+    let mut bench = with_server();
+    bench.accept_steps(JOB, 1, vec![step(1, 1_000, 60_000)]);
+    while bench.messages.iter().all(|(_, message)| message.assign.is_empty()) {
+        bench.now += 50;
+        bench.beat(MACHINE);
+        bench.round();
+    }
+    // The answer that held the start was lost on its way to the server.
+    bench.messages.clear();
+    bench.cancel(JOB);
+    bench.round();
+    let (_, stop) = bench.messages.pop().expect("the stop is told");
+    assert_eq!(stop.stop, [(task(JOB, 0, 0), 1)]);
+    bench.beat(MACHINE);
+    assert!(bench.round().lapsed.is_empty(), "the server has not seen the stop");
+    bench.places.get_mut(&MACHINE).expect("it is there").orders_seen = stop.number;
+    bench.beat(MACHINE);
+    assert_eq!(lapsed(&bench.round()), (RunEnd::Stopped, LapseRule::StopSeen));
+}
--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -29,8 +29,10 @@
     orders_answered: u64,
     /// Whether the heartbeat lists every end that was not observed.
     all_ends_listed: bool,
-    /// Whether it has said that it drains; that does not end.
+    /// Whether it has said that it drains, or that it leaves; that does not end.
     draining: bool,
+    /// Whether it has said that it leaves without having said before that it drains: it serves on for a while.
+    left_first: bool,
     /// Ends up to this number may be forgotten.
     observed: u64,
     /// After this moment it counts as silent.
@@ -148,8 +150,16 @@
             || self.orders.stops(running).next().is_some()
     }
 
-    /// Takes note that a server has left in order.
+    /// Takes note that a server has said that it leaves. One that drained before ends now. One that says it first serves
+    /// on, with all that runs on it: it counts as draining from now on, and is over when its hold is.
     pub fn leave(&mut self, server: ServerId, _now: Millis) {
+        let present = self.life.as_mut().filter(|life| life.facts.id == server);
+        if let Some(life) = present.filter(|life| life.left_first || !life.draining) {
+            life.left_first = true;
+            life.draining = true;
+            life.heartbeat.draining = true;
+            return;
+        }
         if !self.other_lives.leave(&server) {
             return;
         }
@@ -264,11 +274,13 @@
         let all_ends_listed = ends_listed < FINISHED_LIST_MOST;
         heartbeat.orders_seen = if all_ends_listed { answered.newest } else { 0 };
         let before = self.life.take();
+        heartbeat.draining |= before.as_ref().is_some_and(|life| life.draining);
         self.life = Some(Life {
             facts,
             orders_answered: if all_ends_listed { answered.newest_with_orders } else { 0 },
             all_ends_listed,
-            draining: heartbeat.draining || before.as_ref().is_some_and(|life| life.draining),
+            draining: heartbeat.draining,
+            left_first: before.as_ref().is_some_and(|life| life.left_first),
             observed: before.map_or(0, |life| life.observed),
             expected_by: Millis::default(),
             heartbeat,
--- a/crates/worker-agent/src/session.rs
+++ b/crates/worker-agent/src/session.rs
@@ -33,8 +33,13 @@
     Detached,
     /// The agent attached at this moment and waits for the owner's first message.
     Attached(Millis),
-    /// The owner has said what should run, under this token.
-    Active(FencingToken),
+    /// The owner has said what should run.
+    Active {
+        /// Under this token.
+        token: FencingToken,
+        /// In answer to the attach of this moment.
+        attached_at: Millis,
+    },
 }
 
 /// Numbers of the owner's messages.
@@ -88,7 +93,7 @@
         match self.phase {
             Phase::Detached => Some(Millis::default()),
             Phase::Attached(at) => Some(at.plus(ATTACH_RETRY_MS)),
-            Phase::Active(_) => None,
+            Phase::Active { .. } => None,
         }
     }
 
@@ -103,17 +108,22 @@
         self.phase != Phase::Detached
     }
 
-    /// Checks a message's place in the session, and notes it where it is the next. The first one has to answer the
-    /// newest attach, which its `hold_from` shows; each further one has to follow the one before.
+    /// Checks a message's place in the session, and notes it where it is the next. Each has to answer the newest attach
+    /// or something later, which its `hold_from` shows, and to follow the one before.
     pub fn take(&mut self, message: &OwnerMessage) -> Result<(), RefusedMessage> {
-        let follows = match self.phase {
+        let attached_at = match self.phase {
             Phase::Detached => Err(RefusedMessage::EarlierSession),
-            Phase::Attached(at) if message.whole && message.hold_from >= at => Ok(()),
+            Phase::Attached(at) if message.whole => Ok(at),
             Phase::Attached(_) => Err(RefusedMessage::EarlierSession),
-            Phase::Active(token) => self.follows(message, token),
-        };
-        follows?;
-        self.phase = Phase::Active(message.token);
+            Phase::Active { attached_at, .. } => Ok(attached_at),
+        }?;
+        if message.hold_from < attached_at {
+            return Err(RefusedMessage::EarlierSession);
+        }
+        if let Phase::Active { token, .. } = self.phase {
+            self.follows(message, token)?;
+        }
+        self.phase = Phase::Active { token: message.token, attached_at };
         self.taken.newest = message.number;
         if !message.assign.is_empty() || !message.stop.is_empty() {
             self.taken.newest_with_orders = message.number;
--- a/crates/worker-agent/tests/agent.rs
+++ b/crates/worker-agent/tests/agent.rs
@@ -234,3 +234,18 @@
     assert_eq!(agent.owner_message(CONNECTION, changes, Millis(20)), Err(RefusedMessage::EarlierSession));
     assert!(agent.heartbeat(beat("a", 2), Millis(30)).starts.is_empty());
 }
+
+#[test]
+fn a_message_that_answers_an_earlier_session_is_refused_though_its_number_follows() {
+    let mut agent = ordered();
+    agent.owner_connected(2);
+    agent.heartbeat(beat("a", 2), Millis(100));
+    agent.poll(Millis(101));
+    let whole = OwnerMessage { hold_from: Millis(101), ..first_message() };
+    assert_eq!(agent.owner_message(2, whole, Millis(110)), Ok(()));
+    // It was sent on the first connection, and the driver cannot tell.
+    let late = OwnerMessage { stop: vec![(task(1), 1)], ..message(2, "a", 5) };
+    assert_eq!(agent.owner_message(2, late, Millis(120)), Err(RefusedMessage::EarlierSession));
+    let next = OwnerMessage { hold_from: Millis(101), ..message(2, "a", 5) };
+    assert_eq!(agent.owner_message(2, next, Millis(130)), Ok(()));
+}
--- a/crates/worker-agent/tests/lives.rs
+++ b/crates/worker-agent/tests/lives.rs
@@ -4,9 +4,22 @@
 
 use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
 use lupinrack_cluster_api::identity::ServerId;
+use lupinrack_cluster_api::server::RunEnd;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_worker_agent::{HeartbeatAnswer, RefusedMessage};
-use support::{assignment, beat, message, ordered, running, settings, started, task, CONNECTION, SILENT};
+use lupinrack_worker_agent::{Agent, HeartbeatAnswer, RefusedMessage, ServerHeartbeat};
+use support::{
+    assignment, beat, finished, message, ordered, reported, running, settings, started, task, CONNECTION,
+    SILENT,
+};
+
+/// Server "a" says that it drains, and then leaves.
+fn drain_and_leave(agent: &mut Agent) {
+    let mut draining = beat("a", 2);
+    draining.heartbeat.draining = true;
+    agent.heartbeat(draining, Millis(90));
+    agent.poll(Millis(91));
+    agent.leave(ServerId("a".into()), Millis(100));
+}
 
 #[test]
 fn late_repeated_and_old_heartbeats_get_no_orders() {
@@ -69,7 +82,7 @@
 #[test]
 fn a_new_life_is_taken_at_once_after_the_other_left() {
     let mut agent = ordered();
-    agent.leave(ServerId("a".into()), Millis(100));
+    drain_and_leave(&mut agent);
     agent.heartbeat(beat("b", 1), Millis(110));
     assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
 }
@@ -89,7 +102,7 @@
 #[test]
 fn a_leave_is_told_to_this_and_to_each_later_owner() {
     let mut agent = ordered();
-    agent.leave(ServerId("a".into()), Millis(100));
+    drain_and_leave(&mut agent);
     let leave = AgentMessage::Leave { server: ServerId("a".into()) };
     assert_eq!(agent.poll(Millis(101)), std::slice::from_ref(&leave));
     agent.leave(ServerId("a".into()), Millis(110));
@@ -110,3 +123,73 @@
     assert!(agent.heartbeat(listed, SILENT).stops.is_empty());
     assert_eq!(agent.server().map(|facts| &facts.id), Some(&ServerId("b".into())));
 }
+
+/// A heartbeat of "a" on which task 1 runs.
+fn beat_with_run(sequence: u64) -> ServerHeartbeat {
+    let mut listed = beat("a", sequence);
+    listed.heartbeat.running = vec![running(1, 1)];
+    listed
+}
+
+#[test]
+fn a_server_that_leaves_without_having_drained_keeps_its_runs_and_gets_no_more() {
+    let mut agent = ordered();
+    agent.heartbeat(beat_with_run(2), Millis(100));
+    agent.poll(Millis(101));
+    agent.leave(ServerId("a".into()), Millis(110));
+    let told = agent.poll(Millis(111));
+    assert!(
+        told.iter().all(|message| !matches!(message, AgentMessage::Leave { .. })),
+        "it serves on: {told:?}"
+    );
+    let report = reported(&told).expect("the owner is told at once");
+    assert!(report.draining);
+    assert_eq!(report.running, [running(1, 1)]);
+    let second = OwnerMessage { assign: vec![assignment(2, 1)], ..message(2, "a", 5) };
+    assert_eq!(agent.owner_message(CONNECTION, second, Millis(112)), Ok(()));
+    let answer = agent.heartbeat(beat_with_run(3), Millis(120));
+    assert!(answer.starts.is_empty(), "nothing starts on a server that leaves");
+    assert!(answer.hold_ms > 0, "what runs is held on");
+}
+
+#[test]
+fn a_server_that_leaves_first_is_heard_until_it_is_silent() {
+    let mut agent = ordered();
+    agent.leave(ServerId("a".into()), Millis(90));
+    agent.heartbeat(beat_with_run(2), Millis(100));
+    agent.poll(Millis(101));
+    // The call is sent again where its answer was lost.
+    agent.leave(ServerId("a".into()), Millis(110));
+    let mut ended = beat("a", 3);
+    ended.heartbeat.finished = vec![finished(1, 1, 1, RunEnd::Done)];
+    agent.heartbeat(ended, Millis(120));
+    let told = agent.poll(Millis(121));
+    let report = reported(&told).expect("the end is told");
+    assert!(report.draining);
+    assert_eq!(report.finished, [finished(1, 1, 1, RunEnd::Done)]);
+}
+
+#[test]
+fn a_heartbeat_that_comes_after_the_leave_of_a_drained_server_does_not_bring_it_back() {
+    let mut agent = ordered();
+    drain_and_leave(&mut agent);
+    agent.poll(Millis(101));
+    assert_eq!(agent.heartbeat(beat_with_run(3), Millis(3_000)), HeartbeatAnswer::default());
+    assert_eq!(agent.server(), None);
+    assert!(agent.poll(Millis(3_001)).is_empty());
+}
+
+#[test]
+fn a_late_heartbeat_takes_back_nothing() {
+    let mut agent = ordered();
+    let mut newest = beat("a", 9);
+    newest.heartbeat.draining = true;
+    newest.heartbeat.finished = vec![finished(1, 1, 1, RunEnd::Done)];
+    agent.heartbeat(newest, Millis(100));
+    agent.poll(Millis(101));
+    // Sent before the run had ended and the draining began.
+    assert_eq!(agent.heartbeat(beat_with_run(8), Millis(110)), HeartbeatAnswer::default());
+    assert!(reported(&agent.poll(Millis(111))).is_none(), "a late one is not passed on");
+    let answer = agent.heartbeat(beat("a", 10), Millis(120));
+    assert!(answer.starts.is_empty(), "it drains, and the run has ended");
+}
