Agent: a leave that it cannot place is not the end of a server; take-overs are asked for again sooner

The agent's model now has servers that send their leave first, at times twice, and serve on. It found that an agent which was restarted, and hears of a leave before any heartbeat, told the owner that the server was gone. Such a leave is remembered: the server counts as draining when it is heard.

A head that is not ready drops what is submitted. A take-over was asked for again after 700 ms, and a restarted owner now needs one always; it is asked for again after 150 ms. One that comes twice is refused.

Run: all tests of worker-agent, scheduler, cluster-node; clippy of these.

--- a/crates/cluster-node/src/core/shards.rs
+++ b/crates/cluster-node/src/core/shards.rs
@@ -12,8 +12,9 @@
 
 /// How long an owner may act after it last asked whether its view rules, in milliseconds.
 pub const AUTHORITY_MS: u64 = 1_000;
-/// A take-over that was not applied is submitted again after this long, in milliseconds.
-const TAKE_AGAIN_MS: u64 = 700;
+/// A take-over that was not applied is submitted again after this long, in milliseconds: a head that is not ready yet
+/// drops it, and one that is applied twice does no harm.
+const TAKE_AGAIN_MS: u64 = 150;
 
 /// An agent's newest first message, kept until its shard is owned.
 #[derive(Debug)]
--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -39,6 +39,14 @@
     expected_by: Millis,
 }
 
+impl Life {
+    fn leaves_first(&mut self) {
+        self.left_first = true;
+        self.draining = true;
+        self.heartbeat.draining = true;
+    }
+}
+
 /// A heartbeat that was taken and not answered yet.
 #[derive(Clone, Debug)]
 pub struct OpenHeartbeat {
@@ -151,21 +159,20 @@
     }
 
     /// Takes note that a server has said that it leaves. One that drained before ends now. One that says it first serves
-    /// on, with all that runs on it: it counts as draining from now on, and is over when its hold is.
+    /// on, with all that runs on it: it counts as draining from now on, and is over when its hold is. So does one that
+    /// this agent does not know to drain, since the agent may have been restarted.
     pub fn leave(&mut self, server: ServerId, _now: Millis) {
         let present = self.life.as_mut().filter(|life| life.facts.id == server);
-        if let Some(life) = present.filter(|life| life.left_first || !life.draining) {
-            life.left_first = true;
-            life.draining = true;
-            life.heartbeat.draining = true;
-            return;
-        }
-        if !self.other_lives.leave(&server) {
-            return;
-        }
-        if self.server().is_some_and(|known| known.id == server) {
-            self.end_life();
+        match present {
+            Some(life) if life.draining && !life.left_first => self.end_drained_life(server),
+            Some(life) => life.leaves_first(),
+            None => self.other_lives.announce_leave(server),
         }
+    }
+
+    fn end_drained_life(&mut self, server: ServerId) {
+        self.end_life();
+        self.other_lives.leave(&server);
         self.unreported_leaves.push(server);
     }
 
@@ -274,13 +281,15 @@
         let all_ends_listed = ends_listed < FINISHED_LIST_MOST;
         heartbeat.orders_seen = if all_ends_listed { answered.newest } else { 0 };
         let before = self.life.take();
-        heartbeat.draining |= before.as_ref().is_some_and(|life| life.draining);
+        let left_first = before.as_ref().is_some_and(|life| life.left_first)
+            || self.other_lives.has_announced_leave(&facts.id);
+        heartbeat.draining |= left_first || before.as_ref().is_some_and(|life| life.draining);
         self.life = Some(Life {
             facts,
             orders_answered: if all_ends_listed { answered.newest_with_orders } else { 0 },
             all_ends_listed,
             draining: heartbeat.draining,
-            left_first: before.as_ref().is_some_and(|life| life.left_first),
+            left_first,
             observed: before.map_or(0, |life| life.observed),
             expected_by: Millis::default(),
             heartbeat,
--- a/crates/worker-agent/src/lives.rs
+++ b/crates/worker-agent/src/lives.rs
@@ -40,7 +40,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Lives {
     past: VecDeque<Seen>,
+    /// Lives that drained and then left: they are over.
     left: VecDeque<ServerId>,
+    /// Lives that said that they leave while this agent knew nothing of them: they may serve on.
+    announced: VecDeque<ServerId>,
     unconfirmed: Option<Seen>,
 }
 
@@ -67,13 +70,23 @@
         push_bounded(&mut self.past, seen(newest));
     }
 
-    /// Notes that a life has left in order; nothing that it sent counts any more. Whether that is news.
-    pub fn leave(&mut self, server: &ServerId) -> bool {
-        let news = !self.left.contains(server);
-        if news {
+    /// Notes that a life has left, having drained; nothing that it sent counts any more.
+    pub fn leave(&mut self, server: &ServerId) {
+        if !self.left.contains(server) {
             push_bounded(&mut self.left, server.clone());
         }
-        news
+    }
+
+    /// Notes that a life other than the present one has said that it leaves.
+    pub fn announce_leave(&mut self, server: ServerId) {
+        if !self.left.contains(&server) && !self.announced.contains(&server) {
+            push_bounded(&mut self.announced, server);
+        }
+    }
+
+    /// Whether a life has said that it leaves when it was not the present one.
+    pub fn has_announced_leave(&self, server: &ServerId) -> bool {
+        self.announced.contains(server)
     }
 
     /// The lives that left in order, the latest last.
--- a/crates/worker-agent/tests/lives.rs
+++ b/crates/worker-agent/tests/lives.rs
@@ -193,3 +193,16 @@
     let answer = agent.heartbeat(beat("a", 10), Millis(120));
     assert!(answer.starts.is_empty(), "it drains, and the run has ended");
 }
+
+#[test]
+fn a_restarted_agent_takes_a_leave_for_one_of_a_server_that_serves_on() {
+    let mut agent = Agent::new(settings(), Millis(0));
+    agent.owner_connected(CONNECTION);
+    agent.leave(ServerId("a".into()), Millis(5));
+    assert!(agent.poll(Millis(6)).is_empty(), "nobody knows that it is over");
+    agent.heartbeat(beat_with_run(2), Millis(10));
+    let told = agent.poll(Millis(11));
+    let [AgentMessage::Attach { heartbeat, .. }] = told.as_slice() else { panic!("an attach: {told:?}") };
+    assert!(heartbeat.draining);
+    assert_eq!(heartbeat.running, [running(1, 1)]);
+}
--- a/crates/worker-agent/tests/model.rs
+++ b/crates/worker-agent/tests/model.rs
@@ -38,6 +38,7 @@
         sum.server.dropped_answers += counts.server.dropped_answers;
         sum.takeovers += counts.takeovers;
         sum.agent_restarts += counts.agent_restarts;
+        sum.left_first += counts.left_first;
         sum.never_ran += counts.never_ran;
         sum.lapses += counts.lapses;
         sum.refused_messages += counts.refused_messages;
@@ -53,6 +54,7 @@
         ("dropped answers", sum.server.dropped_answers),
         ("changes of the owner", sum.takeovers),
         ("restarts of the agent", sum.agent_restarts),
+        ("servers that left without having drained", sum.left_first),
         ("runs shown never to have started", sum.never_ran),
         ("lapses at the owner", sum.lapses),
         ("refused messages", sum.refused_messages),
--- a/crates/worker-agent/tests/model/answers.rs
+++ b/crates/worker-agent/tests/model/answers.rs
@@ -52,6 +52,10 @@
             assert!(answer.token >= self.answered_token, "the token fell");
             self.answered_token = answer.token;
         }
+        assert!(
+            answer.starts.is_empty() || !self.told_to_leave.contains(&server),
+            "a start for a server that leaves"
+        );
         let granted_until = self.granted_until.get(&server).copied().unwrap_or(0);
         // The server counts from the sending, which lies before the arrival.
         assert!(
--- a/crates/worker-agent/tests/model/server.rs
+++ b/crates/worker-agent/tests/model/server.rs
@@ -49,6 +49,8 @@
 pub struct Server {
     pub id: ServerId,
     pub draining: bool,
+    /// When it ends, if it has said that it leaves without having drained.
+    pub leaves_at: Option<u64>,
     pub counts: ServerCounts,
     token: u64,
     sequence: u64,
@@ -66,6 +68,7 @@
         Server {
             id: ServerId(id),
             draining: false,
+            leaves_at: None,
             counts,
             token: 0,
             sequence: 0,
