Chain tests: catching up against changes, a slow link, a slow disk, and cut transfers

A head and a joiner with a link of bounded speed, a connection that is closed where 4 MiB wait, and a disk with a sync time.

The property cuts transfers at random (resets, crashes with part of the writes done, new views, compactions, changes) and checks at every step that no wrong state is loaded and no false claim made, and at the end that both disks are equal.

--- /dev/null
+++ b/crates/chain/tests/catch_up/mod.rs
@@ -0,0 +1,384 @@
+//! A head, a disk that joins it, and a link of bounded speed between them, in steps of simulated time.
+
+#![allow(dead_code, reason = "each test file uses some of it")]
+
+use super::common::{large_operation, view};
+use lupinrack_chain::{Chain, Effect, Standing, Stored};
+use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::operation::LogEntry;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::ChainMessage;
+use std::collections::VecDeque;
+
+pub const HEAD: DiskId = DiskId(1);
+pub const JOINER: DiskId = DiskId(2);
+/// A step, in milliseconds.
+const STEP_MS: u64 = 5;
+/// Between two ticks of a process, in milliseconds.
+const TICK_MS: u64 = 25;
+/// A connection is closed by a further message once so many bytes wait on it.
+pub const CONNECTION_BYTES_MOST: u64 = 4 * 1024 * 1024;
+
+/// One direction of the connection.
+#[derive(Debug, Default)]
+pub struct Link {
+    queue: VecDeque<(ChainMessage, u64)>,
+    /// Bytes of the first message that are through.
+    through: u64,
+    waiting: u64,
+    /// The most that ever waited, in bytes.
+    pub most: u64,
+    /// How often it was closed since too much waited.
+    pub overflows: u64,
+}
+
+impl Link {
+    fn push(&mut self, message: ChainMessage) {
+        if self.waiting >= CONNECTION_BYTES_MOST {
+            self.overflows += 1;
+            self.reset();
+            return;
+        }
+        let bytes = borsh::object_length(&message).expect("counts") as u64;
+        self.waiting += bytes;
+        self.most = self.most.max(self.waiting);
+        self.queue.push_back((message, bytes));
+    }
+
+    /// Everything on its way is lost.
+    pub fn reset(&mut self) {
+        self.queue.clear();
+        self.through = 0;
+        self.waiting = 0;
+    }
+
+    fn deliver(&mut self, mut bytes: u64) -> Vec<ChainMessage> {
+        let mut arrived = Vec::new();
+        while let Some((_, size)) = self.queue.front() {
+            let missing = size - self.through;
+            if missing > bytes {
+                self.through += bytes;
+                break;
+            }
+            bytes -= missing;
+            self.through = 0;
+            let (message, size) = self.queue.pop_front().expect("the first one");
+            self.waiting -= size;
+            arrived.push(message);
+        }
+        arrived
+    }
+}
+
+/// A disk: what is synced, and the writes under way.
+#[derive(Debug, Default)]
+pub struct Disk {
+    stored: Stored,
+    writes: VecDeque<Effect>,
+    /// When the sync under way ends, and how many writes it covers.
+    sync: Option<(u64, usize)>,
+}
+
+impl Disk {
+    fn perform(&mut self, write: &Effect) {
+        match write {
+            Effect::Append(entries) => self.stored.entries.extend(entries.iter().cloned()),
+            Effect::TruncateAfter(index) => self.stored.entries.retain(|entry| entry.index <= *index),
+            Effect::StoreStanding(standing) => self.stored.standing = *standing,
+            Effect::Install { index, .. } => {
+                self.stored.snapshot_index = *index;
+                self.stored.entries.clear();
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The state up to an index, as bytes that tell it from that of every other index, in every part.
+pub fn state(index: u64, bytes: usize) -> Vec<u8> {
+    index.to_le_bytes().repeat(bytes / 8)
+}
+
+/// How the world is.
+#[derive(Clone, Copy, Debug)]
+pub struct Circumstances {
+    /// Bytes a second of the link, each way.
+    pub link_bytes_per_s: u64,
+    /// Milliseconds that a sync of the joiner's disk takes.
+    pub joiner_sync_ms: u64,
+    /// Bytes of a change.
+    pub change_bytes: usize,
+    /// Milliseconds between two changes.
+    pub change_every_ms: u64,
+    /// Bytes of the whole state.
+    pub state_bytes: usize,
+    /// Changes between two snapshots at the head.
+    pub snapshot_every: u64,
+}
+
+pub struct World {
+    pub circumstances: Circumstances,
+    pub now: u64,
+    pub view: View,
+    pub head: Chain,
+    pub joiner: Chain,
+    disk: Disk,
+    pub to_joiner: Link,
+    pub to_head: Link,
+    changes: u64,
+    last_change: u64,
+    /// What the head had committed at each step.
+    committed: Vec<u64>,
+    /// Snapshots that the joiner installed.
+    pub installs: u64,
+    /// Snapshots that the head was asked for.
+    pub encoded: u64,
+    /// The most bytes of entries in the head's memory.
+    pub log_most: u64,
+}
+
+impl World {
+    pub fn new(circumstances: Circumstances) -> World {
+        let first = view(1, &[HEAD.0]);
+        let mut head = Chain::new(HEAD, 1, Stored::default());
+        head.new_view(first.clone(), Millis(0));
+        let mut world = World {
+            circumstances,
+            now: 0,
+            view: first,
+            head,
+            joiner: Chain::new(JOINER, 1, Stored::default()),
+            disk: Disk::default(),
+            to_joiner: Link::default(),
+            to_head: Link::default(),
+            changes: 0,
+            last_change: 0,
+            committed: Vec::new(),
+            installs: 0,
+            encoded: 0,
+            log_most: 0,
+        };
+        world.adopt_at_joiner();
+        world
+    }
+
+    fn moment(&self) -> Millis {
+        Millis(self.now)
+    }
+
+    /// The head takes changes while the joiner is away.
+    pub fn change_alone(&mut self, changes: u64) {
+        for _ in 0..changes {
+            self.change();
+            let effects = self.head.written(self.head.last_index(), self.moment());
+            self.at_head(effects);
+        }
+    }
+
+    pub fn change(&mut self) {
+        let operation = large_operation(self.changes + 1, self.circumstances.change_bytes);
+        let Ok((index, effects)) = self.head.submit(operation, self.moment()) else { return };
+        self.changes += 1;
+        self.at_head(effects);
+        if index % self.circumstances.snapshot_every == 0 {
+            self.compact();
+        }
+    }
+
+    pub fn compact(&mut self) {
+        let committed = self.head.committed();
+        self.head.compacted(committed);
+    }
+
+    /// A new view of the same chain.
+    pub fn change_view(&mut self) {
+        self.view.number += 1;
+        let effects = self.head.new_view(self.view.clone(), self.moment());
+        self.at_head(effects);
+        let written = self.head.written(self.head.last_index(), self.moment());
+        self.at_head(written);
+        self.adopt_at_joiner();
+    }
+
+    fn adopt_at_joiner(&mut self) {
+        self.disk.stored.view = self.view.clone();
+        let effects = self.joiner.new_view(self.view.clone(), self.moment());
+        self.at_joiner(effects);
+    }
+
+    /// The joiner's process dies; some of its writes under way reached the disk.
+    pub fn crash_joiner(&mut self, writes_kept: usize) {
+        for _ in 0..writes_kept {
+            let Some(write) = self.disk.writes.pop_front() else { break };
+            self.disk.perform(&write);
+        }
+        self.disk.writes.clear();
+        self.disk.sync = None;
+        self.reset();
+        self.joiner = Chain::new(JOINER, 1, self.disk.stored.clone());
+        self.adopt_at_joiner();
+    }
+
+    /// The connection ends.
+    pub fn reset(&mut self) {
+        self.to_joiner.reset();
+        self.to_head.reset();
+    }
+
+    fn at_head(&mut self, effects: Vec<Effect>) {
+        let mut work: VecDeque<Effect> = effects.into();
+        while let Some(effect) = work.pop_front() {
+            match effect {
+                Effect::Send(_, message) => self.to_joiner.push(message),
+                Effect::NeedSnapshot => {
+                    self.encoded += 1;
+                    let index = self.head.committed();
+                    let bytes = state(index, self.circumstances.state_bytes);
+                    work.extend(self.head.provide_snapshot(index, bytes, self.moment()));
+                }
+                Effect::Append(entries) => {
+                    let last = entries.last().map_or(0, |entry| entry.index);
+                    work.extend(self.head.written(last, self.moment()));
+                }
+                Effect::TruncateAfter(index) => work.extend(self.head.truncated(index, self.moment())),
+                Effect::StoreStanding(_) => work.extend(self.head.standing_stored(self.moment())),
+                Effect::Install { .. } | Effect::Commit(_) | Effect::Barrier(_) => {}
+            }
+        }
+    }
+
+    fn at_joiner(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send(_, message) => self.to_head.push(message),
+                Effect::Install { index, bytes } => {
+                    let expected = state(index, self.circumstances.state_bytes);
+                    assert!(bytes == expected, "the snapshot up to {index} is not that state");
+                    assert!(index <= self.head.committed(), "a snapshot newer than anything committed");
+                    self.installs += 1;
+                    self.disk.writes.push_back(Effect::Install { index, bytes: Vec::new() });
+                }
+                Effect::Append(_) | Effect::TruncateAfter(_) | Effect::StoreStanding(_) => {
+                    self.disk.writes.push_back(effect);
+                }
+                Effect::Commit(_) | Effect::Barrier(_) | Effect::NeedSnapshot => {}
+            }
+        }
+    }
+
+    /// Lets one step of time pass.
+    pub fn step(&mut self) {
+        self.now += STEP_MS;
+        self.sync();
+        let bytes = self.circumstances.link_bytes_per_s * STEP_MS / 1_000;
+        for message in self.to_joiner.deliver(bytes) {
+            let effects = self.joiner.receive(HEAD, message, self.moment());
+            self.at_joiner(effects);
+        }
+        for message in self.to_head.deliver(bytes) {
+            let effects = self.head.receive(JOINER, message, self.moment());
+            self.at_head(effects);
+        }
+        if self.now % TICK_MS == 0 {
+            let effects = self.head.tick(self.moment());
+            self.at_head(effects);
+            let effects = self.joiner.tick(self.moment());
+            self.at_joiner(effects);
+        }
+        if self.now - self.last_change >= self.circumstances.change_every_ms {
+            self.last_change = self.now;
+            self.change();
+        }
+        self.committed.push(self.head.committed());
+        self.note_log();
+        self.check_claim();
+    }
+
+    fn note_log(&mut self) {
+        let last = self.head.last_index();
+        let in_memory = (1..=last).rev().take_while(|index| self.head.entry(*index).is_some()).count();
+        self.log_most = self.log_most.max(in_memory as u64 * self.circumstances.change_bytes as u64);
+    }
+
+    fn sync(&mut self) {
+        if let Some((end, writes)) = self.disk.sync {
+            if self.now < end {
+                return;
+            }
+            self.disk.sync = None;
+            for _ in 0..writes {
+                let Some(write) = self.disk.writes.pop_front() else { break };
+                self.disk.perform(&write);
+                let effects = self.report(write);
+                self.at_joiner(effects);
+            }
+        }
+        if !self.disk.writes.is_empty() {
+            let end = self.now + self.circumstances.joiner_sync_ms;
+            self.disk.sync = Some((end, self.disk.writes.len()));
+        }
+    }
+
+    fn report(&mut self, write: Effect) -> Vec<Effect> {
+        let now = self.moment();
+        match write {
+            Effect::Append(entries) => {
+                self.joiner.written(entries.last().map_or(0, |entry| entry.index), now)
+            }
+            Effect::TruncateAfter(index) => self.joiner.truncated(index, now),
+            Effect::Install { index, .. } => self.joiner.installed(index, now),
+            Effect::StoreStanding(_) => self.joiner.standing_stored(now),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The last index on the joiner's disk.
+    pub fn on_disk(&self) -> u64 {
+        let stored = &self.disk.stored;
+        stored.entries.last().map_or(stored.snapshot_index, |entry| entry.index)
+    }
+
+    /// A joiner that says it has caught up lacks nothing that was committed before its word, and the time on the link.
+    fn check_claim(&self) {
+        if !self.joiner.caught_up(self.moment()) {
+            return;
+        }
+        let on_link = CONNECTION_BYTES_MOST * 1_000 / self.circumstances.link_bytes_per_s;
+        let allowed = lupinrack_chain::limits::CAUGHT_UP_MS + on_link + 2 * STEP_MS;
+        let then = self.committed.len().saturating_sub((allowed / STEP_MS) as usize);
+        let expected = self.committed[..then].last().copied().unwrap_or(0);
+        assert!(self.on_disk() >= expected, "caught up at {} with {expected} committed", self.on_disk());
+        assert!(!self.joiner.is_complete(), "no spare is complete");
+    }
+
+    /// Steps until the joiner has caught up; how long it took.
+    pub fn until_caught_up(&mut self, most_ms: u64) -> Option<u64> {
+        let begun = self.now;
+        while self.now - begun < most_ms {
+            self.step();
+            if self.joiner.caught_up(self.moment()) {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    pub fn pass(&mut self, milliseconds: u64) {
+        let end = self.now + milliseconds;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Whether the joiner's disk holds what the head has committed.
+    pub fn is_equal(&self) -> bool {
+        let stored = &self.disk.stored;
+        let entries_equal = stored
+            .entries
+            .iter()
+            .all(|entry: &LogEntry| self.head.entry(entry.index).is_none_or(|own| own == entry));
+        let standing_fits = stored.standing == Standing::Joining;
+        entries_equal && standing_fits && self.on_disk() == self.head.committed()
+    }
+}
--- /dev/null
+++ b/crates/chain/tests/catching_up.rs
@@ -0,0 +1,125 @@
+//! How long a disk takes that was away for hundreds of changes, against changes that go on, a slow link and a slow disk.
+
+mod catch_up;
+mod common;
+
+use catch_up::{Circumstances, World};
+use quickcheck::quickcheck;
+
+/// Changes that were made while the joiner was away.
+const AWAY: u64 = 600;
+
+/// A gigabit a second, a sync of 9 ms, a change of 300 KB four times a second, a state of 1 MB.
+const USUAL: Circumstances = Circumstances {
+    link_bytes_per_s: 125_000_000,
+    joiner_sync_ms: 9,
+    change_bytes: 300_000,
+    change_every_ms: 250,
+    state_bytes: 1_000_000,
+    snapshot_every: 20,
+};
+
+/// A joiner that was away, in these circumstances, and the milliseconds until it has caught up.
+fn catch_up(circumstances: Circumstances, most_ms: u64) -> (World, Option<u64>) {
+    let mut world = World::new(circumstances);
+    world.change_alone(AWAY);
+    let took = world.until_caught_up(most_ms);
+    println!(
+        "{took:?} ms, {} installs, {} encoded, {} overflows, {} bytes waited at most, log {} bytes at most",
+        world.installs, world.encoded, world.to_joiner.overflows, world.to_joiner.most, world.log_most
+    );
+    (world, took)
+}
+
+#[test]
+fn a_member_that_was_away_for_hundreds_of_changes_is_back_within_a_second() {
+    let (world, took) = catch_up(USUAL, 10_000);
+    assert!(took.is_some_and(|took| took <= 1_000), "{took:?}");
+    assert_eq!(world.to_joiner.overflows, 0);
+}
+
+#[test]
+fn a_disk_thirty_times_slower_is_back_within_four_seconds() {
+    let (world, took) = catch_up(Circumstances { joiner_sync_ms: 270, ..USUAL }, 20_000);
+    assert!(took.is_some_and(|took| took <= 4_000), "{took:?}");
+    assert_eq!(world.to_joiner.overflows, 0);
+}
+
+#[test]
+fn a_link_hardly_faster_than_the_changes_is_enough() {
+    // 1.2 MB of changes a second over a link of 2 MB a second.
+    let (world, took) = catch_up(Circumstances { link_bytes_per_s: 2_000_000, ..USUAL }, 60_000);
+    assert!(took.is_some_and(|took| took <= 15_000), "{took:?}");
+    assert_eq!(world.to_joiner.overflows, 0);
+    assert!(world.installs <= 2, "{} rounds", world.installs);
+}
+
+#[test]
+fn a_slow_link_and_a_slow_disk_together() {
+    let circumstances = Circumstances { link_bytes_per_s: 4_000_000, joiner_sync_ms: 270, ..USUAL };
+    let (world, took) = catch_up(circumstances, 60_000);
+    assert!(took.is_some_and(|took| took <= 15_000), "{took:?}");
+    assert_eq!(world.to_joiner.overflows, 0);
+}
+
+#[test]
+fn under_a_steady_load_a_joiner_is_caught_up_although_something_is_always_under_way() {
+    // A change every step, each synced in several steps.
+    let circumstances = Circumstances { change_bytes: 500, change_every_ms: 5, joiner_sync_ms: 20, ..USUAL };
+    let (mut world, took) = catch_up(circumstances, 10_000);
+    assert!(took.is_some_and(|took| took <= 1_000), "{took:?}");
+    let mut caught_up = 0;
+    for _ in 0..200 {
+        world.step();
+        caught_up += u32::from(world.joiner.caught_up(lupinrack_cluster_api::time::Millis(world.now)));
+    }
+    assert_eq!(caught_up, 200, "of 200 steps");
+}
+
+#[test]
+fn what_follows_its_snapshot_stays_in_memory_while_it_joins() {
+    // The head drops what it can after every change; meanwhile 4.8 MB come, more than it keeps for nobody.
+    let circumstances =
+        Circumstances { link_bytes_per_s: 2_000_000, state_bytes: 8_000_000, snapshot_every: 1, ..USUAL };
+    let (world, took) = catch_up(circumstances, 60_000);
+    assert!(took.is_some(), "it never catches up");
+    assert_eq!(world.installs, 1, "rounds");
+    assert!(world.log_most <= 20_000_000, "{} bytes in memory", world.log_most);
+}
+
+/// What happens to a transfer.
+fn trouble(world: &mut World, choice: u8) {
+    match choice % 16 {
+        0 | 1 => world.reset(),
+        2 => world.crash_joiner(usize::from(choice / 16)),
+        3 | 4 => world.change_view(),
+        5 | 6 => world.compact(),
+        7 => world.change_alone(u64::from(choice)),
+        _ => world.pass(u64::from(choice)),
+    }
+}
+
+quickcheck! {
+    /// Whatever cuts a transfer short: a joiner never loads a state that is not whole, never says that it has caught up
+    /// where it has not (both are checked at every step), and ends with what the head has.
+    fn every_transfer_ends_with_the_state_of_the_head(choices: Vec<u8>, fast: bool, slow_disk: bool) -> bool {
+        let circumstances = Circumstances {
+            link_bytes_per_s: if fast { 125_000_000 } else { 10_000_000 },
+            joiner_sync_ms: if slow_disk { 200 } else { 10 },
+            change_bytes: 60_000,
+            change_every_ms: 100,
+            state_bytes: 1_200_000,
+            snapshot_every: 25,
+        };
+        let mut world = World::new(circumstances);
+        world.change_alone(100);
+        world.compact();
+        for choice in choices {
+            trouble(&mut world, choice);
+            world.step();
+        }
+        world.circumstances.change_every_ms = u64::MAX;
+        world.pass(15_000);
+        world.is_equal()
+    }
+}
