Core process: end where memory and disk disagree; identity on the disk before it is told

Cause: a batch that did not fit the log on the disk was dropped by the writer and nothing followed; the chain went on to count on an entry that will never be synced. Both now end the process, which begins anew from its disk. A new disk's identity was told to others before it was synced: a loss of power right then drew another one, and a view may have counted the first as a voter; it is now synced first.

The simulated disk now decides for each name on its own what an unsynced rename or removal came to, and can be full.

Ruled out: a full disk as a panic or a false sync (the new test passed as the code stood), loss of the file by names that were kept or lost independently (1,200 disks in crashes.rs, passed as the code stood).

Identity: new tests pass; the order of telling is in the driver and not tested there.

--- a/crates/cluster-node/src/core/machine/effects.rs
+++ b/crates/cluster-node/src/core/machine/effects.rs
@@ -44,6 +44,8 @@
     Synced(Vec<u64>),
     /// The disk refused a write, which is tried again.
     WriteFailed,
+    /// A write does not fit what is on the disk, and was dropped for good.
+    WriteRefused,
     /// A call of the operator at this process.
     Call(ControlCall),
     /// Time has passed.
@@ -82,6 +84,17 @@
     },
 }
 
+/// Why a process has to end: begun anew, it goes on from what is on its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum CoreFault {
+    /// a write does not fit the log on the disk
+    WriteRefused,
+    /// a snapshot of another member cannot be read
+    UnreadableSnapshot,
+}
+
+impl std::error::Error for CoreFault {}
+
 /// Effects that wait for the driver.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -14,7 +14,7 @@
 mod subscriptions;
 mod views;
 
-pub use effects::{CoreEffect, CoreEvent, Moment};
+pub use effects::{CoreEffect, CoreEvent, CoreFault, Moment};
 pub use settings::CoreSettings;
 
 use super::calls::{first_step, reply_to, second_step, Step};
@@ -82,6 +82,8 @@
     adopted_view: u64,
     replica: Replica,
     disk: Disk,
+    /// Set once memory and disk no longer agree; nothing goes out from then on.
+    fault: Option<CoreFault>,
     client: HeadClient,
     waiting: Waiting,
     shards: Shards,
@@ -157,6 +159,7 @@
             adopted_view: 0,
             replica,
             disk: Disk::default(),
+            fault: None,
             client: HeadClient::default(),
             waiting: Waiting::default(),
             shards: Shards::new(me.disk, scheduler),
@@ -192,6 +195,7 @@
             CoreEvent::Closed { from, connection } => self.on_closed(from, connection, now),
             CoreEvent::Synced(tickets) => self.on_synced(&tickets, now),
             CoreEvent::WriteFailed => self.disk.failed(now),
+            CoreEvent::WriteRefused => self.fail(CoreFault::WriteRefused),
             CoreEvent::Call(call) => self.on_control_call(call),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.leave(),
@@ -202,7 +206,21 @@
     pub fn settle(&mut self, moment: Moment) -> Vec<CoreEffect> {
         self.moment = moment;
         self.finish_events();
-        self.outbox.take()
+        let effects = self.outbox.take();
+        if self.fault.is_some() {
+            return Vec::new();
+        }
+        effects
+    }
+
+    /// Why the process has to end at once; none while it may go on.
+    pub fn fault(&self) -> Option<CoreFault> {
+        self.fault
+    }
+
+    fn fail(&mut self, fault: CoreFault) {
+        spdlog::error!("{fault}");
+        self.fault.get_or_insert(fault);
     }
 
     /// Hands a batch to the disk.
--- a/crates/cluster-node/src/core/machine/replication.rs
+++ b/crates/cluster-node/src/core/machine/replication.rs
@@ -41,8 +41,8 @@
         match Replica::load(index, &bytes) {
             Ok(replica) => self.replica = replica,
             Err(error) => {
-                spdlog::error!("a snapshot of another member cannot be read: {error}");
-                return;
+                spdlog::error!("a snapshot up to {index}: {error}");
+                return self.fail(CoreFault::UnreadableSnapshot);
             }
         }
         let batch = Batch {
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -13,6 +13,6 @@
 pub mod waiting;
 
 pub use lupinrack_chain::limits::ByteLimits;
-pub use machine::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
+pub use machine::{CoreEffect, CoreEvent, CoreFault, CoreMachine, CoreSettings, Moment};
 pub use process::run;
 pub use subscribers::{Subscribers, VIEWS_ONLY};
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -7,16 +7,20 @@
 use crate::signals::Signals;
 use crate::NodeError;
 use lupinrack_cluster_api::identity::DiskId;
-use lupinrack_cluster_api::wire::{Hello, Role};
+use lupinrack_cluster_api::wire::{Hello, Role, FRAME_BYTES_MOST};
 use lupinrack_cluster_membership::{LiveMember, SwimSettings};
 use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings, Peers};
-use lupinrack_cluster_settings::NodeSettings;
+use lupinrack_cluster_settings::{MachineLimits, NodeSettings};
 use lupinrack_control_store::{ControlStore, StoreSettings, WriteOutcome, Writer, WriterHandle};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// How often the process looks at its clock, in milliseconds.
 const TICK_MS: u64 = 25;
+/// The part of a disk above which the file is compacted when it is opened.
+const COMPACTED_DISK_PARTS: u64 = 4;
+/// Bytes of a megabyte, as disks are described.
+const MEGABYTE: u64 = 1_000_000;
 
 struct Driver {
     clock: Clock,
@@ -28,11 +32,11 @@
 /// Runs until the process is told to end.
 pub async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
     let data_dir = settings.data_dir.clone().ok_or(NodeError::NoDisk)?;
-    let (store, recovered) = ControlStore::open(&data_dir, StoreSettings::default())?;
-    let disk = recovered.disk.unwrap_or_else(|| DiskId(draw()));
+    let (mut store, mut recovered) = ControlStore::open(&data_dir, store_settings(&settings.limits))?;
+    let disk = store.identify(&mut recovered, DiskId(draw()))?;
     let core_settings = CoreSettings::of_node(&settings, disk, draw());
     let (peers, mut peer_events) =
-        Peers::start(settings.internal_address, hello(&core_settings), PeerSettings::default())?;
+        Peers::start(settings.internal_address, hello(&core_settings), peer_settings())?;
     let (outcomes_in, mut outcomes) = mpsc::unbounded_channel::<WriteOutcome>();
     let writer = Writer::spawn(store, move |outcome| {
         // The process ends with its receiver; nobody is left to tell then.
@@ -66,6 +70,9 @@
             }
         }
         driver.settle();
+        if let Some(fault) = driver.machine.fault() {
+            return Err(NodeError::Core(fault));
+        }
         if driver.machine.has_left(clock.now()) {
             drop(http);
             return Ok(());
@@ -73,6 +80,20 @@
     }
 }
 
+fn store_settings(limits: &MachineLimits) -> StoreSettings {
+    let default = StoreSettings::default();
+    let compact_above_bytes = match limits.disk_mb {
+        0 => default.compact_above_bytes,
+        known => default.compact_above_bytes.min(known.saturating_mul(MEGABYTE) / COMPACTED_DISK_PARTS),
+    };
+    StoreSettings { compact_above_bytes, ..default }
+}
+
+/// The largest entry has room beside a full window on a connection.
+fn peer_settings() -> PeerSettings {
+    PeerSettings { outgoing_bytes_most: FRAME_BYTES_MOST, ..PeerSettings::default() }
+}
+
 fn hello(settings: &CoreSettings) -> Hello {
     Hello {
         address: settings.me.address,
@@ -111,6 +132,9 @@
             spdlog::warn!("the disk refused a write: {error}");
             self.receive(CoreEvent::WriteFailed);
         }
+        if !outcome.tickets_refused.is_empty() {
+            self.receive(CoreEvent::WriteRefused);
+        }
         self.receive(CoreEvent::Synced(outcome.tickets_done));
     }
 
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -40,6 +40,8 @@
     State(lupinrack_control_state::SnapshotFault),
     /// the disk: {0}
     Store(lupinrack_control_store::StoreError),
+    /// the process cannot go on with what it has in memory: {0}
+    Core(core::CoreFault),
 }
 
 impl std::error::Error for NodeError {}
--- a/crates/control-store/src/simulated.rs
+++ b/crates/control-store/src/simulated.rs
@@ -1,11 +1,12 @@
 //! A disk in memory that loses power and fails on demand, for tests.
 //!
 //! After a loss of power a file holds what its last sync covered; each later write is there, missing or torn, and in one
-//! case of four all of them are missing. A new file lasts once it is synced, a rename or a removal once the folder is.
+//! case of four all of them are missing. A new file lasts once it is synced, a rename or a removal once the folder is; before
+//! that each name for itself may be as it was or as it is.
 
 use crate::medium::Medium;
 use redb::StorageBackend;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -39,6 +40,16 @@
     SetLength(usize),
 }
 
+impl Change {
+    /// Where the file ends at least after the change.
+    fn end(&self) -> usize {
+        match self {
+            Change::Write { offset, bytes } => offset + bytes.len(),
+            Change::SetLength(length) => *length,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct FileState {
     created_as: String,
@@ -58,6 +69,8 @@
     /// After so many further changes the power is lost.
     changes_left: Option<u64>,
     failing: Option<Failing>,
+    /// Bytes that all files together may have; none for any number.
+    capacity: Option<usize>,
     counters: DiskCounters,
 }
 
@@ -116,6 +129,11 @@
         self.lock().failing = None;
     }
 
+    /// From now on there is room for so many bytes in all files together; none for any number.
+    pub fn set_capacity(&self, bytes: Option<usize>) {
+        self.lock().capacity = bytes;
+    }
+
     /// A file's bytes; none where there is no such file.
     pub fn contents(&self, name: &str) -> Option<Vec<u8>> {
         let disk = self.lock();
@@ -169,10 +187,7 @@
         self.life += 1;
         self.changes_left = None;
         self.failing = None;
-        if random.below(2) == 0 {
-            self.names = self.synced_names.clone();
-        }
-        self.synced_names = self.names.clone();
+        self.lose_names(random);
         let kept: Vec<FileNumber> = self.names.values().copied().collect();
         self.files.retain(|number, _| kept.contains(number));
         for file in self.files.values_mut() {
@@ -180,6 +195,30 @@
         }
     }
 
+    /// Each name is as it was when the folder was synced, or as it is.
+    fn lose_names(&mut self, random: &mut Random) {
+        let changed: BTreeSet<String> = self.names.keys().chain(self.synced_names.keys()).cloned().collect();
+        for name in changed {
+            if random.below(2) == 0 {
+                match self.synced_names.get(&name) {
+                    Some(number) => self.names.insert(name, *number),
+                    None => self.names.remove(&name),
+                };
+            }
+        }
+        self.synced_names = self.names.clone();
+    }
+
+    /// Checks that there is room for a file of this length.
+    fn make_room(&self, number: FileNumber, length: usize) -> io::Result<()> {
+        let others: usize =
+            self.files.iter().filter(|(other, _)| **other != number).map(|(_, file)| file.bytes.len()).sum();
+        match self.capacity {
+            Some(capacity) if others + length > capacity => Err(io::ErrorKind::StorageFull.into()),
+            _ => Ok(()),
+        }
+    }
+
     /// The file of a handle opened in this life.
     fn file(&mut self, handle: &Handle) -> io::Result<&mut FileState> {
         if handle.life != self.life {
@@ -321,6 +360,11 @@
     fn make(&self, change: Change) -> io::Result<()> {
         let mut disk = self.disk.lock();
         disk.change()?;
+        let length = disk.file(self)?.bytes.len();
+        let longer = change.end().max(length);
+        if longer > length {
+            disk.make_room(self.number, longer)?;
+        }
         disk.file(self)?.make(change);
         Ok(())
     }
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -100,6 +100,21 @@
         Ok((store, recovered))
     }
 
+    /// The identity of the disk; an empty disk is given the one that was drawn, which is on the disk when this returns. Only
+    /// then may others hear it: they may count on the disk from then on.
+    ///
+    /// # Errors
+    ///
+    /// Where the disk does not take it.
+    pub fn identify(&mut self, recovered: &mut Recovered, drawn: DiskId) -> Result<DiskId, StoreError> {
+        if let Some(disk) = recovered.disk {
+            return Ok(disk);
+        }
+        self.commit(&Batch { disk: Some(drawn), ..Batch::default() })?;
+        recovered.disk = Some(drawn);
+        Ok(drawn)
+    }
+
     /// Which indices the log holds.
     pub fn bounds(&self) -> LogBounds {
         self.bounds
--- a/crates/control-store/tests/opening.rs
+++ b/crates/control-store/tests/opening.rs
@@ -335,3 +335,24 @@
         }
     }
 }
+
+#[test]
+fn an_identity_is_on_the_disk_before_it_is_told() {
+    for seed in 0..20 {
+        let disk = SimulatedDisk::new();
+        let (mut store, mut found) = open(&disk).expect("opens");
+        assert_eq!(store.identify(&mut found, DiskId(7)).expect("a working disk"), DiskId(7));
+        disk.cycle_power(seed);
+        let (mut store, mut found) = open(&disk).expect("opens");
+        assert_eq!(store.identify(&mut found, DiskId(8)).expect("a working disk"), DiskId(7));
+    }
+}
+
+#[test]
+fn a_disk_that_does_not_take_its_identity_has_none() {
+    let disk = SimulatedDisk::new();
+    let (mut store, mut found) = open(&disk).expect("opens");
+    disk.fail_after(0, None, ErrorKind::StorageFull);
+    assert!(store.identify(&mut found, DiskId(7)).is_err());
+    assert_eq!(found.disk, None);
+}
--- a/crates/control-store/tests/writer.rs
+++ b/crates/control-store/tests/writer.rs
@@ -2,10 +2,10 @@
 
 mod common;
 
-use common::{append, open};
+use common::{append, entry_of, open};
 use lupinrack_control_store::simulated::SimulatedDisk;
 use lupinrack_control_store::{
-    Batch, LogBounds, Misfit, RetryPauses, StoreError, WriteOutcome, Writer, WriterHandle,
+    Batch, LogBounds, Misfit, RetryPauses, StoreError, WriteOutcome, Writer, WriterHandle, DATA_FILE,
 };
 use std::io::ErrorKind;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -169,3 +169,29 @@
     assert_eq!(bounds.after(&snapshot(20)), Ok(LogBounds { snapshot: 20, last: 20 }));
     assert_eq!(bounds.after(&append(10..=12)), Ok(LogBounds { snapshot: 4, last: 12 }));
 }
+
+/// More than fits beside an empty file.
+const LARGE_ENTRY: usize = 300_000;
+
+#[test]
+fn a_full_disk_keeps_what_was_committed_and_goes_on_once_there_is_room() {
+    let disk = SimulatedDisk::new();
+    let (handle, outcomes) = writer(&disk);
+    handle.write(1, append(1..=1));
+    until_done(&outcomes, 1);
+    let length = disk.contents(DATA_FILE).expect("the file").len();
+    disk.set_capacity(Some(length));
+    handle.write(2, Batch { append: vec![entry_of(2, LARGE_ENTRY)], ..Batch::default() });
+    handle.write(3, Batch { append: vec![entry_of(3, LARGE_ENTRY)], ..Batch::default() });
+    for _ in 0..20 {
+        let outcome = outcomes.recv().expect("the writer lives");
+        assert!(matches!(outcome.result, Err(StoreError::Full)), "{outcome:?}");
+        assert!(outcome.tickets_done.is_empty(), "nothing is synced: {outcome:?}");
+    }
+    disk.set_capacity(None);
+    let all = until_done(&outcomes, 3);
+    assert_eq!(tickets(&all), [2, 3]);
+    handle.close();
+    disk.cycle_power(3);
+    assert_eq!(entries(&disk), 3);
+}
