--- a/crates/chain/tests/simulation.rs
+++ b/crates/chain/tests/simulation.rs
@@ -73,6 +73,16 @@
     assert!(is_caught(PlantedFault::AlwaysComplete));
 }
 
+#[test]
+fn a_snapshot_that_is_sent_for_newer_than_it_is_is_caught() {
+    assert!(is_caught(PlantedFault::SentSnapshotTooNew));
+}
+
+#[test]
+fn a_snapshot_that_is_stored_for_newer_than_it_is_is_caught() {
+    assert!(is_caught(PlantedFault::StoredSnapshotTooNew));
+}
+
 #[test]
 fn a_view_whose_head_was_not_complete_does_no_harm() {
     let violations: Vec<Violation> =
--- a/crates/chain/tests/support/mod.rs
+++ b/crates/chain/tests/support/mod.rs
@@ -41,4 +41,8 @@
     AlwaysComplete,
     /// Views are proposed whose head was not complete in the view before.
     AnyHead,
+    /// A snapshot that is sent is said to cover one entry more than it does.
+    SentSnapshotTooNew,
+    /// A snapshot on the disk is said to cover one entry more than it does.
+    StoredSnapshotTooNew,
 }
--- a/crates/chain/tests/support/node.rs
+++ b/crates/chain/tests/support/node.rs
@@ -140,7 +140,8 @@
     pub fn compact(&mut self) {
         let Some(chain) = self.chain.as_mut() else { return };
         if self.disk.is_idle() {
-            self.disk.compact(self.applied);
+            let too_new = u64::from(self.fault == PlantedFault::StoredSnapshotTooNew);
+            self.disk.compact(Snapshot { index: self.applied.index + too_new, ..self.applied });
             chain.compacted(self.applied.index);
         }
     }
@@ -188,18 +189,21 @@
                 checker.barrier(self.id, committed, expected);
             }
             Effect::NeedSnapshot => {
-                let mut bytes = vec![0; SNAPSHOT_BYTES];
-                bytes[..8].copy_from_slice(&self.applied.state.to_le_bytes());
-                return chain.provide_snapshot(self.applied.index, bytes, now);
+                let bytes = self.applied.state.to_le_bytes().repeat(SNAPSHOT_BYTES / 8);
+                let too_new = u64::from(self.fault == PlantedFault::SentSnapshotTooNew);
+                return chain.provide_snapshot(self.applied.index + too_new, bytes, now);
             }
         }
         Vec::new()
     }
 
     fn install(&mut self, index: u64, bytes: &[u8], checker: &mut Checker) {
-        let mut state = [0; 8];
-        state.copy_from_slice(&bytes[..8]);
-        let snapshot = Snapshot { index, state: u64::from_le_bytes(state) };
+        let (words, _) = bytes.as_chunks::<8>();
+        let is_whole = bytes.len() == SNAPSHOT_BYTES && words.iter().all(|word| *word == words[0]);
+        if !is_whole {
+            checker.report(Violation::WrongSnapshot { disk: self.id, index });
+        }
+        let snapshot = Snapshot { index, state: u64::from_le_bytes(words[0]) };
         checker.loaded(self.id, index, snapshot.state);
         self.applied = snapshot;
         self.disk.order(Write::Install(snapshot));
--- a/crates/chain/tests/support/world.rs
+++ b/crates/chain/tests/support/world.rs
@@ -183,6 +183,8 @@
 
     fn start(&mut self, node: usize) {
         self.nodes[node].start();
+        let (disk, loaded) = (self.nodes[node].id, self.nodes[node].applied);
+        self.checker.loaded(disk, loaded.index, loaded.state);
         let life = self.nodes[node].life;
         self.schedule(self.now + 1, Event::Tick { node, life });
         self.announce(node);
--- a/crates/cluster-node/tests/byte_bounds.rs
+++ b/crates/cluster-node/tests/byte_bounds.rs
@@ -1,5 +1,6 @@
 //! What hundreds of large changes cost a core process in memory and on its disk.
 
+use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
 use lupinrack_cluster_api::request::{Reply, Request};
@@ -36,6 +37,8 @@
     store: ControlStore,
     machine: CoreMachine,
     now: u64,
+    /// Whether the disk does what it is told; otherwise it hangs.
+    works: bool,
     /// The longest that the file was.
     file_most: u64,
     snapshots: u64,
@@ -60,7 +63,7 @@
             log_bytes: ByteLimits::of_machine(256, 128),
         };
         let machine = CoreMachine::new(settings, recovered, moment(1)).expect("an empty disk can be read");
-        Alone { disk, store, machine, now: 1, file_most: 0, snapshots: 0 }
+        Alone { disk, store, machine, now: 1, works: true, file_most: 0, snapshots: 0 }
     }
 
     fn receive(&mut self, event: CoreEvent) {
@@ -69,6 +72,9 @@
             events.drain(..).for_each(|event| self.machine.receive(event, moment(self.now)));
             for effect in self.machine.settle(moment(self.now)) {
                 let CoreEffect::Write { ticket, batch } = effect else { continue };
+                if !self.works {
+                    continue;
+                }
                 self.snapshots += u64::from(batch.snapshot.is_some());
                 self.store.commit(&batch).expect("a working disk");
                 events.push(CoreEvent::Synced(vec![ticket]));
@@ -86,11 +92,16 @@
         }
     }
 
-    fn change(&mut self, version: u64) {
-        let body = ConfigurationBody::Whole(configuration(version));
-        let request = Request::ChangeConfiguration(ConfigurationChange { if_match: version - 1, body });
-        let (answerer, mut reply) = oneshot::channel();
+    fn call(&mut self, body: String, if_match: u64) -> oneshot::Receiver<Reply> {
+        let body = ConfigurationBody::Whole(body);
+        let request = Request::ChangeConfiguration(ConfigurationChange { if_match, body });
+        let (answerer, reply) = oneshot::channel();
         self.receive(CoreEvent::Call(ControlCall { request, answerer, remaining_ms: 2_000 }));
+        reply
+    }
+
+    fn change(&mut self, version: u64) {
+        let mut reply = self.call(configuration(version), version - 1);
         self.pass(25);
         assert_eq!(reply.try_recv(), Ok(Reply::Done), "change {version}");
     }
@@ -112,3 +123,35 @@
     assert!(file_most <= 32 * MEGABYTE, "a quarter of a disk of 128 MB; {file_most} bytes");
     assert!(log_bytes as u64 <= 8 * MEGABYTE, "{log_bytes} bytes of log");
 }
+
+#[test]
+fn what_a_head_cannot_take_is_answered_at_once() {
+    let mut alone = Alone::new();
+    alone.pass(2_000);
+    alone.change(1);
+    alone.works = false;
+    let mut open = Vec::new();
+    let refused = loop {
+        let version = open.len() as u64 + 2;
+        let mut reply = alone.call(configuration(version), version - 1);
+        match reply.try_recv() {
+            Ok(answer) => break answer,
+            Err(_) => open.push(reply),
+        }
+        assert!(open.len() < 100, "a head without a disk takes everything");
+    };
+    assert_eq!(refused, Reply::Error(ErrorKind::NotTaken));
+    let bytes = open.len() * CHANGE_BYTES;
+    assert!(bytes <= 5_000_000, "{bytes} bytes uncommitted");
+    let again = alone.call(configuration(2), 1).try_recv();
+    assert_eq!(again, Ok(Reply::Error(ErrorKind::InDoubt)), "the same is under way already");
+}
+
+#[test]
+fn a_change_that_no_frame_holds_is_too_large() {
+    let mut alone = Alone::new();
+    alone.pass(2_000);
+    let body = configuration(1) + &" ".repeat(6 * 1024 * 1024);
+    assert_eq!(alone.call(body, 0).try_recv(), Ok(Reply::Error(ErrorKind::TooLarge)));
+    alone.change(1);
+}
