--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -15,7 +15,7 @@
 mod subscriptions;
 mod views;
 
-pub use effects::{CoreEffect, CoreEvent, Moment};
+pub use effects::{CoreEffect, CoreEvent, CoreFault, Moment};
 pub use settings::CoreSettings;
 
 use super::calls::{first_step, reply_to, second_step, Step};
@@ -29,7 +29,8 @@
 use crate::NodeError;
 use borsh::BorshDeserialize;
 use effects::Outbox;
-use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored};
+use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored, SubmitError};
+use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request};
@@ -90,6 +91,8 @@
     adopted_view: u64,
     replica: Replica,
     disk: Disk,
+    /// Set once memory and disk no longer agree; nothing goes out from then on.
+    fault: Option<CoreFault>,
     client: HeadClient,
     waiting: Waiting,
     shards: Shards,
@@ -136,7 +139,9 @@
         let replica = Replica::load(recovered.snapshot_index, &recovered.snapshot)?;
         let empty_disk = recovered.disk.is_none();
         let CoreSettings { name, me, life, seeds, founders, .. } = settings;
-        let CoreSettings { tolerated_losses, catch_up_ms, grace_ms, remember_ms, scheduler, .. } = settings;
+        let CoreSettings {
+            tolerated_losses, catch_up_ms, grace_ms, remember_ms, scheduler, log_bytes, ..
+        } = settings;
         let agreement = Agreement::new(me.clone(), life, vote, founders);
         let policy_settings = PolicySettings {
             heartbeat_ms: HEARTBEAT_MS,
@@ -159,10 +164,11 @@
             outbox: Outbox::default(),
             agreement,
             policy,
-            chain: Chain::new(me.disk, tolerated_losses + 1, stored),
+            chain: Chain::new(me.disk, tolerated_losses + 1, stored).with_byte_limits(log_bytes),
             adopted_view: 0,
             replica,
             disk: Disk::default(),
+            fault: None,
             client: HeadClient::default(),
             waiting: Waiting::default(),
             shards: Shards::new(me.disk, life, scheduler),
@@ -201,6 +207,7 @@
             CoreEvent::Closed { from, connection } => self.on_closed(from, connection, now),
             CoreEvent::Synced(tickets) => self.on_synced(&tickets, now),
             CoreEvent::WriteFailed => self.disk.failed(now),
+            CoreEvent::WriteRefused => self.fail(CoreFault::WriteRefused),
             CoreEvent::Call(call) => self.on_control_call(call),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.leave(),
@@ -211,7 +218,21 @@
     pub fn settle(&mut self, moment: Moment) -> Vec<CoreEffect> {
         self.moment = moment;
         self.finish_events();
-        self.outbox.take()
+        let effects = self.outbox.take();
+        if self.fault.is_some() {
+            return Vec::new();
+        }
+        effects
+    }
+
+    /// Why the process has to end at once; none while it may go on.
+    pub fn fault(&self) -> Option<CoreFault> {
+        self.fault
+    }
+
+    fn fail(&mut self, fault: CoreFault) {
+        spdlog::error!("{fault}");
+        self.fault.get_or_insert(fault);
     }
 
     /// Hands a batch to the disk.
--- a/crates/cluster-node/src/core/machine/settings.rs
+++ b/crates/cluster-node/src/core/machine/settings.rs
@@ -1,6 +1,7 @@
 //! What a core process is told when it begins.
 
 use crate::scheduling::scheduler_settings;
+use lupinrack_chain::limits::ByteLimits;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::view::Voter;
 use lupinrack_cluster_settings::NodeSettings;
@@ -33,6 +34,8 @@
     pub remember_ms: u64,
     /// Settings of its schedulers.
     pub scheduler: SchedulerSettings,
+    /// Bounds of the log in bytes.
+    pub log_bytes: ByteLimits,
 }
 
 impl CoreSettings {
@@ -51,6 +54,7 @@
             grace_ms: node.bounds.grace_ms,
             remember_ms: node.bounds.status_ms.saturating_add(REMEMBER_MARGIN_MS),
             scheduler: scheduler_settings(node),
+            log_bytes: ByteLimits::of_machine(node.limits.memory_mb, node.limits.disk_mb),
         }
     }
 }
