--- a/crates/cluster-node/src/control_api.rs
+++ b/crates/cluster-node/src/control_api.rs
@@ -1,9 +1,9 @@
 //! The operator's HTTP interface, served by every core process.
 
+use crate::configuration_order::read_order;
 use crate::status::STATUS_PATH;
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
@@ -13,11 +13,19 @@
 use tokio::sync::{mpsc, oneshot};
 
 const CONFIGURATION_PATH: &str = "/lupinrack/config";
-/// How long a call to the head may take, in milliseconds. Callers go on to another process after a second of silence.
-const CALL_MS: u64 = 3_000;
+/// How long a call to the head may take, in milliseconds. Callers go on to another process after a second of silence, so
+/// whoever holds a call for longer only keeps them from going on.
+const CALL_MS: u64 = 850;
+/// For so many bytes of a body a call may take a millisecond more: callers wait longer for large ones.
+const BODY_BYTES_PER_MS: u64 = 256;
 /// The largest body that an operator may send, in bytes.
 const BODY_BYTES_MOST: u64 = 4 * 1024 * 1024;
 
+/// How long a call with a body of this many bytes may take, in milliseconds.
+pub fn call_ms(body_bytes: usize) -> u64 {
+    CALL_MS + body_bytes as u64 / BODY_BYTES_PER_MS
+}
+
 /// A call of this process to the head.
 #[derive(Debug)]
 pub struct ControlCall {
@@ -46,7 +54,11 @@
         Ok(request) => request,
         Err(kind) => return HttpAnswer::error(kind),
     };
-    match ask(&calls, request, CALL_MS).await {
+    answer_of(ask(&calls, request, call_ms(call.body.len())).await)
+}
+
+fn answer_of(reply: Reply) -> HttpAnswer {
+    match reply {
         Reply::Done | Reply::Job(_) | Reply::Pending(_) => HttpAnswer::empty(200),
         Reply::ConfigurationDocument(document) => HttpAnswer::json(document),
         Reply::Status(text) => HttpAnswer::json(text),
@@ -69,15 +81,7 @@
     match (call.method.as_str(), call.path.as_str()) {
         ("GET", CONFIGURATION_PATH) => Ok(Request::ReadConfiguration),
         ("GET", STATUS_PATH) => Ok(Request::Status),
-        ("PUT", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Whole),
-        ("PATCH", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Patch),
+        ("PUT" | "PATCH", CONFIGURATION_PATH) => read_order(call).map(Request::ChangeConfiguration),
         _ => Err(ErrorKind::NotServed),
     }
 }
-
-fn change_of(call: &HttpCall, kind: fn(String) -> ConfigurationBody) -> Result<Request, ErrorKind> {
-    let if_match = call.if_match.ok_or(ErrorKind::Malformed)?;
-    let text = std::str::from_utf8(&call.body).map_err(|_| ErrorKind::Malformed)?;
-    let body = kind(text.to_owned());
-    Ok(Request::ChangeConfiguration(ConfigurationChange { if_match, body }))
-}
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -15,4 +15,4 @@
 pub use lupinrack_chain::limits::ByteLimits;
 pub use machine::{CoreEffect, CoreEvent, CoreFault, CoreMachine, CoreSettings, Moment};
 pub use process::run;
-pub use subscribers::{Subscribers, VIEWS_ONLY};
+pub use subscribers::Subscribers;
