--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -39,11 +39,15 @@
         now: Millis,
     ) {
         match frame {
-            Frame::Heartbeat { voter, view, disk_healthy, replica } => {
-                self.note_core(from);
-                let effects = self.agreement.learn(view.clone());
+            Frame::Heartbeat { voter, view, disk_healthy, leaving, replica } => {
+                let report = PeerReport { life, view_number: view.number, disk_healthy, leaving, replica };
+                if let Err(duplicate) = self.take_heartbeat(voter, report, now) {
+                    self.refuse(from, duplicate);
+                    return;
+                }
+                self.other_cores.insert(from, now);
+                let effects = self.agreement.learn(view);
                 self.carry_out_agreement(effects, now);
-                self.policy.heard(voter, life, view.number, disk_healthy, replica, now);
             }
             Frame::Agreement(message) => {
                 let effects = self.agreement.receive(from, message, now);
@@ -80,19 +84,13 @@
             }
             Frame::Hello(hello) => {
                 if let Some(disk) = hello.disk {
-                    self.connections.insert(connection, disk);
+                    self.greet(connection, disk, hello.address, now);
                 }
             }
             Frame::Owner(_) | Frame::ConfigurationNews { .. } => {}
         }
     }
 
-    pub(super) fn note_core(&mut self, address: PeerAddress) {
-        if !self.other_cores.contains(&address) {
-            self.other_cores.push(address);
-        }
-    }
-
     pub(super) fn address_of(&self, disk: DiskId) -> Option<PeerAddress> {
         self.agreement.current().address(disk).or_else(|| self.policy.address_of(disk))
     }
@@ -174,7 +172,7 @@
         self.begin_barrier(now);
         self.read_confirmation();
         self.run_round(now);
-        if self.replica.wants_snapshot() {
+        if self.wants_snapshot() {
             self.write_snapshot(now);
         }
     }
--- a/crates/cluster-node/src/core/machine/settings.rs
+++ b/crates/cluster-node/src/core/machine/settings.rs
@@ -1,6 +1,7 @@
 //! What a core process is told when it begins.
 
 use crate::scheduling::scheduler_settings;
+use lupinrack_chain::limits::ByteLimits;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::view::Voter;
 use lupinrack_cluster_settings::NodeSettings;
@@ -25,10 +26,16 @@
     pub founders: Vec<PeerAddress>,
     /// How many core machines may be lost.
     pub tolerated_losses: usize,
+    /// How long a machine counts as lost after its start, in milliseconds.
+    pub catch_up_ms: u64,
+    /// How long a process has between the signal to end and being killed, in milliseconds.
+    pub grace_ms: u64,
     /// How long a job that has ended is remembered, in milliseconds.
     pub remember_ms: u64,
     /// Settings of its schedulers.
     pub scheduler: SchedulerSettings,
+    /// Bounds of the log in bytes.
+    pub log_bytes: ByteLimits,
 }
 
 impl CoreSettings {
@@ -43,8 +50,11 @@
             founders: if node.is_founder() { seeds.clone() } else { Vec::new() },
             seeds,
             tolerated_losses: node.tolerance.machines as usize,
+            catch_up_ms: node.bounds.catch_up_ms,
+            grace_ms: node.bounds.grace_ms,
             remember_ms: node.bounds.status_ms.saturating_add(REMEMBER_MARGIN_MS),
             scheduler: scheduler_settings(node),
+            log_bytes: ByteLimits::of_machine(node.limits.memory_mb, node.limits.disk_mb),
         }
     }
 }
--- a/crates/cluster-simulation/src/day.rs
+++ b/crates/cluster-simulation/src/day.rs
@@ -27,6 +27,8 @@
     pub changes: usize,
     /// The number of the newest view that a front knew.
     pub views: u64,
+    /// Snapshots that were written.
+    pub snapshots_written: usize,
     /// Snapshots that disks were sent, by their first pieces.
     pub snapshots_sent: usize,
 }
@@ -139,7 +141,7 @@
 
     fn report(self) -> DayReport {
         let views = self.world.newest_view().map_or(0, |view| view.number);
-        let snapshots_sent = self.world.snapshots_sent;
+        let (snapshots_written, snapshots_sent) = (self.world.snapshots_written, self.world.snapshots_sent);
         let checks = self.world.checks;
         DayReport {
             accepted: self.clients.iter().filter(|client| client.accepted_at.is_some()).count(),
@@ -147,6 +149,7 @@
             tasks_done: checks.tasks.values().filter(|task| task.done_at.is_some()).count(),
             changes: self.operator.count_acknowledged(),
             views,
+            snapshots_written,
             snapshots_sent,
             broken: checks.broken,
         }
--- a/crates/cluster-simulation/src/plan/mod.rs
+++ b/crates/cluster-simulation/src/plan/mod.rs
@@ -14,6 +14,9 @@
 /// Grace between the signal to end and the kill, in milliseconds.
 pub const GRACE_MS: u64 = 5_000;
 
+/// A core machine counts as lost for this long after its return, or after its start where it is new, in milliseconds.
+pub const CATCH_UP_MS: u64 = 4_000;
+
 /// One entry.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry {
--- a/crates/cluster-simulation/src/plan/worst.rs
+++ b/crates/cluster-simulation/src/plan/worst.rs
@@ -2,12 +2,10 @@
 
 use super::{
     Acknowledgement, Blow, CoreChoice, CoreTrouble, CutDirection, Entry, OperatorOrder, Strike, Trouble,
-    GRACE_MS,
+    CATCH_UP_MS, GRACE_MS,
 };
 use crate::settings::{DaySettings, Scene};
 
-/// A core machine counts as lost for this long after its return, or after its start where it is new, in milliseconds.
-const CATCH_UP_MS: u64 = 4_000;
 /// How long a machine is cut off while its callers go on, in milliseconds.
 const CUT_MS: u64 = 20_000;
 /// How long a strike waits for its acknowledgement, in milliseconds.
--- a/crates/cluster-simulation/src/planted.rs
+++ b/crates/cluster-simulation/src/planted.rs
@@ -1,6 +1,7 @@
 //! Faults that are planted to see whether the checks find them.
 
 use lupinrack_cluster_api::wire::Frame;
+use std::collections::BTreeMap;
 
 /// A fault in place of the right behaviour.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,10 +23,9 @@
     /// Machines that are cut off together agree on a view without the others: voters are removed without an overlap of
     /// majorities.
     VotersRemovedAlone,
-    /// The changes that were taken are not in the snapshots that other disks are sent.
+    /// The changes that were taken are not in the snapshots that disks hold.
     TakenChangesNotInSnapshot,
-    /// A disk that is sent a snapshot is sent the first one that any disk was sent, as if it covered all that the newest
-    /// covers.
+    /// In the place of each later snapshot a disk holds its first one, as if that covered all that the later one covers.
     SnapshotTakenForNewer,
     /// A copy of each answer comes late, on whatever connection its caller's machine has by then, so that the number alone
     /// says which call it answers.
@@ -52,8 +52,8 @@
 /// What has to be remembered for planted faults.
 #[derive(Debug, Default)]
 pub struct Planting {
-    /// The first snapshot that any disk was sent.
-    pub first_snapshot: Option<Vec<u8>>,
+    /// The first snapshot that each machine wrote.
+    pub first_snapshots: BTreeMap<usize, Vec<u8>>,
     /// Copies of answers on their way.
     pub late_answers: Vec<LateAnswer>,
 }
--- a/crates/cluster-simulation/src/planting.rs
+++ b/crates/cluster-simulation/src/planting.rs
@@ -8,6 +8,7 @@
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame};
 use lupinrack_control_state::{ControlState, TakenChanges};
+use lupinrack_control_store::Batch;
 use lupinrack_worker_agent::HeartbeatAnswer;
 
 /// How much longer than granted holds last, in milliseconds.
@@ -19,28 +20,28 @@
 
 impl World {
     /// What a process sends, changed where a fault is planted.
-    pub(crate) fn planted_frame(&mut self, frame: Frame) -> Frame {
-        match (self.planted, frame) {
-            (
-                Some(PlantedFault::TokenNotRaised),
-                Frame::Submit(Operation::TakeShard { service, owner, .. }),
-            ) => Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner }),
-            (Some(planted), Frame::Chain(message)) => Frame::Chain(self.planted_message(planted, message)),
-            (_, frame) => frame,
+    pub(crate) fn planted_frame(&self, frame: Frame) -> Frame {
+        match frame {
+            Frame::Submit(Operation::TakeShard { service, owner, life, .. })
+                if self.planted == Some(PlantedFault::TokenNotRaised) =>
+            {
+                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner, life })
+            }
+            frame => frame,
         }
     }
 
-    /// Changes a snapshot that fits one message.
-    fn planted_message(&mut self, planted: PlantedFault, message: ChainMessage) -> ChainMessage {
-        let ChainMessage::Snapshot { view, index, piece: 0, pieces: 1, bytes } = message else {
-            return message;
-        };
-        let bytes = match planted {
-            PlantedFault::TakenChangesNotInSnapshot => without_taken_changes(bytes),
-            PlantedFault::SnapshotTakenForNewer => self.planting.first_snapshot.get_or_insert(bytes).clone(),
+    /// What a core process writes, with another snapshot where a fault is planted.
+    pub(crate) fn planted_batch(&mut self, machine: usize, batch: Batch) -> Batch {
+        let Some((index, bytes)) = batch.snapshot else { return batch };
+        let bytes = match self.planted {
+            Some(PlantedFault::TakenChangesNotInSnapshot) => without_taken_changes(bytes),
+            Some(PlantedFault::SnapshotTakenForNewer) => {
+                self.planting.first_snapshots.entry(machine).or_insert(bytes).clone()
+            }
             _ => bytes,
         };
-        ChainMessage::Snapshot { view, index, piece: 0, pieces: 1, bytes }
+        Batch { snapshot: Some((index, bytes)), ..batch }
     }
 
     pub(crate) fn planted_answer(&self, mut answer: HeartbeatAnswer, listed: u64) -> HeartbeatAnswer {
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -4,6 +4,7 @@
 use crate::front::Front;
 use crate::machine::{address_of, machine_at, Machine, Process, ProcessEffect, ProcessEvent};
 use crate::network::Arrival;
+use crate::plan::{CATCH_UP_MS, GRACE_MS};
 use crate::planted::PlantedFault;
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
 use crate::side::{HeartbeatCall, Side, SideAnswer};
@@ -94,8 +95,11 @@
             founders,
             seeds,
             tolerated_losses: self.settings.tolerance,
+            catch_up_ms: CATCH_UP_MS,
+            grace_ms: GRACE_MS,
             remember_ms: self.settings.traffic_ms + self.settings.finish_ms + REMEMBER_MARGIN_MS,
             scheduler: SchedulerSettings { hold_ms: HOLD_MOST_MS, ..SchedulerSettings::default() },
+            log_bytes: self.settings.log_bytes(),
         };
         let moment = self.machines[machine].clock.read(self.now);
         match CoreMachine::new(settings, recovered, moment) {
@@ -270,6 +274,8 @@
 
     fn write(&mut self, machine: usize, ticket: u64, batch: Batch) {
         let sync_ms = self.rng.u64(1..8);
+        self.snapshots_written += usize::from(batch.snapshot.is_some());
+        let batch = self.planted_batch(machine, batch);
         let now = self.now;
         if self.planted == Some(PlantedFault::SyncLeftOut) {
             self.machines[machine].disk.write(ticket, batch, now, UNSYNCED_MS);
--- a/crates/cluster-simulation/src/settings.rs
+++ b/crates/cluster-simulation/src/settings.rs
@@ -1,6 +1,7 @@
 //! How large a day is, and what happens on it.
 
 use crate::planted::PlantedFault;
+use lupinrack_cluster_node::core::ByteLimits;
 use std::ops::Range;
 
 /// What happens on a day.
@@ -104,7 +105,25 @@
     }
 }
 
+/// Bounds of the log on the worst days, so small that snapshots are taken and sent all the time.
+const SMALL_LOG: ByteLimits = ByteLimits {
+    uncommitted: 256 * 1024,
+    snapshot_after: 32 * 1024,
+    retained: 8 * 1024,
+    catch_up: 64 * 1024,
+    window: 64 * 1024,
+};
+
 impl DaySettings {
+    /// The bounds of the log of core processes.
+    pub fn log_bytes(&self) -> ByteLimits {
+        if self.kind.is_worst() {
+            SMALL_LOG
+        } else {
+            ByteLimits::default()
+        }
+    }
+
     /// The fronts, by the numbers of their machines.
     pub fn fronts(&self) -> Range<usize> {
         self.cores..self.cores + self.fronts
