Core process: a view that the vote knew before a restart is adopted in the new life

Cause: a core process that begins tells its agreement of the view on its disk, and adopts what the agreement then calls agreed. Where the recovered vote knows that view already, learning it gives no effect, so nothing else of the new life hears of it: the client of the head knows no view, and every call of the operator there is answered 503 after 800 ms until some later view. Where a crash came between the vote and the view, the replica stayed in the older view for as long.

tests/restarted_core.rs: failed before a_process_restarted_in_an_unchanged_view_passes_calls_on and a_view_that_was_agreed_and_not_yet_adopted_before_a_crash_is_adopted_after_it; all three pass now. The chain takes the same view twice without effect.

--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -9,9 +9,14 @@
             let batch = Batch { disk: Some(self.me.disk), ..Batch::default() };
             self.write(batch, AfterWrite::Nothing, now);
         }
-        if view.number > 0 {
-            let effects = self.agreement.learn(view);
-            self.carry_out_agreement(effects, now);
+        let effects = self.agreement.learn(view);
+        // The vote may have known the view of the last life, or a newer one, as agreed already: then it is no news to
+        // the agreement, but to everything else of this life.
+        let known_before = effects.is_empty();
+        self.carry_out_agreement(effects, now);
+        let newest = self.agreement.current().clone();
+        if known_before && newest.number > 0 {
+            self.on_view(newest, now);
         }
         spdlog::info!(
             "core process on disk {:016x}, view {}, applied {}",
--- /dev/null
+++ b/crates/cluster-node/tests/restarted_core.rs
@@ -0,0 +1,96 @@
+//! A core process that begins with the vote and the view that its last life left on its disk.
+
+mod common;
+
+use common::{core, disk, view};
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::request::Request;
+use lupinrack_cluster_api::time::{Millis, WallMillis};
+use lupinrack_cluster_api::view::{View, Voter};
+use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_node::control_api::ControlCall;
+use lupinrack_cluster_node::core::{ByteLimits, CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
+use lupinrack_control_store::Recovered;
+use lupinrack_scheduler::SchedulerSettings;
+use lupinrack_view_agreement::VoteState;
+use tokio::sync::oneshot;
+
+/// The process under test, a voter outside the chain.
+const ME: u8 = 3;
+
+fn moment(now: u64) -> Moment {
+    Moment { now: Millis(now), wall: WallMillis(1_700_000_000_000 + now) }
+}
+
+/// What is on a disk whose vote knows one view as agreed, and whose replica adopted another one.
+fn recovered(agreed: View, adopted: &View) -> Recovered {
+    let vote = VoteState { agreed, ..VoteState::default() };
+    Recovered {
+        disk: Some(disk(ME)),
+        vote: borsh::to_vec(&vote).expect("a vote can be written"),
+        view: borsh::to_vec(adopted).expect("a view can be written"),
+        ..Recovered::default()
+    }
+}
+
+fn restarted(recovered: Recovered) -> CoreMachine {
+    let settings = CoreSettings {
+        name: "core".to_owned(),
+        me: Voter { disk: disk(ME), address: core(ME), zone: "north".to_owned() },
+        life: 7,
+        seeds: (1..=3).map(core).collect(),
+        founders: Vec::new(),
+        tolerated_losses: 1,
+        catch_up_ms: 4_000,
+        grace_ms: 6_000,
+        remember_ms: 10_000,
+        scheduler: SchedulerSettings::default(),
+        log_bytes: ByteLimits::default(),
+    };
+    CoreMachine::new(settings, recovered, moment(1)).expect("the disk can be read")
+}
+
+/// Hands events to a machine whose writes are synced at once, and returns to whom it sent calls.
+fn calls_sent(machine: &mut CoreMachine, event: CoreEvent) -> Vec<PeerAddress> {
+    let mut called = Vec::new();
+    let mut events = vec![event];
+    while !events.is_empty() {
+        events.drain(..).for_each(|event| machine.receive(event, moment(2)));
+        for effect in machine.settle(moment(2)) {
+            match effect {
+                CoreEffect::Send { to, frame: Frame::Request { .. } } => called.push(to),
+                CoreEffect::Write { ticket, .. } => events.push(CoreEvent::Synced(vec![ticket])),
+                _ => {}
+            }
+        }
+    }
+    called
+}
+
+/// To whom a restarted process passes a call of the operator on.
+fn passes_call_on_to(recovered: Recovered) -> Vec<PeerAddress> {
+    let mut machine = restarted(recovered);
+    let mut called = calls_sent(&mut machine, CoreEvent::Tick);
+    let (answerer, _reply) = oneshot::channel();
+    let call = ControlCall { request: Request::ReadConfiguration, answerer, remaining_ms: 1_000 };
+    called.extend(calls_sent(&mut machine, CoreEvent::Call(call)));
+    called
+}
+
+#[test]
+fn a_process_restarted_in_an_unchanged_view_passes_calls_on() {
+    let unchanged = view(4, &[1, 2, 3], &[1, 2]);
+    assert_eq!(passes_call_on_to(recovered(unchanged.clone(), &unchanged)), [core(1)]);
+}
+
+#[test]
+fn a_view_that_was_agreed_and_not_yet_adopted_before_a_crash_is_adopted_after_it() {
+    let (adopted, agreed) = (view(4, &[1, 2, 3], &[1, 2]), view(5, &[1, 2, 3], &[2, 1]));
+    assert_eq!(passes_call_on_to(recovered(agreed, &adopted)), [core(2)]);
+}
+
+#[test]
+fn a_view_that_was_adopted_before_the_vote_knew_it_is_adopted_again() {
+    let (adopted, agreed) = (view(5, &[1, 2, 3], &[2, 1]), view(4, &[1, 2, 3], &[1, 2]));
+    assert_eq!(passes_call_on_to(recovered(agreed, &adopted)), [core(2)]);
+}
