Simulation: while all machines are in touch, each of them answers an order clearly

A new rule (ACKS): an order that begins and ends while all machines are in touch gets a clear answer from any core process that runs.

--- a/crates/cluster-simulation/src/operator/changes.rs
+++ b/crates/cluster-simulation/src/operator/changes.rs
@@ -52,6 +52,8 @@
     number: CallNumber,
     /// Whether its answer is lost on the way.
     answer_lost: bool,
+    /// Whether all machines were in touch when it began.
+    began_calm: bool,
 }
 
 impl OpenChange {
@@ -177,6 +179,9 @@
             let Some(outcome) = open.call.outcome(now) else { return };
             let outcome = if open.answer_lost { Outcome::Doubt } else { outcome };
             self.history.answered(open.number, answer_of(&outcome), now);
+            if open.began_calm && world.is_calm() {
+                check_calm_answer(number, &outcome, world);
+            }
             change.open = None;
             self.change_answered(number, outcome, world);
             return;
@@ -195,7 +200,7 @@
         let request = Request::ChangeConfiguration(ConfigurationChange { if_match: change.if_match, body });
         let (control_call, open) = call(request, world.now, SILENCE_MS);
         let in_history = self.history.began(Call::Change(change.for_history(number)), world.now);
-        change.open = Some(Try { call: open, number: in_history, answer_lost });
+        change.open = Some(Try { call: open, number: in_history, answer_lost, began_calm: world.is_calm() });
         world.call_core(core, control_call);
     }
 
@@ -265,6 +270,14 @@
     }
 }
 
+/// While all machines are in touch, every one of them answers an order clearly.
+fn check_calm_answer(number: usize, outcome: &Outcome, world: &mut World) {
+    if answer_of(outcome) == Answer::Unclear {
+        let text = format!("ACKS: change {number} is answered {outcome:?} while all machines are in touch");
+        world.checks.broke(world.now, text);
+    }
+}
+
 fn answer_of(outcome: &Outcome) -> Answer {
     match outcome {
         Outcome::Success(_) => Answer::Acknowledged,
--- a/crates/cluster-simulation/tests/planted_control.rs
+++ b/crates/cluster-simulation/tests/planted_control.rs
@@ -61,7 +61,7 @@
 fn taken_changes_lost_over_a_snapshot_are_caught() {
     let rules = ["acknowledged, is refused", "HISTORY"];
     assert_caught(PlantedFault::TakenChangesNotInSnapshot, &rules, |planted| {
-        scene(Scene::WipedThenAnother, &[1, 2], 300_000, planted)
+        scene(Scene::AllAtOnce, &[1, 2, 3, 4], 60_000, planted)
     });
 }
 
@@ -89,7 +89,7 @@
 fn a_snapshot_taken_for_newer_than_it_is_is_caught() {
     let rules = ["CONFIG: version", "LOST: accepted job", "TWICE"];
     assert_caught(PlantedFault::SnapshotTakenForNewer, &rules, |planted| {
-        scene(Scene::WipedThenAnother, &[1, 2], 300_000, planted)
+        scene(Scene::AllAtOnce, &[1, 2, 3, 4], 60_000, planted)
     });
 }
 
