Front in service: an attempt carries the permit for its one sending, used up by it

Cause: nothing but care kept the way to the nodes from sending a request twice; a request that may not be repeated must not be. The module decides by kind whether there is another attempt, and that stays so.

Each attempt that the core orders now holds a SendPermit, which only the core can make, which cannot be copied, and which the sending takes by value; probes are their own kind of sending.

Looked at and found sound, unchanged: one request at a time on a connection; a connection is kept only where the answer was whole and nothing came behind it, rests 50 ms, and is looked at again before use; a late answer dies with its connection; hyper's client by connection never sends anything again; discovery's and the extents' pooled clients have resends off and only read. 'Could not connect' for a request whose last byte was never handed over stays as the protocol states it: a node starts on a request once its last byte has come.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod clock;
 mod nodes;
+mod permit;
 mod places;
 
 pub use clock::Clock;
 pub use nodes::{Listing, Target};
+pub use permit::SendPermit;
 
 use lupinrack_extents::{self as extents, Version};
 use lupinrack_policy::*;
@@ -110,6 +112,8 @@
     pub until: Micros,
     /// From this reading on it may not be begun: the right that it draws on has ended, or nodes may have forgotten what it repeats.
     pub begin_by: Micros,
+    /// For its one sending.
+    pub permit: SendPermit,
 }
 
 /// A front's end of the core.
@@ -593,7 +597,8 @@
         let begin_by = right.min(begin_by);
         let until = timeout.map_or(o.request.give_up, |t| o.request.give_up.min(now + t));
         let sent = self.nodes.target(node).filter(|_| o.end.is_none() && moved.is_none()).is_some_and(|to| {
-            o.orders.try_send(Order::Send(Attempt { number, to, until, begin_by })).is_ok()
+            let permit = SendPermit::for_order();
+            o.orders.try_send(Order::Send(Attempt { number, to, until, begin_by, permit })).is_ok()
         });
         if sent {
             o.out.push((number, node, now, o.request.shard));
--- a/crates/http/src/line.rs
+++ b/crates/http/src/line.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use lupinrack_core::SendPermit;
 use lupinrack_figures::Figures;
 use std::collections::HashMap;
 use std::future::Future;
@@ -214,6 +215,21 @@
     }
 }
 
+/// What is sent on a connection.
+pub enum Sending {
+    /// A client's request, for which the module gave a permit; the figures count it.
+    Attempt {
+        /// The request.
+        request: http::Request<Full<Bytes>>,
+        /// For this one sending; used up by it.
+        permit: SendPermit,
+        /// Where it is counted once it was handed to the system whole.
+        figures: Figures,
+    },
+    /// A look at the node, which may be repeated.
+    Probe(http::Request<Full<Bytes>>),
+}
+
 /// A connection to a node. Dropped, it closes at once.
 pub struct Line {
     address: SocketAddr,
@@ -250,12 +266,12 @@
         self.wire.passed().flushed
     }
 
-    /// Sends a request and waits for the head of its answer.
-    pub async fn begin(
-        &mut self,
-        request: http::Request<Full<Bytes>>,
-        count: Option<Figures>,
-    ) -> Result<http::Response<Incoming>, Spoilt> {
+    /// Sends what is given and waits for the head of its answer.
+    pub async fn begin(&mut self, sending: Sending) -> Result<http::Response<Incoming>, Spoilt> {
+        let (request, count) = match sending {
+            Sending::Attempt { request, permit: SendPermit { .. }, figures } => (request, Some(figures)),
+            Sending::Probe(request) => (request, None),
+        };
         *self.wire.passed() = Passed { count, ..Passed::nothing() };
         let answer = self.sender.send_request(request);
         Ok(self.drive(false, STALL, answer).await??)
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::{Hold, Room, ANSWER_LONGEST, SMALL, WINDOW};
 use crate::intake::{Parcel, DEADLINE, IDEMPOTENCY_KEY, REQUEST_ID};
-use crate::line::{Line, LineError, Lines, Spoilt};
+use crate::line::{Line, LineError, Lines, Sending, Spoilt};
 use crate::request::Waiting;
 use bytes::Bytes;
 use http::{header, HeaderMap, Request as HttpRequest, StatusCode};
@@ -144,7 +144,8 @@
             // may use by now what this attempt drew on.
             return Outcome::Lapsed.into();
         }
-        let ended = match self.exchange(&mut line, request, Some(self.figures.clone()), late).await {
+        let sending = Sending::Attempt { request, permit: attempt.permit, figures: self.figures.clone() };
+        let ended = match self.exchange(&mut line, sending, late).await {
             Ok(Taken::Late) => {
                 return if line.written() { Outcome::Timeout } else { Outcome::ConnectFailed }.into()
             }
@@ -164,13 +165,12 @@
     async fn exchange(
         &self,
         line: &mut Line,
-        request: HttpRequest<Full<Bytes>>,
-        count: Option<Figures>,
+        sending: Sending,
         mut late: Pin<&mut Sleep>,
     ) -> Result<Taken, Spoilt> {
         let answer = tokio::select! {
             biased;
-            answer = line.begin(request, count) => answer?,
+            answer = line.begin(sending) => answer?,
             () = &mut late => return Ok(Taken::Late),
         };
         let (head, mut body) = answer.into_parts();
@@ -300,7 +300,7 @@
             Ok(line) => line,
             Err(why) => return unconnected(&why).into(),
         };
-        let whole = match self.exchange(&mut line, request, None, late).await {
+        let whole = match self.exchange(&mut line, Sending::Probe(request), late).await {
             Ok(Taken::Late) => return Outcome::Timeout.into(),
             Ok(Taken::Whole(ended)) => Ok(ended),
             Ok(Taken::Part { .. }) => Err(Spoilt::Endless),
