Calls: an answer is matched by the call's whole identity, and the type says what may be sent again

Cause: answers were matched by a number that begins anew with each life of a process, whoever sent them. That the answer goes out on the call's own connection was the only thing that kept one of a former life from a caller of the next.

- CallId holds the caller's life and the number in it.
OpenCalls, a state machine of its own without channels, takes an answer only from a process to which that call was sent; the rest is counted (status line 'unmatched answers').
- A refusal by a former head no longer brings forward the resend to the present one.
- Request is Repeatable by a sealed trait, with the reason of each kind; OpenCalls takes no other kind.
What only the asked process can answer (its status) is a ProcessQuery of another type and has no frame.
- Connections that break the protocol are counted and logged.

Answers cut, doubled and changed on the wire: peers/answers.rs (property, 60 cases).

--- a/crates/cluster-api/src/request.rs
+++ b/crates/cluster-api/src/request.rs
@@ -1,4 +1,7 @@
 //! Calls between processes of the system: what a front or any control process asks of the head of the chain.
+//!
+//! A call is known by its [`CallId`], and its type says whether it may be sent again: a [`Request`] is [`Repeatable`], a
+//! [`ProcessQuery`] is not, and what sends calls again takes the former only.
 
 use crate::error::ErrorKind;
 use crate::identity::JobId;
@@ -16,7 +19,43 @@
     pub path: String,
 }
 
-/// A call.
+/// The identity of a call: no other call of any process, in any of its lives, has the same one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
+pub struct CallId {
+    /// The life of the process that calls, drawn at random when it began. Numbers begin anew with each life, and a process
+    /// that was restarted listens at the same address: without this it would take an answer to its former life's call
+    /// for one of its own.
+    pub life: u64,
+    /// The number of the call in that life.
+    pub number: u64,
+}
+
+/// Why a call may be sent again, also after it was carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResendReason {
+    /// It changes nothing.
+    Read,
+    /// It names a job by the identity that its client chose; the same job again is the same job.
+    JobIdentity,
+    /// The digests of changes that were taken are kept; the same change again is answered as it was.
+    ChangeDigest,
+    /// What it asks for is final; once it is so, the call changes nothing.
+    Final,
+}
+
+mod sealed {
+    /// Only this module says what may be sent again.
+    pub trait Sealed {}
+}
+
+/// A call that may be sent again when no answer came, to the same process or another one: however often it is carried
+/// out, the state is as after the first time, and each answer is true.
+pub trait Repeatable: sealed::Sealed {
+    /// Why that is so.
+    fn resend_reason(&self) -> ResendReason;
+}
+
+/// A call to the head of the chain. Each kind is repeatable; a kind that is not does not belong here.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum Request {
     /// Changes the configuration.
@@ -52,12 +91,34 @@
         target: Target,
     },
     /// Asks whether the view of this number still rules: answered `Done` after a barrier through its chain. An owner of a
-    /// shard may act for a bounded time counted from when it sent this.
+    /// shard may act for a bounded time counted from when it sent this first.
     ConfirmView {
         /// The number.
         number: u64,
     },
-    /// Asks what a process knows of the system, for operators.
+}
+
+impl sealed::Sealed for Request {}
+
+impl Repeatable for Request {
+    fn resend_reason(&self) -> ResendReason {
+        match self {
+            Request::ChangeConfiguration(_) => ResendReason::ChangeDigest,
+            Request::SubmitJob { .. } => ResendReason::JobIdentity,
+            Request::CancelJob { .. } => ResendReason::Final,
+            Request::ReadConfiguration
+            | Request::ReadJob { .. }
+            | Request::ReadQueue { .. }
+            | Request::ConfirmView { .. } => ResendReason::Read,
+        }
+    }
+}
+
+/// A question that only the process which is asked can answer. It is never sent on or again: another process would
+/// answer for itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessQuery {
+    /// What it knows of the system, for operators.
     Status,
 }
 
@@ -72,8 +133,6 @@
     Job(JobState),
     /// How many jobs of the queue have not ended.
     Pending(u64),
-    /// Text for operators.
-    Status(String),
     /// It did not come to that.
     Error(ErrorKind),
     /// This process is not the head; nothing was taken. The newest view that it knows.
--- a/crates/cluster-api/src/wire.rs
+++ b/crates/cluster-api/src/wire.rs
@@ -7,7 +7,7 @@
 use crate::configuration::Configuration;
 use crate::identity::{DiskId, PeerAddress};
 use crate::operation::{LogEntry, Operation};
-use crate::request::{Reply, Request};
+use crate::request::{CallId, Reply, Request};
 use crate::time::Millis;
 use crate::view::{View, Voter};
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -178,17 +178,17 @@
     Hello(Hello),
     /// A call, and the milliseconds that its caller waits.
     Request {
-        /// Its number on this connection.
-        id: u64,
+        /// Which call.
+        id: CallId,
         /// Milliseconds until the caller gives up.
         remaining_ms: u64,
         /// The call.
         request: Request,
     },
-    /// The answer to a call.
+    /// The answer to a call, on the connection on which the call came and no other.
     Reply {
-        /// The number of the call.
-        id: u64,
+        /// Which call.
+        id: CallId,
         /// The answer.
         reply: Reply,
     },
--- a/crates/cluster-net/src/peers/accept.rs
+++ b/crates/cluster-net/src/peers/accept.rs
@@ -36,7 +36,7 @@
     }
     let (mut read_half, write_half) = stream.into_split();
     let mut reader = FrameReader::new(HELLO_BYTES_MOST);
-    let hello = read_hello(&mut reader, &mut read_half);
+    let hello = read_hello(&shared, &mut reader, &mut read_half);
     let Ok(Some(hello)) = tokio::time::timeout(shared.settings.hello_timeout, hello).await else { return };
     reader.set_frame_bytes_most(FRAME_BYTES_MOST);
     let connection = shared.table().open(hello.address, &shared.hello, &shared.settings);
@@ -45,12 +45,15 @@
 }
 
 /// The first frame, where it is a greeting.
-async fn read_hello(reader: &mut FrameReader, stream: &mut OwnedReadHalf) -> Option<Hello> {
+async fn read_hello(shared: &Shared, reader: &mut FrameReader, stream: &mut OwnedReadHalf) -> Option<Hello> {
     loop {
-        match reader.next().ok()? {
-            Some(Frame::Hello(hello)) => return Some(hello),
-            Some(_) => return None,
-            None => {}
+        match reader.next() {
+            Ok(Some(Frame::Hello(hello))) => return Some(hello),
+            Ok(None) => {}
+            Ok(Some(_)) | Err(_) => {
+                shared.note_violation();
+                return None;
+            }
         }
         if reader.read(stream).await.ok()? == 0 {
             return None;
--- a/crates/cluster-net/src/peers/mod.rs
+++ b/crates/cluster-net/src/peers/mod.rs
@@ -21,6 +21,7 @@
 use std::borrow::Borrow;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use table::Table;
 use tokio::net::TcpStream;
@@ -89,6 +90,7 @@
     shutdown: Notify,
     table: Mutex<Table>,
     jitter: Mutex<fastrand::Rng>,
+    violations: AtomicU64,
 }
 
 impl Peers {
@@ -133,6 +135,7 @@
             events,
             shutdown: Notify::new(),
             table: Mutex::default(),
+            violations: AtomicU64::new(0),
         });
         tokio::spawn(accept::run(listener, shared.clone()));
         Ok((Peers { shared }, receiver))
@@ -172,6 +175,12 @@
         self.shared.table().last_received(from)
     }
 
+    /// How many connections were closed because what came on them broke the protocol: no frame, one that is too large,
+    /// or a greeting that is missing, doubled or another process's.
+    pub fn protocol_violations(&self) -> u64 {
+        self.shared.violations.load(Ordering::Relaxed)
+    }
+
     /// Listens no longer. Open connections stay.
     pub fn stop_listening(&self) {
         self.shared.shutdown.notify_one();
@@ -183,6 +192,11 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts a connection that is closed for what came on it.
+    fn note_violation(&self) {
+        self.violations.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Sets what every internal connection has: no delay of small writes, and an end where nobody answers.
     fn configure(&self, stream: &TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
--- a/crates/cluster-net/src/peers/tasks.rs
+++ b/crates/cluster-net/src/peers/tasks.rs
@@ -80,14 +80,20 @@
                     }
                 }
                 Ok(None) => return true,
-                Err(_) => return false,
+                Err(_) => {
+                    self.shared.note_violation();
+                    return false;
+                }
             }
         }
     }
 
     /// Delivers a frame; false where it breaks the protocol or nobody takes events.
     async fn deliver(&mut self, frame: Frame) -> bool {
-        let Some(identity) = self.identify(&frame) else { return false };
+        let Some(identity) = self.identify(&frame) else {
+            self.shared.note_violation();
+            return false;
+        };
         let event = PeerEvent::Frame {
             from: self.connection.peer,
             role: identity.role,
--- /dev/null
+++ b/crates/cluster-net/tests/peers/answers.rs
@@ -0,0 +1,155 @@
+//! What becomes of answers and calls that are cut, doubled, or nobody's: each is delivered whole and once for each time it
+//! was sent, or its connection is closed.
+
+use crate::support::{call_id, encoded, plain_peer, process, process_at, request, within, Process, ANY};
+use lupinrack_cluster_api::request::Reply;
+use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_net::peers::{PeerEvent, PeerSettings};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// The port that the plain peer says it listens at.
+const PORT: u16 = 9;
+/// Cases of each property.
+const CASES: u64 = 60;
+
+fn reply(number: u64) -> Frame {
+    Frame::Reply { id: call_id(number), reply: Reply::Pending(number) }
+}
+
+/// How one frame is sent.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    Whole,
+    Twice,
+    /// Only so much of it, in thousandths, and then something else.
+    Cut(u16),
+    /// With this byte of its length or its content turned over.
+    Flipped(u16),
+}
+
+impl Arbitrary for Sent {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 8 {
+            0..=3 => Sent::Whole,
+            4 | 5 => Sent::Twice,
+            6 => Sent::Cut(u16::arbitrary(g) % 1_000),
+            _ => Sent::Flipped(u16::arbitrary(g)),
+        }
+    }
+}
+
+fn bytes_of(frame: &Frame, sent: Sent) -> Vec<u8> {
+    let mut whole = encoded(frame);
+    match sent {
+        Sent::Whole => whole,
+        Sent::Twice => whole.repeat(2),
+        Sent::Cut(thousandths) => {
+            whole.truncate(whole.len() * usize::from(thousandths) / 1_000);
+            whole
+        }
+        Sent::Flipped(at) => {
+            let at = usize::from(at) % whole.len();
+            whole[at] ^= 0xff;
+            whole
+        }
+    }
+}
+
+/// The frames that have to come before anything that was cut or changed, and whether anything was.
+fn certain(sends: &[Sent]) -> (Vec<Frame>, bool) {
+    let mut frames = Vec::new();
+    for (number, sent) in (1..).zip(sends) {
+        match sent {
+            Sent::Whole => frames.push(reply(number)),
+            Sent::Twice => frames.extend([reply(number), reply(number)]),
+            Sent::Cut(_) | Sent::Flipped(_) => return (frames, true),
+        }
+    }
+    (frames, false)
+}
+
+async fn frames_until_closed(first: &mut Process) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    while let PeerEvent::Frame { frame, .. } = first.event().await {
+        frames.push(frame);
+    }
+    frames
+}
+
+#[test]
+fn answers_arrive_as_often_as_they_were_sent_until_one_is_spoilt() {
+    fn holds(sends: Vec<Sent>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let mut first = process(1);
+            let mut stream = plain_peer(&first, PORT, 2).await;
+            first.greeted().await;
+            let numbered = (1..).zip(&sends);
+            let bytes: Vec<u8> =
+                numbered.flat_map(|(number, sent)| bytes_of(&reply(number), *sent)).collect();
+            let send = async {
+                // Fails where the reader has closed the connection over what came before.
+                let _ = stream.write_all(&bytes).await;
+                let _ = stream.shutdown().await;
+                let _ = stream.read_to_end(&mut Vec::new()).await;
+            };
+            let ((), came) = tokio::join!(send, frames_until_closed(&mut first));
+            let (certain, spoilt) = certain(&sends);
+            let clean = !spoilt && came == certain && first.peers.protocol_violations() == 0;
+            clean || (spoilt && came.starts_with(&certain))
+        })
+    }
+    QuickCheck::new().tests(CASES).quickcheck(holds as fn(Vec<Sent>) -> bool);
+}
+
+#[tokio::test]
+async fn an_answer_to_a_connection_that_is_gone_is_dropped_though_its_process_is_there() {
+    let mut first = process(1);
+    let former = plain_peer(&first, PORT, 2).await;
+    let asked_on = first.greeted().await;
+    drop(former);
+    assert_eq!(first.closed().await.0, asked_on);
+    // Another life of the process, at the same address.
+    let mut stream = plain_peer(&first, PORT, 3).await;
+    let newer = first.greeted().await;
+    assert!(!first.peers.send_on(asked_on, reply(1)));
+    assert!(first.peers.send_on(newer, reply(2)));
+    assert_eq!(crate::support::read_frame(&mut stream).await, reply(2), "and nothing came before it");
+}
+
+#[tokio::test]
+async fn a_number_of_a_connection_is_never_given_again() {
+    let mut first = process(1);
+    let mut numbers = Vec::new();
+    for life in 2..6 {
+        let stream = plain_peer(&first, PORT, life).await;
+        numbers.push(first.greeted().await);
+        drop(stream);
+        first.closed().await;
+    }
+    assert!(numbers.is_sorted_by(|one, next| one < next), "{numbers:?}");
+}
+
+#[tokio::test]
+async fn what_a_former_life_asked_is_answered_to_nobody_else() {
+    let mut head = process(1);
+    let front = process_at(ANY, 2, PeerSettings::default());
+    let address = front.address;
+    front.peers.send(head.address, request(1));
+    let asked_on = head.greeted().await;
+    assert_eq!(head.frame().await.0, request(1));
+    // The front's process dies, and another one begins at its address and asks as well.
+    front.peers.stop_listening();
+    front.peers.close(head.address);
+    drop(front);
+    assert_eq!(head.closed().await.0, asked_on);
+    let mut second = process_at(address.0, 3, PeerSettings::default());
+    second.peers.send(head.address, request(1));
+    let newer = head.greeted().await;
+    assert_eq!(head.frame().await.0, request(1));
+    assert!(!head.peers.send_on(asked_on, reply(5)));
+    assert!(head.peers.send_on(newer, reply(1)));
+    second.greeted().await;
+    assert_eq!(within(second.frame()).await.0, reply(1));
+}
--- a/crates/cluster-net/tests/peers/main.rs
+++ b/crates/cluster-net/tests/peers/main.rs
@@ -1,5 +1,6 @@
 //! Internal connections between processes on loopback.
 
+mod answers;
 mod bounds;
 mod connections;
 mod properties;
--- a/crates/cluster-net/tests/peers/protocol.rs
+++ b/crates/cluster-net/tests/peers/protocol.rs
@@ -17,6 +17,7 @@
     let _ = within(stream.read_to_end(&mut rest)).await;
     assert!(rest.is_empty());
     assert!(first.events.try_recv().is_err());
+    assert_eq!(first.peers.protocol_violations(), 1);
 }
 
 #[tokio::test]
@@ -47,6 +48,7 @@
         stream.write_all(bytes).await.unwrap();
         assert_eq!(first.frame().await.0, request(1));
         assert_eq!(first.closed().await.0, connection);
+        assert_eq!(first.peers.protocol_violations(), 1);
         let mut rest = Vec::new();
         let _ = within(stream.read_to_end(&mut rest)).await;
     }
@@ -71,6 +73,7 @@
     let connection = first.greeted().await;
     drop(stream);
     assert_eq!(first.closed().await, (connection, false));
+    assert_eq!(first.peers.protocol_violations(), 0, "an end is no violation");
 }
 
 #[tokio::test]
@@ -84,4 +87,5 @@
     other.address.0.set_port(9);
     stream.write_all(&encoded(&Frame::Hello(other))).await.unwrap();
     assert!(matches!(first.event().await, PeerEvent::Closed { .. }));
+    assert_eq!(first.peers.protocol_violations(), 1);
 }
--- a/crates/cluster-node/src/control_api.rs
+++ b/crates/cluster-node/src/control_api.rs
@@ -4,7 +4,7 @@
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
-use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request};
 use lupinrack_cluster_net::http_server::{self, HttpAnswer, HttpCall, HttpLimits, ServerHandle};
 use lupinrack_cluster_net::listen;
 use lupinrack_cluster_net::snapshot::Snapshot;
@@ -29,27 +29,53 @@
     pub remaining_ms: u64,
 }
 
+/// A question to this process itself.
+#[derive(Debug)]
+pub struct QueryCall {
+    /// What is asked.
+    pub query: ProcessQuery,
+    /// Where the answer goes, as text.
+    pub answerer: oneshot::Sender<String>,
+}
+
+/// What is asked over HTTP: of the head, wherever it is, or of this very process.
+enum Asked {
+    Head(Request),
+    Process(ProcessQuery),
+}
+
 /// Serves at the control address.
-pub fn serve(settings: &NodeSettings, calls: mpsc::Sender<ControlCall>) -> Result<ServerHandle, NodeError> {
+pub fn serve(
+    settings: &NodeSettings,
+    calls: mpsc::Sender<ControlCall>,
+    queries: mpsc::Sender<QueryCall>,
+) -> Result<ServerHandle, NodeError> {
     let address = settings.control.ok_or(NodeError::NoAddress)?;
     let listener = listen::bind_once(address)?;
     let limits = HttpLimits { max_body_bytes: BODY_BYTES_MOST, ..HttpLimits::default() };
     let handler = move |call: HttpCall| {
-        let calls = calls.clone();
-        async move { answer(call, calls).await }
+        let (calls, queries) = (calls.clone(), queries.clone());
+        async move { answer(call, calls, queries).await }
     };
     Ok(http_server::serve(listener, Arc::new(Snapshot::new(limits)), handler)?)
 }
 
-async fn answer(call: HttpCall, calls: mpsc::Sender<ControlCall>) -> HttpAnswer {
-    let request = match request_of(&call) {
-        Ok(request) => request,
-        Err(kind) => return HttpAnswer::error(kind),
-    };
-    match ask(&calls, request, CALL_MS).await {
+async fn answer(
+    call: HttpCall,
+    calls: mpsc::Sender<ControlCall>,
+    queries: mpsc::Sender<QueryCall>,
+) -> HttpAnswer {
+    match asked_by(&call) {
+        Ok(Asked::Head(request)) => answer_of(ask(&calls, request, CALL_MS).await),
+        Ok(Asked::Process(query)) => ask_process(&queries, query).await,
+        Err(kind) => HttpAnswer::error(kind),
+    }
+}
+
+fn answer_of(reply: Reply) -> HttpAnswer {
+    match reply {
         Reply::Done | Reply::Job(_) | Reply::Pending(_) => HttpAnswer::empty(200),
         Reply::ConfigurationDocument(document) => HttpAnswer::json(document),
-        Reply::Status(text) => HttpAnswer::json(text),
         Reply::Error(kind) => HttpAnswer::error(kind),
         Reply::NotHead(_) => HttpAnswer::error(ErrorKind::InDoubt),
     }
@@ -65,19 +91,30 @@
     reply.await.unwrap_or(Reply::Error(ErrorKind::InDoubt))
 }
 
-fn request_of(call: &HttpCall) -> Result<Request, ErrorKind> {
+async fn ask_process(queries: &mpsc::Sender<QueryCall>, query: ProcessQuery) -> HttpAnswer {
+    let (answerer, text) = oneshot::channel();
+    if queries.send(QueryCall { query, answerer }).await.is_err() {
+        return HttpAnswer::error(ErrorKind::ShuttingDown);
+    }
+    match text.await {
+        Ok(text) => HttpAnswer::json(text),
+        Err(_) => HttpAnswer::error(ErrorKind::ShuttingDown),
+    }
+}
+
+fn asked_by(call: &HttpCall) -> Result<Asked, ErrorKind> {
     match (call.method.as_str(), call.path.as_str()) {
-        ("GET", CONFIGURATION_PATH) => Ok(Request::ReadConfiguration),
-        ("GET", STATUS_PATH) => Ok(Request::Status),
+        ("GET", CONFIGURATION_PATH) => Ok(Asked::Head(Request::ReadConfiguration)),
+        ("GET", STATUS_PATH) => Ok(Asked::Process(ProcessQuery::Status)),
         ("PUT", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Whole),
         ("PATCH", CONFIGURATION_PATH) => change_of(call, ConfigurationBody::Patch),
         _ => Err(ErrorKind::NotServed),
     }
 }
 
-fn change_of(call: &HttpCall, kind: fn(String) -> ConfigurationBody) -> Result<Request, ErrorKind> {
+fn change_of(call: &HttpCall, kind: fn(String) -> ConfigurationBody) -> Result<Asked, ErrorKind> {
     let if_match = call.if_match.ok_or(ErrorKind::Malformed)?;
     let text = std::str::from_utf8(&call.body).map_err(|_| ErrorKind::Malformed)?;
     let body = kind(text.to_owned());
-    Ok(Request::ChangeConfiguration(ConfigurationChange { if_match, body }))
+    Ok(Asked::Head(Request::ChangeConfiguration(ConfigurationChange { if_match, body })))
 }
--- a/crates/cluster-node/src/core/calls.rs
+++ b/crates/cluster-node/src/core/calls.rs
@@ -25,7 +25,6 @@
         Request::SubmitJob { .. } | Request::CancelJob { .. } => {
             operation_on_job(state, request, wall).map_or(Step::Barrier, Step::Submit)
         }
-        Request::Status => Step::Answer(Reply::Error(ErrorKind::NotServed)),
         Request::ReadConfiguration
         | Request::ReadJob { .. }
         | Request::ReadQueue { .. }
@@ -56,7 +55,7 @@
         }),
         Request::ConfirmView { number } if *number == view => Step::Answer(Reply::Done),
         Request::ConfirmView { .. } => Step::Answer(Reply::Error(ErrorKind::Fenced)),
-        Request::ChangeConfiguration(_) | Request::Status => first_step(state, request, wall),
+        Request::ChangeConfiguration(_) => first_step(state, request, wall),
     }
 }
 
--- a/crates/cluster-node/src/core/machine/calls.rs
+++ b/crates/cluster-node/src/core/machine/calls.rs
@@ -52,7 +52,7 @@
                 self.outbox.send_on(connection, Frame::Reply { id: caller.id, reply });
             }
             None => {
-                let outgoing = self.client.answered(caller.id, reply, now);
+                let outgoing = self.client.answered(caller.from, caller.id, reply, now);
                 self.send_all(outgoing);
             }
         }
--- a/crates/cluster-node/src/core/machine/effects.rs
+++ b/crates/cluster-node/src/core/machine/effects.rs
@@ -1,6 +1,6 @@
 //! What reaches a core process, and what it has its driver do.
 
-use crate::control_api::ControlCall;
+use crate::control_api::{ControlCall, QueryCall};
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::wire::Frame;
@@ -44,8 +44,10 @@
     Synced(Vec<u64>),
     /// The disk refused a write, which is tried again.
     WriteFailed,
-    /// A call of the operator at this process.
+    /// A call of the operator at this process, for the head.
     Call(ControlCall),
+    /// A question of the operator to this process itself.
+    Query(QueryCall),
     /// Time has passed.
     Tick,
     /// The process is told to end.
--- a/crates/cluster-node/src/core/machine/ending.rs
+++ b/crates/cluster-node/src/core/machine/ending.rs
@@ -38,6 +38,7 @@
             state: &self.replica.state,
             applied: self.replica.applied,
             committed: self.chain.committed(),
+            unmatched_answers: self.client.unmatched_answers(),
             services: &services,
         };
         status.to_string()
--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -65,7 +65,7 @@
                 self.take_call(WaitingCall { caller, request }, now);
             }
             Frame::Reply { id, reply } => {
-                let outgoing = self.client.answered(id, reply, now);
+                let outgoing = self.client.answered(from, id, reply, now);
                 self.send_all(outgoing);
             }
             Frame::Submit(operation) => self.submit(operation, now),
@@ -100,13 +100,17 @@
         self.agreement.current().address(disk).or_else(|| self.policy.address_of(disk))
     }
 
+    pub(super) fn on_query(&mut self, call: QueryCall) {
+        let text = match call.query {
+            ProcessQuery::Status => self.status(),
+        };
+        // An operator that has gone needs no answer.
+        let _ = call.answerer.send(text);
+    }
+
     pub(super) fn on_control_call(&mut self, call: ControlCall) {
         let now = self.moment.now;
         let until = now.plus(call.remaining_ms);
-        if call.request == Request::Status {
-            let _ = call.answerer.send(Reply::Status(self.status()));
-            return;
-        }
         let outgoing = self.client.call(call.request, call.answerer, until, now);
         self.send_all(outgoing);
     }
--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -23,7 +23,7 @@
 use super::shards::{Shards, AUTHORITY_MS};
 use super::subscribers::{Subscribers, VIEWS_ONLY};
 use super::waiting::{Caller, Waiting, WaitingCall};
-use crate::control_api::ControlCall;
+use crate::control_api::{ControlCall, QueryCall};
 use crate::head_client::{HeadClient, Outgoing};
 use crate::NodeError;
 use borsh::BorshDeserialize;
@@ -31,7 +31,7 @@
 use lupinrack_chain::{Chain, Effect as ChainEffect, Standing, Stored};
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
-use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, ReplicaReport};
@@ -147,7 +147,7 @@
             adopted_view: 0,
             replica,
             disk: Disk::default(),
-            client: HeadClient::default(),
+            client: HeadClient::new(life),
             waiting: Waiting::default(),
             shards: Shards::new(me.disk, scheduler),
             subscribers: Subscribers::default(),
@@ -183,6 +183,7 @@
             CoreEvent::Synced(tickets) => self.on_synced(&tickets, now),
             CoreEvent::WriteFailed => self.disk.failed(now),
             CoreEvent::Call(call) => self.on_control_call(call),
+            CoreEvent::Query(call) => self.on_query(call),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.leave(),
         }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -2,9 +2,10 @@
 
 use super::machine::{CoreEffect, CoreEvent, CoreMachine, CoreSettings};
 use crate::clock::{draw, Clock};
-use crate::control_api::{self, ControlCall};
+use crate::control_api::{self, ControlCall, QueryCall};
 use crate::membership::Membership;
 use crate::signals::Signals;
+use crate::violations::ViolationLog;
 use crate::NodeError;
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::wire::{Hello, Role};
@@ -23,6 +24,7 @@
     machine: CoreMachine,
     peers: Peers,
     writer: WriterHandle,
+    violations: ViolationLog,
 }
 
 /// Runs until the process is told to end.
@@ -41,9 +43,10 @@
     let membership =
         Membership::start(member(&core_settings), settings.seed_internal(), SwimSettings::default(), clock);
     let machine = CoreMachine::new(core_settings, recovered, clock.moment())?;
-    let mut driver = Driver { clock, machine, peers, writer };
+    let mut driver = Driver { clock, machine, peers, writer, violations: ViolationLog::default() };
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(256);
-    let http = control_api::serve(&settings, calls_in)?;
+    let (queries_in, mut queries) = mpsc::channel::<QueryCall>(16);
+    let http = control_api::serve(&settings, calls_in, queries_in)?;
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -58,7 +61,8 @@
             }
             Some(outcome) = outcomes.recv() => driver.on_write_outcome(outcome),
             Some(call) = calls.recv() => driver.receive(CoreEvent::Call(call)),
-            _ = timer.tick() => driver.receive(CoreEvent::Tick),
+            Some(call) = queries.recv() => driver.receive(CoreEvent::Query(call)),
+            _ = timer.tick() => driver.on_tick(),
             () = driver.round_may_run() => {}
             () = signals.terminated() => {
                 membership.leave();
@@ -106,6 +110,11 @@
         self.machine.receive(event, self.clock.moment());
     }
 
+    fn on_tick(&mut self) {
+        self.violations.look(&self.peers);
+        self.receive(CoreEvent::Tick);
+    }
+
     fn on_write_outcome(&mut self, outcome: WriteOutcome) {
         if let Err(error) = &outcome.result {
             spdlog::warn!("the disk refused a write: {error}");
--- a/crates/cluster-node/src/core/waiting.rs
+++ b/crates/cluster-node/src/core/waiting.rs
@@ -1,7 +1,7 @@
 //! Calls that wait at the head: for an operation to be applied, or for a barrier to pass.
 
 use lupinrack_cluster_api::identity::PeerAddress;
-use lupinrack_cluster_api::request::Request;
+use lupinrack_cluster_api::request::{CallId, Request};
 use lupinrack_cluster_api::time::Millis;
 use std::collections::BTreeMap;
 
@@ -12,8 +12,8 @@
     pub from: PeerAddress,
     /// The connection that the call came on; none for this process itself.
     pub connection: Option<u64>,
-    /// The caller's number of the call.
-    pub id: u64,
+    /// The caller's identity of the call.
+    pub id: CallId,
     /// When the caller gives up.
     pub until: Millis,
 }
--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -9,6 +9,7 @@
 use crate::relay::RelayedFrame;
 use crate::signals::Signals;
 use crate::status::{FrontStatus, STATUS_PATH};
+use crate::violations::ViolationLog;
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, PeerAddress};
@@ -47,6 +48,7 @@
 struct FrontTable {
     known: KnownConfiguration,
     view: Arc<View>,
+    unmatched_answers: u64,
     draining: bool,
 }
 
@@ -57,6 +59,7 @@
     news: FrontNews,
     table: Arc<Snapshot<FrontTable>>,
     membership: Membership,
+    violations: ViolationLog,
 }
 
 /// Runs until the process is told to end.
@@ -72,7 +75,7 @@
     let mut front = Front {
         clock,
         peers,
-        client: HeadClient::default(),
+        client: HeadClient::new(life),
         news: FrontNews::new(address, zone.clone(), settings.seed_internal(), clock.now()),
         table,
         membership: Membership::start(
@@ -81,6 +84,7 @@
             SwimSettings::default(),
             clock,
         ),
+        violations: ViolationLog::default(),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -137,7 +141,7 @@
     fn on_frame(&mut self, from: PeerAddress, connection: u64, frame: Frame, now: Millis) {
         match frame {
             Frame::Reply { id, reply } => {
-                let outgoing = self.client.answered(id, reply, now);
+                let outgoing = self.client.answered(from, id, reply, now);
                 self.send_all(outgoing);
             }
             Frame::ViewNews(view) => self.on_view(&view, now),
@@ -188,21 +192,25 @@
         let now = self.clock.now();
         let outgoing = self.client.tick(now);
         self.send_all(outgoing);
-        self.publish_view();
+        self.publish_calls();
+        self.violations.look(&self.peers);
         let table = self.membership.table();
         if let Some(subscribe) = self.news.tick(&table, self.client.view(), now) {
             self.peers.send(subscribe.to, subscribe.frame);
         }
     }
 
-    /// Shows the handlers of calls the newest view.
-    fn publish_view(&mut self) {
+    /// Shows the handlers of calls the newest view, and what the calls to the head have counted.
+    fn publish_calls(&mut self) {
         let table = self.table.load();
         let newest = self.client.view();
-        if newest.number > table.view.number {
-            let next = FrontTable { view: Arc::new(newest.clone()), ..FrontTable::clone(&table) };
-            self.table.replace(Arc::new(next));
+        let unmatched_answers = self.client.unmatched_answers();
+        if newest.number <= table.view.number && unmatched_answers == table.unmatched_answers {
+            return;
         }
+        let view = Arc::new(newest.clone());
+        let next = FrontTable { view, unmatched_answers, ..FrontTable::clone(&table) };
+        self.table.replace(Arc::new(next));
     }
 
     fn drain(&mut self) {
@@ -249,6 +257,7 @@
         view: &table.view,
         configuration: table.known.configuration.version,
         confirmed_ms_ago: confirmed.then(|| now.since(table.known.confirmed_at)),
+        unmatched_answers: table.unmatched_answers,
     };
     status.to_string()
 }
@@ -297,9 +306,7 @@
         Reply::Pending(count) => HttpAnswer::json(pending_body(count)),
         Reply::Done => HttpAnswer::empty(200),
         Reply::Error(kind) => HttpAnswer::error(kind),
-        Reply::ConfigurationDocument(_) | Reply::Status(_) | Reply::NotHead(_) => {
-            HttpAnswer::error(ErrorKind::InDoubt)
-        }
+        Reply::ConfigurationDocument(_) | Reply::NotHead(_) => HttpAnswer::error(ErrorKind::InDoubt),
     }
 }
 
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod home;
 pub mod known_configuration;
 pub mod membership;
+pub mod open_calls;
 pub mod owner;
 pub mod relay;
 mod scheduling;
@@ -20,6 +21,7 @@
 pub mod status;
 pub mod subscription;
 pub mod view_source;
+mod violations;
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
--- a/crates/cluster-node/src/status.rs
+++ b/crates/cluster-node/src/status.rs
@@ -24,6 +24,8 @@
     pub applied: u64,
     /// The index of the last operation that is known to be committed.
     pub committed: u64,
+    /// How many answers came that belong to none of its open calls: late, repeated, or never asked for.
+    pub unmatched_answers: u64,
     /// The services that it schedules.
     pub services: &'a [(ServiceName, ServiceSummary)],
 }
@@ -42,6 +44,7 @@
         writeln!(f, "committed {}", self.committed)?;
         writeln!(f, "configuration {}", self.state.configuration.version)?;
         writeln!(f, "jobs {}", self.state.jobs.len())?;
+        writeln!(f, "unmatched answers {}", self.unmatched_answers)?;
         self.write_queues(f)?;
         self.write_owners(f)?;
         self.services.iter().try_for_each(|(service, summary)| write_service(f, service, summary))
@@ -83,6 +86,8 @@
     pub configuration: u64,
     /// Milliseconds since the head last confirmed it; none where it never did.
     pub confirmed_ms_ago: Option<u64>,
+    /// How many answers came that belong to none of its open calls: late, repeated, or never asked for.
+    pub unmatched_answers: u64,
 }
 
 impl fmt::Display for FrontStatus<'_> {
@@ -93,9 +98,10 @@
         write_view(f, self.view)?;
         writeln!(f, "configuration {}", self.configuration)?;
         match self.confirmed_ms_ago {
-            Some(ago) => writeln!(f, "confirmed {ago} ms ago"),
-            None => writeln!(f, "confirmed never"),
+            Some(ago) => writeln!(f, "confirmed {ago} ms ago")?,
+            None => writeln!(f, "confirmed never")?,
         }
+        writeln!(f, "unmatched answers {}", self.unmatched_answers)
     }
 }
 
--- /dev/null
+++ b/crates/cluster-node/src/violations.rs
@@ -0,0 +1,20 @@
+//! Tells the log of internal connections that were closed because what came on them broke the protocol.
+
+use lupinrack_cluster_net::peers::Peers;
+
+/// How many such connections the log was told of.
+#[derive(Debug, Default)]
+pub struct ViolationLog {
+    told: u64,
+}
+
+impl ViolationLog {
+    /// Looks at the count, and says so where it has risen.
+    pub fn look(&mut self, peers: &Peers) {
+        let total = peers.protocol_violations();
+        if total > self.told {
+            spdlog::warn!("closed {} connections that broke the protocol, {total} in all", total - self.told);
+            self.told = total;
+        }
+    }
+}
--- a/crates/cluster-node/tests/core_machine.rs
+++ b/crates/cluster-node/tests/core_machine.rs
@@ -4,11 +4,11 @@
 use lupinrack_cluster_api::identity::{DiskId, JobId, PeerAddress};
 use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
-use lupinrack_cluster_api::request::{Reply, Request, Target};
+use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request, Target};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame, ReplicaReport};
-use lupinrack_cluster_node::control_api::ControlCall;
+use lupinrack_cluster_node::control_api::{ControlCall, QueryCall};
 use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 use lupinrack_control_store::Recovered;
 use lupinrack_scheduler::SchedulerSettings;
@@ -177,6 +177,17 @@
     Target { host: "jobs.example".to_owned(), path: "/reports/00000000000000aa".to_owned() }
 }
 
+#[test]
+fn a_question_to_a_process_is_answered_by_it_and_never_sent() {
+    let mut driven = Driven::new(2);
+    driven.heartbeat(1, view(1, [1, 2]));
+    driven.sent.clear();
+    let (answerer, mut text) = oneshot::channel();
+    driven.receive(CoreEvent::Query(QueryCall { query: ProcessQuery::Status, answerer }));
+    assert!(text.try_recv().is_ok_and(|text| text.contains("class core")));
+    assert!(!driven.sent.iter().any(|(_, frame)| matches!(frame, Frame::Request { .. })));
+}
+
 #[test]
 fn an_ended_job_is_forgotten_after_its_time_and_not_before() {
     let mut driven = Driven::alone();
--- a/crates/cluster-simulation/src/machine.rs
+++ b/crates/cluster-simulation/src/machine.rs
@@ -145,7 +145,7 @@
                 core.settle(moment).into_iter().map(ProcessEffect::Core).collect()
             }
             (Some(Process::Front(front)), event) => sends(match event {
-                ProcessEvent::Frame { frame, .. } => front.on_frame(frame, now),
+                ProcessEvent::Frame { from, frame, .. } => front.on_frame(address_of(from), frame, now),
                 ProcessEvent::Closed { from, .. } => front.on_closed(address_of(from), now),
                 ProcessEvent::Call(call) => front.on_call(call, now),
                 ProcessEvent::Tick => front.on_tick(now),
