Agent: messages of the owner are taken on the connection of their session alone

Cause: the owner numbers its messages anew in each session, and the driver passed every message on as one of the present session, whatever connection it came on. After a reset that the agent had not read to its end, or an attach sent again over another connection, the second message of the former session followed the first one of the present one: old starts would be taken up again, and the true second message refused as repeated.

--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod membership;
 pub mod open_calls;
 pub mod owner;
+pub mod owner_connection;
 pub mod relay;
 mod scheduling;
 mod side;
--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -3,12 +3,14 @@
 use crate::clock::{draw, Clock};
 use crate::membership::Membership;
 use crate::owner::owner_address;
+use crate::owner_connection::OwnerConnection;
 use crate::signals::Signals;
 use crate::status::{AgentStatus, STATUS_PATH};
 use crate::subscription::Subscription;
 use crate::view_source::ViewSource;
+use crate::violations::ViolationLog;
 use crate::NodeError;
-use lupinrack_cluster_api::agent::AgentMessage;
+use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{PeerAddress, ServerId, ServiceName};
 use lupinrack_cluster_api::time::Millis;
@@ -59,9 +61,11 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
+    owner_connection: OwnerConnection,
     membership: Membership,
     view_source: ViewSource,
     open: Option<OpenCall>,
+    violations: ViolationLog,
 }
 
 /// A heartbeat whose answer waits for orders.
@@ -97,6 +101,7 @@
         owner: None,
         owner_heard: now,
         session: 0,
+        owner_connection: OwnerConnection::default(),
         view_source: ViewSource::new(address, zone.clone()),
         membership: Membership::start(
             LiveMember { address, role: Role::Agent, zone, life },
@@ -105,6 +110,7 @@
             clock,
         ),
         open: None,
+        violations: ViolationLog::default(),
     };
     let mut signals = Signals::listen()?;
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
@@ -131,16 +137,8 @@
         let now = self.clock.now();
         match event {
             PeerEvent::Frame { from, frame, connection, .. } => match frame {
-                Frame::Owner(message) => {
-                    if Some(from) == self.owner {
-                        self.owner_heard = now;
-                        self.subscription.heard_news(now);
-                        if let Err(refused) = self.agent.owner_message(self.session, message, now) {
-                            spdlog::debug!("an order was refused: {refused}");
-                        }
-                        self.answer_if_due(now);
-                    }
-                    let _ = connection;
+                Frame::Owner(message) if Some(from) == self.owner => {
+                    self.on_owner_message(connection, message, now);
                 }
                 Frame::ViewNews(view) => self.on_view(view, now),
                 _ => {}
@@ -157,6 +155,20 @@
         }
     }
 
+    fn on_owner_message(&mut self, connection: u64, message: OwnerMessage, now: Millis) {
+        if !self.owner_connection.admits(connection, &message) {
+            spdlog::debug!("an order came on the connection of an earlier session");
+            return;
+        }
+        self.owner_heard = now;
+        self.subscription.heard_news(now);
+        match self.agent.owner_message(self.session, message, now) {
+            Ok(()) => self.owner_connection.taken_on(connection),
+            Err(refused) => spdlog::debug!("an order was refused: {refused}"),
+        }
+        self.answer_if_due(now);
+    }
+
     fn on_view(&mut self, view: View, now: Millis) {
         self.subscription.heard_news(now);
         if view.number <= self.view.number {
@@ -176,6 +188,7 @@
 
     fn begin_session(&mut self, now: Millis) {
         self.session += 1;
+        self.owner_connection.session_began();
         self.owner_heard = now;
         self.agent.owner_connected(self.session);
         self.send_to_owner(now);
@@ -265,6 +278,7 @@
 
     fn on_tick(&mut self) {
         let now = self.clock.now();
+        self.violations.look(&self.peers);
         let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
         if silent {
             self.view_source.doubt(now);
--- /dev/null
+++ b/crates/cluster-node/tests/owner_session_model.rs
@@ -0,0 +1,340 @@
+//! An agent's sessions with the owner of its shard in a model checker: connections that are reset while messages are on
+//! their way, sessions that begin anew, messages that come late. Every order of a bounded number of steps is played.
+
+use lupinrack_cluster_api::agent::{AgentMessage, Assignment, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::identity::{FencingToken, JobId, ServerId, ServiceName, TaskId};
+use lupinrack_cluster_api::job::Resources;
+use lupinrack_cluster_api::server::ServerFacts;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_node::owner_connection::OwnerConnection;
+use lupinrack_worker_agent::{Agent, AgentSettings, ServerHeartbeat};
+use stateright::{Checker, Model, Property};
+use std::collections::VecDeque;
+use std::hash::{Hash, Hasher};
+
+/// Messages that the owner sends.
+const ORDERS: u32 = 4;
+const RESETS: u8 = 1;
+/// How often the agent begins a session anew although no connection has ended.
+const SILENCES: u8 = 1;
+const RENEWALS: u8 = 1;
+/// Steps of the longest orders that are played.
+const DEPTH: usize = 14;
+
+/// What may be wrong, to see that the checker finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PlantedFault {
+    None,
+    /// A message is matched by its number alone, whatever connection it came on.
+    MatchesByNumber,
+}
+
+/// A connection from the agent to the owner.
+#[derive(Clone, Debug, Default)]
+struct Link {
+    /// Nothing new goes on it any more; what is on its way to the agent still arrives until the agent sees its end.
+    reset: bool,
+    over: bool,
+    to_owner: VecDeque<AgentMessage>,
+    to_agent: VecDeque<(u32, OwnerMessage)>,
+}
+
+/// The owner's side of a session.
+#[derive(Clone, Debug)]
+struct OwnerSession {
+    number: u32,
+    link: usize,
+    next_message: u64,
+    whole: bool,
+    report_sent_at: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    now: u64,
+    agent: Agent,
+    connection: OwnerConnection,
+    agent_session: u64,
+    links: Vec<Link>,
+    owner: Option<OwnerSession>,
+    sessions: u32,
+    orders: u32,
+    resets: u8,
+    silences: u8,
+    renewals: u8,
+    /// The sessions of the messages that the agent took, in order.
+    taken: Vec<u32>,
+}
+
+/// Two states are the same if all that they hold is written the same.
+impl PartialEq for State {
+    fn eq(&self, other: &Self) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+impl Eq for State {}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        format!("{self:?}").hash(hasher);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Action {
+    PassToOwner(usize),
+    PassToAgent(usize),
+    Order,
+    /// The owner's next message says everything again.
+    Renew,
+    Reset(usize),
+    SeeReset(usize),
+    /// The owner was silent for too long.
+    Silence,
+}
+
+struct System {
+    fault: PlantedFault,
+}
+
+fn server() -> ServerId {
+    ServerId("a".to_owned())
+}
+
+fn beat() -> ServerHeartbeat {
+    let heartbeat = Heartbeat {
+        server: server(),
+        sequence: 1,
+        draining: false,
+        remaining_ms: None,
+        running: Vec::new(),
+        finished: Vec::new(),
+        orders_seen: 0,
+    };
+    let facts = ServerFacts {
+        id: server(),
+        service: ServiceName("search".to_owned()),
+        version: "v1".to_owned(),
+        zone: "north".to_owned(),
+        capacity: Resources { cpu: 4_000, memory_mb: 8_192, gpu: 0 },
+        labels: Vec::new(),
+    };
+    ServerHeartbeat {
+        facts,
+        heartbeat,
+        unknown_runs: Vec::new(),
+        ends_listed: 0,
+        address: String::new(),
+        slots: 8,
+        cold_remaining_ms: 0,
+        clock_ms: 0,
+    }
+}
+
+impl State {
+    /// A server that has beaten once, beside an agent that is about to attach.
+    fn new() -> State {
+        let settings =
+            AgentSettings { hold_max_ms: 6_000, heartbeat_ms: 1_500, idle_beat_ms: 400, busy_beat_ms: 80 };
+        let mut agent = Agent::new(settings, Millis(0));
+        agent.heartbeat(beat(), Millis(1));
+        let mut state = State {
+            now: 1,
+            agent,
+            connection: OwnerConnection::default(),
+            agent_session: 0,
+            links: Vec::new(),
+            owner: None,
+            sessions: 0,
+            orders: 0,
+            resets: 0,
+            silences: 0,
+            renewals: 0,
+            taken: Vec::new(),
+        };
+        state.begin_session();
+        state
+    }
+
+    fn begin_session(&mut self) {
+        self.agent_session += 1;
+        self.connection.session_began();
+        self.agent.owner_connected(self.agent_session);
+    }
+
+    /// Sends what the agent has to say on its newest connection, or a new one.
+    fn poll_agent(&mut self) {
+        let messages = self.agent.poll(Millis(self.now));
+        if messages.is_empty() {
+            return;
+        }
+        let newest = self.links.iter().rposition(|link| !link.reset).unwrap_or_else(|| {
+            self.links.push(Link::default());
+            self.links.len() - 1
+        });
+        self.links[newest].to_owner.extend(messages);
+    }
+
+    fn owner_takes(&mut self, link: usize, message: &AgentMessage) {
+        match message {
+            AgentMessage::Attach { sent_at, .. } => {
+                self.sessions += 1;
+                self.owner = Some(OwnerSession {
+                    number: self.sessions,
+                    link,
+                    next_message: 1,
+                    whole: true,
+                    report_sent_at: *sent_at,
+                });
+            }
+            AgentMessage::Report { sent_at, .. } => {
+                if let Some(session) = self.owner.as_mut().filter(|session| session.link == link) {
+                    session.report_sent_at = *sent_at;
+                }
+            }
+            AgentMessage::Leave { .. } => {}
+        }
+    }
+
+    fn order(&mut self) -> Option<()> {
+        self.orders += 1;
+        let task = TaskId { job: JobId(7), occurrence: 0, step: 0, index: self.orders };
+        let session = self.owner.as_mut()?;
+        let message = OwnerMessage {
+            token: FencingToken(5),
+            server: server(),
+            number: session.next_message,
+            whole: session.whole,
+            assign: vec![Assignment { task, attempt: 1, spec: String::new(), saved: String::new() }],
+            stop: Vec::new(),
+            observed: 0,
+            hold_from: session.report_sent_at,
+            hold_ms: 3_000,
+            beat_after_ms: 200,
+        };
+        session.next_message += 1;
+        session.whole = false;
+        let link = &mut self.links[session.link];
+        if !link.reset {
+            link.to_agent.push_back((session.number, message));
+        }
+        Some(())
+    }
+
+    fn agent_takes(&mut self, link: usize, fault: PlantedFault) -> Option<()> {
+        let (session, message) = self.links[link].to_agent.pop_front()?;
+        let connection = u64::try_from(link).ok()?;
+        let admitted = fault == PlantedFault::MatchesByNumber || self.connection.admits(connection, &message);
+        if admitted && self.agent.owner_message(self.agent_session, message, Millis(self.now)).is_ok() {
+            self.connection.taken_on(connection);
+            self.taken.push(session);
+        }
+        Some(())
+    }
+}
+
+impl Model for System {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let mut state = State::new();
+        state.poll_agent();
+        vec![state]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        for (number, link) in state.links.iter().enumerate() {
+            if !link.to_owner.is_empty() {
+                actions.push(Action::PassToOwner(number));
+            }
+            if !link.to_agent.is_empty() && !link.over {
+                actions.push(Action::PassToAgent(number));
+            }
+            if !link.reset && state.resets < RESETS {
+                actions.push(Action::Reset(number));
+            }
+            if link.reset && !link.over {
+                actions.push(Action::SeeReset(number));
+            }
+        }
+        if state.owner.is_some() && state.orders < ORDERS {
+            actions.push(Action::Order);
+        }
+        if state.orders > 0 && state.renewals < RENEWALS {
+            actions.push(Action::Renew);
+        }
+        if state.silences < SILENCES {
+            actions.push(Action::Silence);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        state.now += 1;
+        match action {
+            Action::PassToOwner(link) => {
+                let message = state.links[link].to_owner.pop_front()?;
+                state.owner_takes(link, &message);
+            }
+            Action::PassToAgent(link) => state.agent_takes(link, self.fault)?,
+            Action::Order => state.order()?,
+            Action::Renew => {
+                state.renewals += 1;
+                state.owner.as_mut()?.whole = true;
+            }
+            Action::Reset(link) => {
+                state.resets += 1;
+                state.links[link].reset = true;
+                state.links[link].to_owner.clear();
+            }
+            Action::SeeReset(link) => {
+                state.links[link].over = true;
+                state.links[link].to_agent.clear();
+                state.begin_session();
+            }
+            Action::Silence => {
+                state.silences += 1;
+                state.begin_session();
+            }
+        }
+        state.poll_agent();
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(
+                "no message of an earlier session is taken after a later one",
+                |_, state: &State| state.taken.is_sorted(),
+            ),
+            Property::sometimes("two messages of the second session are taken", |_, state: &State| {
+                state.taken.iter().filter(|session| **session == 2).count() == 2
+            }),
+            Property::sometimes("a message that says everything again is taken", |_, state: &State| {
+                state.renewals > 0
+                    && state.taken.len() == 3
+                    && state.taken.iter().all(|session| *session == 1)
+            }),
+        ]
+    }
+}
+
+fn check(fault: PlantedFault) -> impl Checker<System> {
+    System { fault }.checker().threads(2).target_max_depth(DEPTH).spawn_bfs().join()
+}
+
+#[test]
+fn messages_of_an_earlier_session_are_never_taken_in_a_later_one() {
+    let checked = check(PlantedFault::None);
+    checked.assert_properties();
+    println!("{} states", checked.unique_state_count());
+}
+
+#[test]
+fn a_message_that_is_matched_by_number_alone_is_taken_in_another_session() {
+    let checked = check(PlantedFault::MatchesByNumber);
+    let path = checked.assert_any_discovery("no message of an earlier session is taken after a later one");
+    assert!(path.into_actions().contains(&Action::Silence));
+}
