--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -24,7 +24,7 @@
 use super::shards::{Shards, AUTHORITY_MS};
 use super::subscribers::Subscribers;
 use super::waiting::{Caller, NewsRequest, Waiting, WaitingCall};
-use crate::control_api::ControlCall;
+use crate::control_api::{ControlCall, QueryCall};
 use crate::head_client::{HeadClient, Outgoing};
 use crate::NodeError;
 use borsh::BorshDeserialize;
@@ -33,7 +33,7 @@
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
-use lupinrack_cluster_api::request::{Reply, Request};
+use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{AgreementMessage, ChainMessage, Frame, Interest, ReplicaReport};
@@ -169,7 +169,7 @@
             replica,
             disk: Disk::default(),
             fault: None,
-            client: HeadClient::default(),
+            client: HeadClient::new(life),
             waiting: Waiting::default(),
             shards: Shards::new(me.disk, life, scheduler),
             subscribers: Subscribers::default(),
@@ -209,6 +209,7 @@
             CoreEvent::WriteFailed => self.disk.failed(now),
             CoreEvent::WriteRefused => self.fail(CoreFault::WriteRefused),
             CoreEvent::Call(call) => self.on_control_call(call),
+            CoreEvent::Query(call) => self.on_query(call),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.leave(),
         }
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -13,7 +13,9 @@
 pub mod home;
 pub mod known_configuration;
 pub mod membership;
+pub mod open_calls;
 pub mod owner;
+pub mod owner_connection;
 pub mod relay;
 mod scheduling;
 mod side;
@@ -21,6 +23,7 @@
 pub mod status;
 pub mod subscription;
 pub mod view_source;
+mod violations;
 
 use clock::Clock;
 use lupinrack_cluster_settings::{NodeSettings, Serves};
--- a/crates/cluster-node/tests/byte_bounds.rs
+++ b/crates/cluster-node/tests/byte_bounds.rs
@@ -10,7 +10,6 @@
 use lupinrack_cluster_node::core::{ByteLimits, CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 use lupinrack_control_store::simulated::SimulatedDisk;
 use lupinrack_control_store::{ControlStore, Medium, StoreSettings, DATA_FILE};
-use lupinrack_scheduler::SchedulerSettings;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use tokio::sync::oneshot;
@@ -52,15 +51,11 @@
         recovered.disk = Some(DiskId(1));
         let address = PeerAddress(SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 7_000));
         let settings = CoreSettings {
-            name: "core".to_owned(),
-            me: Voter { disk: DiskId(1), address, zone: String::new() },
-            life: 1,
             founders: vec![address],
             seeds: vec![address],
-            tolerated_losses: 0,
             remember_ms: 10_000,
-            scheduler: SchedulerSettings::default(),
             log_bytes: ByteLimits::of_machine(256, 128),
+            ..CoreSettings::with_defaults(Voter { disk: DiskId(1), address, zone: String::new() }, 1)
         };
         let machine = CoreMachine::new(settings, recovered, moment(1)).expect("an empty disk can be read");
         Alone { disk, store, machine, now: 1, works: true, file_most: 0, snapshots: 0 }
