--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -34,3 +34,4 @@
 
 pub use chain::{Chain, Stored, SubmitError};
 pub use effect::{Effect, Standing};
+pub use snapshot::checksum as snapshot_checksum;
--- a/crates/chain/src/snapshot.rs
+++ b/crates/chain/src/snapshot.rs
@@ -34,8 +34,9 @@
     }
 }
 
-/// FNV-1a over words of eight bytes, and over the rest.
-fn checksum(bytes: &[u8]) -> u64 {
+/// The checksum of a snapshot's bytes: FNV-1a over words of eight bytes, and over the rest. It guards against faults, not
+/// against forgery.
+pub fn checksum(bytes: &[u8]) -> u64 {
     const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     let mix = |hash: u64, word: u64| (hash ^ word).wrapping_mul(PRIME).rotate_left(23);
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -9,10 +9,9 @@
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
 use crate::side::{HeartbeatCall, Side, SideAnswer};
 use crate::world::{LocalMessage, World};
-use lupinrack_cluster_api::identity::{DiskId, FencingToken};
-use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::view::Voter;
-use lupinrack_cluster_api::wire::{Frame, Hello, Role};
+use lupinrack_cluster_api::wire::{ChainMessage, Frame, Hello, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{ByteLimits, CoreEffect, CoreMachine, CoreSettings};
 use lupinrack_control_store::{Batch, Recovered};
@@ -24,11 +23,27 @@
 const OTHER_TICK_MS: u64 = 50;
 /// How soon a planted fault's writes reach the disk, in milliseconds.
 const UNSYNCED_MS: u64 = 400;
-/// How much longer than granted a planted fault's holds last, in milliseconds.
-const HOLD_EXCESS_MS: u64 = 1_000;
+
+/// Ended jobs are remembered for so much longer than the day lasts, since the last questions ask for all of them, in
+/// milliseconds.
+const REMEMBER_MARGIN_MS: u64 = 60_000;
 
 impl World {
-    pub(crate) fn start_machines(&mut self) {
+    /// Moves machines, network and disks on by a millisecond.
+    pub(crate) fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        self.start_machines();
+        for (machine, arrival) in self.network.advance(now, &self.presences) {
+            self.arrive(machine, arrival);
+        }
+        self.advance_disks();
+        self.tick_machines();
+        self.deliver_local();
+        self.deliver_late_answers();
+    }
+
+    fn start_machines(&mut self) {
         for machine in 0..self.machines.len() {
             if self.machines[machine].starts_at.is_some_and(|at| self.now >= at) {
                 self.machines[machine].starts_at = None;
@@ -40,7 +55,7 @@
     fn start_process(&mut self, machine: usize) {
         let life = self.rng.u64(1..);
         let now = self.now;
-        let seeds = self.seeds();
+        let seeds = self.seeds.clone();
         let one = &mut self.machines[machine];
         one.life = life;
         one.clock.began = now;
@@ -62,6 +77,7 @@
         let address = address_of(machine);
         let hello = Hello { address, role, zone: String::new(), life, disk };
         self.machines[machine].process = process;
+        self.machines[machine].is_new = false;
         let presence = &mut self.presences[machine];
         presence.running = true;
         presence.powered = true;
@@ -70,17 +86,18 @@
     }
 
     fn new_core(&mut self, machine: usize, disk: DiskId, recovered: Recovered) -> Option<CoreMachine> {
-        let seeds = self.seeds();
+        let seeds = self.seeds.clone();
+        let founders = if self.founds(machine) { seeds.clone() } else { Vec::new() };
         let settings = CoreSettings {
             name: format!("core-{machine}"),
             me: Voter { disk, address: address_of(machine), zone: String::new() },
             life: self.machines[machine].life,
-            founders: seeds.clone(),
+            founders,
             seeds,
-            tolerated_losses: self.settings.cores / 2,
+            tolerated_losses: self.settings.tolerance,
             catch_up_ms: CATCH_UP_MS,
             grace_ms: GRACE_MS,
-            remember_ms: 180_000,
+            remember_ms: self.settings.traffic_ms + self.settings.finish_ms + REMEMBER_MARGIN_MS,
             scheduler: SchedulerSettings { hold_ms: HOLD_MOST_MS, ..SchedulerSettings::default() },
             log_bytes: ByteLimits::default(),
         };
@@ -94,6 +111,12 @@
         }
     }
 
+    /// Whether a core process may found the system: on its first start, if it is one of the first seeds.
+    fn founds(&self, machine: usize) -> bool {
+        let first = machine < self.settings.cores && self.machines[machine].is_new;
+        first && self.seeds.contains(&address_of(machine))
+    }
+
     /// Ends a process at once; without power its machine answers nobody until it starts again.
     pub(crate) fn kill(&mut self, machine: usize, powered: bool, down_ms: u64) {
         let now = self.now;
@@ -101,7 +124,7 @@
         one.process = None;
         one.frozen = false;
         one.inbox.clear();
-        one.starts_at = Some(now + down_ms);
+        one.starts_at = (!one.removed).then_some(now + down_ms);
         if self.planted == Some(PlantedFault::SyncLeftOut) {
             one.disk.crash_hard();
         } else {
@@ -117,6 +140,7 @@
         let one = &mut self.machines[machine];
         let identity = one.disk.contents().disk;
         one.disk.wipe();
+        one.disk_since = self.now;
         if self.planted == Some(PlantedFault::VoteOfEmptyDisk) {
             one.disk.write(0, Batch { disk: identity, ..Batch::default() }, 0, 0);
             one.disk.advance(0);
@@ -125,14 +149,24 @@
 
     pub(crate) fn set_frozen(&mut self, machine: usize, frozen: bool) {
         self.machines[machine].frozen = frozen;
-        if frozen {
+        self.catch_up_with_inbox(machine);
+    }
+
+    pub(crate) fn set_stuttering(&mut self, machine: usize, stuttering: bool) {
+        self.machines[machine].stuttering = stuttering;
+        self.catch_up_with_inbox(machine);
+    }
+
+    /// Hands a process that runs what reached it while it stood still.
+    fn catch_up_with_inbox(&mut self, machine: usize) {
+        if self.machines[machine].is_still(self.now) {
             return;
         }
         let inbox = std::mem::take(&mut self.machines[machine].inbox);
         inbox.into_iter().for_each(|event| self.dispatch(machine, event));
     }
 
-    pub(crate) fn arrive(&mut self, machine: usize, arrival: Arrival) {
+    fn arrive(&mut self, machine: usize, arrival: Arrival) {
         let event = match arrival {
             Arrival::Frame { from, connection, frame } => {
                 let life = match &self.presences[from].hello {
@@ -146,15 +180,19 @@
         self.dispatch(machine, event);
     }
 
-    pub(crate) fn tick_machines(&mut self) {
+    fn tick_machines(&mut self) {
         for machine in 0..self.machines.len() {
             let is_core = self.machines[machine].role == Role::Core;
             let every = if is_core { CORE_TICK_MS } else { OTHER_TICK_MS };
+            if self.machines[machine].stuttering {
+                self.catch_up_with_inbox(machine);
+            }
+            let is_still = self.machines[machine].is_still(self.now);
             let due = (self.now + machine as u64 * 7).is_multiple_of(every);
-            if !self.machines[machine].frozen && self.machines[machine].is_answer_due(self.now) {
+            if !is_still && self.machines[machine].is_answer_due(self.now) {
                 self.dispatch(machine, ProcessEvent::AnswerDue);
             }
-            if due && !self.machines[machine].frozen {
+            if due && !is_still {
                 self.dispatch(machine, ProcessEvent::Tick);
                 self.end_if_left(machine);
             }
@@ -162,15 +200,16 @@
     }
 
     fn end_if_left(&mut self, machine: usize) {
-        let now = self.machines[machine].clock.read(self.now).now;
-        let Some(Process::Core(core)) = &self.machines[machine].process else { return };
-        if core.has_left(now) {
+        if self.machines[machine].has_ended(self.now) {
             self.kill(machine, true, 200);
         }
     }
 
-    pub(crate) fn advance_disks(&mut self) {
-        for machine in self.cores() {
+    fn advance_disks(&mut self) {
+        for machine in 0..self.machines.len() {
+            if self.machines[machine].process.is_none() {
+                continue;
+            }
             let news = self.machines[machine].disk.advance(self.now);
             match news {
                 Some(DiskNews::Synced(tickets)) => self.dispatch(machine, ProcessEvent::Synced(tickets)),
@@ -187,7 +226,7 @@
         if one.process.is_none() {
             return;
         }
-        if one.frozen {
+        if one.is_still(now) {
             one.inbox.push_back(event);
             return;
         }
@@ -202,16 +241,21 @@
         match effect {
             ProcessEffect::Core(CoreEffect::Send { to, frame }) => {
                 let frame = self.planted_frame(frame);
-                self.network.send(machine, machine_at(to), frame, now);
+                self.count_frame(&frame);
+                let to = machine_at(to);
+                self.answer_for_successor(machine, to, &frame);
+                self.network.send(machine, to, frame, now);
             }
             ProcessEffect::Core(CoreEffect::SendOn { connection, frame }) => {
                 let frame = self.planted_frame(frame);
+                self.count_frame(&frame);
+                self.copy_answer(machine, connection, &frame);
                 self.network.send_on(machine, connection, frame, now);
             }
             ProcessEffect::Core(CoreEffect::Write { ticket, batch }) => self.write(machine, ticket, batch),
             ProcessEffect::Answer(SideAnswer { call, answer }) => {
                 let HeartbeatCall { server, sent_at, highest_end } = call;
-                let place = machine - self.settings.cores - self.settings.fronts;
+                let place = machine - self.side_of(0);
                 if self.places[place].server.as_ref().is_some_and(|known| *known.id() == server) {
                     let answer = self.planted_answer(answer, highest_end);
                     let life = self.places[place].life;
@@ -222,6 +266,12 @@
         }
     }
 
+    fn count_frame(&mut self, frame: &Frame) {
+        if matches!(frame, Frame::Chain(ChainMessage::Snapshot { piece: 0, .. })) {
+            self.snapshots_sent += 1;
+        }
+    }
+
     fn write(&mut self, machine: usize, ticket: u64, batch: Batch) {
         let sync_ms = self.rng.u64(1..8);
         let now = self.now;
@@ -233,28 +283,11 @@
         }
     }
 
-    fn planted_frame(&self, frame: Frame) -> Frame {
-        match frame {
-            Frame::Submit(Operation::TakeShard { service, owner, life, .. })
-                if self.planted == Some(PlantedFault::TokenNotRaised) =>
-            {
-                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner, life })
-            }
-            frame => frame,
-        }
-    }
-
-    fn planted_answer(&self, mut answer: HeartbeatAnswer, listed: u64) -> HeartbeatAnswer {
-        match self.planted {
-            Some(PlantedFault::HoldTooLong) if answer.hold_ms > 0 => answer.hold_ms += HOLD_EXCESS_MS,
-            Some(PlantedFault::ObservedTooSoon) => answer.observed = answer.observed.max(listed),
-            _ => {}
-        }
-        answer
-    }
-
-    /// A front that the platform gives new connections to.
+    /// The front that a client calls: one that the platform gives new connections to, or the one that callers insist on.
     pub(crate) fn ready_front(&mut self) -> Option<usize> {
+        if let Some(lure) = self.troubles.lure.filter(|_| self.rng.bool()) {
+            return Some(lure.front);
+        }
         let now = self.now;
         let ready = |machine: &Machine| match &machine.process {
             Some(Process::Front(front)) => front.is_ready(machine.clock.read(now).now),
@@ -264,9 +297,13 @@
         self.rng.choice(fronts)
     }
 
-    /// A core machine whose process runs.
+    /// The core machine that the operator calls: one whose process runs, or the one that callers insist on.
     pub(crate) fn some_core(&mut self) -> Option<usize> {
-        let cores: Vec<usize> = self.cores().filter(|core| self.machines[*core].process.is_some()).collect();
+        if let Some(lure) = self.troubles.lure.filter(|_| self.rng.u32(0..3) > 0) {
+            return Some(lure.core);
+        }
+        let cores: Vec<usize> =
+            self.cores().into_iter().filter(|core| self.machines[*core].process.is_some()).collect();
         self.rng.choice(cores)
     }
 
