--- a/crates/cluster-node/src/core/machine/settings.rs
+++ b/crates/cluster-node/src/core/machine/settings.rs
@@ -10,6 +10,10 @@
 /// Ended jobs are remembered for so much longer than their state may be asked for, since clocks of different machines
 /// differ and jump, in milliseconds.
 const REMEMBER_MARGIN_MS: u64 = 60_000;
+/// For how long a machine counts as lost after its start where nothing is set, in milliseconds.
+const CATCH_UP_MS: u64 = 4_000;
+/// The time between the signal to end and being killed where nothing is set, in milliseconds.
+const GRACE_MS: u64 = 6_000;
 
 /// Settings of a [`CoreMachine`](super::CoreMachine).
 #[derive(Clone, Debug)]
@@ -39,6 +43,23 @@
 }
 
 impl CoreSettings {
+    /// The defaults of a process that knows nobody, founds nothing and tolerates no loss.
+    pub fn with_defaults(me: Voter, life: u64) -> CoreSettings {
+        CoreSettings {
+            name: "core".to_owned(),
+            me,
+            life,
+            seeds: Vec::new(),
+            founders: Vec::new(),
+            tolerated_losses: 0,
+            catch_up_ms: CATCH_UP_MS,
+            grace_ms: GRACE_MS,
+            remember_ms: REMEMBER_MARGIN_MS,
+            scheduler: SchedulerSettings::default(),
+            log_bytes: ByteLimits::default(),
+        }
+    }
+
     /// From the settings of the node, for this disk and life.
     pub fn of_node(node: &NodeSettings, disk: DiskId, life: u64) -> CoreSettings {
         let address = PeerAddress(node.internal_address);
--- a/crates/cluster-node/tests/network/mod.rs
+++ b/crates/cluster-node/tests/network/mod.rs
@@ -16,7 +16,6 @@
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 use lupinrack_control_store::Recovered;
-use lupinrack_scheduler::SchedulerSettings;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use tokio::sync::oneshot;
@@ -288,13 +287,11 @@
     let seeds: Vec<PeerAddress> = (0..count).map(address).collect();
     let settings = CoreSettings {
         name: format!("core-{number}"),
-        me: voter(number, incarnation),
-        life: incarnation,
         founders: if founds { seeds.clone() } else { Vec::new() },
         seeds,
         tolerated_losses: (count - 1) / 2,
         remember_ms: REMEMBER_MS,
-        scheduler: SchedulerSettings::default(),
+        ..CoreSettings::with_defaults(voter(number, incarnation), incarnation)
     };
     let recovered = Recovered { disk: Some(DiskId(incarnation)), ..Recovered::default() };
     let moment = Moment { now: Millis(1), wall: WallMillis(1_700_000_000_000) };
--- a/crates/cluster-node/tests/restarted_owner.rs
+++ b/crates/cluster-node/tests/restarted_owner.rs
@@ -17,14 +17,11 @@
 use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine, CoreSettings, Moment};
 use lupinrack_cluster_node::owner::owner_of;
 use lupinrack_control_store::Recovered;
-use lupinrack_scheduler::SchedulerSettings;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const HEAD: u8 = 1;
 const OWNER: u8 = 2;
 const TICK_MS: u64 = 25;
-const CATCH_UP_MS: u64 = 4_000;
-const GRACE_MS: u64 = 6_000;
 /// The token that the earlier life of the owner took the shard under.
 const OLD_TOKEN: FencingToken = FencingToken(1);
 const OLD_LIFE: u64 = 1;
@@ -94,16 +91,9 @@
 impl Restarted {
     fn new() -> Restarted {
         let settings = CoreSettings {
-            name: "core".to_owned(),
-            me: voter(OWNER),
-            life: OLD_LIFE + 1,
             seeds: (1..=3).map(|number| voter(number).address).collect(),
-            founders: Vec::new(),
             tolerated_losses: 1,
-            catch_up_ms: CATCH_UP_MS,
-            grace_ms: GRACE_MS,
-            remember_ms: 60_000,
-            scheduler: SchedulerSettings::default(),
+            ..CoreSettings::with_defaults(voter(OWNER), OLD_LIFE + 1)
         };
         let recovered = Recovered {
             disk: Some(voter(OWNER).disk),
--- a/crates/cluster-simulation/src/plan/usual.rs
+++ b/crates/cluster-simulation/src/plan/usual.rs
@@ -7,8 +7,8 @@
 use crate::server::Conduct;
 use crate::settings::DaySettings;
 
-/// Between the end of a core machine's trouble and the next one of its lane, in milliseconds.
-const PAUSE_MS: u64 = 5_000;
+/// The rest after a loss on a usual day: the time to catch up and a margin, in milliseconds.
+const REST_AFTER_LOSS_MS: u64 = 5_000;
 
 /// The entries of a day: of four days one is calm but for planned work, one has trouble of core machines alone, one has
 /// trouble in its first half, and one has trouble all the time.
@@ -45,11 +45,11 @@
             };
             if let Some(trouble) = struck {
                 entries.push(Entry { at, for_ms: 2_000, trouble });
-                at += 4_000 + PAUSE_MS + rng.u64(0..3_000);
+                at += 4_000 + REST_AFTER_LOSS_MS + rng.u64(0..3_000);
                 continue;
             }
             entries.push(Entry { at, for_ms, trouble: Trouble::Core(trouble, machine) });
-            at += for_ms + PAUSE_MS + rng.u64(0..4_000);
+            at += for_ms + REST_AFTER_LOSS_MS + rng.u64(0..4_000);
         }
     }
 }
--- a/crates/cluster-simulation/src/planted.rs
+++ b/crates/cluster-simulation/src/planted.rs
@@ -1,6 +1,6 @@
 //! Faults that are planted to see whether the checks find them.
 
-use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_api::request::Reply;
 use std::collections::BTreeMap;
 
 /// A fault in place of the right behaviour.
@@ -67,6 +67,8 @@
     pub from: usize,
     /// The machine that called.
     pub to: usize,
+    /// The number of the call.
+    pub number: u64,
     /// The answer.
-    pub frame: Frame,
+    pub reply: Reply,
 }
--- a/crates/cluster-simulation/src/planting.rs
+++ b/crates/cluster-simulation/src/planting.rs
@@ -5,6 +5,7 @@
 use crate::world::World;
 use lupinrack_cluster_api::identity::{DiskId, FencingToken};
 use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::request::CallId;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame};
 use lupinrack_control_state::{ControlState, TakenChanges};
@@ -74,13 +75,19 @@
 
     /// Has a copy of each answer come late, on whatever connection its caller's machine has by then.
     pub(crate) fn copy_answer(&mut self, machine: usize, connection: u64, frame: &Frame) {
-        let planted = self.planted == Some(PlantedFault::AnswerMatchedByNumber);
-        if !planted || !matches!(frame, Frame::Reply { .. }) {
+        if self.planted != Some(PlantedFault::AnswerMatchedByNumber) {
             return;
         }
+        let Frame::Reply { id, reply } = frame else { return };
         let Some(to) = self.network.other_end(machine, connection) else { return };
         let due = self.now + self.rng.u64(LATE_MS);
-        self.planting.late_answers.push(LateAnswer { due, from: machine, to, frame: frame.clone() });
+        self.planting.late_answers.push(LateAnswer {
+            due,
+            from: machine,
+            to,
+            number: id.number,
+            reply: reply.clone(),
+        });
     }
 
     /// Delivers the copies of answers that are due.
@@ -90,11 +97,16 @@
             std::mem::take(&mut self.planting.late_answers).into_iter().partition(|late| late.due <= now);
         self.planting.late_answers = later;
         let due: Vec<LateAnswer> = due;
-        for LateAnswer { from, to, frame, .. } in due {
-            let Some(connection) = self.network.newest(to, from) else { continue };
-            let life = self.machines[from].life;
-            self.dispatch(to, ProcessEvent::Frame { from, life, connection, frame });
-        }
+        due.into_iter().for_each(|late| self.deliver_late_answer(late));
+    }
+
+    /// Delivers a copy under the life that the caller's process has by now, as if lives were not compared.
+    fn deliver_late_answer(&mut self, late: LateAnswer) {
+        let LateAnswer { from, to, number, reply, .. } = late;
+        let Some(connection) = self.network.newest(to, from) else { return };
+        let id = CallId { life: self.machines[to].life, number };
+        let (life, frame) = (self.machines[from].life, Frame::Reply { id, reply });
+        self.dispatch(to, ProcessEvent::Frame { from, life, connection, frame });
     }
 
     /// Has machines that are cut off together learn of a view that they alone agreed on.
