--- a/crates/cluster-simulation/examples/hunt.rs
+++ b/crates/cluster-simulation/examples/hunt.rs
@@ -46,13 +46,15 @@
 }
 
 fn hunt(first: u64, count: u64, settings: DaySettings) {
-    let (mut failed, mut tasks, mut changes, mut views, mut snapshots) = (0, 0, 0, 0, 0);
+    let (mut failed, mut tasks, mut changes, mut views) = (0, 0, 0, 0);
+    let (mut written, mut sent) = (0, 0);
     for seed in first..first + count {
         let report = play(seed, settings);
         tasks += report.tasks_done;
         changes += report.changes;
         views += report.views;
-        snapshots += report.snapshots_sent;
+        written += report.snapshots_written;
+        sent += report.snapshots_sent;
         let played = seed + 1 - first;
         if played.is_multiple_of(PROGRESS_EVERY) {
             println!("{played} days played, {failed} failed before this one");
@@ -65,6 +67,7 @@
         report.broken.iter().take(4).for_each(|line| println!("    {line}"));
     }
     println!(
-        "{failed} of {count} days failed; {tasks} tasks done, {changes} changes, {views} views, {snapshots} snapshots"
+        "{failed} of {count} days failed; {tasks} tasks done, {changes} changes, {views} views, {written} snapshots \
+         written, {sent} sent"
     );
 }
--- a/crates/cluster-simulation/src/faults/core.rs
+++ b/crates/cluster-simulation/src/faults/core.rs
@@ -2,15 +2,13 @@
 
 use super::SLOW_MS;
 use crate::disk::DiskTrouble;
-use crate::plan::{CoreChoice, CoreTrouble, CutDirection, GRACE_MS};
+use crate::plan::{CoreChoice, CoreTrouble, CutDirection, CATCH_UP_MS, GRACE_MS};
 use crate::troubles::{Ending, Lure};
 use crate::world::World;
 use lupinrack_cluster_api::wire::Role;
 
 /// How many times as long a slow disk takes.
 const DISK_SLOW_FACTOR: u64 = 30;
-/// A new machine is settled after this long, in milliseconds.
-const SETTLES_MS: u64 = 4_000;
 
 impl World {
     pub(super) fn begin_core_trouble(&mut self, kind: CoreTrouble, choice: CoreChoice, for_ms: u64) {
@@ -116,7 +114,7 @@
         let powered = self.rng.bool();
         self.kill(old, powered, 0);
         self.add_core(old, empty_after_ms);
-        self.ends_after(empty_after_ms + SETTLES_MS, Ending::Nothing);
+        self.ends_after(empty_after_ms + CATCH_UP_MS, Ending::Nothing);
     }
 
     /// An empty machine is started, and takes the place of another, which is told to end after so many milliseconds.
--- a/crates/cluster-simulation/src/planting.rs
+++ b/crates/cluster-simulation/src/planting.rs
@@ -3,12 +3,13 @@
 use crate::machine::{address_of, ProcessEvent};
 use crate::planted::{LateAnswer, PlantedFault};
 use crate::world::World;
-use lupinrack_chain::snapshot_checksum;
 use lupinrack_cluster_api::identity::{DiskId, FencingToken};
 use lupinrack_cluster_api::operation::Operation;
+use lupinrack_cluster_api::request::CallId;
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame};
 use lupinrack_control_state::{ControlState, TakenChanges};
+use lupinrack_control_store::Batch;
 use lupinrack_worker_agent::HeartbeatAnswer;
 
 /// How much longer than granted holds last, in milliseconds.
@@ -20,32 +21,28 @@
 
 impl World {
     /// What a process sends, changed where a fault is planted.
-    pub(crate) fn planted_frame(&mut self, frame: Frame) -> Frame {
-        match (self.planted, frame) {
-            (
-                Some(PlantedFault::TokenNotRaised),
-                Frame::Submit(Operation::TakeShard { service, owner, life, .. }),
-            ) => Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner, life }),
-            (Some(planted), Frame::Chain(message)) => Frame::Chain(self.planted_message(planted, message)),
-            (_, frame) => frame,
+    pub(crate) fn planted_frame(&self, frame: Frame) -> Frame {
+        match frame {
+            Frame::Submit(Operation::TakeShard { service, owner, life, .. })
+                if self.planted == Some(PlantedFault::TokenNotRaised) =>
+            {
+                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner, life })
+            }
+            frame => frame,
         }
     }
 
-    /// Changes a snapshot that fits one message.
-    fn planted_message(&mut self, planted: PlantedFault, message: ChainMessage) -> ChainMessage {
-        let ChainMessage::Snapshot { view, mut snapshot, piece: 0, bytes } = message else {
-            return message;
-        };
-        if snapshot.pieces != 1 {
-            return ChainMessage::Snapshot { view, snapshot, piece: 0, bytes };
-        }
-        let bytes = match planted {
-            PlantedFault::TakenChangesNotInSnapshot => without_taken_changes(bytes),
-            PlantedFault::SnapshotTakenForNewer => self.planting.first_snapshot.get_or_insert(bytes).clone(),
+    /// What a core process writes, with another snapshot where a fault is planted.
+    pub(crate) fn planted_batch(&mut self, machine: usize, batch: Batch) -> Batch {
+        let Some((index, bytes)) = batch.snapshot else { return batch };
+        let bytes = match self.planted {
+            Some(PlantedFault::TakenChangesNotInSnapshot) => without_taken_changes(bytes),
+            Some(PlantedFault::SnapshotTakenForNewer) => {
+                self.planting.first_snapshots.entry(machine).or_insert(bytes).clone()
+            }
             _ => bytes,
         };
-        snapshot.checksum = snapshot_checksum(&bytes);
-        ChainMessage::Snapshot { view, snapshot, piece: 0, bytes }
+        Batch { snapshot: Some((index, bytes)), ..batch }
     }
 
     pub(crate) fn planted_answer(&self, mut answer: HeartbeatAnswer, listed: u64) -> HeartbeatAnswer {
@@ -78,13 +75,19 @@
 
     /// Has a copy of each answer come late, on whatever connection its caller's machine has by then.
     pub(crate) fn copy_answer(&mut self, machine: usize, connection: u64, frame: &Frame) {
-        let planted = self.planted == Some(PlantedFault::AnswerMatchedByNumber);
-        if !planted || !matches!(frame, Frame::Reply { .. }) {
+        if self.planted != Some(PlantedFault::AnswerMatchedByNumber) {
             return;
         }
+        let Frame::Reply { id, reply } = frame else { return };
         let Some(to) = self.network.other_end(machine, connection) else { return };
         let due = self.now + self.rng.u64(LATE_MS);
-        self.planting.late_answers.push(LateAnswer { due, from: machine, to, frame: frame.clone() });
+        self.planting.late_answers.push(LateAnswer {
+            due,
+            from: machine,
+            to,
+            number: id.number,
+            reply: reply.clone(),
+        });
     }
 
     /// Delivers the copies of answers that are due.
@@ -94,11 +97,16 @@
             std::mem::take(&mut self.planting.late_answers).into_iter().partition(|late| late.due <= now);
         self.planting.late_answers = later;
         let due: Vec<LateAnswer> = due;
-        for LateAnswer { from, to, frame, .. } in due {
-            let Some(connection) = self.network.newest(to, from) else { continue };
-            let life = self.machines[from].life;
-            self.dispatch(to, ProcessEvent::Frame { from, life, connection, frame });
-        }
+        due.into_iter().for_each(|late| self.deliver_late_answer(late));
+    }
+
+    /// Delivers a copy under the life that the caller's process has by now, as if lives were not compared.
+    fn deliver_late_answer(&mut self, late: LateAnswer) {
+        let LateAnswer { from, to, number, reply, .. } = late;
+        let Some(connection) = self.network.newest(to, from) else { return };
+        let id = CallId { life: self.machines[to].life, number };
+        let (life, frame) = (self.machines[from].life, Frame::Reply { id, reply });
+        self.dispatch(to, ProcessEvent::Frame { from, life, connection, frame });
     }
 
     /// Has machines that are cut off together learn of a view that they alone agreed on.
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -13,7 +13,7 @@
 use lupinrack_cluster_api::view::Voter;
 use lupinrack_cluster_api::wire::{ChainMessage, Frame, Hello, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
-use lupinrack_cluster_node::core::{ByteLimits, CoreEffect, CoreMachine, CoreSettings};
+use lupinrack_cluster_node::core::{CoreEffect, CoreMachine, CoreSettings};
 use lupinrack_control_store::{Batch, Recovered};
 use lupinrack_scheduler::SchedulerSettings;
 use lupinrack_worker_agent::{AgentSettings, HeartbeatAnswer};
@@ -99,7 +99,7 @@
             grace_ms: GRACE_MS,
             remember_ms: self.settings.traffic_ms + self.settings.finish_ms + REMEMBER_MARGIN_MS,
             scheduler: SchedulerSettings { hold_ms: HOLD_MOST_MS, ..SchedulerSettings::default() },
-            log_bytes: ByteLimits::default(),
+            log_bytes: self.settings.log_bytes(),
         };
         let moment = self.machines[machine].clock.read(self.now);
         match CoreMachine::new(settings, recovered, moment) {
@@ -274,6 +274,8 @@
 
     fn write(&mut self, machine: usize, ticket: u64, batch: Batch) {
         let sync_ms = self.rng.u64(1..8);
+        self.snapshots_written += usize::from(batch.snapshot.is_some());
+        let batch = self.planted_batch(machine, batch);
         let now = self.now;
         if self.planted == Some(PlantedFault::SyncLeftOut) {
             self.machines[machine].disk.write(ticket, batch, now, UNSYNCED_MS);
--- a/crates/cluster-simulation/src/world.rs
+++ b/crates/cluster-simulation/src/world.rs
@@ -65,6 +65,8 @@
     pub(crate) sequence: u64,
     pub(crate) gangs: BTreeMap<(TaskId, u32), bool>,
     pub(crate) troubles: Troubles,
+    /// How many snapshots were written.
+    pub(crate) snapshots_written: usize,
     /// How many snapshots disks were sent, by their first pieces.
     pub(crate) snapshots_sent: usize,
     /// What was seen.
@@ -107,6 +109,7 @@
             sequence: 0,
             gangs: BTreeMap::new(),
             troubles: Troubles::default(),
+            snapshots_written: 0,
             snapshots_sent: 0,
             checks: Checks::default(),
             has_configuration: false,
--- a/crates/cluster-simulation/tests/worst_days.rs
+++ b/crates/cluster-simulation/tests/worst_days.rs
@@ -58,3 +58,32 @@
 fn machines_replaced_in_order_break_no_rule() {
     check(Scene::ReplacedInOrder, 1..=4, three());
 }
+
+#[test]
+fn machines_replaced_again_and_again_break_no_rule() {
+    check(Scene::ReplacedAgainAndAgain, 1..=4, three());
+    check(Scene::ReplacedAgainAndAgain, 1..=2, five());
+}
+
+/// Nine voters are renewed like fewer.
+#[test]
+fn machines_of_nine_replaced_again_and_again_break_no_rule() {
+    check(Scene::ReplacedAgainAndAgain, 1..=1, DaySettings { cores: 9, tolerance: 2, ..three() });
+}
+
+#[test]
+fn a_disk_lost_right_after_a_replacement_breaks_no_rule() {
+    check(Scene::ReplacedThenWiped, 1..=4, three());
+    check(Scene::ReplacedThenWiped, 1..=2, five());
+}
+
+#[test]
+fn a_newcomer_wiped_while_it_catches_up_breaks_no_rule() {
+    check(Scene::WipedWhileCatchingUp, 1..=4, three());
+}
+
+#[test]
+fn losses_at_once_break_no_rule() {
+    check(Scene::LossesAtOnce, 1..=4, three());
+    check(Scene::LossesAtOnce, 1..=2, five());
+}
