--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -4,6 +4,7 @@
 use crate::front::Front;
 use crate::machine::{address_of, machine_at, Machine, Process, ProcessEffect, ProcessEvent};
 use crate::network::Arrival;
+use crate::plan::{CATCH_UP_MS, GRACE_MS};
 use crate::planted::PlantedFault;
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
 use crate::side::{HeartbeatCall, Side, SideAnswer};
@@ -13,7 +14,7 @@
 use lupinrack_cluster_api::view::Voter;
 use lupinrack_cluster_api::wire::{Frame, Hello, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
-use lupinrack_cluster_node::core::{CoreEffect, CoreMachine, CoreSettings};
+use lupinrack_cluster_node::core::{ByteLimits, CoreEffect, CoreMachine, CoreSettings};
 use lupinrack_control_store::{Batch, Recovered};
 use lupinrack_scheduler::SchedulerSettings;
 use lupinrack_worker_agent::{AgentSettings, HeartbeatAnswer};
@@ -77,8 +78,11 @@
             founders: seeds.clone(),
             seeds,
             tolerated_losses: self.settings.cores / 2,
+            catch_up_ms: CATCH_UP_MS,
+            grace_ms: GRACE_MS,
             remember_ms: 180_000,
             scheduler: SchedulerSettings { hold_ms: HOLD_MOST_MS, ..SchedulerSettings::default() },
+            log_bytes: ByteLimits::default(),
         };
         let moment = self.machines[machine].clock.read(self.now);
         match CoreMachine::new(settings, recovered, moment) {
@@ -231,10 +235,10 @@
 
     fn planted_frame(&self, frame: Frame) -> Frame {
         match frame {
-            Frame::Submit(Operation::TakeShard { service, owner, .. })
+            Frame::Submit(Operation::TakeShard { service, owner, life, .. })
                 if self.planted == Some(PlantedFault::TokenNotRaised) =>
             {
-                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner })
+                Frame::Submit(Operation::TakeShard { service, token: FencingToken(1), owner, life })
             }
             frame => frame,
         }
