--- a/crates/cluster-node/tests/core_faults.rs
+++ b/crates/cluster-node/tests/core_faults.rs
@@ -5,11 +5,8 @@
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame, Hello, ReplicaReport, Role};
-use lupinrack_cluster_node::core::{
-    ByteLimits, CoreEffect, CoreEvent, CoreFault, CoreMachine, CoreSettings, Moment,
-};
+use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreFault, CoreMachine, CoreSettings, Moment};
 use lupinrack_control_store::Recovered;
-use lupinrack_scheduler::SchedulerSettings;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 const NOW: Moment = Moment { now: Millis(1_000), wall: WallMillis(1_700_000_000_000) };
@@ -30,15 +27,9 @@
 /// A spare that knows the view, and the connection to the tail.
 fn spare() -> CoreMachine {
     let settings = CoreSettings {
-        name: "core".to_owned(),
-        me: voter(SPARE),
-        life: 3,
         seeds: (1..=3).map(|number| voter(number).address).collect(),
-        founders: Vec::new(),
         tolerated_losses: 1,
-        remember_ms: 10_000,
-        scheduler: SchedulerSettings::default(),
-        log_bytes: ByteLimits::default(),
+        ..CoreSettings::with_defaults(voter(SPARE), 3)
     };
     let recovered = Recovered { disk: Some(voter(SPARE).disk), ..Recovered::default() };
     let mut spare = CoreMachine::new(settings, recovered, NOW).expect("an empty disk can be read");
@@ -52,7 +43,8 @@
     };
     frame(&mut spare, Frame::Hello(hello));
     let replica = ReplicaReport::default();
-    frame(&mut spare, Frame::Heartbeat { voter: tail, view: view(), disk_healthy: true, replica });
+    let (view, disk_healthy, leaving) = (view(), true, false);
+    frame(&mut spare, Frame::Heartbeat { voter: tail, view, disk_healthy, leaving, replica });
     spare
 }
 
