--- a/crates/cluster-node/tests/cut_core.rs
+++ b/crates/cluster-node/tests/cut_core.rs
@@ -8,17 +8,23 @@
 use network::Network;
 
 const CUT_MS: u64 = 20_000;
+/// How long a connection carries frames that nobody acknowledges.
+const UNACKNOWLEDGED_MS: u64 = 300;
 const RACE_EVERY_MS: u64 = 700;
 
 /// Which way nothing passes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Direction {
     Both,
+    /// To the process, while all that it sends arrives.
     Inward,
+    /// To the process; what it sends arrives until too much of it was not acknowledged.
+    InwardOfConnections,
     Outward,
 }
 
-const DIRECTIONS: [Direction; 3] = [Direction::Both, Direction::Inward, Direction::Outward];
+const DIRECTIONS: [Direction; 4] =
+    [Direction::Both, Direction::Inward, Direction::InwardOfConnections, Direction::Outward];
 
 struct Play {
     network: Network,
@@ -87,6 +93,10 @@
     let known_before = play.operators.known;
     let began = play.network.now;
     play.cut_off(process, direction);
+    play.pass(UNACKNOWLEDGED_MS);
+    if direction == Direction::InwardOfConnections {
+        play.cut_off(process, Direction::Outward);
+    }
     play.pass(CUT_MS);
     let healed = play.network.now;
     play.network.heal();
@@ -94,8 +104,7 @@
     play.assert_sound(&name);
     assert_eq!(play.clear_answers(process, began, healed - SILENCE_MS), 0, "{name}");
     if direction == Direction::Inward {
-        // The others hear it, so it may go on as their head. On connections, where nothing is acknowledged to it, its own
-        // frames cease soon; here only what is said is looked at, not whether anything is.
+        // The others hear it, so it may go on as their head: only what is said is looked at, not whether anything is.
         return;
     }
     let other = (process + 1) % count;
