--- a/crates/cluster-node/tests/core_machine.rs
+++ b/crates/cluster-node/tests/core_machine.rs
@@ -4,7 +4,7 @@
 use lupinrack_cluster_api::identity::{DiskId, JobId, PeerAddress};
 use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
-use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request, Target};
+use lupinrack_cluster_api::request::{CallId, ProcessQuery, Reply, Request, Target};
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_cluster_api::wire::{ChainMessage, Frame, ReplicaReport};
@@ -37,6 +37,7 @@
     machine: CoreMachine,
     now: u64,
     sent: Vec<(PeerAddress, Frame)>,
+    sent_on: Vec<(u64, Frame)>,
 }
 
 impl Driven {
@@ -75,7 +76,7 @@
         let disk = Some(voter(number).disk);
         let recovered = Recovered { disk, ..Recovered::default() };
         let machine = CoreMachine::new(settings, recovered, moment(1)).expect("an empty disk can be read");
-        Driven { machine, now: 1, sent: Vec::new() }
+        Driven { machine, now: 1, sent: Vec::new(), sent_on: Vec::new() }
     }
 
     fn receive(&mut self, event: CoreEvent) {
@@ -85,7 +86,7 @@
             for effect in self.machine.settle(moment(self.now)) {
                 match effect {
                     CoreEffect::Send { to, frame } => self.sent.push((to, frame)),
-                    CoreEffect::SendOn { .. } => {}
+                    CoreEffect::SendOn { connection, frame } => self.sent_on.push((connection, frame)),
                     CoreEffect::Write { ticket, .. } => events.push(CoreEvent::Synced(vec![ticket])),
                 }
             }
@@ -188,6 +189,27 @@
     assert!(!driven.sent.iter().any(|(_, frame)| matches!(frame, Frame::Request { .. })));
 }
 
+#[test]
+fn an_answer_goes_out_on_the_connection_of_its_call() {
+    let mut driven = Driven::alone();
+    driven.pass(2_000);
+    let front = voter(9).address;
+    // Two lives of a front at one address: both have asked as their first call.
+    let calls = [(40, CallId { life: 5, number: 1 }), (41, CallId { life: 6, number: 1 })];
+    for (connection, id) in calls {
+        let frame = Frame::Request { id, remaining_ms: 1_000, request: Request::ReadConfiguration };
+        driven.receive(CoreEvent::Frame { from: front, life: id.life, connection, frame });
+    }
+    driven.pass(500);
+    let answer = |(connection, frame): &(u64, Frame)| match frame {
+        Frame::Reply { id, .. } => Some((*connection, *id)),
+        _ => None,
+    };
+    assert_eq!(driven.sent_on.iter().filter_map(answer).collect::<Vec<_>>(), calls);
+    let elsewhere = |(_, frame): &(PeerAddress, Frame)| matches!(frame, Frame::Reply { .. });
+    assert!(!driven.sent.iter().any(elsewhere), "no answer goes to an address");
+}
+
 #[test]
 fn an_ended_job_is_forgotten_after_its_time_and_not_before() {
     let mut driven = Driven::alone();
--- a/crates/lupinrack/tests/common/front.rs
+++ b/crates/lupinrack/tests/common/front.rs
@@ -75,7 +75,17 @@
     plan: &str,
     deadline_ms: u64,
 ) -> Fronts {
-    let told = told();
+    start_told(told(), node, servers, plan, deadline_ms).await
+}
+
+/// The same with these settings.
+pub async fn start_told(
+    told: Told,
+    node: SocketAddr,
+    servers: &[(&str, SocketAddr)],
+    plan: &str,
+    deadline_ms: u64,
+) -> Fronts {
     let clock = Clock::start();
     let (core, handle, _targets) = Core::new(told.module.clone(), 7, clock);
     let mut text = format!(
--- a/crates/lupinrack/tests/upstream.rs
+++ b/crates/lupinrack/tests/upstream.rs
@@ -340,6 +340,9 @@
     let (node, fill) = late_node();
     let order = attempt(&core, node.local_addr().unwrap()).await;
     let stops = order.to.stop_at.clone();
+    // One that was ordered before and whose connection is there at once.
+    let (address, mut came) = scripted(vec![Step::Whole(200, false)]).await;
+    let late = attempt(&core, address).await;
     let exchange = upstream.attempt(parcel(), order, begins(), waits());
     tokio::pin!(exchange);
     assert!((&mut exchange).now_or_never().is_none(), "its connection is coming up");
@@ -349,15 +352,7 @@
     assert_eq!(ended.expect("when the grace is used").outcome, Outcome::ConnectFailed, "it never ran");
     assert!(core.clock.now() < *stops.borrow() + 1_000_000, "and not when the connection is up");
     drop(fill);
-    // One that was ordered before and whose connection is there at once is too late as well.
-    let (address, mut came) = scripted(vec![Step::Whole(200, false)]).await;
-    let late = attempt_at(&core, address, stops);
+    // The other one is too late as well.
     assert_eq!(upstream.attempt(parcel(), late, begins(), waits()).await.outcome, Outcome::ConnectFailed);
     assert!(came.try_recv().is_err(), "nothing reached the node");
 }
-
-/// An order for a node that has stopped meanwhile.
-fn attempt_at(core: &Handle, address: SocketAddr, stop_at: watch::Receiver<Micros>) -> Attempt {
-    let target = lupinrack::core::Target { node: NodeId(0), name: "n0".into(), address, stop_at };
-    Attempt { number: 0, to: target, until: core.clock.now() + 60_000_000, begin_by: Micros::MAX }
-}
