Ownership: ask for a take-over less often while nobody applies it; the agent's life in a file of its own

The pause doubles up to 1.2 s, and begins anew with each view that gives the shard here.

Failed before, pass now: cluster-node restarted_owner.rs a_take_over_that_nobody_applies_is_asked_for_less_and_less_often (67 times in ten seconds before).

Run: all tests of cluster-node and worker-agent; clippy of these and of scheduler.

--- a/crates/cluster-node/src/core/shards.rs
+++ b/crates/cluster-node/src/core/shards.rs
@@ -12,9 +12,10 @@
 
 /// How long an owner may act after it last asked whether its view rules, in milliseconds.
 pub const AUTHORITY_MS: u64 = 1_000;
-/// A take-over that was not applied is submitted again after this long, in milliseconds: a head that is not ready yet
-/// drops it, and one that is applied twice does no harm.
+/// A take-over that was not applied is submitted again after this long, in milliseconds, and then after twice as long each
+/// time up to the most: a head that is not ready yet drops it, and one that is applied twice does no harm.
 const TAKE_AGAIN_MS: u64 = 150;
+const TAKE_AGAIN_MOST_MS: u64 = 1_200;
 
 /// An agent's newest first message, kept until its shard is owned.
 #[derive(Debug)]
@@ -24,6 +25,26 @@
     message: AgentMessage,
 }
 
+/// A take-over that was submitted.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    at: Millis,
+    again_after_ms: u64,
+}
+
+impl Asked {
+    /// The first time, or once more after `before`.
+    fn after(before: Option<Asked>, now: Millis) -> Asked {
+        let again_after_ms =
+            before.map_or(TAKE_AGAIN_MS, |asked| (asked.again_after_ms * 2).min(TAKE_AGAIN_MOST_MS));
+        Asked { at: now, again_after_ms }
+    }
+
+    fn is_recent(&self, now: Millis) -> bool {
+        now.since(self.at) < self.again_after_ms
+    }
+}
+
 /// A take-over of a shard as it was applied.
 struct Takeover<'a> {
     service: &'a ServiceName,
@@ -41,7 +62,7 @@
     life: u64,
     settings: SchedulerSettings,
     schedulers: BTreeMap<ServiceName, Scheduler>,
-    taking: BTreeMap<ServiceName, Millis>,
+    taking: BTreeMap<ServiceName, Asked>,
     agents: BTreeMap<u64, ServiceName>,
     early: BTreeMap<ServiceName, Vec<EarlyAttach>>,
 }
@@ -69,17 +90,18 @@
     pub fn follow_view(&mut self, view: &View, state: &ControlState, now: Millis) -> Vec<Operation> {
         let me = self.me;
         self.schedulers.retain(|service, _| owner_of(view, service) == Some(me));
+        self.taking.retain(|service, _| owner_of(view, service) == Some(me));
         let mut operations = Vec::new();
         for service in &state.configuration.services {
             let mine = owner_of(view, &service.name) == Some(me);
             if !mine || self.schedulers.contains_key(&service.name) {
                 continue;
             }
-            let tried = self.taking.get(&service.name);
-            if tried.is_some_and(|at| now.since(*at) < TAKE_AGAIN_MS) {
+            let before = self.taking.get(&service.name).copied();
+            if before.is_some_and(|asked| asked.is_recent(now)) {
                 continue;
             }
-            self.taking.insert(service.name.clone(), now);
+            self.taking.insert(service.name.clone(), Asked::after(before, now));
             let current = state.shards.get(&service.name).map_or(0, |shard| shard.token.0);
             let token = FencingToken(view.number.max(current + 1));
             let (service, life) = (service.name.clone(), self.life);
--- a/crates/cluster-node/tests/restarted_owner.rs
+++ b/crates/cluster-node/tests/restarted_owner.rs
@@ -295,3 +295,12 @@
         ends(&restarted.submitted).iter().map(|end| (end.task, end.attempt, end.end)).collect();
     assert_eq!(ends, [(task(), 1, RunEnd::Done)]);
 }
+
+#[test]
+fn a_take_over_that_nobody_applies_is_asked_for_less_and_less_often() {
+    let mut restarted = Restarted::new();
+    restarted.appended(&log(), 4);
+    restarted.pass(10_000);
+    let count = restarted.takes().len();
+    assert!((5..=15).contains(&count), "{count} times in ten seconds");
+}
--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -3,12 +3,13 @@
 use crate::answer::{HeartbeatAnswer, StopOrder};
 use crate::heartbeat_json::{ServerHeartbeat, UnknownRun};
 use crate::hold::Hold;
+use crate::life::Life;
 use crate::lives::{Lives, Standing};
 use crate::orders::Orders;
 use crate::reporter::{ReportKind, Reporter};
 use crate::session::{RefusedMessage, Session};
 use crate::settings::AgentSettings;
-use lupinrack_cluster_api::agent::{AgentMessage, Heartbeat, OwnerMessage};
+use lupinrack_cluster_api::agent::{AgentMessage, OwnerMessage};
 use lupinrack_cluster_api::identity::{FencingToken, ServerId};
 use lupinrack_cluster_api::server::ServerFacts;
 use lupinrack_cluster_api::time::Millis;
@@ -19,34 +20,6 @@
 /// A server that is this much later, in milliseconds, than it was asked to beat counts as silent.
 pub const SILENCE_SLACK_MS: u64 = 600;
 
-/// The life of the server that beats now.
-#[derive(Clone, Debug)]
-struct Life {
-    facts: ServerFacts,
-    /// Its newest heartbeat.
-    heartbeat: Heartbeat,
-    /// The owner's newest message with orders that the heartbeat's `orders_seen` covers.
-    orders_answered: u64,
-    /// Whether the heartbeat lists every end that was not observed.
-    all_ends_listed: bool,
-    /// Whether it has said that it drains, or that it leaves; that does not end.
-    draining: bool,
-    /// Whether it has said that it leaves without having said before that it drains: it serves on for a while.
-    left_first: bool,
-    /// Ends up to this number may be forgotten.
-    observed: u64,
-    /// After this moment it counts as silent.
-    expected_by: Millis,
-}
-
-impl Life {
-    fn leaves_first(&mut self) {
-        self.left_first = true;
-        self.draining = true;
-        self.heartbeat.draining = true;
-    }
-}
-
 /// A heartbeat that was taken and not answered yet.
 #[derive(Clone, Debug)]
 pub struct OpenHeartbeat {
@@ -283,17 +256,18 @@
         let before = self.life.take();
         let left_first = before.as_ref().is_some_and(|life| life.left_first)
             || self.other_lives.has_announced_leave(&facts.id);
-        heartbeat.draining |= left_first || before.as_ref().is_some_and(|life| life.draining);
-        self.life = Some(Life {
+        let mut life = Life {
             facts,
+            heartbeat,
             orders_answered: if all_ends_listed { answered.newest_with_orders } else { 0 },
             all_ends_listed,
-            draining: heartbeat.draining,
+            draining: before.as_ref().is_some_and(|life| life.draining),
             left_first,
             observed: before.map_or(0, |life| life.observed),
             expected_by: Millis::default(),
-            heartbeat,
-        });
+        };
+        life.note_draining();
+        self.life = Some(life);
         unknown_runs
     }
 
--- a/crates/worker-agent/src/lib.rs
+++ b/crates/worker-agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod attempt_marks;
 pub mod heartbeat_json;
 pub mod hold;
+mod life;
 pub mod lives;
 pub mod orders;
 pub mod reporter;
