--- a/crates/chain/tests/catch_up/mod.rs
+++ b/crates/chain/tests/catch_up/mod.rs
@@ -181,7 +181,7 @@
         let Ok((index, effects)) = self.head.submit(operation, self.moment()) else { return };
         self.changes += 1;
         self.at_head(effects);
-        if index % self.circumstances.snapshot_every == 0 {
+        if index.is_multiple_of(self.circumstances.snapshot_every) {
             self.compact();
         }
     }
@@ -280,7 +280,7 @@
             let effects = self.head.receive(JOINER, message, self.moment());
             self.at_head(effects);
         }
-        if self.now % TICK_MS == 0 {
+        if self.now.is_multiple_of(TICK_MS) {
             let effects = self.head.tick(self.moment());
             self.at_head(effects);
             let effects = self.joiner.tick(self.moment());
