--- a/crates/chain/tests/byte_bounds.rs
+++ b/crates/chain/tests/byte_bounds.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::{acknowledge, large_operation, messages, view, START};
-use lupinrack_chain::{Chain, Effect, Stored};
+use lupinrack_chain::limits::{ByteLimits, ENTRY_BYTES_MOST};
+use lupinrack_chain::{Chain, Effect, Stored, SubmitError};
 use lupinrack_cluster_api::identity::DiskId;
-use lupinrack_cluster_api::wire::ChainMessage;
+use lupinrack_cluster_api::wire::{ChainMessage, Frame, FRAME_BYTES_MOST};
 
 /// Bytes of one change of the configuration.
 const CHANGE_BYTES: usize = 300_000;
@@ -78,3 +79,67 @@
     }
     assert!(most * CHANGE_BYTES <= 14 * 1024 * 1024, "{most} entries in memory");
 }
+
+/// Megabytes of memory and disk of a core machine.
+const MACHINES: [(u64, u64); 5] = [(128, 128), (192, 128), (256, 192), (384, 256), (64_000, 2_000_000)];
+
+#[test]
+fn the_bounds_leave_most_of_a_machine_to_others() {
+    for (memory_mb, disk_mb) in MACHINES {
+        let limits = ByteLimits::of_machine(memory_mb, disk_mb);
+        let since_snapshot = limits.snapshot_after + limits.uncommitted;
+        let in_memory = since_snapshot + limits.retained.max(limits.catch_up);
+        assert!(in_memory <= memory_mb * 1_000_000 / 8, "{memory_mb} MB: {limits:?}");
+        // An entry takes whole pages on the disk, at worst twice its size.
+        assert!(2 * since_snapshot <= disk_mb * 1_000_000 / 4, "{disk_mb} MB: {limits:?}");
+        assert!(limits.window <= CONNECTION_BYTES_MOST as u64 / 2, "{limits:?}");
+        assert!(limits.retained <= limits.catch_up, "{limits:?}");
+    }
+}
+
+#[test]
+fn a_machine_that_says_nothing_of_itself_has_bounds() {
+    assert_eq!(ByteLimits::of_machine(0, 0), ByteLimits::of_machine(256, 128));
+    assert_eq!(ByteLimits::of_machine(0, 0), ByteLimits::default());
+    assert!(ByteLimits::of_machine(1, 1).uncommitted > 0);
+}
+
+/// A change whose entry has so many bytes.
+fn change_of(bytes: u64) -> lupinrack_cluster_api::operation::Operation {
+    let around = borsh::object_length(&common::entry(1, 1)).expect("counts") as u64;
+    large_operation(1, (bytes - around - 6) as usize)
+}
+
+#[test]
+fn every_message_fits_a_frame_and_what_would_not_is_refused() {
+    let mut head = head_with_changes(3);
+    assert_eq!(head.submit(change_of(ENTRY_BYTES_MOST + 1_000), START), Err(SubmitError::TooLarge));
+    let (index, _) = head.submit(change_of(ENTRY_BYTES_MOST), START).expect("the largest one");
+    head.written(index, START);
+    let mut have = 0;
+    let mut now = START;
+    while have < index {
+        now = now.plus(10);
+        let join = ChainMessage::Join { view: 1, disk: DiskId(2), have: Some(have) };
+        for (_, message) in messages(&head.receive(DiskId(2), join, now)) {
+            let frame = Frame::Chain(message);
+            assert!(borsh::object_length(&frame).expect("counts") <= FRAME_BYTES_MOST);
+            if let Frame::Chain(ChainMessage::Append { previous, entries, .. }) = frame {
+                have = have.max(previous + entries.len() as u64);
+            }
+        }
+    }
+}
+
+#[test]
+fn the_same_request_again_and_again_is_answered_less_and_less_often() {
+    let mut head = head_with_changes(10);
+    head.receive(DiskId(2), ChainMessage::Join { view: 1, disk: DiskId(2), have: Some(0) }, START);
+    let mut answered = 0;
+    for time in 0..20 {
+        let resend = ChainMessage::Resend { view: 1, have: 0 };
+        let effects = head.receive(DiskId(2), resend, START.plus(time * 100));
+        answered += u32::from(entry_bytes(&messages(&effects)) > 0);
+    }
+    assert!((2..=6).contains(&answered), "{answered} of 20");
+}
--- a/crates/chain/tests/catch_up/mod.rs
+++ b/crates/chain/tests/catch_up/mod.rs
@@ -78,6 +78,8 @@
     writes: VecDeque<Effect>,
     /// When the sync under way ends, and how many writes it covers.
     sync: Option<(u64, usize)>,
+    /// How long the first sync after the next installation hangs, in milliseconds.
+    hang_ms: Option<u64>,
 }
 
 impl Disk {
@@ -220,6 +222,11 @@
         self.adopt_at_joiner();
     }
 
+    /// The joiner's disk hangs for so long when the next snapshot is written to it.
+    pub fn hang_at_next_install(&mut self, milliseconds: u64) {
+        self.disk.hang_ms = Some(milliseconds);
+    }
+
     /// The connection ends.
     pub fn reset(&mut self) {
         self.to_joiner.reset();
@@ -315,7 +322,9 @@
             }
         }
         if !self.disk.writes.is_empty() {
-            let end = self.now + self.circumstances.joiner_sync_ms;
+            let installs = self.disk.writes.iter().any(|write| matches!(write, Effect::Install { .. }));
+            let hang_ms = if installs { self.disk.hang_ms.take() } else { None };
+            let end = self.now + hang_ms.unwrap_or(self.circumstances.joiner_sync_ms);
             self.disk.sync = Some((end, self.disk.writes.len()));
         }
     }
--- a/crates/chain/tests/catching_up.rs
+++ b/crates/chain/tests/catching_up.rs
@@ -87,6 +87,41 @@
     assert!(world.log_most <= 20_000_000, "{} bytes in memory", world.log_most);
 }
 
+#[test]
+fn a_disk_that_hangs_while_it_installs_needs_no_second_snapshot() {
+    // Meanwhile 6 MB come, more than a head keeps for nobody.
+    let circumstances = Circumstances { snapshot_every: 1, ..USUAL };
+    let mut world = World::new(circumstances);
+    world.hang_at_next_install(5_000);
+    world.change_alone(AWAY);
+    let took = world.until_caught_up(60_000);
+    assert!(took.is_some_and(|took| took <= 6_000), "{took:?}");
+    assert_eq!(world.installs, 1, "rounds");
+}
+
+#[test]
+fn a_long_log_does_not_wait_for_the_next_join_after_each_window() {
+    // 30 MB of log: the head has made no snapshot yet.
+    let mut world = World::new(Circumstances { snapshot_every: 1_000, change_every_ms: u64::MAX, ..USUAL });
+    world.change_alone(100);
+    let took = world.until_caught_up(10_000);
+    assert_eq!(world.installs, 0);
+    assert!(took.is_some_and(|took| took <= 1_000), "{took:?}");
+}
+
+#[test]
+fn repetitions_do_not_pile_up_on_a_very_slow_link() {
+    // One piece takes 2.6 s, and the whole state 10 s.
+    let circumstances =
+        Circumstances { link_bytes_per_s: 100_000, snapshot_every: 1, change_every_ms: u64::MAX, ..USUAL };
+    let mut world = World::new(circumstances);
+    world.change_alone(50);
+    let took = world.until_caught_up(120_000);
+    println!("{took:?} ms, {} bytes waited at most", world.to_joiner.most);
+    assert!(took.is_some_and(|took| took <= 25_000), "{took:?}");
+    assert_eq!(world.to_joiner.overflows, 0);
+}
+
 /// What happens to a transfer.
 fn trouble(world: &mut World, choice: u8) {
     match choice % 16 {
--- a/crates/chain/tests/replication.rs
+++ b/crates/chain/tests/replication.rs
@@ -279,3 +279,26 @@
         _ => (0, 0),
     }
 }
+
+/// A head restarted from a snapshot, without the entries that a follower has after it: those were never committed.
+#[test]
+fn a_follower_gives_up_what_a_head_without_the_tail_of_the_log_does_not_have() {
+    let mut head =
+        Chain::new(DiskId(1), 2, Stored { snapshot_index: 2, view: view(1, &[1, 2]), ..Stored::default() });
+    let mut follower = tail_with((1..=5).map(|index| entry(index, index)).collect());
+    head.new_view(view(2, &[1, 2]), START);
+    // The head tells what is committed, and finds the follower to have just that.
+    let probe = append(2, 2, vec![], 2, 0);
+    let effects = follower.receive(DiskId(1), probe, START);
+    assert_eq!(messages(&effects).last(), Some(&(DiskId(1), acknowledge(2, 2, 0))));
+    assert_eq!(follower.committed(), 2, "no more than the head has");
+    for (synced, barrier) in [(2, 0), (2, 1)] {
+        head.receive(DiskId(2), acknowledge(2, synced, barrier), START);
+    }
+    let (index, effects) = head.submit(operation(30), START).expect("the head is ready");
+    assert_eq!(index, 3);
+    let (_, message) = messages(&effects).pop().expect("it is sent on");
+    let effects = follower.receive(DiskId(1), message, START);
+    assert_eq!(orders(&effects), [Effect::TruncateAfter(2), Effect::Append(vec![entry(3, 30)])]);
+    assert_eq!(follower.last_index(), 3);
+}
--- a/crates/chain/tests/support/node.rs
+++ b/crates/chain/tests/support/node.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 /// Bytes of a snapshot, so that it takes more than one piece.
-const SNAPSHOT_BYTES: usize = 300 * 1024;
+const SNAPSHOT_BYTES: usize = 700 * 1024;
 
 /// A message to be sent.
 #[derive(Debug)]
