Store: write the file again before a new process trusts it; not at each try on a full disk

Cause: after a sync that failed, a system may take pages for clean that never reached the disk. The process that saw the failure wrote its file again, one that began after it did not: it found a commit as if it were there, and after the next loss of power the file could not be opened at all. Each process now writes the file's own bytes again and syncs them before it opens it. Where the disk was full, each try wrote the whole file again, although no sync had failed; it now does so only after a failed sync.

--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -24,6 +24,7 @@
 mod effect;
 mod flow;
 mod follower;
+mod keeping_up;
 pub mod limits;
 mod log;
 mod membership;
--- a/crates/chain/src/membership.rs
+++ b/crates/chain/src/membership.rs
@@ -1,8 +1,9 @@
 //! The beginning of a view, and the disk's standing.
 
-use crate::chain::{Chain, KeepingUp, Leadership};
+use crate::chain::{Chain, Leadership};
 use crate::effect::{Effect, Standing};
 use crate::follower::Follower;
+use crate::keeping_up::KeepingUp;
 use crate::snapshot::IncomingSnapshot;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -2,7 +2,7 @@
 
 use crate::batch::{Batch, LogBounds};
 use crate::error::{damaged, of_redb, StoreError};
-use crate::file::GrowthSynced;
+use crate::file::{GrowthSynced, SyncFailure};
 use crate::medium::{Folder, Medium};
 use crate::rows;
 use lupinrack_cluster_api::identity::DiskId;
@@ -74,6 +74,7 @@
     bounds: LogBounds,
     sequence: u64,
     unsettled: Option<Unsettled>,
+    sync_failure: SyncFailure,
 }
 
 impl ControlStore {
@@ -87,7 +88,10 @@
         medium: Arc<dyn Medium>,
         settings: StoreSettings,
     ) -> Result<(ControlStore, Recovered), StoreError> {
-        let database = guarded(|| open_or_make(&*medium, settings))?;
+        let sync_failure = SyncFailure::default();
+        // Whether a sync of an earlier process failed is not known.
+        rewrite(&*medium, &sync_failure)?;
+        let database = guarded(|| open_or_make(&*medium, settings, &sync_failure))?;
         let (recovered, tail) = guarded(|| rows::read(&database))?;
         let store = ControlStore {
             medium,
@@ -96,6 +100,7 @@
             bounds: rows::bounds(&recovered),
             sequence: tail.sequence,
             unsettled: None,
+            sync_failure,
         };
         Ok((store, recovered))
     }
@@ -150,8 +155,10 @@
     /// Opens the store again after an error; tells whether the commit that failed holds nevertheless.
     pub fn reopen(&mut self) -> Result<bool, StoreError> {
         self.close();
-        rewrite(&*self.medium)?;
-        let database = guarded(|| open_or_make(&*self.medium, self.settings))?;
+        if self.sync_failure.is_noted() {
+            rewrite(&*self.medium, &self.sync_failure)?;
+        }
+        let database = guarded(|| open_or_make(&*self.medium, self.settings, &self.sync_failure))?;
         let found = guarded(|| rows::read_tail(&database))?.sequence;
         let holds = self.settle(found)?;
         self.database = Some(database);
@@ -197,17 +204,26 @@
     transaction.commit().map_err(|error| of_redb(DATA_FILE, error))
 }
 
-fn open_or_make(medium: &dyn Medium, settings: StoreSettings) -> Result<Database, StoreError> {
+fn open_or_make(
+    medium: &dyn Medium,
+    settings: StoreSettings,
+    failure: &SyncFailure,
+) -> Result<Database, StoreError> {
     match medium.length(DATA_FILE)? {
-        Some(length) if length > 0 => open_existing(medium, settings, length),
-        _ => make(medium, settings),
+        Some(length) if length > 0 => open_existing(medium, settings, length, failure),
+        _ => make(medium, settings, failure),
     }
 }
 
-fn open_existing(medium: &dyn Medium, settings: StoreSettings, length: u64) -> Result<Database, StoreError> {
+fn open_existing(
+    medium: &dyn Medium,
+    settings: StoreSettings,
+    length: u64,
+    failure: &SyncFailure,
+) -> Result<Database, StoreError> {
     // Whoever made the file may have died between its renaming and the sync of the folder.
     medium.sync()?;
-    let mut database = open_or_lengthen(medium, settings, length)?;
+    let mut database = open_or_lengthen(medium, settings, length, failure)?;
     if length > settings.compact_above_bytes {
         database.compact().map_err(|error| of_redb(DATA_FILE, error))?;
     }
@@ -220,13 +236,14 @@
     medium: &dyn Medium,
     settings: StoreSettings,
     length: u64,
+    failure: &SyncFailure,
 ) -> Result<Database, StoreError> {
-    let open = || guarded(|| open_database(medium.open(DATA_FILE)?, settings));
+    let open = || guarded(|| open_database(medium.open(DATA_FILE)?, settings, failure));
     let result = open();
     if !matches!(result, Err(StoreError::Damaged { .. })) {
         return result;
     }
-    let file = GrowthSynced(medium.open(DATA_FILE)?);
+    let file = GrowthSynced::new(medium.open(DATA_FILE)?, failure.clone());
     file.set_len(length + TORN_LENGTH_BYTES)?;
     open().or_else(|_| {
         file.set_len(length)?;
@@ -235,29 +252,33 @@
 }
 
 /// Makes a database with one commit, and only then gives it its name.
-fn make(medium: &dyn Medium, settings: StoreSettings) -> Result<Database, StoreError> {
+fn make(medium: &dyn Medium, settings: StoreSettings, failure: &SyncFailure) -> Result<Database, StoreError> {
     if medium.length(NEW_FILE)?.is_some() {
         medium.remove(NEW_FILE)?;
     }
-    let database = open_database(medium.open(NEW_FILE)?, settings)?;
+    let database = open_database(medium.open(NEW_FILE)?, settings, failure)?;
     write(&database, &[], 0)?;
     medium.rename(NEW_FILE, DATA_FILE)?;
     medium.sync()?;
     Ok(database)
 }
 
-fn open_database(file: Box<dyn StorageBackend>, settings: StoreSettings) -> Result<Database, StoreError> {
+fn open_database(
+    file: Box<dyn StorageBackend>,
+    settings: StoreSettings,
+    failure: &SyncFailure,
+) -> Result<Database, StoreError> {
     Builder::new()
         .set_cache_size(settings.cache_bytes)
         // The newer format keeps no allocator state outside of commits, so nothing but commits can be torn.
         .create_with_file_format_v3(true)
-        .create_with_backend(GrowthSynced(file))
+        .create_with_backend(GrowthSynced::new(file, failure.clone()))
         .map_err(|error| of_redb(DATA_FILE, error))
 }
 
 /// Writes the file's own bytes to it again. After a sync that failed, a system may take pages as clean that never
 /// reached the disk; written again, the next sync covers them.
-fn rewrite(medium: &dyn Medium) -> Result<(), StoreError> {
+fn rewrite(medium: &dyn Medium, failure: &SyncFailure) -> Result<(), StoreError> {
     let Some(length) = medium.length(DATA_FILE)? else { return Ok(()) };
     let file = medium.open(DATA_FILE)?;
     let mut offset = 0;
@@ -267,5 +288,6 @@
         offset += bytes;
     }
     file.sync_data(false)?;
+    failure.mended();
     Ok(())
 }
--- a/crates/control-store/tests/opening.rs
+++ b/crates/control-store/tests/opening.rs
@@ -356,3 +356,24 @@
     assert!(store.identify(&mut found, DiskId(7)).is_err());
     assert_eq!(found.disk, None);
 }
+
+/// A system may take pages for clean whose sync has failed: read as if they were there, and gone with the power.
+#[test]
+fn what_a_restarted_process_finds_after_a_failed_sync_lasts() {
+    for seed in 0..40 {
+        let disk = SimulatedDisk::new();
+        let (mut store, _) = open(&disk).expect("opens");
+        store.commit(&append(1..=3)).expect("a working disk");
+        // The changes of a commit are its writes, and the sync behind them.
+        disk.fail_after(seed % 20, Some(1), ErrorKind::Other);
+        let result = store.commit(&append(4..=6));
+        drop(store);
+        disk.restart_process();
+        let (store, found) = open(&disk).expect("opens");
+        assert!(result.is_err() || found.entries.len() == 6, "seed {seed}");
+        std::mem::forget(store);
+        disk.cycle_power(seed);
+        let (_, later) = open(&disk).expect("opens");
+        assert_eq!(later.entries, found.entries, "seed {seed}: what was found is gone");
+    }
+}
--- a/crates/control-store/tests/writer.rs
+++ b/crates/control-store/tests/writer.rs
@@ -195,3 +195,23 @@
     disk.cycle_power(3);
     assert_eq!(entries(&disk), 3);
 }
+
+#[test]
+fn a_full_disk_is_not_written_anew_at_each_try() {
+    let disk = SimulatedDisk::new();
+    let (handle, outcomes) = writer(&disk);
+    handle.write(1, Batch { append: vec![entry_of(1, 4 * LARGE_ENTRY)], ..Batch::default() });
+    until_done(&outcomes, 1);
+    let length = disk.contents(DATA_FILE).expect("the file").len();
+    disk.set_capacity(Some(length));
+    let before = disk.counters().written_bytes;
+    handle.write(2, Batch { append: vec![entry_of(2, 4 * LARGE_ENTRY)], ..Batch::default() });
+    for _ in 0..20 {
+        outcomes.recv().expect("the writer lives");
+    }
+    let written = disk.counters().written_bytes - before;
+    assert!(written < length as u64, "{written} bytes for a file of {length}");
+    disk.set_capacity(None);
+    until_done(&outcomes, 2);
+    handle.close();
+}
