Chain: a request for little is answered at once, however often

Cause: a member that begins a view asks its predecessor again and again until it is heard. The growing wait between equal requests, made for a slow link with much on its way, also met requests that are answered by a few bytes, and would have delayed the beginning of a view by up to 1.6 s. It now holds only where more than 64 KiB would be sent.

Test, before: a_request_for_little_is_always_answered failed (request 2); after: chain whole passes.

--- a/crates/chain/src/flow.rs
+++ b/crates/chain/src/flow.rs
@@ -4,7 +4,7 @@
 use lupinrack_cluster_api::time::Millis;
 
 /// The narrowest window, in bytes.
-const WINDOW_BYTES_LEAST: u64 = 64 * 1024;
+pub(crate) const WINDOW_BYTES_LEAST: u64 = 64 * 1024;
 /// Times without progress beyond which nothing narrows any further.
 const STALLS_MOST: u32 = 8;
 
--- a/crates/chain/src/follower.rs
+++ b/crates/chain/src/follower.rs
@@ -1,6 +1,6 @@
 //! What a member knows of a disk that it sends entries to: its successor, or a spare that joins.
 
-use crate::flow::Flow;
+use crate::flow::{Flow, WINDOW_BYTES_LEAST};
 use crate::limits::{ByteLimits, RESEND_MS, SNAPSHOT_RETRY_MS, WINDOW_ENTRIES};
 use crate::log::Log;
 use crate::snapshot::{OutgoingSnapshot, SharedSnapshot};
@@ -162,14 +162,15 @@
         self.rewound = None;
     }
 
-    /// Continues after `have`, as far as the sender has entries. The same again within a moment, which grows, changes
-    /// nothing: what was sent for it is still on its way.
-    pub(crate) fn resend_after(&mut self, have: u64, limit: u64, now: Millis) -> bool {
+    /// Continues after `have`, as far as the sender has entries. Where that is much, the same again within a moment, which
+    /// grows, changes nothing: what was sent for it is still on its way.
+    pub(crate) fn resend_after(&mut self, have: u64, limit: u64, log: &Log, now: Millis) -> bool {
         self.heard_at = now;
         let before = self.rewound.filter(|rewound| rewound.have == have);
         let times = before.map_or(0, |rewound| rewound.times + 1);
         let is_repetition = |rewound: Rewound| now.since(rewound.at) < RESEND_MS << rewound.times.min(4);
-        if before.is_some_and(is_repetition) {
+        let is_much = log.bytes_between(have, limit) > WINDOW_BYTES_LEAST;
+        if is_much && before.is_some_and(is_repetition) {
             return false;
         }
         self.rewound = Some(Rewound { have, at: now, times });
--- a/crates/chain/src/receive.rs
+++ b/crates/chain/src/receive.rs
@@ -144,11 +144,11 @@
     fn receive_resend(&mut self, from: DiskId, have: u64, now: Millis) {
         let limit = self.verified;
         if let Some(successor) = self.successor.as_mut().filter(|successor| successor.disk == from) {
-            if successor.resend_after(have, limit, now) {
+            if successor.resend_after(have, limit, &self.log, now) {
                 self.probe_successor(now);
             }
         } else if let Some(joiner) = self.joiners.get_mut(&from) {
-            if joiner.resend_after(have, self.committed, now) {
+            if joiner.resend_after(have, self.committed, &self.log, now) {
                 self.feed_joiner(from, true, now);
             }
         }
--- a/crates/chain/tests/byte_bounds.rs
+++ b/crates/chain/tests/byte_bounds.rs
@@ -143,3 +143,14 @@
     }
     assert!((2..=6).contains(&answered), "{answered} of 20");
 }
+
+#[test]
+fn a_request_for_little_is_always_answered() {
+    let mut head = Chain::new(DiskId(1), 2, Stored::default());
+    head.new_view(view(1, &[1, 2]), START);
+    for time in 0..20 {
+        let resend = ChainMessage::Resend { view: 1, have: 0 };
+        let effects = head.receive(DiskId(2), resend, START.plus(time * 100));
+        assert!(!messages(&effects).is_empty(), "request {time}");
+    }
+}
