--- a/crates/chain/tests/catch_up/mod.rs
+++ b/crates/chain/tests/catch_up/mod.rs
@@ -78,6 +78,8 @@
     writes: VecDeque<Effect>,
     /// When the sync under way ends, and how many writes it covers.
     sync: Option<(u64, usize)>,
+    /// How long the first sync after the next installation hangs, in milliseconds.
+    hang_ms: Option<u64>,
 }
 
 impl Disk {
@@ -181,7 +183,7 @@
         let Ok((index, effects)) = self.head.submit(operation, self.moment()) else { return };
         self.changes += 1;
         self.at_head(effects);
-        if index % self.circumstances.snapshot_every == 0 {
+        if index.is_multiple_of(self.circumstances.snapshot_every) {
             self.compact();
         }
     }
@@ -220,6 +222,11 @@
         self.adopt_at_joiner();
     }
 
+    /// The joiner's disk hangs for so long when the next snapshot is written to it.
+    pub fn hang_at_next_install(&mut self, milliseconds: u64) {
+        self.disk.hang_ms = Some(milliseconds);
+    }
+
     /// The connection ends.
     pub fn reset(&mut self) {
         self.to_joiner.reset();
@@ -280,7 +287,7 @@
             let effects = self.head.receive(JOINER, message, self.moment());
             self.at_head(effects);
         }
-        if self.now % TICK_MS == 0 {
+        if self.now.is_multiple_of(TICK_MS) {
             let effects = self.head.tick(self.moment());
             self.at_head(effects);
             let effects = self.joiner.tick(self.moment());
@@ -315,7 +322,9 @@
             }
         }
         if !self.disk.writes.is_empty() {
-            let end = self.now + self.circumstances.joiner_sync_ms;
+            let installs = self.disk.writes.iter().any(|write| matches!(write, Effect::Install { .. }));
+            let hang_ms = if installs { self.disk.hang_ms.take() } else { None };
+            let end = self.now + hang_ms.unwrap_or(self.circumstances.joiner_sync_ms);
             self.disk.sync = Some((end, self.disk.writes.len()));
         }
     }
