Model of owner sessions: the planted fault bypasses both checks of a message's session

The plant now makes the message look as if it answered the newest attach, so nothing but its number tells it apart.

--- a/crates/cluster-node/tests/owner_session_model.rs
+++ b/crates/cluster-node/tests/owner_session_model.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PlantedFault {
     None,
-    /// A message is matched by its number alone, whatever connection it came on.
+    /// A message is matched by its number alone, whatever connection it came on and whatever attach it answers.
     MatchesByNumber,
 }
 
@@ -223,8 +223,12 @@
     }
 
     fn agent_takes(&mut self, link: usize, fault: PlantedFault) -> Option<()> {
-        let (session, message) = self.links[link].to_agent.pop_front()?;
+        let (session, mut message) = self.links[link].to_agent.pop_front()?;
         let connection = u64::try_from(link).ok()?;
+        if fault == PlantedFault::MatchesByNumber {
+            // The session's own check of the attach that a message answers sees nothing either.
+            message.hold_from = Millis(self.now);
+        }
         let admitted = fault == PlantedFault::MatchesByNumber || self.connection.admits(connection, &message);
         if admitted && self.agent.owner_message(self.agent_session, message, Millis(self.now)).is_ok() {
             self.connection.taken_on(connection);
