Front: one state machine, which the program and the simulation both run

The simulation had the front's part of the driver written again, without homes and relays. FrontMachine (frames, calls and ticks in, frames out) is now in the node, its driver carries it, and the simulation plays it: fronts there hold all fronts for alive that were not removed, so their home may be down or cut off. How long a configuration is trusted, when a front is ready and how it ends come from the same code.

--- a/crates/cluster-node/src/front.rs
+++ b/crates/cluster-node/src/front.rs
@@ -1,11 +1,11 @@
-//! A front: takes clients' calls, checks them, and asks the head of the chain.
+//! The front's process: the driver of its state machine, which takes clients' calls, checks them, and hands them on.
 
 use crate::client_call::read_call;
 use crate::clock::{draw, Clock};
 use crate::control_api::{ask, ControlCall};
-use crate::front_news::FrontNews;
-use crate::head_client::{HeadClient, Outgoing};
-use crate::known_configuration::{trusted_ms, ConfigurationNews, KnownConfiguration};
+use crate::front_machine::{FrontEffect, FrontMachine, END_PERCENT, READY_MS, SERVE_ON_PERCENT};
+use crate::head_client::Outgoing;
+use crate::known_configuration::{trusted_ms, KnownConfiguration};
 use crate::membership::Membership;
 use crate::relay::RelayedFrame;
 use crate::signals::Signals;
@@ -31,16 +31,10 @@
 
 /// How often the process looks at its clock, in milliseconds.
 const TICK_MS: u64 = 50;
-/// A front that was not confirmed for this long is not ready, in milliseconds.
-const READY_MS: u64 = 2_500;
 /// What is kept of a client's time for the answer's way back, in milliseconds.
 const ANSWER_MARGIN_MS: u64 = 250;
 /// How long a client without a deadline is made to wait, in milliseconds.
 const WAIT_MS: u64 = 2_500;
-/// A process that is told to end goes on taking calls for this part of its grace, in hundredths.
-const SERVE_ON_PERCENT: u64 = 55;
-/// It has ended before this part of its grace is over, in hundredths.
-const END_PERCENT: u64 = 85;
 
 /// What the handlers of calls know, swapped whole.
 #[derive(Clone, Debug, Default)]
@@ -54,8 +48,7 @@
 struct Front {
     clock: Clock,
     peers: Peers,
-    client: HeadClient,
-    news: FrontNews,
+    machine: FrontMachine,
     table: Arc<Snapshot<FrontTable>>,
     membership: Membership,
     violations: ViolationLog,
@@ -71,18 +64,13 @@
     let (calls_in, mut calls) = mpsc::channel::<ControlCall>(1024);
     let front_server = serve_jobs(&settings, &table, calls_in, clock)?;
     let readiness_server = serve_readiness(&settings, &table, clock)?;
+    let own = LiveMember { address, role: Role::Frontend, zone, life };
     let mut front = Front {
         clock,
         peers,
-        client: HeadClient::new(life),
-        news: FrontNews::new(address, zone.clone(), settings.seed_internal(), clock.now()),
+        machine: FrontMachine::new(own.clone(), settings.seed_internal(), clock.now()),
         table,
-        membership: Membership::start(
-            LiveMember { address, role: Role::Frontend, zone, life },
-            settings.seed_internal(),
-            SwimSettings::default(),
-            clock,
-        ),
+        membership: Membership::start(own, settings.seed_internal(), SwimSettings::default(), clock),
         violations: ViolationLog::default(),
     };
     let mut signals = Signals::listen()?;
@@ -127,83 +115,44 @@
 impl Front {
     fn on_peer_event(&mut self, event: PeerEvent) {
         let now = self.clock.now();
-        match event {
-            PeerEvent::Frame { from, connection, frame, .. } => self.on_frame(from, connection, frame, now),
-            PeerEvent::Closed { from, connection, .. } => {
-                self.news.closed(from, connection, now);
-                let outgoing = self.client.closed(from, now);
-                self.send_all(outgoing);
+        let effects = match event {
+            PeerEvent::Frame { from, connection, frame, .. } => {
+                let is_news = matches!(frame, Frame::ConfigurationNews { .. });
+                let effects = self.machine.on_frame(from, connection, frame, now);
+                if is_news {
+                    self.publish_configuration();
+                }
+                effects
             }
-        }
-    }
-
-    fn on_frame(&mut self, from: PeerAddress, connection: u64, frame: Frame, now: Millis) {
-        match frame {
-            Frame::Reply { id, reply } => {
-                let outgoing = self.client.answered(from, id, reply, now);
-                self.send_all(outgoing);
-            }
-            Frame::ViewNews(view) => self.on_view(&view, now),
-            Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
-                self.on_news(from, ConfigurationNews { asked_at, age_ms, version, configuration }, now);
-            }
-            Frame::Subscribe { interest, asked_at } => {
-                let view = self.client.view();
-                let frames = self.news.subscribed(connection, interest, asked_at, view, now);
-                self.send_relayed(frames);
-            }
-            _ => {}
-        }
-    }
-
-    fn on_view(&mut self, view: &View, now: Millis) {
-        if view.number <= self.client.view().number {
-            return;
-        }
-        let outgoing = self.client.learn(view, now);
-        self.send_all(outgoing);
-        let frames = self.news.view_changed(view);
-        self.send_relayed(frames);
-    }
-
-    fn on_news(&mut self, from: PeerAddress, news: ConfigurationNews, now: Millis) {
-        let frames = self.news.receive(from, news, self.client.view(), now);
-        let mut next = FrontTable::clone(&self.table.load());
-        next.known = self.news.known().clone();
-        self.table.replace(Arc::new(next));
-        self.send_relayed(frames);
-    }
-
-    fn send_relayed(&self, frames: Vec<RelayedFrame>) {
-        for RelayedFrame { connection, frame } in frames {
-            self.peers.send_on(connection, frame);
-        }
+            PeerEvent::Closed { from, connection, .. } => self.machine.on_closed(from, connection, now),
+        };
+        self.carry_out(effects);
     }
 
     fn on_call(&mut self, call: ControlCall) {
-        let now = self.clock.now();
-        let until = now.plus(call.remaining_ms);
-        let outgoing = self.client.call(call.request, call.answerer, until, now);
-        self.send_all(outgoing);
+        let effects = self.machine.on_call(call, self.clock.now());
+        self.carry_out(effects);
     }
 
     fn on_tick(&mut self) {
-        let now = self.clock.now();
-        let outgoing = self.client.tick(now);
-        self.send_all(outgoing);
+        let effects = self.machine.on_tick(&self.membership.table(), self.clock.now());
+        self.carry_out(effects);
         self.publish_calls();
         self.violations.look(&self.peers);
-        let table = self.membership.table();
-        if let Some(subscribe) = self.news.tick(&table, self.client.view(), now) {
-            self.peers.send(subscribe.to, subscribe.frame);
-        }
+    }
+
+    /// Shows the handlers of calls the configuration as it is known now.
+    fn publish_configuration(&mut self) {
+        let mut next = FrontTable::clone(&self.table.load());
+        next.known = self.machine.known().clone();
+        self.table.replace(Arc::new(next));
     }
 
     /// Shows the handlers of calls the newest view, and what the calls to the head have counted.
     fn publish_calls(&mut self) {
         let table = self.table.load();
-        let newest = self.client.view();
-        let unmatched_answers = self.client.unmatched_answers();
+        let newest = self.machine.view();
+        let unmatched_answers = self.machine.unmatched_answers();
         if newest.number <= table.view.number && unmatched_answers == table.unmatched_answers {
             return;
         }
@@ -220,9 +169,16 @@
         self.table.replace(Arc::new(next));
     }
 
-    fn send_all(&mut self, outgoing: Vec<Outgoing>) {
-        for Outgoing { to, frame } in outgoing {
-            self.peers.send(to, frame);
+    fn carry_out(&mut self, effects: Vec<FrontEffect>) {
+        for effect in effects {
+            match effect {
+                FrontEffect::Send(Outgoing { to, frame }) => {
+                    self.peers.send(to, frame);
+                }
+                FrontEffect::SendOn(RelayedFrame { connection, frame }) => {
+                    self.peers.send_on(connection, frame);
+                }
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/cluster-node/src/front_machine.rs
@@ -0,0 +1,125 @@
+//! A front as one state machine without I/O: frames, calls and ticks come in, frames to send go out.
+//!
+//! Its driver carries the frames, serves HTTP and tells it who is held for alive. The simulation of the whole control
+//! plane runs the same machine.
+
+use crate::control_api::ControlCall;
+use crate::front_news::FrontNews;
+use crate::head_client::{HeadClient, Outgoing};
+use crate::known_configuration::{ConfigurationNews, KnownConfiguration};
+use crate::relay::RelayedFrame;
+use lupinrack_cluster_api::identity::PeerAddress;
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::Frame;
+use lupinrack_cluster_membership::{LiveMember, LiveTable};
+
+/// A front that was not confirmed for this long is not ready, in milliseconds.
+pub const READY_MS: u64 = 2_500;
+/// A front that is told to end goes on taking calls for this part of its grace, in hundredths.
+pub const SERVE_ON_PERCENT: u64 = 55;
+/// It has ended before this part of its grace is over, in hundredths.
+pub const END_PERCENT: u64 = 85;
+
+/// What the driver is to do.
+#[derive(Debug)]
+pub enum FrontEffect {
+    /// Sends a frame to a process, on its newest connection or a new one.
+    Send(Outgoing),
+    /// Sends a frame on this very connection, if it is still there.
+    SendOn(RelayedFrame),
+}
+
+/// A front.
+#[derive(Debug)]
+pub struct FrontMachine {
+    client: HeadClient,
+    news: FrontNews,
+}
+
+impl FrontMachine {
+    /// One that begins now, as this member.
+    pub fn new(own: LiveMember, seeds: Vec<PeerAddress>, now: Millis) -> FrontMachine {
+        let LiveMember { address, zone, life, .. } = own;
+        FrontMachine { client: HeadClient::new(life), news: FrontNews::new(address, zone, seeds, now) }
+    }
+
+    /// The newest view that it knows.
+    pub fn view(&self) -> &View {
+        self.client.view()
+    }
+
+    /// The configuration as it is known.
+    pub fn known(&self) -> &KnownConfiguration {
+        self.news.known()
+    }
+
+    /// Whether no call to the head is open.
+    pub fn is_idle(&self) -> bool {
+        self.client.is_idle()
+    }
+
+    /// How many answers came that belong to no open call.
+    pub fn unmatched_answers(&self) -> u64 {
+        self.client.unmatched_answers()
+    }
+
+    /// A frame came.
+    pub fn on_frame(
+        &mut self,
+        from: PeerAddress,
+        connection: u64,
+        frame: Frame,
+        now: Millis,
+    ) -> Vec<FrontEffect> {
+        match frame {
+            Frame::Reply { id, reply } => sends(self.client.answered(from, id, reply, now)),
+            Frame::ViewNews(view) => self.on_view(&view, now),
+            Frame::ConfigurationNews { asked_at, age_ms, version, configuration } => {
+                let news = ConfigurationNews { asked_at, age_ms, version, configuration };
+                relays(self.news.receive(from, news, self.client.view(), now))
+            }
+            Frame::Subscribe { interest, asked_at } => {
+                let view = self.client.view();
+                relays(self.news.subscribed(connection, interest, asked_at, view, now))
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_view(&mut self, view: &View, now: Millis) -> Vec<FrontEffect> {
+        if view.number <= self.client.view().number {
+            return Vec::new();
+        }
+        let mut effects = sends(self.client.learn(view, now));
+        effects.extend(relays(self.news.view_changed(view)));
+        effects
+    }
+
+    /// A connection ended.
+    pub fn on_closed(&mut self, from: PeerAddress, connection: u64, now: Millis) -> Vec<FrontEffect> {
+        self.news.closed(from, connection, now);
+        sends(self.client.closed(from, now))
+    }
+
+    /// A client's call that the head is to answer.
+    pub fn on_call(&mut self, call: ControlCall, now: Millis) -> Vec<FrontEffect> {
+        let until = now.plus(call.remaining_ms);
+        sends(self.client.call(call.request, call.answerer, until, now))
+    }
+
+    /// Time has passed. The table says who is held for alive, and may be wrong.
+    pub fn on_tick(&mut self, table: &LiveTable, now: Millis) -> Vec<FrontEffect> {
+        let mut effects = sends(self.client.tick(now));
+        effects.extend(self.news.tick(table, self.client.view(), now).map(FrontEffect::Send));
+        effects
+    }
+}
+
+fn sends(outgoing: Vec<Outgoing>) -> Vec<FrontEffect> {
+    outgoing.into_iter().map(FrontEffect::Send).collect()
+}
+
+fn relays(frames: Vec<RelayedFrame>) -> Vec<FrontEffect> {
+    frames.into_iter().map(FrontEffect::SendOn).collect()
+}
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control_api;
 pub mod core;
 mod front;
+pub mod front_machine;
 pub mod front_news;
 pub mod head_client;
 pub mod home;
--- a/crates/cluster-simulation/src/machine.rs
+++ b/crates/cluster-simulation/src/machine.rs
@@ -8,7 +8,9 @@
 use lupinrack_cluster_api::wire::{Frame, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{CoreEffect, CoreEvent, CoreMachine};
+use lupinrack_cluster_node::front_machine::FrontEffect;
 use lupinrack_cluster_node::head_client::Outgoing;
+use lupinrack_cluster_node::relay::RelayedFrame;
 use lupinrack_worker_agent::ServerHeartbeat;
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -177,14 +179,21 @@
                 core.receive(event, moment);
                 core.settle(moment).into_iter().map(ProcessEffect::Core).collect()
             }
-            (Some(Process::Front(front)), event) => sends(match event {
-                ProcessEvent::Frame { from, frame, .. } => front.on_frame(address_of(from), frame, now),
-                ProcessEvent::Closed { from, .. } => front.on_closed(address_of(from), now),
-                ProcessEvent::Call(call) => front.on_call(call, now),
-                ProcessEvent::Tick => front.on_tick(now),
-                ProcessEvent::Terminate => front.on_terminate(now),
-                _ => Vec::new(),
-            }),
+            (Some(Process::Front(front)), event) => {
+                let effects = match event {
+                    ProcessEvent::Frame { from, connection, frame, .. } => {
+                        front.on_frame(address_of(from), connection, frame, now)
+                    }
+                    ProcessEvent::Closed { from, connection } => {
+                        front.on_closed(address_of(from), connection, now)
+                    }
+                    ProcessEvent::Call(call) => front.on_call(call, now),
+                    ProcessEvent::Tick => front.on_tick(now),
+                    ProcessEvent::Terminate => front.on_terminate(now),
+                    _ => Vec::new(),
+                };
+                effects.into_iter().map(of_front).collect()
+            }
             (Some(Process::Side(side)), event) => {
                 let outgoing = match event {
                     ProcessEvent::Frame { from, frame, .. } => side.on_frame(address_of(from), frame, now),
@@ -223,3 +232,10 @@
     let send = |Outgoing { to, frame }| ProcessEffect::Core(CoreEffect::Send { to, frame });
     outgoing.into_iter().map(send).collect()
 }
+
+fn of_front(effect: FrontEffect) -> ProcessEffect {
+    ProcessEffect::Core(match effect {
+        FrontEffect::Send(Outgoing { to, frame }) => CoreEffect::Send { to, frame },
+        FrontEffect::SendOn(RelayedFrame { connection, frame }) => CoreEffect::SendOn { connection, frame },
+    })
+}
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -9,9 +9,11 @@
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
 use crate::side::{HeartbeatCall, Side, SideAnswer};
 use crate::world::{LocalMessage, World};
-use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
+use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::Voter;
 use lupinrack_cluster_api::wire::{ChainMessage, Frame, Hello, Role};
+use lupinrack_cluster_membership::{LiveMember, LiveTable};
 use lupinrack_cluster_node::control_api::ControlCall;
 use lupinrack_cluster_node::core::{CoreEffect, CoreMachine, CoreSettings};
 use lupinrack_control_store::{Batch, Recovered};
@@ -64,7 +66,7 @@
         let moment = one.clock.read(now);
         let mut disk = None;
         let process = match one.role {
-            Role::Frontend => Some(Process::Front(Box::new(Front::new(seeds, life, moment.now)))),
+            Role::Frontend => Some(Process::Front(Box::new(self.new_front(machine, seeds, moment.now)))),
             Role::Agent => Some(Process::Side(Box::new(Side::new(seeds, agent_settings(), moment.now)))),
             Role::Core => {
                 let recovered = one.disk.contents();
@@ -85,6 +87,18 @@
         self.dispatch(machine, ProcessEvent::Tick);
     }
 
+    /// A front that holds all fronts for alive that were not removed. So its home may be down, or cut off.
+    fn new_front(&self, machine: usize, seeds: Vec<PeerAddress>, now: Millis) -> Front {
+        let member = |machine: usize| LiveMember {
+            address: address_of(machine),
+            role: Role::Frontend,
+            zone: String::new(),
+            life: self.machines[machine].life,
+        };
+        let there = self.fronts().filter(|front| !self.machines[*front].removed);
+        Front::new(member(machine), LiveTable::new(there.map(member).collect()), seeds, now)
+    }
+
     fn new_core(&mut self, machine: usize, disk: DiskId, recovered: Recovered) -> Option<CoreMachine> {
         let seeds = self.seeds.clone();
         let founders = if self.founds(machine) { seeds.clone() } else { Vec::new() };
