Agent: one state machine, which the program and the simulation both run

The simulation had the agent's part of the driver written again, without the check of the owner's connection and without other sources of views than the head. SideMachine (frames, heartbeats and ticks in; frames and answers out) is now in the node, with the driver's own handle of a heartbeat as its parameter; its driver and the simulation carry it.

--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 mod scheduling;
 mod side;
+pub mod side_machine;
 mod signals;
 pub mod status;
 pub mod subscription;
--- /dev/null
+++ b/crates/cluster-node/src/side_machine.rs
@@ -0,0 +1,287 @@
+//! The agent's process as one state machine without I/O: frames, heartbeats and ticks come in; frames to send and answers
+//! to heartbeats go out.
+//!
+//! Its driver carries the frames, serves HTTP to the server and tells it who is held for alive. The simulation of the
+//! whole control plane runs the same machine.
+
+use crate::head_client::Outgoing;
+use crate::owner::owner_address;
+use crate::owner_connection::OwnerConnection;
+use crate::subscription::Subscription;
+use crate::view_source::ViewSource;
+use lupinrack_cluster_api::agent::OwnerMessage;
+use lupinrack_cluster_api::identity::{PeerAddress, ServerId, ServiceName};
+use lupinrack_cluster_api::time::Millis;
+use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_api::wire::{Frame, Interest};
+use lupinrack_cluster_membership::{LiveMember, LiveTable};
+use lupinrack_worker_agent::{
+    Agent, AgentSettings, HeartbeatAnswer, HeartbeatReceipt, OpenHeartbeat, ServerHeartbeat,
+};
+
+/// Between two subscriptions to views, in milliseconds.
+const SUBSCRIBE_MS: u64 = 1_500;
+/// An owner that says nothing for this long after it was told of the server is told again, in milliseconds.
+const OWNER_SILENT_MS: u64 = 600;
+/// How long the answer to a heartbeat that lists ends waits for what takes their place, in milliseconds.
+const WAIT_AFTER_ENDS_MS: u64 = 80;
+/// How long the answer to a server on which nothing runs waits for work, in milliseconds.
+const WAIT_IDLE_MS: u64 = 300;
+
+/// What the driver is to do. `C` is the driver's own handle of a heartbeat, by which it is answered.
+#[derive(Debug)]
+#[allow(
+    clippy::large_enum_variant,
+    reason = "nearly all effects are frames; a box would cost each an allocation"
+)]
+pub enum SideEffect<C> {
+    /// Sends a frame to a process, on its newest connection or a new one.
+    Send(Outgoing),
+    /// Answers a heartbeat.
+    Answer {
+        /// The heartbeat.
+        call: C,
+        /// Its answer.
+        answer: Box<HeartbeatAnswer>,
+    },
+}
+
+/// A heartbeat whose answer waits for orders.
+#[derive(Debug)]
+struct OpenCall<C> {
+    open: OpenHeartbeat,
+    call: C,
+    until: Millis,
+}
+
+/// The process of an agent.
+#[derive(Debug)]
+pub struct SideMachine<C> {
+    view: View,
+    subscription: Subscription,
+    agent: Agent,
+    service: Option<ServiceName>,
+    owner: Option<PeerAddress>,
+    owner_heard: Millis,
+    session: u64,
+    owner_connection: OwnerConnection,
+    view_source: ViewSource,
+    open: Option<OpenCall<C>>,
+    effects: Vec<SideEffect<C>>,
+}
+
+impl<C> SideMachine<C> {
+    /// One that begins now, as this member. The service of its server may be known beforehand.
+    pub fn new(
+        own: LiveMember,
+        seeds: Vec<PeerAddress>,
+        service: Option<ServiceName>,
+        settings: AgentSettings,
+        now: Millis,
+    ) -> SideMachine<C> {
+        SideMachine {
+            view: View::default(),
+            subscription: Subscription::new(seeds, SUBSCRIBE_MS, now),
+            agent: Agent::new(settings, now),
+            service,
+            owner: None,
+            owner_heard: now,
+            session: 0,
+            owner_connection: OwnerConnection::default(),
+            view_source: ViewSource::new(own.address, own.zone),
+            open: None,
+            effects: Vec::new(),
+        }
+    }
+
+    /// The newest view that it knows.
+    pub fn view(&self) -> &View {
+        &self.view
+    }
+
+    /// The agent itself.
+    pub fn agent(&self) -> &Agent {
+        &self.agent
+    }
+
+    /// The service of its server.
+    pub fn service(&self) -> Option<&ServiceName> {
+        self.service.as_ref()
+    }
+
+    /// The process that owns the service's shard, as far as it knows.
+    pub fn owner(&self) -> Option<PeerAddress> {
+        self.owner
+    }
+
+    /// When the owner was heard last, or a session with it began.
+    pub fn owner_heard(&self) -> Millis {
+        self.owner_heard
+    }
+
+    /// When the open heartbeat has waited for long enough; none without an open one.
+    pub fn answer_due_at(&self) -> Option<Millis> {
+        self.open.as_ref().map(|open| open.until)
+    }
+
+    /// A frame came.
+    pub fn on_frame(
+        &mut self,
+        from: PeerAddress,
+        connection: u64,
+        frame: Frame,
+        now: Millis,
+    ) -> Vec<SideEffect<C>> {
+        match frame {
+            Frame::Owner(message) if Some(from) == self.owner => {
+                self.on_owner_message(connection, message, now);
+            }
+            Frame::ViewNews(view) => self.on_view(view, now),
+            _ => {}
+        }
+        self.take_effects()
+    }
+
+    fn on_owner_message(&mut self, connection: u64, message: OwnerMessage, now: Millis) {
+        if !self.owner_connection.admits(connection, &message) {
+            spdlog::debug!("an order came on the connection of an earlier session");
+            return;
+        }
+        self.owner_heard = now;
+        self.subscription.heard_news(now);
+        match self.agent.owner_message(self.session, message, now) {
+            Ok(()) => self.owner_connection.taken_on(connection),
+            Err(refused) => spdlog::debug!("an order was refused: {refused}"),
+        }
+        self.answer_if_due(now);
+    }
+
+    fn on_view(&mut self, view: View, now: Millis) {
+        self.subscription.heard_news(now);
+        if view.number <= self.view.number {
+            return;
+        }
+        self.view = view;
+        self.find_owner(now);
+    }
+
+    fn find_owner(&mut self, now: Millis) {
+        let owner = self.service.as_ref().and_then(|service| owner_address(&self.view, service));
+        if owner != self.owner {
+            self.owner = owner;
+            self.begin_session(now);
+        }
+    }
+
+    fn begin_session(&mut self, now: Millis) {
+        self.session += 1;
+        self.owner_connection.session_began();
+        self.owner_heard = now;
+        self.agent.owner_connected(self.session);
+        self.send_to_owner(now);
+    }
+
+    /// A connection ended.
+    pub fn on_closed(&mut self, from: PeerAddress, now: Millis) -> Vec<SideEffect<C>> {
+        if Some(from) == self.owner {
+            self.begin_session(now);
+            self.subscription.hurry();
+        }
+        if self.view_source.closed(from, now) {
+            self.subscription.hurry();
+        }
+        self.take_effects()
+    }
+
+    /// A heartbeat of the server came.
+    pub fn on_heartbeat(&mut self, beat: ServerHeartbeat, call: C, now: Millis) -> Vec<SideEffect<C>> {
+        if self.service.as_ref() != Some(&beat.facts.service) {
+            self.service = Some(beat.facts.service.clone());
+            self.find_owner(now);
+        }
+        self.answer_open(now);
+        self.take_heartbeat(beat, call, now);
+        self.send_to_owner(now);
+        self.take_effects()
+    }
+
+    /// The server has left in order.
+    pub fn on_leave(&mut self, server: ServerId, now: Millis) -> Vec<SideEffect<C>> {
+        self.agent.leave(server, now);
+        self.send_to_owner(now);
+        self.take_effects()
+    }
+
+    /// The open heartbeat may have waited for long enough.
+    pub fn on_answer_due(&mut self, now: Millis) -> Vec<SideEffect<C>> {
+        self.answer_if_due(now);
+        self.take_effects()
+    }
+
+    /// Time has passed. The table says who is held for alive, and may be wrong.
+    pub fn on_tick(&mut self, table: &LiveTable, now: Millis) -> Vec<SideEffect<C>> {
+        let silent = self.owner.is_some() && now.since(self.owner_heard) >= OWNER_SILENT_MS;
+        if silent {
+            self.view_source.doubt(now);
+            self.subscription.hurry();
+            self.begin_session(now);
+        }
+        self.send_to_owner(now);
+        self.subscribe(table, now);
+        self.take_effects()
+    }
+
+    fn subscribe(&mut self, table: &LiveTable, now: Millis) {
+        if let Some(subscribe) = self.subscription.tick(&self.view, Interest::Views, now) {
+            let head = self.view.head().and_then(|disk| self.view.address(disk));
+            let to = self.view_source.choose(subscribe.to, head, table, now);
+            self.effects.push(SideEffect::Send(Outgoing { to, frame: subscribe.frame }));
+        }
+    }
+
+    /// Takes a heartbeat. Its answer waits a moment where orders are likely to come.
+    fn take_heartbeat(&mut self, beat: ServerHeartbeat, call: C, now: Millis) {
+        let open = match self.agent.receive_heartbeat(beat, now) {
+            HeartbeatReceipt::Open(open) => open,
+            HeartbeatReceipt::Answer(answer) => return self.answer(call, answer),
+        };
+        let wait_ms = match (open.ends, open.idle) {
+            (true, _) => WAIT_AFTER_ENDS_MS,
+            (_, true) => WAIT_IDLE_MS,
+            _ => 0,
+        };
+        self.open = Some(OpenCall { open, call, until: now.plus(wait_ms) });
+        self.answer_if_due(now);
+    }
+
+    /// Answers the open heartbeat if there are orders, or if it has waited for long enough.
+    fn answer_if_due(&mut self, now: Millis) {
+        let waits = self.open.as_ref().is_some_and(|call| now < call.until);
+        if waits && !self.agent.has_orders(now) {
+            return;
+        }
+        self.answer_open(now);
+    }
+
+    fn answer_open(&mut self, now: Millis) {
+        if let Some(OpenCall { open, call, .. }) = self.open.take() {
+            let answer = self.agent.answer_heartbeat(&open, now);
+            self.answer(call, answer);
+        }
+    }
+
+    fn answer(&mut self, call: C, answer: HeartbeatAnswer) {
+        self.effects.push(SideEffect::Answer { call, answer: Box::new(answer) });
+    }
+
+    fn send_to_owner(&mut self, now: Millis) {
+        let Some(to) = self.owner else { return };
+        let messages = self.agent.poll(now).into_iter();
+        let send = |message| SideEffect::Send(Outgoing { to, frame: Frame::Agent(message) });
+        self.effects.extend(messages.map(send));
+    }
+
+    fn take_effects(&mut self) -> Vec<SideEffect<C>> {
+        std::mem::take(&mut self.effects)
+    }
+}
--- a/crates/cluster-simulation/src/machine.rs
+++ b/crates/cluster-simulation/src/machine.rs
@@ -3,7 +3,7 @@
 use crate::clock::MachineClock;
 use crate::disk::SimulatedDisk;
 use crate::front::Front;
-use crate::side::{Side, SideAnswer};
+use crate::side::{AgentEffect, HeartbeatCall, Side};
 use lupinrack_cluster_api::identity::{PeerAddress, ServerId};
 use lupinrack_cluster_api::wire::{Frame, Role};
 use lupinrack_cluster_node::control_api::ControlCall;
@@ -11,7 +11,8 @@
 use lupinrack_cluster_node::front_machine::FrontEffect;
 use lupinrack_cluster_node::head_client::Outgoing;
 use lupinrack_cluster_node::relay::RelayedFrame;
-use lupinrack_worker_agent::ServerHeartbeat;
+use lupinrack_cluster_node::side_machine::SideEffect;
+use lupinrack_worker_agent::{HeartbeatAnswer, ServerHeartbeat};
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -94,7 +95,12 @@
     /// An effect on the network or the disk.
     Core(CoreEffect),
     /// An answer to a heartbeat of the server.
-    Answer(SideAnswer),
+    Answer {
+        /// The heartbeat.
+        call: HeartbeatCall,
+        /// Its answer.
+        answer: Box<HeartbeatAnswer>,
+    },
 }
 
 /// One machine.
@@ -195,8 +201,10 @@
                 effects.into_iter().map(of_front).collect()
             }
             (Some(Process::Side(side)), event) => {
-                let outgoing = match event {
-                    ProcessEvent::Frame { from, frame, .. } => side.on_frame(address_of(from), frame, now),
+                let effects = match event {
+                    ProcessEvent::Frame { from, connection, frame, .. } => {
+                        side.on_frame(address_of(from), connection, frame, now)
+                    }
                     ProcessEvent::Closed { from, .. } => side.on_closed(address_of(from), now),
                     ProcessEvent::Heartbeat { beat, sent_at } => side.on_heartbeat(*beat, sent_at, now),
                     ProcessEvent::AnswerDue => side.on_answer_due(now),
@@ -205,8 +213,7 @@
                     ProcessEvent::Terminate => side.on_terminate(),
                     _ => Vec::new(),
                 };
-                let answers = side.take_answers().into_iter().map(ProcessEffect::Answer);
-                sends(outgoing).into_iter().chain(answers).collect()
+                effects.into_iter().map(of_agent).collect()
             }
             (None, _) => Vec::new(),
         }
@@ -228,9 +235,11 @@
     })
 }
 
-fn sends(outgoing: Vec<Outgoing>) -> Vec<ProcessEffect> {
-    let send = |Outgoing { to, frame }| ProcessEffect::Core(CoreEffect::Send { to, frame });
-    outgoing.into_iter().map(send).collect()
+fn of_agent(effect: AgentEffect) -> ProcessEffect {
+    match effect {
+        SideEffect::Send(Outgoing { to, frame }) => ProcessEffect::Core(CoreEffect::Send { to, frame }),
+        SideEffect::Answer { call, answer } => ProcessEffect::Answer { call, answer },
+    }
 }
 
 fn of_front(effect: FrontEffect) -> ProcessEffect {
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -7,7 +7,7 @@
 use crate::plan::{CATCH_UP_MS, GRACE_MS};
 use crate::planted::PlantedFault;
 use crate::server::{BeatAnswer, StartOrder, HOLD_MOST_MS};
-use crate::side::{HeartbeatCall, Side, SideAnswer};
+use crate::side::{HeartbeatCall, Side};
 use crate::world::{LocalMessage, World};
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::time::Millis;
@@ -67,7 +67,7 @@
         let mut disk = None;
         let process = match one.role {
             Role::Frontend => Some(Process::Front(Box::new(self.new_front(machine, seeds, moment.now)))),
-            Role::Agent => Some(Process::Side(Box::new(Side::new(seeds, agent_settings(), moment.now)))),
+            Role::Agent => Some(Process::Side(Box::new(self.new_side(machine, seeds, moment.now)))),
             Role::Core => {
                 let recovered = one.disk.contents();
                 let id = recovered.disk.unwrap_or_else(|| DiskId(self.rng.u64(1..)));
@@ -87,16 +87,23 @@
         self.dispatch(machine, ProcessEvent::Tick);
     }
 
-    /// A front that holds all fronts for alive that were not removed. So its home may be down, or cut off.
     fn new_front(&self, machine: usize, seeds: Vec<PeerAddress>, now: Millis) -> Front {
-        let member = |machine: usize| LiveMember {
-            address: address_of(machine),
-            role: Role::Frontend,
-            zone: String::new(),
-            life: self.machines[machine].life,
-        };
+        Front::new(self.member(machine), self.live_table(), seeds, now)
+    }
+
+    fn new_side(&self, machine: usize, seeds: Vec<PeerAddress>, now: Millis) -> Side {
+        Side::new(self.member(machine), self.live_table(), seeds, agent_settings(), now)
+    }
+
+    fn member(&self, machine: usize) -> LiveMember {
+        let Machine { role, life, .. } = self.machines[machine];
+        LiveMember { address: address_of(machine), role, zone: String::new(), life }
+    }
+
+    /// All fronts that were not removed. Whoever trusts the table trusts processes that may be down, or cut off.
+    fn live_table(&self) -> LiveTable {
         let there = self.fronts().filter(|front| !self.machines[*front].removed);
-        Front::new(member(machine), LiveTable::new(there.map(member).collect()), seeds, now)
+        LiveTable::new(there.map(|front| self.member(front)).collect())
     }
 
     fn new_core(&mut self, machine: usize, disk: DiskId, recovered: Recovered) -> Option<CoreMachine> {
@@ -267,11 +274,11 @@
                 self.network.send_on(machine, connection, frame, now);
             }
             ProcessEffect::Core(CoreEffect::Write { ticket, batch }) => self.write(machine, ticket, batch),
-            ProcessEffect::Answer(SideAnswer { call, answer }) => {
+            ProcessEffect::Answer { call, answer } => {
                 let HeartbeatCall { server, sent_at, highest_end } = call;
                 let place = machine - self.side_of(0);
                 if self.places[place].server.as_ref().is_some_and(|known| *known.id() == server) {
-                    let answer = self.planted_answer(answer, highest_end);
+                    let answer = self.planted_answer(*answer, highest_end);
                     let life = self.places[place].life;
                     let answer = LocalMessage::Answer(life, beat_answer(answer, sent_at));
                     self.send_local(place, answer);
