--- a/crates/cluster-node/src/side.rs
+++ b/crates/cluster-node/src/side.rs
@@ -99,9 +99,7 @@
     fn on_peer_event(&mut self, event: PeerEvent) {
         let now = self.clock.now();
         let effects = match event {
-            PeerEvent::Frame { from, frame, connection, .. } => {
-                self.machine.on_frame(from, connection, frame, now)
-            }
+            PeerEvent::Frame { from, frame, .. } => self.machine.on_frame(from, frame, now),
             PeerEvent::Closed { from, .. } => self.machine.on_closed(from, now),
         };
         self.carry_out(effects);
--- a/crates/cluster-node/src/side_machine.rs
+++ b/crates/cluster-node/src/side_machine.rs
@@ -6,7 +6,6 @@
 
 use crate::head_client::Outgoing;
 use crate::owner::owner_address;
-use crate::owner_connection::OwnerConnection;
 use crate::subscription::Subscription;
 use crate::view_source::ViewSource;
 use lupinrack_cluster_api::agent::OwnerMessage;
@@ -64,7 +63,6 @@
     owner: Option<PeerAddress>,
     owner_heard: Millis,
     session: u64,
-    owner_connection: OwnerConnection,
     view_source: ViewSource,
     open: Option<OpenCall<C>>,
     effects: Vec<SideEffect<C>>,
@@ -87,7 +85,6 @@
             owner: None,
             owner_heard: now,
             session: 0,
-            owner_connection: OwnerConnection::default(),
             view_source: ViewSource::new(own.address, own.zone),
             open: None,
             effects: Vec::new(),
@@ -125,16 +122,10 @@
     }
 
     /// A frame came.
-    pub fn on_frame(
-        &mut self,
-        from: PeerAddress,
-        connection: u64,
-        frame: Frame,
-        now: Millis,
-    ) -> Vec<SideEffect<C>> {
+    pub fn on_frame(&mut self, from: PeerAddress, frame: Frame, now: Millis) -> Vec<SideEffect<C>> {
         match frame {
             Frame::Owner(message) if Some(from) == self.owner => {
-                self.on_owner_message(connection, message, now);
+                self.on_owner_message(message, now);
             }
             Frame::ViewNews(view) => self.on_view(view, now),
             _ => {}
@@ -142,16 +133,11 @@
         self.take_effects()
     }
 
-    fn on_owner_message(&mut self, connection: u64, message: OwnerMessage, now: Millis) {
-        if !self.owner_connection.admits(connection, &message) {
-            spdlog::debug!("an order came on the connection of an earlier session");
-            return;
-        }
+    fn on_owner_message(&mut self, message: OwnerMessage, now: Millis) {
         self.owner_heard = now;
         self.subscription.heard_news(now);
-        match self.agent.owner_message(self.session, message, now) {
-            Ok(()) => self.owner_connection.taken_on(connection),
-            Err(refused) => spdlog::debug!("an order was refused: {refused}"),
+        if let Err(refused) = self.agent.owner_message(self.session, message, now) {
+            spdlog::debug!("an order was refused: {refused}");
         }
         self.answer_if_due(now);
     }
@@ -175,7 +161,6 @@
 
     fn begin_session(&mut self, now: Millis) {
         self.session += 1;
-        self.owner_connection.session_began();
         self.owner_heard = now;
         self.agent.owner_connected(self.session);
         self.send_to_owner(now);
--- a/crates/cluster-simulation/src/machine.rs
+++ b/crates/cluster-simulation/src/machine.rs
@@ -93,7 +93,7 @@
 #[derive(Debug)]
 pub enum ProcessEffect {
     /// An effect on the network or the disk.
-    Core(CoreEffect),
+    Core(Box<CoreEffect>),
     /// An answer to a heartbeat of the server.
     Answer {
         /// The heartbeat.
@@ -183,7 +183,7 @@
             (Some(Process::Core(core)), event) => {
                 let Some(event) = core_event(event) else { return Vec::new() };
                 core.receive(event, moment);
-                core.settle(moment).into_iter().map(ProcessEffect::Core).collect()
+                core.settle(moment).into_iter().map(of_core).collect()
             }
             (Some(Process::Front(front)), event) => {
                 let effects = match event {
@@ -202,9 +202,7 @@
             }
             (Some(Process::Side(side)), event) => {
                 let effects = match event {
-                    ProcessEvent::Frame { from, connection, frame, .. } => {
-                        side.on_frame(address_of(from), connection, frame, now)
-                    }
+                    ProcessEvent::Frame { from, frame, .. } => side.on_frame(address_of(from), frame, now),
                     ProcessEvent::Closed { from, .. } => side.on_closed(address_of(from), now),
                     ProcessEvent::Heartbeat { beat, sent_at } => side.on_heartbeat(*beat, sent_at, now),
                     ProcessEvent::AnswerDue => side.on_answer_due(now),
@@ -235,15 +233,19 @@
     })
 }
 
+fn of_core(effect: CoreEffect) -> ProcessEffect {
+    ProcessEffect::Core(Box::new(effect))
+}
+
 fn of_agent(effect: AgentEffect) -> ProcessEffect {
     match effect {
-        SideEffect::Send(Outgoing { to, frame }) => ProcessEffect::Core(CoreEffect::Send { to, frame }),
+        SideEffect::Send(Outgoing { to, frame }) => of_core(CoreEffect::Send { to, frame }),
         SideEffect::Answer { call, answer } => ProcessEffect::Answer { call, answer },
     }
 }
 
 fn of_front(effect: FrontEffect) -> ProcessEffect {
-    ProcessEffect::Core(match effect {
+    of_core(match effect {
         FrontEffect::Send(Outgoing { to, frame }) => CoreEffect::Send { to, frame },
         FrontEffect::SendOn(RelayedFrame { connection, frame }) => CoreEffect::SendOn { connection, frame },
     })
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -257,23 +257,29 @@
         }
     }
 
-    fn carry_out(&mut self, machine: usize, effect: ProcessEffect) {
+    fn carry_out_core(&mut self, machine: usize, effect: CoreEffect) {
         let now = self.now;
         match effect {
-            ProcessEffect::Core(CoreEffect::Send { to, frame }) => {
+            CoreEffect::Send { to, frame } => {
                 let frame = self.planted_frame(frame);
                 self.count_frame(&frame);
                 let to = machine_at(to);
                 self.answer_for_successor(machine, to, &frame);
                 self.network.send(machine, to, frame, now);
             }
-            ProcessEffect::Core(CoreEffect::SendOn { connection, frame }) => {
+            CoreEffect::SendOn { connection, frame } => {
                 let frame = self.planted_frame(frame);
                 self.count_frame(&frame);
                 self.copy_answer(machine, connection, &frame);
                 self.network.send_on(machine, connection, frame, now);
             }
-            ProcessEffect::Core(CoreEffect::Write { ticket, batch }) => self.write(machine, ticket, batch),
+            CoreEffect::Write { ticket, batch } => self.write(machine, ticket, batch),
+        }
+    }
+
+    fn carry_out(&mut self, machine: usize, effect: ProcessEffect) {
+        match effect {
+            ProcessEffect::Core(effect) => self.carry_out_core(machine, *effect),
             ProcessEffect::Answer { call, answer } => {
                 let HeartbeatCall { server, sent_at, highest_end } = call;
                 let place = machine - self.side_of(0);
--- a/crates/cluster-simulation/src/side.rs
+++ b/crates/cluster-simulation/src/side.rs
@@ -43,14 +43,8 @@
     }
 
     /// A frame came.
-    pub fn on_frame(
-        &mut self,
-        from: PeerAddress,
-        connection: u64,
-        frame: Frame,
-        now: Millis,
-    ) -> Vec<AgentEffect> {
-        self.machine.on_frame(from, connection, frame, now)
+    pub fn on_frame(&mut self, from: PeerAddress, frame: Frame, now: Millis) -> Vec<AgentEffect> {
+        self.machine.on_frame(from, frame, now)
     }
 
     /// A connection ended.
