Chain: what a closed connection took is sent again at the next tick

Cause: a sender knew of a loss only by time without progress. The wait of a second after which it sends again, longer after each loss so as not to fill a slow link, also followed a reset, of which the driver knows at once. The driver now tells the chain of each end of a connection to a core process; the longest wait is 4 s in place of 8.

Tests: what_a_reset_took_is_sent_again_without_a_wait and entries_that_a_reset_took_are_sent_again_at_the_next_tick are new (the call did not exist before); the property of transfers has resets with and without the word.

--- a/crates/chain/src/follower.rs
+++ b/crates/chain/src/follower.rs
@@ -200,6 +200,17 @@
         }
     }
 
+    /// What was on its way may be lost; it is sent again at the next occasion.
+    pub(crate) fn disconnected(&mut self, now: Millis) {
+        self.flow = Flow::new(now);
+        self.rewound = None;
+        if let Transfer::Sending(snapshot) = &mut self.transfer {
+            snapshot.rewind();
+        } else if let Some(acknowledged) = self.acknowledged {
+            self.rewind(acknowledged, self.sent, now);
+        }
+    }
+
     fn awaits_snapshot(&self) -> bool {
         matches!(self.transfer, Transfer::Wanted | Transfer::Sending(_))
     }
--- a/crates/chain/src/limits.rs
+++ b/crates/chain/src/limits.rs
@@ -40,7 +40,7 @@
 pub const JOINER_STALLED_MS: u64 = 1000;
 
 /// The longest that [`JOINER_STALLED_MS`] grows, in milliseconds.
-pub const JOINER_STALLED_MOST_MS: u64 = 8000;
+pub const JOINER_STALLED_MOST_MS: u64 = 4000;
 
 /// Milliseconds for which the tail's word on what is committed counts as fresh.
 pub const CAUGHT_UP_MS: u64 = 500;
--- a/crates/chain/src/timer.rs
+++ b/crates/chain/src/timer.rs
@@ -28,6 +28,16 @@
         self.take_effects()
     }
 
+    /// A connection to the process of a disk has ended, and what was on its way to it may be lost. The next tick sends it
+    /// again.
+    pub fn disconnected(&mut self, disk: DiskId, now: Millis) {
+        if let Some(joiner) = self.joiners.get_mut(&disk) {
+            joiner.disconnected(now);
+        } else if let Some(successor) = self.successor.as_mut().filter(|successor| successor.disk == disk) {
+            successor.disconnected(now);
+        }
+    }
+
     /// Sends a snapshot to all that wait for one.
     fn start_snapshot(&mut self, snapshot: SharedSnapshot, now: Millis) {
         for follower in self.successor.iter_mut().chain(self.joiners.values_mut()) {
--- a/crates/chain/tests/catch_up/mod.rs
+++ b/crates/chain/tests/catch_up/mod.rs
@@ -227,12 +227,18 @@
         self.disk.hang_ms = Some(milliseconds);
     }
 
-    /// The connection ends.
+    /// The connection ends, and nobody is told.
     pub fn reset(&mut self) {
         self.to_joiner.reset();
         self.to_head.reset();
     }
 
+    /// The connection ends, and the head is told.
+    pub fn disconnect(&mut self) {
+        self.reset();
+        self.head.disconnected(JOINER, self.moment());
+    }
+
     fn at_head(&mut self, effects: Vec<Effect>) {
         let mut work: VecDeque<Effect> = effects.into();
         while let Some(effect) = work.pop_front() {
--- a/crates/chain/tests/catching_up.rs
+++ b/crates/chain/tests/catching_up.rs
@@ -125,7 +125,8 @@
 /// What happens to a transfer.
 fn trouble(world: &mut World, choice: u8) {
     match choice % 16 {
-        0 | 1 => world.reset(),
+        0 => world.reset(),
+        1 => world.disconnect(),
         2 => world.crash_joiner(usize::from(choice / 16)),
         3 | 4 => world.change_view(),
         5 | 6 => world.compact(),
--- a/crates/chain/tests/joining.rs
+++ b/crates/chain/tests/joining.rs
@@ -190,3 +190,20 @@
     assert_eq!(messages(&effects), [(DiskId(1), acknowledge(2, 0, 1))]);
     assert!(tail.is_complete());
 }
+
+#[test]
+fn entries_that_a_reset_took_are_sent_again_at_the_next_tick() {
+    let mut cluster = Cluster::new(1, 1);
+    cluster.adopt(view(1, &[1]));
+    for number in 1..=3 {
+        cluster.submit(1, number);
+    }
+    let now = cluster.now;
+    let tail = cluster.chain(1);
+    let entries = || (1..=3).map(|index| entry(index, index)).collect();
+    let all = (DiskId(2), append(1, 0, entries(), 3, 0));
+    assert!(messages(&tail.receive(DiskId(2), join(1, 2, 0), now)).contains(&all));
+    assert_eq!(messages(&tail.tick(now.plus(25))), []);
+    tail.disconnected(DiskId(2), now.plus(30));
+    assert_eq!(messages(&tail.tick(now.plus(50))), [all]);
+}
--- a/crates/chain/tests/snapshot_pieces.rs
+++ b/crates/chain/tests/snapshot_pieces.rs
@@ -208,3 +208,15 @@
     assert!(!orders(&effects).contains(&Effect::NeedSnapshot));
     assert_eq!(numbers(&sent(&effects)), [0, 1]);
 }
+
+#[test]
+fn what_a_reset_took_is_sent_again_without_a_wait() {
+    let (mut tail, first) = sending_tail();
+    let snapshot = identity(&first[0]);
+    assert_eq!(answer(&mut tail, snapshot, 1, START), [2]);
+    assert_eq!(sent(&tail.tick(START.plus(25))), []);
+    tail.disconnected(SPARE, START.plus(30));
+    assert_eq!(numbers(&sent(&tail.tick(START.plus(50)))), [1, 2]);
+    tail.disconnected(DiskId(9), START.plus(60));
+    assert_eq!(sent(&tail.tick(START.plus(75))), [], "somebody else's connection");
+}
--- a/crates/cluster-node/src/core/machine/events.rs
+++ b/crates/cluster-node/src/core/machine/events.rs
@@ -23,7 +23,9 @@
 
     pub(super) fn on_closed(&mut self, from: PeerAddress, connection: u64, now: Millis) {
         self.subscribers.closed(connection);
-        self.connections.remove(&connection);
+        if let Some(disk) = self.connections.remove(&connection) {
+            self.chain.disconnected(disk, now);
+        }
         self.shards.disconnected(from, connection, now);
         self.policy.closed(from);
         let outgoing = self.client.closed(from, now);
