--- a/crates/chain/tests/catching_up.rs
+++ b/crates/chain/tests/catching_up.rs
@@ -122,6 +122,21 @@
     assert_eq!(world.to_joiner.overflows, 0);
 }
 
+/// Nothing slows the head down for a joiner; but one that cannot keep up is not left behind further and further.
+#[test]
+fn a_joiner_slower_than_the_changes_stays_within_a_few_snapshots_of_them() {
+    // 1.2 MB of changes a second over a link of 0.6 MB a second.
+    let (mut world, took) = catch_up(Circumstances { link_bytes_per_s: 600_000, ..USUAL }, 60_000);
+    assert_eq!(took, None, "it says that it has caught up");
+    let mut behind = 0;
+    for _ in 0..12_000 {
+        world.step();
+        behind = behind.max(world.head.committed() - world.on_disk());
+    }
+    println!("{behind} changes behind at most, {} installs", world.installs);
+    assert!(behind <= 60, "{behind} changes behind");
+}
+
 /// What happens to a transfer.
 fn trouble(world: &mut World, choice: u8) {
     match choice % 16 {
