Chain: entries that have left memory while on their way still fill the window

Cause: the window is counted in bytes of the log in memory. On a link slower than the changes the log was compacted past entries that were on their way; they no longer counted, more went out, and the connection was closed with 4 MiB waiting, 20 times in a minute. With entries on their way that are not in memory nothing more goes out until they are acknowledged. Something counts as lost after 1 s and the time that a link of 0.5 MB/s needs for what is on its way, not after 1 s flat; the end of a connection is told anyway.

Ruled out: repetitions as the cause of the closings (the five batches that waited were distinct entries).

--- a/crates/chain/src/flow.rs
+++ b/crates/chain/src/flow.rs
@@ -1,6 +1,6 @@
 //! How much may be on its way to one disk, and when it counts as lost.
 
-use crate::limits::{JOINER_STALLED_MOST_MS, JOINER_STALLED_MS};
+use crate::limits::{JOINER_STALLED_MOST_MS, JOINER_STALLED_MS, SLOW_LINK_BYTES_PER_S};
 use lupinrack_cluster_api::time::Millis;
 
 /// The narrowest window, in bytes.
@@ -38,9 +38,10 @@
         self.advanced_at = now;
     }
 
-    /// Whether what is on its way is to be taken for lost; the next wait is longer then.
-    pub(crate) fn has_stalled(&mut self, now: Millis) -> bool {
-        let patience = (JOINER_STALLED_MS << self.stalls).min(JOINER_STALLED_MOST_MS);
+    /// Whether so many bytes on their way are to be taken for lost; the next wait is longer then.
+    pub(crate) fn has_stalled(&mut self, on_their_way: u64, now: Millis) -> bool {
+        let on_the_link = on_their_way * 1_000 / SLOW_LINK_BYTES_PER_S;
+        let patience = ((JOINER_STALLED_MS + on_the_link) << self.stalls).min(JOINER_STALLED_MOST_MS);
         let stalled = now.since(self.advanced_at) >= patience;
         if stalled {
             self.stalls = (self.stalls + 1).min(STALLS_MOST);
--- a/crates/chain/src/follower.rs
+++ b/crates/chain/src/follower.rs
@@ -91,8 +91,10 @@
     pub(crate) fn next_entries(&mut self, log: &Log, state: SenderState) -> Option<ChainMessage> {
         let limit = state.limit.min(self.window_start + WINDOW_ENTRIES);
         let on_their_way = log.bytes_between(self.window_start, self.sent);
-        let is_full = self.sent >= limit || on_their_way >= self.flow.window(state.bytes.window);
-        if is_full || self.awaits_snapshot() || self.lacks_entries(log) {
+        // What has left memory cannot be counted; all of it is on its way still.
+        let uncounted = self.window_start < log.floor() && self.window_start < self.sent;
+        let is_full = uncounted || on_their_way >= self.flow.window(state.bytes.window);
+        if self.sent >= limit || is_full || self.awaits_snapshot() || self.lacks_entries(log) {
             return None;
         }
         Some(self.append(log, limit, state))
@@ -185,7 +187,7 @@
     }
 
     /// Notes where a spare stands, and sends again what seems to be lost.
-    pub(crate) fn joiner_stands_at(&mut self, have: u64, limit: u64, now: Millis) {
+    pub(crate) fn joiner_stands_at(&mut self, have: u64, limit: u64, log: &Log, now: Millis) {
         self.heard_at = now;
         let before = self.acknowledged.replace(have);
         if before != Some(have) {
@@ -195,7 +197,8 @@
         self.end_transfer_at(have, now);
         let went_back = before.is_some_and(|before| have < before);
         let is_new = before.is_none() || went_back || have > self.sent;
-        if is_new || (self.sent > have && self.flow.has_stalled(now)) {
+        let on_their_way = log.bytes_between(have, self.sent);
+        if is_new || (self.sent > have && self.flow.has_stalled(on_their_way, now)) {
             self.rewind(have, limit, now);
         }
     }
@@ -248,7 +251,7 @@
     /// The next pieces of a snapshot, as many as the window holds; those that seem to be lost come again.
     pub(crate) fn next_pieces(&mut self, view: u64, bytes: &ByteLimits, now: Millis) -> Vec<ChainMessage> {
         let Transfer::Sending(snapshot) = &mut self.transfer else { return Vec::new() };
-        if snapshot.is_unanswered() && self.flow.has_stalled(now) {
+        if snapshot.is_unanswered() && self.flow.has_stalled(snapshot.on_their_way(), now) {
             snapshot.rewind();
         }
         let window = self.flow.window(bytes.window);
--- a/crates/chain/src/limits.rs
+++ b/crates/chain/src/limits.rs
@@ -35,12 +35,15 @@
 /// Milliseconds without a `Join` after which the tail forgets a spare.
 pub const JOINER_SILENT_MS: u64 = 2000;
 
-/// Milliseconds without progress of a receiver after which the sender sends again from where the receiver stands; doubled
-/// with each further time without progress.
+/// Milliseconds without progress of a receiver after which the sender sends again from where the receiver stands, beside the
+/// time that [`SLOW_LINK_BYTES_PER_S`] gives what is on its way; doubled with each further time without progress.
 pub const JOINER_STALLED_MS: u64 = 1000;
 
-/// The longest that [`JOINER_STALLED_MS`] grows, in milliseconds.
-pub const JOINER_STALLED_MOST_MS: u64 = 4000;
+/// The longest that the wait of [`JOINER_STALLED_MS`] grows, in milliseconds.
+pub const JOINER_STALLED_MOST_MS: u64 = 6000;
+
+/// A link that carries so many bytes a second is not taken for one that has lost what is on its way.
+pub const SLOW_LINK_BYTES_PER_S: u64 = 500_000;
 
 /// Milliseconds for which the tail's word on what is committed counts as fresh.
 pub const CAUGHT_UP_MS: u64 = 500;
--- a/crates/chain/src/receive.rs
+++ b/crates/chain/src/receive.rs
@@ -161,7 +161,7 @@
         let committed = self.committed;
         let joiner =
             self.joiners.entry(from).or_insert_with(|| Follower::new(from, have.min(committed), now));
-        joiner.joiner_stands_at(have, committed, now);
+        joiner.joiner_stands_at(have, committed, &self.log, now);
         self.feed_joiner(from, true, now);
     }
 
--- a/crates/chain/src/snapshot.rs
+++ b/crates/chain/src/snapshot.rs
@@ -62,6 +62,11 @@
         self.snapshot.index()
     }
 
+    /// Bytes of the pieces that are on their way.
+    pub(crate) fn on_their_way(&self) -> u64 {
+        u64::from(self.next_piece - self.received) * SNAPSHOT_PIECE_BYTES as u64
+    }
+
     /// Whether pieces are on their way.
     pub(crate) fn is_unanswered(&self) -> bool {
         self.next_piece > self.received
@@ -92,8 +97,7 @@
 
     /// The next piece; none after the last, or with so many bytes on their way.
     pub(crate) fn next_message(&mut self, view: u64, window_bytes: u64) -> Option<ChainMessage> {
-        let on_their_way = u64::from(self.next_piece - self.received) * SNAPSHOT_PIECE_BYTES as u64;
-        if self.next_piece >= self.snapshot.identity.pieces || on_their_way >= window_bytes {
+        if self.next_piece >= self.snapshot.identity.pieces || self.on_their_way() >= window_bytes {
             return None;
         }
         let piece = self.next_piece;
--- a/crates/chain/tests/catching_up.rs
+++ b/crates/chain/tests/catching_up.rs
@@ -135,6 +135,7 @@
     }
     println!("{behind} changes behind at most, {} installs", world.installs);
     assert!(behind <= 60, "{behind} changes behind");
+    assert_eq!(world.to_joiner.overflows, 0);
 }
 
 /// What happens to a transfer.
