--- a/crates/chain/tests/snapshot_pieces.rs
+++ b/crates/chain/tests/snapshot_pieces.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{messages, orders, view, START};
-use lupinrack_chain::limits::{ByteLimits, JOINER_STALLED_MOST_MS, JOINER_STALLED_MS, SNAPSHOT_PIECE_BYTES};
+use lupinrack_chain::limits::{ByteLimits, JOINER_STALLED_MS, SNAPSHOT_PIECE_BYTES};
 use lupinrack_chain::{Chain, Effect, Stored};
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_api::time::Millis;
@@ -180,7 +180,10 @@
     let snapshot = identity(&first[0]);
     assert_eq!(answer(&mut tail, snapshot, 1, START), [2]);
     assert_eq!(sent(&tail.tick(START.plus(JOINER_STALLED_MS))), [], "a slow link may still carry them");
-    let later = START.plus(JOINER_STALLED_MOST_MS);
+    // It is not forgotten meanwhile.
+    let join = ChainMessage::Join { view: 1, disk: SPARE, have: Some(0) };
+    assert_eq!(sent(&tail.receive(SPARE, join, START.plus(2 * JOINER_STALLED_MS))), []);
+    let later = START.plus(3 * JOINER_STALLED_MS);
     assert_eq!(numbers(&sent(&tail.tick(later))), [1], "lost pieces come again, in a narrower window");
     assert_eq!(answer(&mut tail, snapshot, 0, later), [0], "a receiver that was restarted has nothing");
 }
