Chain: a spare turns to another member while its feeder is silent

Cause: spares were fed by the tail alone. When the tail was lost, no spare counted as caught up, so a view with a chain of the head alone was agreed first. It commits nothing, but one more disk lost then stopped the cluster for good, though the tail had everything.

A spare now turns to the member before a feeder that is silent for 250 ms, and round; any member feeds with what it knows to be committed. So a spare is ready when the tail leaves the chain, and takes its place in the same view.

Open: where the spare is not ready (it has just begun, or the tail's connection was reset, which halves the suspicion) the short view is still agreed.

--- a/crates/chain/src/chain.rs
+++ b/crates/chain/src/chain.rs
@@ -1,6 +1,7 @@
 //! The state of a replica, and what others may ask of it.
 
 use crate::effect::{Effect, Standing};
+use crate::feeder::Feeder;
 use crate::follower::{Follower, SenderState};
 use crate::limits::{ByteLimits, CAUGHT_UP_MS, ENTRY_BYTES_MOST, UNCOMMITTED_ENTRIES_MOST};
 use crate::log::{encoded_bytes, Log};
@@ -147,6 +148,8 @@
     pub(crate) acknowledged: Option<Acknowledged>,
     pub(crate) resend: Option<ResendRequest>,
     pub(crate) joined_at: Option<Millis>,
+    /// Whom this disk joins while it is a spare.
+    pub(crate) feeder: Feeder,
     /// What this spare had synced when it last told the tail.
     pub(crate) joined_with: u64,
     pub(crate) keeping_up: KeepingUp,
@@ -183,6 +186,7 @@
             acknowledged: None,
             resend: None,
             joined_at: None,
+            feeder: Feeder::default(),
             joined_with: 0,
             keeping_up: KeepingUp::default(),
             incoming: IncomingSnapshot::default(),
--- a/crates/chain/src/lib.rs
+++ b/crates/chain/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod chain;
 mod effect;
+mod feeder;
 mod flow;
 mod follower;
 pub mod limits;
--- a/crates/chain/src/limits.rs
+++ b/crates/chain/src/limits.rs
@@ -29,6 +29,10 @@
 /// Milliseconds between two requests to resend the same entries.
 pub const RESEND_MS: u64 = 100;
 
+/// Milliseconds of silence after which a spare turns to another member: one `Join` message without an answer. It is well
+/// before a silent member leaves the chain, so that a spare is ready when the tail does.
+pub const FEEDER_SILENT_MS: u64 = 250;
+
 /// Milliseconds between two `Join` messages of a spare.
 pub const JOIN_MS: u64 = 200;
 
--- a/crates/chain/src/membership.rs
+++ b/crates/chain/src/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::chain::{Chain, KeepingUp, Leadership};
 use crate::effect::{Effect, Standing};
+use crate::feeder::Feeder;
 use crate::follower::Follower;
 use crate::snapshot::IncomingSnapshot;
 use lupinrack_cluster_api::time::Millis;
@@ -37,6 +38,7 @@
 
     pub(crate) fn enter_view(&mut self, entry: Entry, now: Millis) {
         self.forget_last_view();
+        self.feeder = Feeder::tail(now);
         if !self.is_member() {
             self.enter_as_spare();
         } else {
--- a/crates/chain/src/receive.rs
+++ b/crates/chain/src/receive.rs
@@ -51,12 +51,12 @@
         }
     }
 
-    /// From whom this disk takes entries: a member from its predecessor, a spare from the tail.
+    /// From whom this disk takes entries: a member from its predecessor, a spare from its feeder.
     pub(crate) fn source(&self) -> Option<DiskId> {
         if self.is_member() {
             self.predecessor()
         } else {
-            self.view.tail()
+            self.feeder.of(&self.view)
         }
     }
 
@@ -67,6 +67,7 @@
         if self.is_member() {
             self.append_as_member(append, now);
         } else {
+            self.feeder.heard(now);
             self.append_as_spare(append, now);
         }
     }
@@ -155,7 +156,7 @@
     }
 
     fn receive_join(&mut self, from: DiskId, have: u64, now: Millis) {
-        if self.view.tail() != Some(self.me) || self.view.position(from).is_some() {
+        if !self.is_member() || self.view.position(from).is_some() {
             return;
         }
         let committed = self.committed;
@@ -170,6 +171,7 @@
         if self.source() != Some(from) || self.standing != Standing::Joining {
             return;
         }
+        self.feeder.heard(now);
         let snapshot = piece.snapshot;
         if snapshot.index <= self.log.last() {
             return self.answer_piece(snapshot, snapshot.pieces);
--- a/crates/chain/src/timer.rs
+++ b/crates/chain/src/timer.rs
@@ -85,13 +85,14 @@
         }
     }
 
-    /// Tells the tail where this spare stands.
+    /// Tells its feeder where this spare stands.
     fn join(&mut self, now: Millis) {
-        let Some(tail) = self.view.tail() else { return };
+        self.feeder.look(now);
+        let Some(feeder) = self.source() else { return };
         self.joined_at = Some(now);
         self.joined_with = self.disk.synced;
         let have = Some(self.disk.synced);
-        self.send(tail, ChainMessage::Join { view: self.view.number, disk: self.me, have });
+        self.send(feeder, ChainMessage::Join { view: self.view.number, disk: self.me, have });
     }
 
     /// Tells the tail before the time once much was synced, so that its window moves on.
