--- a/crates/chain/src/membership.rs
+++ b/crates/chain/src/membership.rs
@@ -2,6 +2,7 @@
 
 use crate::chain::{Chain, Leadership};
 use crate::effect::{Effect, Standing};
+use crate::feeder::Feeder;
 use crate::follower::Follower;
 use crate::keeping_up::KeepingUp;
 use crate::snapshot::IncomingSnapshot;
@@ -38,6 +39,7 @@
 
     pub(crate) fn enter_view(&mut self, entry: Entry, now: Millis) {
         self.forget_last_view();
+        self.feeder = Feeder::tail(now);
         if !self.is_member() {
             self.enter_as_spare();
         } else {
