--- a/crates/chain/tests/joining.rs
+++ b/crates/chain/tests/joining.rs
@@ -3,9 +3,12 @@
 mod common;
 
 use common::{acknowledge, append, entry, messages, orders, stored, view, Cluster, START};
-use lupinrack_chain::limits::{CAUGHT_UP_MS, JOINER_SILENT_MS, RETAINED_ENTRIES, SNAPSHOT_PIECE_BYTES};
+use lupinrack_chain::limits::{
+    CAUGHT_UP_MS, FEEDER_SILENT_MS, JOINER_SILENT_MS, RETAINED_ENTRIES, SNAPSHOT_PIECE_BYTES,
+};
 use lupinrack_chain::{Chain, Effect, Standing, Stored};
 use lupinrack_cluster_api::identity::DiskId;
+use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::wire::{ChainMessage, SnapshotIdentity};
 
 fn join(view: u64, disk: u64, have: u64) -> ChainMessage {
@@ -55,6 +58,46 @@
     assert_eq!(cluster.chain(3).committed(), 0);
 }
 
+/// To whom a spare sends `Join` messages while time passes in steps of 50 ms.
+fn joined_within(spare: &mut Chain, now: &mut Millis, milliseconds: u64) -> Vec<DiskId> {
+    let mut joined = Vec::new();
+    for _ in 0..milliseconds / 50 {
+        *now = now.plus(50);
+        let effects = spare.tick(*now);
+        let joins = messages(&effects).into_iter();
+        joined.extend(
+            joins.filter(|(_, message)| matches!(message, ChainMessage::Join { .. })).map(|(to, _)| to),
+        );
+    }
+    joined
+}
+
+#[test]
+fn a_spare_whose_feeder_is_silent_turns_to_the_member_before_it_and_round() {
+    let kept = stored(vec![], view(1, &[1, 2, 3]), Standing::Joining);
+    let mut spare = Chain::new(DiskId(4), 2, kept);
+    spare.new_view(view(2, &[1, 2, 3]), START);
+    let mut now = START;
+    let mut asked = joined_within(&mut spare, &mut now, 1_500);
+    asked.dedup();
+    assert_eq!(asked[..4], [3, 2, 1, 3].map(DiskId), "{asked:?}");
+}
+
+#[test]
+fn a_spare_keeps_to_a_feeder_that_answers() {
+    let kept = stored(vec![], view(1, &[1, 2]), Standing::Joining);
+    let mut spare = Chain::new(DiskId(3), 2, kept);
+    spare.new_view(view(2, &[1, 2]), START);
+    let mut now = START;
+    let mut asked = Vec::new();
+    for _ in 0..20 {
+        asked.extend(joined_within(&mut spare, &mut now, FEEDER_SILENT_MS / 2));
+        spare.receive(DiskId(2), append(2, 0, vec![], 0, 0), now);
+    }
+    asked.dedup();
+    assert_eq!(asked, [DiskId(2)]);
+}
+
 #[test]
 fn a_tail_streams_committed_entries_only() {
     let mut tail = Chain::new(DiskId(2), 2, Stored::default());
