Membership: a process whose voters and seeds were all replaced finds the cluster

Cause: a member that was partitioned for long forgot all others, and had only its seeds left; core processes sent heartbeats to the voters and seeds that they knew, agents and fronts asked only those. Result: the test of membership failed without the kept addresses; the others cover what is new.

--- a/crates/cluster-membership/src/lib.rs
+++ b/crates/cluster-membership/src/lib.rs
@@ -31,6 +31,7 @@
 
 pub mod datagram;
 mod dissemination;
+mod earlier_members;
 mod list_sync;
 pub mod live_table;
 pub mod member_state;
--- a/crates/cluster-membership/src/live_table.rs
+++ b/crates/cluster-membership/src/live_table.rs
@@ -60,6 +60,15 @@
         found.ok().and_then(|index| self.members.get(index))
     }
 
+    /// The addresses of the core processes.
+    pub fn core_addresses(&self) -> impl Iterator<Item = PeerAddress> + '_ {
+        let core = self
+            .members
+            .iter()
+            .filter(|member| member.role == Role::Core);
+        core.map(|member| member.address)
+    }
+
     /// The members of one kind in a zone, by address.
     pub fn in_zone<'a>(
         &'a self,
--- a/crates/cluster-membership/src/membership_list.rs
+++ b/crates/cluster-membership/src/membership_list.rs
@@ -141,11 +141,18 @@
             .collect()
     }
 
-    /// Removes members that have been absent for long enough.
-    pub(crate) fn forget_absent(&mut self, forget_after_ms: u64, now: Millis) {
-        self.members.retain(|_, member| {
-            member.update.state.is_present() || now.since(member.state_entered_at) < forget_after_ms
+    /// Removes members that have been absent for long enough, and returns where they were.
+    pub(crate) fn forget_absent(&mut self, forget_after_ms: u64, now: Millis) -> Vec<PeerAddress> {
+        let mut forgotten = Vec::new();
+        self.members.retain(|address, member| {
+            let is_kept = member.update.state.is_present()
+                || now.since(member.state_entered_at) < forget_after_ms;
+            if !is_kept {
+                forgotten.push(*address);
+            }
+            is_kept
         });
+        forgotten
     }
 
     /// This process was suspended for so many milliseconds, in which no refutation could reach it.
--- a/crates/cluster-membership/src/swim.rs
+++ b/crates/cluster-membership/src/swim.rs
@@ -6,7 +6,7 @@
 //! acknowledgements within the period, and before its suspicions end. Updates ride on all messages.
 //!
 //! Messages per period are bounded at every member whatever their number: one ping (repeated while it is not
-//! acknowledged), a few ping requests, one ping of a seed or dead member every few periods, one request for a page of the
+//! acknowledged), a few ping requests, one ping of a seed, a dead or an earlier member every few periods, one request for a page of the
 //! membership list every few periods while lists differ; and answers to what others send, which is the same in the mean.
 //!
 //! [`Swim`] passes datagrams to the parts that own the state: the membership list, the queue of updates, the pings that
@@ -17,6 +17,7 @@
 
 use crate::datagram::{capacity_for_updates, max_encoded_len, Datagram};
 use crate::dissemination::DisseminationQueue;
+use crate::earlier_members::EarlierMembers;
 use crate::list_sync::ListSync;
 use crate::live_table::{LiveMember, LiveTable};
 use crate::member_state::MemberState;
@@ -59,6 +60,8 @@
     seeds: Vec<PeerAddress>,
     settings: SwimSettings,
     members: MembershipList,
+    /// Where members that were forgotten were last.
+    earlier_members: EarlierMembers,
     dissemination: DisseminationQueue,
     pings: Pings,
     sync: ListSync,
@@ -91,6 +94,7 @@
             own: OwnMember::new(own),
             settings,
             members: MembershipList::default(),
+            earlier_members: EarlierMembers::default(),
             dissemination: DisseminationQueue::default(),
             pings: Pings::default(),
             sync: ListSync::new(now),
--- a/crates/cluster-membership/src/swim/failure_detection.rs
+++ b/crates/cluster-membership/src/swim/failure_detection.rs
@@ -22,8 +22,7 @@
         self.end_ping(now);
         self.clock.begin(self.settings.protocol_period_ms, now);
         self.end_suspicions(now);
-        self.members
-            .forget_absent(self.settings.forget_after_ms, now);
+        self.forget_absent(now);
         if self
             .clock
             .is_multiple_of(self.settings.reconnect_every_periods)
@@ -35,6 +34,13 @@
         }
     }
 
+    fn forget_absent(&mut self, now: Millis) {
+        let forget_after_ms = self.settings.forget_after_ms;
+        for address in self.members.forget_absent(forget_after_ms, now) {
+            self.earlier_members.remember(address, &mut self.random);
+        }
+    }
+
     /// This process was suspended for so many milliseconds: what timed out meanwhile is no evidence against others.
     pub(super) fn resume(&mut self, suspended_ms: u64, now: Millis) {
         self.pings.pending = None;
@@ -233,6 +239,7 @@
         let absent = self.members.absent().map(|update| update.address);
         let candidates: Vec<PeerAddress> = seeds
             .chain(absent)
+            .chain(self.earlier_members.addresses())
             .filter(|address| !self.members.is_present(*address))
             .collect();
         if let Some(target) = self.random.choice(candidates) {
--- a/crates/cluster-membership/tests/failure_detection.rs
+++ b/crates/cluster-membership/tests/failure_detection.rs
@@ -100,6 +100,21 @@
     assert!(healed.is_some());
 }
 
+#[test]
+fn a_member_that_forgot_all_others_finds_them_although_its_seeds_are_gone() {
+    let mut network = Network::start(12, 0, 43);
+    network.run(20_000);
+    network.move_to_partition(11, 1);
+    let forgotten = network.run_until(600_000, |network| network.swim(11).members().count() == 0);
+    assert!(forgotten.is_some(), "all are forgotten");
+    // Machines 0 to 2 are the seeds.
+    (0..3).for_each(|seed| network.kill(seed));
+    network.move_to_partition(11, 0);
+    let rest = network.running();
+    let found = network.run_until(60_000, |network| network.agree_on(&rest));
+    assert!(found.is_some());
+}
+
 #[test]
 fn halves_that_forgot_each_other_reconnect_by_the_seeds() {
     let mut network = Network::start(12, 0, 41);
--- a/crates/cluster-node/src/agent/machine.rs
+++ b/crates/cluster-node/src/agent/machine.rs
@@ -231,7 +231,10 @@
     }
 
     fn subscribe(&mut self, table: &LiveTable, now: Millis) {
-        if let Some(subscribe) = self.subscription.tick(&self.view, Interest::Views, now) {
+        let due = self
+            .subscription
+            .tick(&self.view, Interest::Views, table, now);
+        if let Some(subscribe) = due {
             let head = self.view.head().and_then(|disk| self.view.address(disk));
             let to = self.view_source.choose(subscribe.to, head, table, now);
             self.effects.push(AgentEffect::Send(OutgoingFrame {
--- a/crates/cluster-node/src/core/core_peers.rs
+++ b/crates/cluster-node/src/core/core_peers.rs
@@ -21,11 +21,16 @@
     received_at: Millis,
 }
 
+/// Without a heartbeat for this long a process does not count as one that this process is in touch with, in milliseconds.
+const IN_TOUCH_MS: u64 = 1_000;
+
 /// What is known of other core processes.
 #[derive(Debug)]
 pub(super) struct CorePeers {
     /// Where core processes are looked for.
     seeds: Vec<PeerAddress>,
+    /// Core processes that membership believes to be alive.
+    live: Vec<PeerAddress>,
     /// The last heartbeat of each process.
     last_received: BTreeMap<PeerAddress, ReceivedHeartbeat>,
     /// A process from which nothing was received for longer is forgotten, in milliseconds.
@@ -41,6 +46,7 @@
     pub(super) fn new(seeds: Vec<PeerAddress>, catch_up_ms: u64) -> CorePeers {
         CorePeers {
             seeds,
+            live: Vec::new(),
             last_received: BTreeMap::new(),
             timeout_ms: FORGOTTEN_AFTER_CATCH_UPS * catch_up_ms,
             last_heartbeat_at: Millis(0),
@@ -49,6 +55,11 @@
         }
     }
 
+    /// Notes the core processes that membership believes to be alive.
+    pub(super) fn set_live(&mut self, addresses: Vec<PeerAddress>) {
+        self.live = addresses;
+    }
+
     /// Notes a heartbeat of a process.
     pub(super) fn received_heartbeat(
         &mut self,
@@ -86,15 +97,21 @@
         let timeout_ms = self.timeout_ms;
         self.last_received
             .retain(|_, received| now.since(received.received_at) <= timeout_ms);
-        self.addresses(view, me)
+        self.addresses(view, me, now)
     }
 
-    fn addresses(&self, view: &View, me: &Voter) -> Vec<PeerAddress> {
+    /// A process that is not in touch with a majority of the voters that it knows also looks for the others at its seeds,
+    /// and by membership: all those voters may have been replaced while it was away.
+    fn addresses(&self, view: &View, me: &Voter, now: Millis) -> Vec<PeerAddress> {
         let mut addresses: Vec<PeerAddress> =
             view.voters.iter().map(|voter| voter.address).collect();
-        if view.voter(me.disk).is_none() {
+        let is_isolated = !self.is_in_touch_with_majority(view, me, now);
+        if view.voter(me.disk).is_none() || is_isolated {
             addresses.extend(self.seeds.iter().copied());
         }
+        if is_isolated {
+            addresses.extend(self.live.iter().copied());
+        }
         addresses.extend(self.last_received.keys().copied());
         addresses.sort();
         addresses.dedup();
@@ -102,6 +119,16 @@
         addresses
     }
 
+    fn is_in_touch_with_majority(&self, view: &View, me: &Voter, now: Millis) -> bool {
+        let is_in_touch = |voter: &&Voter| {
+            let received = self.last_received.get(&voter.address);
+            voter.disk == me.disk
+                || received.is_some_and(|received| now.since(received.received_at) <= IN_TOUCH_MS)
+        };
+        let in_touch = view.voters.iter().filter(is_in_touch).count();
+        in_touch * 2 > view.voters.len()
+    }
+
     /// Notes whose connection this is.
     pub(super) fn connected(&mut self, connection: u64, disk: DiskId) {
         self.disks.insert(connection, disk);
--- a/crates/cluster-node/src/core/event.rs
+++ b/crates/cluster-node/src/core/event.rs
@@ -39,6 +39,8 @@
     Call(HeadCall),
     /// A question of an operator to this process itself.
     Query(ProcessCall),
+    /// The core processes of the table of live members, which may be wrong.
+    LiveCoreProcesses(Vec<PeerAddress>),
     /// Time has passed.
     Tick,
     /// The process is to shut down gracefully.
--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -180,6 +180,7 @@
             CoreEvent::WriteRejected => self.fail(CoreFault::WriteRejected),
             CoreEvent::Call(call) => self.on_call(call),
             CoreEvent::Query(call) => self.on_query(call),
+            CoreEvent::LiveCoreProcesses(addresses) => self.peers.set_live(addresses),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.on_terminate(),
         }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -9,10 +9,11 @@
 use crate::signals::Signals;
 use lupinrack_cluster_api::frame::{Hello, Role, FRAME_BYTES_MOST};
 use lupinrack_cluster_api::identity::DiskId;
-use lupinrack_cluster_membership::{LiveMember, SwimSettings};
+use lupinrack_cluster_membership::{LiveMember, LiveTable, SwimSettings};
 use lupinrack_cluster_transport::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_control_store::{ControlStore, StoreSettings, WriteOutcome, Writer};
 use lupinrack_node_settings::{MachineLimits, NodeSettings};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
@@ -33,6 +34,8 @@
     peers: Peers,
     writer: Writer,
     violations: ProtocolViolationLog,
+    /// The table of live members that the machine was told of last.
+    table: Arc<LiveTable>,
 }
 
 /// Everything that reaches the process from outside.
@@ -93,6 +96,7 @@
         peers,
         writer,
         violations: ProtocolViolationLog::default(),
+        table: Arc::default(),
     };
     let result = drive(driver, inputs, &membership).await;
     drop(http);
@@ -118,7 +122,7 @@
             Some(outcome) = inputs.write_outcomes.recv() => driver.on_write_outcome(outcome),
             Some(call) = inputs.calls.recv() => driver.receive(CoreEvent::Call(call)),
             Some(call) = inputs.queries.recv() => driver.receive(CoreEvent::Query(call)),
-            _ = timer.tick() => driver.on_tick(),
+            _ = timer.tick() => driver.on_tick(&membership.table()),
             () = driver.round_may_run() => {}
             () = inputs.signals.terminated() => {
                 membership.shut_down();
@@ -201,8 +205,13 @@
         self.machine.receive(event, self.clock.moment());
     }
 
-    fn on_tick(&mut self) {
+    fn on_tick(&mut self, table: &Arc<LiveTable>) {
         self.violations.report_new(&self.peers);
+        if !Arc::ptr_eq(&self.table, table) {
+            self.table = Arc::clone(table);
+            let addresses = table.core_addresses().collect();
+            self.receive(CoreEvent::LiveCoreProcesses(addresses));
+        }
         self.receive(CoreEvent::Tick);
     }
 
--- a/crates/cluster-node/src/front/configuration_feed.rs
+++ b/crates/cluster-node/src/front/configuration_feed.rs
@@ -58,7 +58,7 @@
         let interest = Interest::Configuration {
             have: self.known.configuration.version,
         };
-        let subscribe = self.subscription.tick(view, interest, now)?;
+        let subscribe = self.subscription.tick(view, interest, table, now)?;
         let home = self.home.source().filter(|_| view.number > 0);
         Some(OutgoingFrame {
             to: home.unwrap_or(subscribe.to),
--- a/crates/cluster-node/src/subscription.rs
+++ b/crates/cluster-node/src/subscription.rs
@@ -1,11 +1,13 @@
 //! How a process without a disk follows the core: it finds a core process from its seeds, learns the view, and stays
-//! subscribed to the head.
+//! subscribed to the head. Where the head is silent it asks the voters that it knows, its seeds, and the core processes of
+//! the table of live members: after a long absence all of the former may have been replaced.
 
 use crate::head_client::OutgoingFrame;
 use lupinrack_cluster_api::frame::{Frame, Interest};
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_membership::LiveTable;
 
 /// Interval between two subscriptions while the view is known, in milliseconds.
 const KNOWN_MS: u64 = 400;
@@ -47,8 +49,14 @@
         self.last_sent = None;
     }
 
-    /// The subscription that is due, if any.
-    pub fn tick(&mut self, view: &View, interest: Interest, now: Millis) -> Option<OutgoingFrame> {
+    /// The subscription that is due, if any. The table of live members may be wrong.
+    pub fn tick(
+        &mut self,
+        view: &View,
+        interest: Interest,
+        table: &LiveTable,
+        now: Millis,
+    ) -> Option<OutgoingFrame> {
         let searching =
             view.number == 0 || now.since(self.last_update_at) >= HEAD_TIMEOUT_MS + self.every_ms;
         let every = if searching { SEARCH_MS } else { self.every_ms };
@@ -57,7 +65,7 @@
         }
         self.last_sent = Some(now);
         let to = if searching {
-            self.next_candidate(view)?
+            self.next_candidate(view, table)?
         } else {
             view.address(view.head()?)?
         };
@@ -70,10 +78,14 @@
         })
     }
 
-    fn next_candidate(&mut self, view: &View) -> Option<PeerAddress> {
+    fn next_candidate(&mut self, view: &View, table: &LiveTable) -> Option<PeerAddress> {
         let mut candidates: Vec<PeerAddress> =
             view.voters.iter().map(|voter| voter.address).collect();
-        candidates.extend(self.seeds.iter().copied());
+        for address in self.seeds.iter().copied().chain(table.core_addresses()) {
+            if !candidates.contains(&address) {
+                candidates.push(address);
+            }
+        }
         self.turn += 1;
         let count = candidates.len();
         candidates.get(self.turn.checked_rem(count)?).copied()
--- a/crates/cluster-node/tests/core_machine.rs
+++ b/crates/cluster-node/tests/core_machine.rs
@@ -525,3 +525,43 @@
     driven.heartbeat(9, view(1, [1, 2]));
     assert!(called(&mut driven, 9));
 }
+
+/// To whom heartbeats went since the last call.
+fn heartbeat_receivers(driven: &mut Driven) -> Vec<PeerAddress> {
+    let sent = std::mem::take(&mut driven.sent);
+    let heartbeats = sent
+        .into_iter()
+        .filter(|(_, frame)| matches!(frame, Frame::Heartbeat(_)));
+    heartbeats.map(|(to, _)| to).collect()
+}
+
+#[test]
+fn a_process_whose_voters_were_all_replaced_finds_the_others_by_membership() {
+    let mut driven = Driven::new(1);
+    let found = voter(9).address;
+    for _ in 0..20 {
+        (2..=3).for_each(|other| driven.heartbeat(other, view(4, [1, 2])));
+        driven.pass(100);
+    }
+    driven.receive(CoreEvent::LiveCoreProcesses(vec![found]));
+    (2..=3).for_each(|other| driven.heartbeat(other, view(4, [1, 2])));
+    driven.pass(500);
+    assert!(
+        !heartbeat_receivers(&mut driven).contains(&found),
+        "in touch with its voters it needs nobody else"
+    );
+    driven.pass(1_500);
+    assert!(heartbeat_receivers(&mut driven).contains(&found));
+    let newer = View {
+        number: 40,
+        voters: (7..=9).map(voter).collect(),
+        chain: vec![DiskId(9), DiskId(8)],
+    };
+    driven.heartbeat(9, newer);
+    driven.pass(200);
+    let receivers = heartbeat_receivers(&mut driven);
+    assert!(
+        receivers.contains(&voter(7).address),
+        "it is with the voters of the newer view"
+    );
+}
--- a/crates/cluster-node/tests/subscription.rs
+++ b/crates/cluster-node/tests/subscription.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use common::{core, view};
-use lupinrack_cluster_api::frame::{Frame, Interest};
+use lupinrack_cluster_api::frame::{Frame, Interest, Role};
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
+use lupinrack_cluster_membership::{LiveMember, LiveTable};
 use lupinrack_cluster_node::head_client::OutgoingFrame;
 use lupinrack_cluster_node::subscription::Subscription;
 use quickcheck::quickcheck;
@@ -34,7 +35,7 @@
 ) -> Vec<PeerAddress> {
     let moments = (from..until).step_by(10).map(Millis);
     moments
-        .filter_map(|now| receiver(subscription.tick(view, HAS_NONE, now)))
+        .filter_map(|now| receiver(subscription.tick(view, HAS_NONE, &LiveTable::default(), now)))
         .collect()
 }
 
@@ -60,7 +61,12 @@
     let mut asked = Vec::new();
     for now in (1..6_000).step_by(50).map(Millis) {
         subscription.received_update(now);
-        asked.extend(receiver(subscription.tick(&known, HAS_NONE, now)));
+        asked.extend(receiver(subscription.tick(
+            &known,
+            HAS_NONE,
+            &LiveTable::default(),
+            now,
+        )));
     }
     assert_eq!(asked, [core(2); 4]);
 }
@@ -69,7 +75,7 @@
 fn the_frame_tells_what_the_process_has_and_when_it_asked() {
     let mut subscription = subscription(&[1]);
     let outgoing = subscription
-        .tick(&View::default(), HAS_17, BEGAN)
+        .tick(&View::default(), HAS_17, &LiveTable::default(), BEGAN)
         .expect("the first tick subscribes");
     assert_eq!(
         outgoing.frame,
@@ -85,16 +91,16 @@
     let mut subscription = subscription(&[1]);
     let known = view(4, &[1, 2, 3], &[2, 1]);
     assert_eq!(
-        receiver(subscription.tick(&known, HAS_NONE, Millis(10))),
+        receiver(subscription.tick(&known, HAS_NONE, &LiveTable::default(), Millis(10))),
         Some(core(2))
     );
     assert_eq!(
-        receiver(subscription.tick(&known, HAS_NONE, Millis(20))),
+        receiver(subscription.tick(&known, HAS_NONE, &LiveTable::default(), Millis(20))),
         None
     );
     subscription.hurry();
     assert_eq!(
-        receiver(subscription.tick(&known, HAS_NONE, Millis(30))),
+        receiver(subscription.tick(&known, HAS_NONE, &LiveTable::default(), Millis(30))),
         Some(core(2))
     );
 }
@@ -110,16 +116,45 @@
     assert_eq!(distinct, [core(1), core(2), core(3), core(9)].into());
 }
 
+fn member(number: u8, role: Role) -> LiveMember {
+    LiveMember {
+        address: core(number),
+        role,
+        zone: String::new(),
+        process_incarnation: 1,
+    }
+}
+
+#[test]
+fn core_processes_of_the_table_are_asked_where_all_voters_and_seeds_were_replaced() {
+    let table = LiveTable::new(vec![
+        member(2, Role::Core),
+        member(20, Role::Core),
+        member(30, Role::Frontend),
+        member(40, Role::Agent),
+    ]);
+    let mut subscription = subscription(&[9]);
+    let known = view(4, &[1, 2, 3], &[2, 1]);
+    let silent_from = 1 + 1_000 + EVERY_MS;
+    receivers(&mut subscription, &known, 1, silent_from);
+    let moments = (silent_from..silent_from + 800).step_by(10).map(Millis);
+    let tried: Vec<PeerAddress> = moments
+        .filter_map(|now| receiver(subscription.tick(&known, HAS_NONE, &table, now)))
+        .collect();
+    let distinct: BTreeSet<PeerAddress> = tried.iter().take(5).copied().collect();
+    assert_eq!(distinct, [1, 2, 3, 9, 20].map(core).into(), "{tried:?}");
+}
+
 #[test]
 fn an_update_ends_the_search() {
     let mut subscription = subscription(&[9]);
     let known = view(4, &[1, 2, 3], &[2, 1]);
     let timed_out = Millis(1 + 1_000 + EVERY_MS);
-    subscription.tick(&known, HAS_NONE, timed_out);
+    subscription.tick(&known, HAS_NONE, &LiveTable::default(), timed_out);
     subscription.received_update(timed_out.plus(10));
     subscription.hurry();
     assert_eq!(
-        receiver(subscription.tick(&known, HAS_NONE, timed_out.plus(20))),
+        receiver(subscription.tick(&known, HAS_NONE, &LiveTable::default(), timed_out.plus(20))),
         Some(core(2))
     );
 }
@@ -133,7 +168,7 @@
         let mut last: Option<Millis> = None;
         for step in steps {
             now = now.plus(u64::from(step % 200));
-            if subscription.tick(&view, HAS_NONE, now).is_none() {
+            if subscription.tick(&view, HAS_NONE, &LiveTable::default(), now).is_none() {
                 continue;
             }
             if last.is_some_and(|last| now.since(last) < 150) {
