Settings: a process of the scheduler reads its file again at SIGHUP

Cause: SIGHUP was ignored; a process kept the seeds of its start although the platform replaced them. Change: SettingsFile keeps the file's keys; at SIGHUP new seeds reach membership, subscriptions and heartbeats, and the log says which keys were taken and which wait for a restart. A file that cannot be used changes nothing. Signals are listened to before any address is bound.

--- a/crates/cluster-membership/src/swim.rs
+++ b/crates/cluster-membership/src/swim.rs
@@ -88,10 +88,10 @@
         let mut random = fastrand::Rng::with_seed(random_seed);
         // Members that start together do not ping in step.
         let first_period_at = now.plus(random.u64(0..settings.protocol_period_ms.max(1)));
-        let other_seeds = seeds.into_iter().filter(|seed| *seed != own.address);
+        let own = OwnMember::new(own);
         Swim {
-            seeds: other_seeds.collect(),
-            own: OwnMember::new(own),
+            seeds: without(seeds, own.address()),
+            own,
             settings,
             members: MembershipList::default(),
             earlier_members: EarlierMembers::default(),
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Replaces the seeds. Members that are known stay known.
+    pub fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.seeds = without(seeds, self.own.address());
+    }
+
     /// A number that rises whenever [`Swim::live_table`] changes.
     pub fn version(&self) -> u64 {
         self.version
@@ -297,3 +302,9 @@
         self.outgoing.push(Outgoing { to, datagram });
     }
 }
+
+/// The addresses without one of them.
+fn without(addresses: Vec<PeerAddress>, excluded: PeerAddress) -> Vec<PeerAddress> {
+    let others = addresses.into_iter().filter(|address| *address != excluded);
+    others.collect()
+}
--- a/crates/cluster-node/src/agent/machine.rs
+++ b/crates/cluster-node/src/agent/machine.rs
@@ -121,6 +121,11 @@
         self.pending.as_ref().map(|pending| pending.until)
     }
 
+    /// Replaces the seeds by which core processes are looked for.
+    pub fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.subscription.set_seeds(seeds);
+    }
+
     /// A frame came.
     pub fn on_frame(
         &mut self,
--- a/crates/cluster-node/src/agent/process.rs
+++ b/crates/cluster-node/src/agent/process.rs
@@ -5,7 +5,8 @@
 use crate::head_client::OutgoingFrame;
 use crate::membership::Membership;
 use crate::protocol_violations::ProtocolViolationLog;
-use crate::signals::Signals;
+use crate::settings_reload::reread_seeds;
+use crate::signals::{ProcessSignal, Signals};
 use crate::status::{AgentStatus, STATUS_PATH};
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
@@ -19,7 +20,7 @@
 use lupinrack_cluster_transport::listen;
 use lupinrack_cluster_transport::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_transport::shared_value::SharedValue;
-use lupinrack_node_settings::NodeSettings;
+use lupinrack_node_settings::{NodeSettings, SettingsFile};
 use lupinrack_worker_agent::heartbeat_json::{parse, render};
 use lupinrack_worker_agent::{AgentSettings, ServerHeartbeat};
 use std::sync::Arc;
@@ -58,10 +59,14 @@
     machine: AgentMachine<HeartbeatAnswerer>,
     membership: Membership,
     violations: ProtocolViolationLog,
+    settings_file: SettingsFile,
 }
 
 /// Runs until the process receives a signal to terminate.
-pub(crate) async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+pub(crate) async fn run(settings_file: SettingsFile, clock: Clock) -> Result<(), NodeError> {
+    // Before anybody can reach the process: a signal would end one that does not listen yet.
+    let signals = Signals::listen()?;
+    let settings = settings_file.settings();
     let address = PeerAddress(settings.internal_address);
     let (zone, incarnation) = (settings.zone.clone(), draw());
     let hello = Hello {
@@ -74,7 +79,7 @@
     let (peers, events) = Peers::start(address.0, hello, PeerSettings::default())
         .map_err(NodeError::ListenForPeers)?;
     let (calls_in, calls) = mpsc::channel::<ServerCall>(64);
-    let server = serve(&settings, calls_in)?;
+    let server = serve(settings, calls_in)?;
     let now = clock.now();
     let agent_settings = AgentSettings {
         lease_max_ms: settings.bounds.lease_max_ms,
@@ -107,11 +112,12 @@
             clock,
         ),
         violations: ProtocolViolationLog::default(),
+        settings_file,
     };
     let inputs = Inputs {
         events,
         calls,
-        signals: Signals::listen()?,
+        signals,
     };
     drive(side, inputs).await;
     drop(server);
@@ -135,11 +141,14 @@
             Some(call) = inputs.calls.recv() => side.on_server_call(call),
             _ = timer.tick() => side.on_tick(),
             () = side.wait_is_over() => side.on_response_due(),
-            () = inputs.signals.terminated() => {
-                side.membership.shut_down();
-                // The farewell is sent by a task of its own.
-                tokio::task::yield_now().await;
-                return;
+            signal = inputs.signals.next() => match signal {
+                ProcessSignal::Reload => side.reload(),
+                ProcessSignal::Terminate => {
+                    side.membership.shut_down();
+                    // The farewell is sent by a task of its own.
+                    tokio::task::yield_now().await;
+                    return;
+                }
             }
         }
     }
@@ -186,6 +195,13 @@
         status.to_string()
     }
 
+    fn reload(&mut self) {
+        if let Some(seeds) = reread_seeds(&mut self.settings_file) {
+            self.membership.set_seeds(seeds.clone());
+            self.machine.set_seeds(seeds);
+        }
+    }
+
     fn on_response_due(&mut self) {
         let effects = self.machine.on_response_due(self.clock.now());
         self.carry_out(effects);
--- a/crates/cluster-node/src/core/core_peers.rs
+++ b/crates/cluster-node/src/core/core_peers.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Replaces the seeds.
+    pub(super) fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.seeds = seeds;
+    }
+
     /// Notes the core processes that membership believes to be alive.
     pub(super) fn set_live(&mut self, addresses: Vec<PeerAddress>) {
         self.live = addresses;
--- a/crates/cluster-node/src/core/event.rs
+++ b/crates/cluster-node/src/core/event.rs
@@ -41,6 +41,8 @@
     Query(ProcessCall),
     /// The core processes of the table of live members, which may be wrong.
     LiveCoreProcesses(Vec<PeerAddress>),
+    /// The settings name other seeds.
+    SeedsReplaced(Vec<PeerAddress>),
     /// Time has passed.
     Tick,
     /// The process is to shut down gracefully.
--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -181,6 +181,7 @@
             CoreEvent::Call(call) => self.on_call(call),
             CoreEvent::Query(call) => self.on_query(call),
             CoreEvent::LiveCoreProcesses(addresses) => self.peers.set_live(addresses),
+            CoreEvent::SeedsReplaced(seeds) => self.peers.set_seeds(seeds),
             CoreEvent::Tick => self.on_tick(),
             CoreEvent::Terminate => self.on_terminate(),
         }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -6,13 +6,14 @@
 use crate::error::NodeError;
 use crate::membership::Membership;
 use crate::protocol_violations::ProtocolViolationLog;
-use crate::signals::Signals;
+use crate::settings_reload::reread_seeds;
+use crate::signals::{ProcessSignal, Signals};
 use lupinrack_cluster_api::frame::{Hello, Role, FRAME_BYTES_MOST};
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_membership::{LiveMember, LiveTable, SwimSettings};
 use lupinrack_cluster_transport::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_control_store::{ControlStore, StoreSettings, WriteOutcome, Writer};
-use lupinrack_node_settings::{MachineLimits, NodeSettings};
+use lupinrack_node_settings::{MachineLimits, SettingsFile};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -33,6 +34,8 @@
     machine: CoreMachine,
     peers: Peers,
     writer: Writer,
+    membership: Membership,
+    settings_file: SettingsFile,
     violations: ProtocolViolationLog,
     /// The table of live members that the machine was told of last.
     table: Arc<LiveTable>,
@@ -52,7 +55,10 @@
 /// # Errors
 ///
 /// Where it cannot start, or cannot go on with what it has in memory.
-pub(crate) async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+pub(crate) async fn run(settings_file: SettingsFile, clock: Clock) -> Result<(), NodeError> {
+    // Before anybody can reach the process: a signal would end one that does not listen yet.
+    let signals = Signals::listen()?;
+    let settings = settings_file.settings();
     let data_dir = settings.data_dir.as_ref();
     let data_dir = data_dir.ok_or(NodeError::MissingDataDirectory)?;
     let (mut store, mut recovered) = ControlStore::open(data_dir, store_settings(&settings.limits))
@@ -60,7 +66,7 @@
     let disk = store
         .identify(&mut recovered, DiskId(draw()))
         .map_err(NodeError::OpenStore)?;
-    let core_settings = CoreSettings::of_node(&settings, disk, draw());
+    let core_settings = CoreSettings::of_node(settings, disk, draw());
     let (peers, peer_events) = Peers::start(
         settings.internal_address,
         hello(&core_settings),
@@ -82,32 +88,30 @@
     let machine = CoreMachine::new(core_settings, recovered, clock.moment())?;
     let (calls_in, calls) = mpsc::channel(MAX_WAITING_CALLS);
     let (queries_in, queries) = mpsc::channel(MAX_WAITING_QUERIES);
-    let http = control_api::serve(&settings, calls_in, queries_in)?;
+    let http = control_api::serve(settings, calls_in, queries_in)?;
     let inputs = Inputs {
         peer_events,
         write_outcomes,
         calls,
         queries,
-        signals: Signals::listen()?,
+        signals,
     };
     let driver = Driver {
         clock,
         machine,
         peers,
         writer,
+        membership,
+        settings_file,
         violations: ProtocolViolationLog::default(),
         table: Arc::default(),
     };
-    let result = drive(driver, inputs, &membership).await;
+    let result = drive(driver, inputs).await;
     drop(http);
     result
 }
 
-async fn drive(
-    mut driver: Driver,
-    mut inputs: Inputs,
-    membership: &Membership,
-) -> Result<(), NodeError> {
+async fn drive(mut driver: Driver, mut inputs: Inputs) -> Result<(), NodeError> {
     let mut timer = tokio::time::interval(Duration::from_millis(TICK_MS));
     timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     driver.carry_out_effects();
@@ -122,12 +126,9 @@
             Some(outcome) = inputs.write_outcomes.recv() => driver.on_write_outcome(outcome),
             Some(call) = inputs.calls.recv() => driver.receive(CoreEvent::Call(call)),
             Some(call) = inputs.queries.recv() => driver.receive(CoreEvent::Query(call)),
-            _ = timer.tick() => driver.on_tick(&membership.table()),
+            _ = timer.tick() => driver.on_tick(),
             () = driver.round_may_run() => {}
-            () = inputs.signals.terminated() => {
-                membership.shut_down();
-                driver.receive(CoreEvent::Terminate);
-            }
+            signal = inputs.signals.next() => driver.on_signal(signal),
         }
         driver.carry_out_effects();
         if let Some(fault) = driver.machine.fault() {
@@ -205,11 +206,27 @@
         self.machine.receive(event, self.clock.moment());
     }
 
-    fn on_tick(&mut self, table: &Arc<LiveTable>) {
+    fn on_signal(&mut self, signal: ProcessSignal) {
+        match signal {
+            ProcessSignal::Terminate => {
+                self.membership.shut_down();
+                self.receive(CoreEvent::Terminate);
+            }
+            ProcessSignal::Reload => {
+                if let Some(seeds) = reread_seeds(&mut self.settings_file) {
+                    self.membership.set_seeds(seeds.clone());
+                    self.receive(CoreEvent::SeedsReplaced(seeds));
+                }
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
         self.violations.report_new(&self.peers);
-        if !Arc::ptr_eq(&self.table, table) {
-            self.table = Arc::clone(table);
+        let table = self.membership.table();
+        if !Arc::ptr_eq(&self.table, &table) {
             let addresses = table.core_addresses().collect();
+            self.table = table;
             self.receive(CoreEvent::LiveCoreProcesses(addresses));
         }
         self.receive(CoreEvent::Tick);
--- a/crates/cluster-node/src/front/configuration_feed.rs
+++ b/crates/cluster-node/src/front/configuration_feed.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Replaces the seeds by which core processes are looked for.
+    pub fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.subscription.set_seeds(seeds);
+    }
+
     /// The configuration as it is known.
     pub fn known(&self) -> &KnownConfiguration {
         &self.known
--- a/crates/cluster-node/src/front/machine.rs
+++ b/crates/cluster-node/src/front/machine.rs
@@ -57,6 +57,11 @@
         self.client.view()
     }
 
+    /// Replaces the seeds by which core processes are looked for.
+    pub fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.feed.set_seeds(seeds);
+    }
+
     /// The configuration as it is known.
     pub fn known(&self) -> &KnownConfiguration {
         self.feed.known()
--- a/crates/cluster-node/src/front/process.rs
+++ b/crates/cluster-node/src/front/process.rs
@@ -9,7 +9,8 @@
 use crate::head_client::OutgoingFrame;
 use crate::membership::Membership;
 use crate::protocol_violations::ProtocolViolationLog;
-use crate::signals::Signals;
+use crate::settings_reload::reread_seeds;
+use crate::signals::{ProcessSignal, Signals};
 use crate::status::{FrontStatus, STATUS_PATH};
 use crate::NodeError;
 use lupinrack_cluster_api::error::ErrorKind;
@@ -26,7 +27,7 @@
 use lupinrack_cluster_transport::listen;
 use lupinrack_cluster_transport::peers::{PeerEvent, PeerSettings, Peers};
 use lupinrack_cluster_transport::shared_value::SharedValue;
-use lupinrack_node_settings::NodeSettings;
+use lupinrack_node_settings::{NodeSettings, SettingsFile};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -54,10 +55,15 @@
     table: Arc<SharedValue<FrontTable>>,
     membership: Membership,
     violations: ProtocolViolationLog,
+    settings_file: SettingsFile,
 }
 
 /// Runs until the process receives a signal to terminate.
-pub(crate) async fn run(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
+pub(crate) async fn run(settings_file: SettingsFile, clock: Clock) -> Result<(), NodeError> {
+    // Before anybody can reach the process: a signal would end one that does not listen yet.
+    let signals = Signals::listen()?;
+    let settings = settings_file.settings();
+    let grace_ms = settings.bounds.grace_ms;
     let address = PeerAddress(settings.internal_address);
     let (zone, incarnation) = (settings.zone.clone(), draw());
     let hello = Hello {
@@ -71,8 +77,8 @@
         .map_err(NodeError::ListenForPeers)?;
     let table = Arc::new(SharedValue::new(FrontTable::default()));
     let (calls_in, calls) = mpsc::channel::<HeadCall>(1024);
-    let front_server = serve_jobs(&settings, &table, calls_in, clock)?;
-    let readiness_server = serve_readiness(&settings, &table, clock)?;
+    let front_server = serve_jobs(settings, &table, calls_in, clock)?;
+    let readiness_server = serve_readiness(settings, &table, clock)?;
     let own = LiveMember {
         address,
         role: Role::Frontend,
@@ -91,13 +97,14 @@
             clock,
         ),
         violations: ProtocolViolationLog::default(),
+        settings_file,
     };
     let inputs = Inputs {
         events,
         calls,
-        signals: Signals::listen()?,
+        signals,
     };
-    drive(front, inputs, &front_server, settings.bounds.grace_ms).await;
+    drive(front, inputs, &front_server, grace_ms).await;
     drop(readiness_server);
     Ok(())
 }
@@ -120,9 +127,13 @@
             Some(event) = inputs.events.recv() => front.on_peer_event(event),
             Some(call) = inputs.calls.recv() => front.on_call(call),
             _ = timer.tick() => front.on_tick(),
-            () = inputs.signals.terminated(), if shutdown_began_at.is_none() => {
-                shutdown_began_at = Some(front.clock.now());
-                front.drain();
+            signal = inputs.signals.next() => match signal {
+                ProcessSignal::Reload => front.reload(),
+                ProcessSignal::Terminate if shutdown_began_at.is_none() => {
+                    shutdown_began_at = Some(front.clock.now());
+                    front.drain();
+                }
+                ProcessSignal::Terminate => {}
             }
         }
         let Some(began_at) = shutdown_began_at else {
@@ -212,6 +223,13 @@
         self.table.replace(Arc::new(next));
     }
 
+    fn reload(&mut self) {
+        if let Some(seeds) = reread_seeds(&mut self.settings_file) {
+            self.membership.set_seeds(seeds.clone());
+            self.machine.set_seeds(seeds);
+        }
+    }
+
     fn drain(&mut self) {
         spdlog::info!("received a signal to terminate");
         self.membership.shut_down();
--- a/crates/cluster-node/src/lib.rs
+++ b/crates/cluster-node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod head_client;
 pub mod membership;
 mod protocol_violations;
+mod settings_reload;
 pub mod shard_owner;
 mod signals;
 pub mod status;
@@ -33,11 +34,12 @@
 pub use error::NodeError;
 
 use clock::Clock;
-use lupinrack_node_settings::{CommandDelivery, NodeSettings, ServedInterface};
+use lupinrack_node_settings::{CommandDelivery, NodeSettings, ServedInterface, SettingsFile};
 use std::process::ExitCode;
 
-/// Runs a process until it has shut down; an error is logged, and its exit code is 1.
-pub fn run(settings: NodeSettings) -> ExitCode {
+/// Runs a process until it has shut down; an error is logged, and its exit code is 1. At SIGHUP the process reads its
+/// settings file again.
+pub fn run(settings: SettingsFile) -> ExitCode {
     match run_to_end(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -60,8 +62,8 @@
     Ok(())
 }
 
-fn run_to_end(settings: NodeSettings) -> Result<(), NodeError> {
-    check_served(&settings)?;
+fn run_to_end(settings: SettingsFile) -> Result<(), NodeError> {
+    check_served(settings.settings())?;
     let clock = Clock::start();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -71,10 +73,10 @@
     local.block_on(&runtime, serve(settings, clock))
 }
 
-async fn serve(settings: NodeSettings, clock: Clock) -> Result<(), NodeError> {
-    if settings.serves(ServedInterface::ControlPlane) {
+async fn serve(settings: SettingsFile, clock: Clock) -> Result<(), NodeError> {
+    if settings.settings().serves(ServedInterface::ControlPlane) {
         core::process::run(settings, clock).await
-    } else if settings.serves(ServedInterface::Agent) {
+    } else if settings.settings().serves(ServedInterface::Agent) {
         agent::process::run(settings, clock).await
     } else {
         front::process::run(settings, clock).await
--- a/crates/cluster-node/src/membership.rs
+++ b/crates/cluster-node/src/membership.rs
@@ -25,6 +25,8 @@
 #[derive(Clone)]
 pub struct Membership {
     table: Arc<SharedValue<LiveTable>>,
+    seeds: Arc<SharedValue<Vec<PeerAddress>>>,
+    seeds_replaced: Arc<Notify>,
     shutdown: Arc<Notify>,
 }
 
@@ -38,6 +40,8 @@
     ) -> Membership {
         let membership = Membership {
             table: Arc::new(SharedValue::new(LiveTable::default())),
+            seeds: Arc::new(SharedValue::new(seeds.clone())),
+            seeds_replaced: Arc::new(Notify::new()),
             shutdown: Arc::new(Notify::new()),
         };
         match bind(own.address) {
@@ -64,6 +68,12 @@
         self.table.load()
     }
 
+    /// Replaces the seeds by which the others are looked for.
+    pub fn set_seeds(&self, seeds: Vec<PeerAddress>) {
+        self.seeds.replace(Arc::new(seeds));
+        self.seeds_replaced.notify_one();
+    }
+
     /// Announces to other members that this process leaves, and ends the part that it takes.
     pub fn shut_down(&self) {
         self.shutdown.notify_one();
@@ -90,6 +100,7 @@
         // One byte more than allowed, so that a datagram that is too long shows.
         let mut buffer = [0; MAX_DATAGRAM_BYTES + 1];
         let shutdown = self.membership.shutdown.clone();
+        let seeds_replaced = self.membership.seeds_replaced.clone();
         loop {
             self.publish();
             let pause = self.swim.next_wakeup().since(self.clock.now());
@@ -97,6 +108,9 @@
                 // What was received before the timer fired may be what the timer would miss.
                 biased;
                 () = shutdown.notified() => return self.farewell(),
+                () = seeds_replaced.notified() => {
+                    self.swim.set_seeds(self.membership.seeds.load().to_vec());
+                }
                 received = self.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.on_datagram(from, &buffer[..length]),
                     Err(error) => self.on_failure(error).await,
--- a/crates/cluster-node/src/signals.rs
+++ b/crates/cluster-node/src/signals.rs
@@ -3,6 +3,15 @@
 use crate::NodeError;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
+/// What the platform asks of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProcessSignal {
+    /// To end gracefully (SIGTERM, SIGINT).
+    Terminate,
+    /// To read its settings file again (SIGHUP).
+    Reload,
+}
+
 /// The signals that a process listens to.
 #[derive(Debug)]
 pub(crate) struct Signals {
@@ -25,15 +34,12 @@
         })
     }
 
-    /// Completes when the process receives a signal to terminate. A hangup is ignored: the settings of an incarnation
-    /// do not change, and seeds are only read at its start.
-    pub(crate) async fn terminated(&mut self) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => {}
-            }
+    /// Completes with the next signal.
+    pub(crate) async fn next(&mut self) -> ProcessSignal {
+        tokio::select! {
+            _ = self.terminate.recv() => ProcessSignal::Terminate,
+            _ = self.interrupt.recv() => ProcessSignal::Terminate,
+            _ = self.hangup.recv() => ProcessSignal::Reload,
         }
     }
 }
--- a/crates/cluster-node/src/subscription.rs
+++ b/crates/cluster-node/src/subscription.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: Vec<PeerAddress>) {
+        self.seeds = seeds;
+    }
+
     /// An update was received that was valid at this moment.
     pub fn received_update(&mut self, at: Millis) {
         self.last_update_at = self.last_update_at.max(at);
--- a/crates/cluster-node/tests/golden.rs
+++ b/crates/cluster-node/tests/golden.rs
@@ -335,8 +335,8 @@
         runtime.expect("a runtime").block_on(async {
             let (calls_in, calls) = mpsc::channel(1);
             let (queries_in, queries) = mpsc::channel(1);
-            let _server =
-                control_api::serve(&settings, calls_in, queries_in).expect("the address is free");
+            let _server = control_api::serve(settings.settings(), calls_in, queries_in)
+                .expect("the address is free");
             answer_calls(calls, queries, &script).await;
             std::future::pending::<()>().await;
         });
--- a/crates/cluster-node/tests/support/process.rs
+++ b/crates/cluster-node/tests/support/process.rs
@@ -1,7 +1,8 @@
 //! Whole processes on loopback, in threads of the test.
 
-use lupinrack_node_settings::NodeSettings;
+use lupinrack_node_settings::SettingsFile;
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -66,7 +67,7 @@
     }
 
     /// The settings of the process under test: the lines that all classes share, and further ones.
-    pub fn settings(&self, node: &str, serves: &str, further: &[String]) -> NodeSettings {
+    pub fn settings(&self, node: &str, serves: &str, further: &[String]) -> SettingsFile {
         let mut lines = vec![
             format!("node={node}"),
             format!("role={serves}"),
@@ -82,7 +83,7 @@
             "commands=heartbeat".to_owned(),
         ];
         lines.extend_from_slice(further);
-        NodeSettings::parse(&lines.join("\n")).expect("good settings")
+        SettingsFile::parse(Path::new("local.conf"), &lines.join("\n")).expect("good settings")
     }
 
     /// A text with the test's own addresses in place of those that were drawn.
@@ -99,7 +100,7 @@
 }
 
 /// Runs a process until the test is over.
-pub fn spawn(settings: NodeSettings) {
+pub fn spawn(settings: SettingsFile) {
     thread::spawn(move || lupinrack_cluster_node::run(settings));
 }
 
--- a/crates/lupinrack/src/cluster/node.rs
+++ b/crates/lupinrack/src/cluster/node.rs
@@ -3,7 +3,7 @@
 use crate::ended::Ended;
 use clap::{value_parser, Arg, ArgMatches, Command};
 use lupinrack_cluster_log::{MalformedLevels, LEVEL_VARIABLE};
-use lupinrack_node_settings::{settings_path, NodeSettings, PATH_VARIABLE};
+use lupinrack_node_settings::{settings_path, SettingsFile, PATH_VARIABLE};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -86,8 +86,8 @@
     }
 }
 
-fn read_settings(path: &Path) -> Result<NodeSettings, String> {
-    NodeSettings::load(path).map_err(|error| error.message_for_file(path))
+fn read_settings(path: &Path) -> Result<SettingsFile, String> {
+    SettingsFile::load(path).map_err(|error| error.message_for_file(path))
 }
 
 fn check_configuration(path: &Path) -> Result<(), String> {
--- a/crates/lupinrack/tests/cluster_commands.rs
+++ b/crates/lupinrack/tests/cluster_commands.rs
@@ -1,10 +1,14 @@
 //! The commands of the cluster scheduler: the check of files, and calls to a process.
 
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::mpsc;
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 const SETTINGS: &str = "\
 node=front-1
@@ -373,3 +377,79 @@
         said(&output)
     );
 }
+
+/// A process of the scheduler that writes its log to a pipe; it is killed at the end of its test.
+struct Running(Child);
+
+impl Running {
+    fn node(settings: &str) -> Running {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_lupinrack"));
+        let command = command
+            .args(["node", "--settings", settings, "--log", "info"])
+            .stderr(Stdio::piped());
+        Running(command.spawn().expect("the program starts"))
+    }
+
+    fn signal(&self, name: Signal) {
+        let process = Pid::from_raw(self.0.id() as i32);
+        kill(process, name).expect("the process is there");
+    }
+
+    /// Waits until the readiness address of these settings answers: signals are listened to by then.
+    fn wait_until_it_listens(&self, settings: &str) {
+        let line = settings
+            .lines()
+            .find_map(|line| line.strip_prefix("bind-addresses.readiness="));
+        let address = line.expect("a readiness address");
+        let late = Instant::now() + Duration::from_secs(20);
+        while TcpStream::connect(address).is_err() {
+            assert!(Instant::now() < late, "nobody listens at {address}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Sends SIGHUP again and again until the log has a line with this text.
+    fn reload_until(&mut self, text: &str) {
+        let output = self.0.stderr.take().expect("a pipe");
+        let (lines_in, lines) = mpsc::channel();
+        std::thread::spawn(move || {
+            let read = BufReader::new(output).lines().map_while(Result::ok);
+            read.for_each(|line| drop(lines_in.send(line)));
+        });
+        let late = Instant::now() + Duration::from_secs(20);
+        while Instant::now() < late {
+            self.signal(Signal::SIGHUP);
+            let line = lines.recv_timeout(Duration::from_millis(200));
+            if line.is_ok_and(|line| line.contains(text)) {
+                return;
+            }
+        }
+        panic!("no line with {text:?}");
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address").port()
+}
+
+#[test]
+fn a_process_takes_new_seeds_at_a_hangup_and_says_what_waits() {
+    let text = SETTINGS
+        .replace("9300", &free_port().to_string())
+        .replace("9301", &free_port().to_string())
+        .replace("7000,7015", &format!("{0},{0}", free_port()));
+    let settings = file("reload.conf", &text);
+    let mut running = Running::node(&settings);
+    running.wait_until_it_listens(&text);
+    let changed = text.replace("9100", "9109").replace("1200", "700");
+    file("reload.conf", &changed);
+    running.reload_until("SIGHUP: taken: seeds; waiting for a restart: heartbeat-ms");
+}
--- a/crates/node-settings/src/key_values.rs
+++ b/crates/node-settings/src/key_values.rs
@@ -2,7 +2,7 @@
 
 use crate::error::SettingsError;
 use configparser::ini::{Ini, IniDefault};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The name of the section to which the library assigns lines that follow no `[section]` header.
 const TOP_SECTION: &str = "top";
@@ -42,6 +42,23 @@
             .filter(|value| !value.is_empty())
     }
 
+    /// The keys whose values differ in another file, or which only one of both has, in their order.
+    pub(crate) fn changed_keys(&self, other: &KeyValues) -> Vec<String> {
+        let all: BTreeSet<&String> = self.values.keys().chain(other.values.keys()).collect();
+        let changed = all
+            .into_iter()
+            .filter(|key| self.get(key) != other.get(key));
+        changed.cloned().collect()
+    }
+
+    /// Takes the value of a key from another file.
+    pub(crate) fn take(&mut self, key: &str, other: &KeyValues) {
+        match other.values.get(key) {
+            Some(value) => self.values.insert(key.to_string(), value.clone()),
+            None => self.values.remove(key),
+        };
+    }
+
     /// The region of each zone.
     pub(crate) fn zones(&self) -> BTreeMap<String, String> {
         self.values
--- a/crates/node-settings/src/lib.rs
+++ b/crates/node-settings/src/lib.rs
@@ -4,6 +4,8 @@
 //! complete file: the error names every key that is at fault, not only the first. Unknown keys are ignored, so that newer
 //! files can be read.
 //!
+//! [`SettingsFile`] keeps the file of a running process, which reads it again when it is told that it has changed.
+//!
 //! Start reading at [`NodeSettings`]. Below it a reader collects typed values and their errors from the lines of the
 //! file.
 
@@ -19,6 +21,7 @@
 mod port_range;
 mod reader;
 mod served_interface;
+mod settings_file;
 
 pub use bounds::Bounds;
 pub use command_delivery::CommandDelivery;
@@ -30,3 +33,4 @@
 pub use path::{settings_path, DEFAULT_PATH, PATH_VARIABLE};
 pub use port_range::PortRange;
 pub use served_interface::ServedInterface;
+pub use settings_file::{SettingsChanges, SettingsFile};
--- a/crates/node-settings/src/node_settings.rs
+++ b/crates/node-settings/src/node_settings.rs
@@ -10,6 +10,7 @@
 use crate::port_range::PortRange;
 use crate::reader::Reader;
 use crate::served_interface::ServedInterface;
+use crate::settings_file::SettingsFile;
 use lupinrack_cluster_api::identity::PeerAddress;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -86,11 +87,8 @@
     ///
     /// [`SettingsError::Unreadable`] where the file cannot be read, and otherwise as [`NodeSettings::parse`].
     pub fn load(path: &Path) -> Result<NodeSettings, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
-            path: path.display().to_string(),
-            reason: error.to_string(),
-        })?;
-        NodeSettings::parse(&text)
+        let file = SettingsFile::load(path)?;
+        Ok(file.settings().clone())
     }
 
     /// Reads and checks a file's text.
--- a/crates/node-settings/tests/settings.rs
+++ b/crates/node-settings/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use lupinrack_node_settings::{
     Bounds, CommandDelivery, FaultTolerance, InvalidSetting, InvalidSettings, MachineLimits,
-    NodeSettings, PortRange, ServedInterface, SettingsError,
+    NodeSettings, PortRange, ServedInterface, SettingsChanges, SettingsError, SettingsFile,
 };
 use quickcheck::quickcheck;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -523,6 +523,75 @@
     assert!(error.to_string().contains("no-such-file.conf"), "{error}");
 }
 
+/// A settings file of a test.
+struct TestFile(PathBuf);
+
+impl TestFile {
+    fn new(name: &str) -> TestFile {
+        let name = format!("settings-{name}-{}.conf", std::process::id());
+        TestFile(std::env::temp_dir().join(name))
+    }
+
+    fn write(&self, text: &str) {
+        std::fs::write(&self.0, text).expect("the folder takes files");
+    }
+}
+
+impl Drop for TestFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+#[test]
+fn a_file_that_is_read_again_changes_its_seeds_and_says_what_waits() {
+    let on_disk = TestFile::new("reread");
+    on_disk.write(CORE);
+    let mut file = SettingsFile::load(&on_disk.0).expect("good settings");
+    let seeds = file.settings().seeds.clone();
+    assert_eq!(file.reread(), Ok(SettingsChanges::default()));
+    let changed = CORE
+        .replace("seeds=127.0.4.1:9100,", "seeds=")
+        .replace("heartbeat-ms=1200", "heartbeat-ms=700")
+        .replace("some-new-key=anything\n", "");
+    on_disk.write(&changed);
+    let changes = SettingsChanges {
+        taken: vec!["seeds".to_owned()],
+        deferred: vec!["heartbeat-ms".to_owned(), "some-new-key".to_owned()],
+    };
+    assert_eq!(file.reread(), Ok(changes));
+    assert_eq!(file.settings().seeds, seeds[1..]);
+    assert_eq!(file.settings().heartbeat_ms, 1_200);
+    let again = file.reread().expect("good settings");
+    assert_eq!(again.taken, Vec::<String>::new());
+    assert_eq!(again.deferred, ["heartbeat-ms", "some-new-key"]);
+}
+
+#[test]
+fn a_file_that_cannot_be_used_when_it_is_read_again_changes_nothing() {
+    let on_disk = TestFile::new("unusable");
+    on_disk.write(CORE);
+    let mut file = SettingsFile::load(&on_disk.0).expect("good settings");
+    let before = file.settings().clone();
+    let unusable = [
+        String::new(),
+        "=x".to_owned(),
+        CORE.replace("seeds=", "seeds=here,"),
+        CORE.replace("seeds=", "#seeds="),
+    ];
+    for text in &unusable {
+        on_disk.write(text);
+        assert!(file.reread().is_err(), "{text}");
+        assert_eq!(file.settings(), &before);
+    }
+    std::fs::remove_file(&on_disk.0).expect("it is there");
+    assert!(matches!(
+        file.reread(),
+        Err(SettingsError::Unreadable { .. })
+    ));
+    assert_eq!(file.settings(), &before);
+}
+
 quickcheck! {
     fn no_text_makes_it_panic(text: String) -> bool {
         let _ = NodeSettings::parse(&text);
