--- a/crates/cluster-simulation/src/injected_bugs/hooks.rs
+++ b/crates/cluster-simulation/src/injected_bugs/hooks.rs
@@ -67,7 +67,8 @@
     }
 
     pub(crate) fn apply_bug_to_response(
-        &self,
+        &mut self,
+        machine: usize,
         mut answer: HeartbeatResponse,
         listed: u64,
     ) -> HeartbeatResponse {
@@ -75,6 +76,10 @@
             Some(InjectedBug::LeaseTooLong) if answer.lease_ms > 0 => {
                 answer.lease_ms += LEASE_EXCESS_MS;
             }
+            Some(InjectedBug::DeposedOwnerKeepsOn) if answer.lease_ms > 0 => {
+                let first = self.bug_state.first_tokens.entry(machine);
+                answer.token = *first.or_insert(answer.token);
+            }
             Some(InjectedBug::ObservedTooEarly) => answer.observed = answer.observed.max(listed),
             _ => {}
         }
--- a/crates/cluster-simulation/src/injected_bugs/mod.rs
+++ b/crates/cluster-simulation/src/injected_bugs/mod.rs
@@ -2,6 +2,7 @@
 
 mod hooks;
 
+use lupinrack_cluster_api::identity::FencingToken;
 use lupinrack_cluster_api::request::Reply;
 use std::collections::BTreeMap;
 
@@ -32,11 +33,13 @@
     /// A copy of each answer comes late, on whatever connection its caller's machine has by then, so that the number alone
     /// says which call it answers.
     ReplyMatchedByNumber,
+    /// An agent orders under the first token that it ever had, whatever has come since.
+    DeposedOwnerKeepsOn,
 }
 
 impl InjectedBug {
     /// All of them.
-    pub const ALL: [InjectedBug; 11] = [
+    pub const ALL: [InjectedBug; 12] = [
         InjectedBug::MissingSync,
         InjectedBug::LeaseTooLong,
         InjectedBug::RejectedInDoubt,
@@ -48,6 +51,7 @@
         InjectedBug::AcceptedChangesNotInSnapshot,
         InjectedBug::StaleSnapshot,
         InjectedBug::ReplyMatchedByNumber,
+        InjectedBug::DeposedOwnerKeepsOn,
     ];
 }
 
@@ -58,6 +62,8 @@
     pub first_snapshots: BTreeMap<usize, Vec<u8>>,
     /// Copies of answers on their way.
     pub late_replies: Vec<LateReply>,
+    /// The first token that each agent's machine had.
+    pub first_tokens: BTreeMap<usize, FencingToken>,
 }
 
 /// A copy of an answer on its way.
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -21,6 +21,7 @@
 mod config;
 mod configuration_body;
 mod faults;
+mod fenced_senders;
 mod gangs;
 mod injected_bugs;
 mod machine;
--- a/crates/cluster-simulation/src/oracle.rs
+++ b/crates/cluster-simulation/src/oracle.rs
@@ -1,6 +1,7 @@
 //! The oracle: what servers and clients observe, checked against the rules for running tasks.
 
-use lupinrack_cluster_api::identity::{Attempt, JobId, TaskId};
+use crate::fenced_senders::FencedSenders;
+use lupinrack_cluster_api::identity::{Attempt, FencingToken, JobId, TaskId};
 use lupinrack_cluster_api::job::{JobSpec, Resources, Step};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -123,6 +124,7 @@
     pub jobs: BTreeMap<JobId, ExpectedJob>,
     pub tasks: BTreeMap<TaskId, TaskHistory>,
     pub violations: Vec<String>,
+    fenced_senders: FencedSenders,
 }
 
 impl Oracle {
@@ -246,6 +248,21 @@
         }
     }
 
+    /// A server refused an order under this token of the agent on its machine.
+    pub(crate) fn token_refused(
+        &mut self,
+        machine: usize,
+        agent_incarnation: u64,
+        token: FencingToken,
+        now: u64,
+    ) {
+        let senders = &mut self.fenced_senders;
+        if senders.refused(machine, agent_incarnation, token, now) {
+            let text = format!("DUTY: machine {machine} orders on under token {}", token.0);
+            self.report_violation(now, &text);
+        }
+    }
+
     pub(crate) fn failure_noted(&mut self, task: TaskId) {
         self.tasks.entry(task).or_default().failures_noted += 1;
     }
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -209,7 +209,7 @@
                     .as_ref()
                     .is_some_and(|known| *known.id() == server)
                 {
-                    let answer = self.apply_bug_to_response(*answer, highest_end);
+                    let answer = self.apply_bug_to_response(machine, *answer, highest_end);
                     let incarnation = self.server_slots[slot].incarnation;
                     let answer =
                         AgentLinkMessage::Answer(incarnation, heartbeat_reply(answer, sent_at));
--- a/crates/cluster-simulation/src/server.rs
+++ b/crates/cluster-simulation/src/server.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Whether the reply orders something under a lower token than one that was seen before.
+    pub(crate) fn refuses(&self, answer: &HeartbeatReply) -> bool {
+        let orders = answer.lease_ms > 0 || !answer.starts.is_empty() || !answer.stops.is_empty();
+        orders && answer.token < self.token
+    }
+
     /// Takes the lease and the observed ends of a reply; returns whether its commands are to be followed.
     pub(crate) fn take_reply(&mut self, answer: &HeartbeatReply, now: u64) -> bool {
         self.awaiting_since = None;
--- a/crates/cluster-simulation/src/work.rs
+++ b/crates/cluster-simulation/src/work.rs
@@ -31,6 +31,13 @@
         let Some(server) = self.server_slots[machine].server.as_mut() else {
             return;
         };
+        if server.refuses(answer) {
+            let agent = self.machines[self.agent_of(machine)].incarnation;
+            self.oracle.token_refused(machine, agent, answer.token, now);
+        }
+        let Some(server) = self.server_slots[machine].server.as_mut() else {
+            return;
+        };
         if !server.take_reply(answer, now) {
             return;
         }
--- a/crates/cluster-simulation/tests/golden.rs
+++ b/crates/cluster-simulation/tests/golden.rs
@@ -182,6 +182,7 @@
         InjectedBug::VotersRemovedByMinority => "voters removed alone",
         InjectedBug::AcceptedChangesNotInSnapshot => "taken changes not in snapshot",
         InjectedBug::StaleSnapshot => "snapshot taken for newer",
+        InjectedBug::DeposedOwnerKeepsOn => "deposed owner keeps on",
         InjectedBug::ReplyMatchedByNumber => "answer matched by number",
     }
 }
--- a/crates/cluster-simulation/tests/injected_bugs.rs
+++ b/crates/cluster-simulation/tests/injected_bugs.rs
@@ -32,6 +32,11 @@
     assert!(caught, "{injected_bug:?}: {violations:#?}");
 }
 
+#[test]
+fn orders_under_a_token_that_servers_refuse_are_caught() {
+    assert_caught(InjectedBug::DeposedOwnerKeepsOn, &[4, 8, 13], &["DUTY: "]);
+}
+
 #[test]
 fn a_sync_left_out_is_caught() {
     assert_caught(
