--- a/crates/cluster-node/tests/network/mod.rs
+++ b/crates/cluster-node/tests/network/mod.rs
@@ -223,12 +223,15 @@
         self.processes[number].is_frozen = true;
     }
 
-    /// Lets it go on.
+    /// Lets it go on. What came meanwhile reaches it at once, and then its timer, which is overdue.
     pub fn thaw(&mut self, number: usize) {
-        self.processes[number].is_frozen = false;
+        if !std::mem::replace(&mut self.processes[number].is_frozen, false) {
+            return;
+        }
         let held = std::mem::take(&mut self.processes[number].pending);
         held.into_iter()
             .for_each(|event| self.receive(number, event));
+        self.receive(number, CoreEvent::Tick);
     }
 
     /// Asks a process to shut down; it does so in its own time.
