Views: a proposer's own place in its plan is tested; a check that could not fail

Cause: with the proposer's own start taken out of the chain's plan all tests passed; and since acknowledgements are judged by progress, the test that a moment of the future proves nothing passed without the line that it is for. Change: a test of the former; the latter also looks at what follows the false moment, and keeps what it asserted.

--- a/crates/view-agreement/tests/policy/rules.rs
+++ b/crates/view-agreement/tests/policy/rules.rs
@@ -246,6 +246,13 @@
     watch.heartbeat(0).claims_to_receive_later_ms = 60_000;
     watch.pass(STEP_MS);
     watch.heartbeat(0).claims_to_receive_later_ms = 0;
+    watch.heartbeat(0).receives = true;
+    assert_eq!(
+        watch.pass(5000),
+        None,
+        "the acknowledgements that follow are newer than the present one"
+    );
+    watch.heartbeat(0).receives = false;
     assert!(
         watch.pass(2000).is_some(),
         "a moment that has not come yet proves no more than the present one"
@@ -292,6 +299,17 @@
     );
 }
 
+#[test]
+fn a_proposer_keeps_itself_and_drops_the_neighbour_that_does_not_receive_it() {
+    let mut watch =
+        Watch::new(2, view(4, &[0, 1, 2, 3, 4], &[0, 1, 2]), &[]).with(&[0, 1, 2, 3, 4]);
+    watch.heartbeat(4).replica.caught_up = true;
+    watch.pass(2000);
+    watch.heartbeat(1).receives = false;
+    let (wanted, _) = watch.until_wanted(5000).expect("the neighbour leaves");
+    assert_eq!(wanted.chain, [0, 2, 4].map(disk));
+}
+
 #[test]
 fn a_process_outside_the_chain_removes_nobody_that_a_member_reaches() {
     let mut watch = Watch::new(2, of_three(), &[]).with(&[0, 1, 2]);
