Jobs keep to the address at which they were accepted, whatever their route is called

Cause: a job's record keeps the name that its route had at acceptance, and a read compared it with the name of the route that matches the call now. Clients call a host and a path; the name is the operator's and may change while jobs run. Nothing else was involved: the head's state had the jobs (a second POST of the ID was answered 200), and all fronts ask the head.

Change: when a change of the configuration is applied, each job takes over the name of the route that has its address now; if there is none, its record keeps the address. A read finds the job at that address, or at its own route where that was moved; a job of another queue is still answered 410. A record that the version before left with a name that is gone has no known address and is found by its ID. The stored form of a record is that of before unless its route is gone from its address, and the operations of the log are unchanged, so disks of the version before are read and processes of both versions read each other's state.

Why it works: the address is what the client holds, it is unique among routes, and it is known at the last moment before a change is applied, in the order of the log, so all replicas of this version decide alike.

--- a/crates/cluster-api/src/configuration.rs
+++ b/crates/cluster-api/src/configuration.rs
@@ -26,6 +26,32 @@
     pub extension_milli: u64,
 }
 
+/// Where clients reach a queue: the host and the path prefix of its route. No two routes of a configuration have the same.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct QueueAddress {
+    /// The `Host` header of the requests.
+    pub host: String,
+    /// The prefix of their paths.
+    pub path_prefix: String,
+}
+
+impl QueueAddress {
+    /// Whether a request with this host and path is below the address.
+    pub fn covers(&self, host: &str, path: &str) -> bool {
+        self.host == host && path.starts_with(&self.path_prefix)
+    }
+}
+
+impl Route {
+    /// Where clients reach its queue.
+    pub fn address(&self) -> QueueAddress {
+        QueueAddress {
+            host: self.host.clone(),
+            path_prefix: self.path_prefix.clone(),
+        }
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Service {
--- a/crates/cluster-node/src/core/request_steps.rs
+++ b/crates/cluster-node/src/core/request_steps.rs
@@ -2,12 +2,13 @@
 //! step runs after a barrier, when the applied state contains everything that was committed before the request was
 //! received.
 
+use lupinrack_cluster_api::configuration::Route;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, QueueName};
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
-use lupinrack_control_state::ControlState;
+use lupinrack_control_state::{ControlState, JobRecord};
 
 /// The head's next action for a request.
 #[derive(Debug)]
@@ -60,17 +61,7 @@
         Request::ReadConfiguration => {
             RequestStep::Reply(Reply::ConfigurationDocument(state.document_json()))
         }
-        Request::ReadJob { target, job } => {
-            let known = state
-                .job(*job)
-                .filter(|record| Some(&record.queue) == queue_of(state, target));
-            RequestStep::Reply(match known {
-                Some(record) => Reply::Job(record.state),
-                None if state.configuration().version == 0 => Reply::Error(ErrorKind::NotTaken),
-                None if queue_of(state, target).is_none() => Reply::Error(ErrorKind::UnknownQueue),
-                None => Reply::Error(ErrorKind::UnknownJob),
-            })
-        }
+        Request::ReadJob { target, job } => RequestStep::Reply(read_job(state, target, *job)),
         Request::ReadQueue { target } => RequestStep::Reply(match queue_of(state, target) {
             Some(queue) => Reply::Pending(state.pending(queue)),
             None => Reply::Error(unknown_queue(state)),
@@ -90,6 +81,23 @@
     }
 }
 
+/// The reply to a read of a job. A job is found in its own queue only, which is not a matter of the route's name: routes
+/// may be renamed while their jobs run.
+fn read_job(state: &ControlState, target: &Target, job: JobId) -> Reply {
+    let Some(route) = route_of(state, target) else {
+        return Reply::Error(unknown_queue(state));
+    };
+    let is_in_queue = |record: &&JobRecord| {
+        record
+            .queue
+            .is_called(target, Some(route), state.configuration())
+    };
+    match state.job(job).filter(is_in_queue) {
+        Some(record) => Reply::Job(record.state),
+        None => Reply::Error(ErrorKind::UnknownJob),
+    }
+}
+
 fn operation_on_job(
     state: &ControlState,
     request: &Request,
@@ -117,9 +125,12 @@
     }
 }
 
+fn route_of<'a>(state: &'a ControlState, target: &Target) -> Option<&'a Route> {
+    state.configuration().route(&target.host, &target.path)
+}
+
 fn queue_of<'a>(state: &'a ControlState, target: &Target) -> Option<&'a QueueName> {
-    let route = state.configuration().route(&target.host, &target.path)?;
-    Some(&route.name)
+    route_of(state, target).map(|route| &route.name)
 }
 
 /// The error for a job whose target has no configured queue.
--- a/crates/cluster-node/tests/disk_of_the_version_before.rs
+++ b/crates/cluster-node/tests/disk_of_the_version_before.rs
@@ -175,11 +175,7 @@
 }
 
 fn write_job(text: &mut String, job: JobId, record: &JobRecord) {
-    let JobRecord {
-        queue: QueueName(queue),
-        service: ServiceName(service),
-        ..
-    } = record;
+    let (QueueName(queue), ServiceName(service)) = (&record.queue.name, &record.service);
     let _ = writeln!(
         text,
         "job {job}: {}, queue {queue}, service {service}",
@@ -299,7 +295,7 @@
 fn target(record: &JobRecord, job: &str) -> Target {
     Target {
         host: HOST.to_owned(),
-        path: format!("/{}/{job}", record.queue.0),
+        path: format!("/{}/{job}", record.queue.name.0),
     }
 }
 
@@ -336,7 +332,7 @@
             "{job}"
         );
         states.push(record.state);
-        let pending = Reply::Pending(state.pending(&record.queue));
+        let pending = Reply::Pending(state.pending(&record.queue.name));
         assert_eq!(
             call(
                 &mut network,
--- a/crates/control-state/src/jobs/mod.rs
+++ b/crates/control-state/src/jobs/mod.rs
@@ -2,12 +2,14 @@
 
 mod ends;
 mod occurrence;
+mod queue;
 mod record;
 mod starts;
 mod table;
 mod task;
 
 pub use occurrence::Occurrence;
+pub use queue::JobQueue;
 pub use record::JobRecord;
 pub use table::{JobTable, MAX_TASKS_PER_OCCURRENCE};
 pub use task::{TaskRecord, TaskStatus};
--- /dev/null
+++ b/crates/control-state/src/jobs/queue.rs
@@ -0,0 +1,149 @@
+//! The queue of a job, over changes of the configuration.
+//!
+//! Clients know a queue by its address, a host and a path prefix. The name of its route is the
+//! operator's, who may rename routes, swap their names, move them or remove them while their jobs
+//! run. So a job keeps to the address at which it was accepted: it takes over each name that the
+//! route of this address gets.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use lupinrack_cluster_api::configuration::{Configuration, QueueAddress, Route};
+use lupinrack_cluster_api::identity::QueueName;
+use lupinrack_cluster_api::request::Target;
+use std::collections::BTreeMap;
+use std::io;
+
+/// The first character of a queue's text that is a JSON array; see [`JobQueue::to_text`].
+const ARRAY_START: char = '[';
+
+/// The queue of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobQueue {
+    /// The name of its route, or the last one that it had.
+    pub name: QueueName,
+    /// The address at which the job was accepted, if no route has had it since the route of this
+    /// name was moved or removed. None while the route of this name has that address.
+    pub former_address: Option<QueueAddress>,
+}
+
+impl From<QueueName> for JobQueue {
+    fn from(name: QueueName) -> Self {
+        Self {
+            name,
+            former_address: None,
+        }
+    }
+}
+
+impl JobQueue {
+    /// Whether a call that the configuration directs to `route` refers to the job's queue: it was
+    /// sent to the address at which the job was accepted, or to the job's route where that is now.
+    ///
+    /// The address is unknown if the name of the route was removed by a process of an earlier
+    /// version, which did not keep it. The call is then taken to refer to the queue.
+    pub fn is_called(
+        &self,
+        target: &Target,
+        route: Option<&Route>,
+        configuration: &Configuration,
+    ) -> bool {
+        let is_own_route = route.is_some_and(|route| route.name == self.name);
+        let is_at_address = |address: QueueAddress| address.covers(&target.host, &target.path);
+        is_own_route || self.address(configuration).is_none_or(is_at_address)
+    }
+
+    /// The address at which the job was accepted, if it is known.
+    fn address(&self, configuration: &Configuration) -> Option<QueueAddress> {
+        let of_route = || configuration.queue(&self.name).map(Route::address);
+        self.former_address.clone().or_else(of_route)
+    }
+
+    /// The queue as one text: the name of the route, followed by its former address if there is
+    /// one, as a JSON array. A name alone is written as it is, which is the form of versions that
+    /// did not keep addresses.
+    fn to_text(&self) -> String {
+        let name = self.name.0.as_str();
+        let array = |texts: &[&str]| serde_json::Value::from(texts.to_vec()).to_string();
+        match &self.former_address {
+            Some(address) => array(&[name, &address.host, &address.path_prefix]),
+            None if name.starts_with(ARRAY_START) => array(&[name]),
+            None => name.to_owned(),
+        }
+    }
+
+    fn from_text(text: String) -> Self {
+        let texts: Vec<String> = serde_json::from_str(&text).unwrap_or_default();
+        match texts.as_slice() {
+            [name, host, path_prefix] => Self {
+                name: QueueName(name.clone()),
+                former_address: Some(QueueAddress {
+                    host: host.clone(),
+                    path_prefix: path_prefix.clone(),
+                }),
+            },
+            [name] => QueueName(name.clone()).into(),
+            _ => QueueName(text).into(),
+        }
+    }
+}
+
+impl BorshSerialize for JobQueue {
+    fn serialize<W: io::Write>(&self, writer: &mut W) -> io::Result<()> {
+        self.to_text().serialize(writer)
+    }
+}
+
+impl BorshDeserialize for JobQueue {
+    fn deserialize_reader<R: io::Read>(reader: &mut R) -> io::Result<Self> {
+        String::deserialize_reader(reader).map(Self::from_text)
+    }
+}
+
+/// Where the routes of one configuration are in the next one.
+pub(super) struct RouteMoves {
+    /// The queues of jobs on routes that are no longer at their address under their name.
+    moved: BTreeMap<QueueName, JobQueue>,
+    /// The names of the next configuration's routes, by address.
+    names: BTreeMap<QueueAddress, QueueName>,
+}
+
+impl RouteMoves {
+    /// Compares two successive configurations.
+    pub(super) fn between(before: &Configuration, after: &Configuration) -> Self {
+        let names: BTreeMap<QueueAddress, QueueName> = after
+            .routes
+            .iter()
+            .map(|route| (route.address(), route.name.clone()))
+            .collect();
+        let mut moves = Self {
+            moved: BTreeMap::new(),
+            names,
+        };
+        for route in &before.routes {
+            let queue = moves.queue_at(route.address(), &route.name);
+            if queue != JobQueue::from(route.name.clone()) {
+                moves.moved.insert(route.name.clone(), queue);
+            }
+        }
+        moves
+    }
+
+    /// The queue of jobs that were accepted at an address, on a route that had this name.
+    fn queue_at(&self, address: QueueAddress, last_name: &QueueName) -> JobQueue {
+        match self.names.get(&address) {
+            Some(name) => name.clone().into(),
+            None => JobQueue {
+                name: last_name.clone(),
+                former_address: Some(address),
+            },
+        }
+    }
+
+    /// Updates the queue of a job.
+    pub(super) fn follow(&self, queue: &mut JobQueue) {
+        if let Some(address) = &queue.former_address {
+            *queue = self.queue_at(address.clone(), &queue.name);
+        } else if let Some(moved) = self.moved.get(&queue.name) {
+            *queue = moved.clone();
+        }
+    }
+}
--- a/crates/control-state/src/jobs/record.rs
+++ b/crates/control-state/src/jobs/record.rs
@@ -1,20 +1,21 @@
 //! What is recorded of a job.
 
 use crate::jobs::occurrence::Occurrence;
+use crate::jobs::queue::JobQueue;
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::configuration::Route;
-use lupinrack_cluster_api::identity::{QueueName, ServiceName};
+use lupinrack_cluster_api::identity::ServiceName;
 use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::BTreeMap;
 
 /// A job. Its values from the route are those of the configuration at the time when the job was
-/// accepted.
+/// accepted; only its queue follows later changes.
 #[derive(Clone, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct JobRecord {
     /// Its queue.
-    pub queue: QueueName,
+    pub queue: JobQueue,
     /// The service whose servers run it, from its route.
     pub service: ServiceName,
     /// Its priority, from its route; 0 is the most urgent.
@@ -44,7 +45,7 @@
     /// A job that was submitted on a route.
     pub(crate) fn new(route: &Route, spec: &JobSpec, accepted_at: WallMillis) -> Self {
         Self {
-            queue: route.name.clone(),
+            queue: route.name.clone().into(),
             service: route.service.clone(),
             priority: route.priority,
             max_retries: route.max_retries,
--- a/crates/control-state/src/jobs/table.rs
+++ b/crates/control-state/src/jobs/table.rs
@@ -1,9 +1,10 @@
 //! The table of jobs.
 
+use crate::jobs::queue::RouteMoves;
 use crate::jobs::record::JobRecord;
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
-use lupinrack_cluster_api::configuration::Route;
+use lupinrack_cluster_api::configuration::{Configuration, Route};
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, QueueName, ServerId, ServiceName};
 use lupinrack_cluster_api::job::{JobSpec, JobState};
@@ -67,7 +68,7 @@
 
     /// How many jobs of a queue have not ended.
     pub fn pending(&self, queue: &QueueName) -> u64 {
-        let is_of_queue = |id: &&JobId| self.get(**id).is_some_and(|job| job.queue == *queue);
+        let is_of_queue = |id: &&JobId| self.get(**id).is_some_and(|job| job.queue.name == *queue);
         self.open.values().flatten().filter(is_of_queue).count() as u64
     }
 
@@ -108,6 +109,14 @@
         OperationResult::Job(JobState::Queued)
     }
 
+    /// Updates the queues of all jobs after a change of the configuration.
+    pub(crate) fn follow_routes(&mut self, before: &Configuration, after: &Configuration) {
+        let moves = RouteMoves::between(before, after);
+        for job in self.records.values_mut() {
+            moves.follow(&mut job.queue);
+        }
+    }
+
     /// Cancels a job, unless it has ended.
     pub(crate) fn cancel(&mut self, id: JobId, at: WallMillis) -> OperationResult {
         self.end(id, JobState::Cancelled, at)
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -26,7 +26,9 @@
     ConfigurationDocument, ConfigurationState, DocumentItem, InvalidConfiguration, InvalidReason,
     DIGEST_BYTES, MAX_ACCEPTED_CHANGES,
 };
-pub use jobs::{JobRecord, JobTable, Occurrence, TaskRecord, TaskStatus, MAX_TASKS_PER_OCCURRENCE};
+pub use jobs::{
+    JobQueue, JobRecord, JobTable, Occurrence, TaskRecord, TaskStatus, MAX_TASKS_PER_OCCURRENCE,
+};
 pub use shards::{Shard, ShardTable};
 pub use snapshot::SnapshotError;
 pub use state::ControlState;
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -8,7 +8,7 @@
 use lupinrack_cluster_api::configuration::Configuration;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{FencingToken, JobId, QueueName, ServiceName};
-use lupinrack_cluster_api::operation::{Operation, OperationResult};
+use lupinrack_cluster_api::operation::{ConfigurationChange, Operation, OperationResult};
 
 /// The replicated state. Its `borsh` form is the snapshot: the parts follow one another in the
 /// order of the fields.
@@ -24,7 +24,7 @@
     /// Applies the next committed operation.
     pub fn apply(&mut self, operation: &Operation) -> OperationResult {
         match operation {
-            Operation::ChangeConfiguration(change) => self.configuration.change(change),
+            Operation::ChangeConfiguration(change) => self.change_configuration(change),
             Operation::AcceptJob {
                 job,
                 queue,
@@ -119,13 +119,24 @@
     /// was configured, [`ErrorKind::UnknownQueue`] would be a false answer to a retry of its
     /// submission, since the job is in the job table.
     pub fn refusal_without_queue(&self, job: JobId) -> ErrorKind {
-        let has_queue = |job: &JobRecord| self.configuration().queue(&job.queue).is_some();
+        let has_queue = |job: &JobRecord| self.configuration().queue(&job.queue.name).is_some();
         match self.job(job) {
             Some(known) if !has_queue(known) => ErrorKind::InDoubt,
             _ => ErrorKind::UnknownQueue,
         }
     }
 
+    /// Changes the configuration. Jobs follow their routes to their new names.
+    fn change_configuration(&mut self, change: &ConfigurationChange) -> OperationResult {
+        let before = self.configuration().clone();
+        let result = self.configuration.change(change);
+        if self.configuration().version != before.version {
+            self.jobs
+                .follow_routes(&before, self.configuration.current());
+        }
+        result
+    }
+
     /// Applies a change from the owner of a shard, unless the shard has a newer owner.
     fn unless_fenced(
         &mut self,
--- a/crates/control-state/tests/golden.rs
+++ b/crates/control-state/tests/golden.rs
@@ -34,6 +34,7 @@
     file.add_borsh("occurrence that is done", &Occurrence::default());
     file.add_borsh("open job", &job_record(JobState::Running, None));
     file.add_borsh("ended job", &job_record(JobState::Failed, Some(20)));
+    file.add_borsh("job of a former route", &job_record_of_former_route());
     file.add_borsh("shard", &shard(21));
     file.add_borsh("place", &binding(22));
     file.add_borsh("document", &document());
--- a/crates/control-state/tests/golden_values/state.rs
+++ b/crates/control-state/tests/golden_values/state.rs
@@ -1,7 +1,7 @@
 //! Records of every kind.
 
 use crate::state_parts::StateParts;
-use lupinrack_cluster_api::configuration::{Configuration, Limits, Route, Service};
+use lupinrack_cluster_api::configuration::{Configuration, Limits, QueueAddress, Route, Service};
 use lupinrack_cluster_api::identity::{
     DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName,
 };
@@ -9,8 +9,8 @@
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange, Operation};
 use lupinrack_cluster_api::time::WallMillis;
 use lupinrack_control_state::{
-    AcceptedChanges, AgentBinding, ConfigurationDocument, ControlState, DocumentItem, JobRecord,
-    Occurrence, Shard, TaskRecord, TaskStatus,
+    AcceptedChanges, AgentBinding, ConfigurationDocument, ControlState, DocumentItem, JobQueue,
+    JobRecord, Occurrence, Shard, TaskRecord, TaskStatus,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -81,7 +81,7 @@
 
 pub(crate) fn job_record(state: JobState, ended_at: Option<u64>) -> JobRecord {
     JobRecord {
-        queue: QueueName("render".to_owned()),
+        queue: QueueName("render".to_owned()).into(),
         service: service("worker"),
         priority: 11,
         max_retries: 12,
@@ -102,6 +102,20 @@
     }
 }
 
+pub(crate) fn job_record_of_former_route() -> JobRecord {
+    let queue = JobQueue {
+        name: QueueName("render".to_owned()),
+        former_address: Some(QueueAddress {
+            host: "h.example".to_owned(),
+            path_prefix: "/render/".to_owned(),
+        }),
+    };
+    JobRecord {
+        queue,
+        ..job_record(JobState::Running, None)
+    }
+}
+
 pub(crate) fn shard(owner: u64) -> Shard {
     Shard {
         owner: DiskId(owner),
--- a/crates/control-state/tests/jobs.rs
+++ b/crates/control-state/tests/jobs.rs
@@ -25,7 +25,10 @@
 fn a_job_keeps_the_settings_of_its_route_at_acceptance() {
     let mut state = state_with(vec![step(1)]);
     let job = state.job(JOB).expect("it is known").clone();
-    assert_eq!((job.queue.0.as_str(), job.service.0.as_str()), ("a", "one"));
+    assert_eq!(
+        (job.queue.name.0.as_str(), job.service.0.as_str()),
+        ("a", "one")
+    );
     assert_eq!((job.priority, job.max_retries), (1, MAX_RETRIES));
     assert_eq!((job.target_latency_ms, job.extension_milli), (800, 2250));
     assert_eq!((job.accepted_at, job.ended_at), (WallMillis(10), None));
--- a/crates/scheduler/src/jobs/plan.rs
+++ b/crates/scheduler/src/jobs/plan.rs
@@ -41,7 +41,7 @@
     /// the first refresh.
     pub(crate) fn new(job: &JobRecord, capacity: &Resources, durations: &DurationModel) -> JobPlan {
         let expected_ms = |step: &Step| {
-            durations.expected_ms(&job.queue, step.estimate_ms) * waves(step, capacity)
+            durations.expected_ms(&job.queue.name, step.estimate_ms) * waves(step, capacity)
         };
         let chain_durations_ms = chain_durations_ms(&job.spec.steps, expected_ms);
         let longest_chain_ms = chain_durations_ms.iter().copied().max().unwrap_or(0);
--- a/crates/scheduler/src/placement/demand.rs
+++ b/crates/scheduler/src/placement/demand.rs
@@ -86,7 +86,7 @@
                 step,
                 ready,
                 rank: plan.rank(job, ready, wall),
-                expected_ms: durations.expected_ms(&job.queue, step.estimate_ms),
+                expected_ms: durations.expected_ms(&job.queue.name, step.estimate_ms),
             });
         }
     }
@@ -103,7 +103,7 @@
 pub(crate) fn stream_weights(demands: &[Demand<'_>]) -> StreamWeights {
     let queues: BTreeSet<(&QueueName, u32)> = demands
         .iter()
-        .map(|demand| (&demand.job.queue, demand.job.priority))
+        .map(|demand| (&demand.job.queue.name, demand.job.priority))
         .collect();
     StreamWeights::new(queues.into_iter().map(|(_, priority)| priority))
 }
--- a/crates/scheduler/src/runs/profile.rs
+++ b/crates/scheduler/src/runs/profile.rs
@@ -33,7 +33,7 @@
         RunProfile {
             needs: step.needs,
             priority: job.priority,
-            queue: job.queue.clone(),
+            queue: job.queue.name.clone(),
             estimate_ms: step.estimate_ms,
             distance_factor,
             requires: step.requires.clone(),
--- a/crates/scheduler/tests/decisions/bench.rs
+++ b/crates/scheduler/tests/decisions/bench.rs
@@ -284,7 +284,8 @@
 
     pub fn cancel(&mut self, job: u64) {
         let job = JobId(job);
-        let queue = self.state.job(job).expect("the job exists").queue.clone();
+        let record = self.state.job(job).expect("the job exists");
+        let queue = record.queue.name.clone();
         self.apply(Operation::CancelJob {
             job,
             queue,
--- a/crates/scheduler/tests/simulation/world.rs
+++ b/crates/scheduler/tests/simulation/world.rs
@@ -381,7 +381,7 @@
         let Some(record) = self.state.job(job) else {
             return;
         };
-        let queue = record.queue.clone();
+        let queue = record.queue.name.clone();
         let at = WallMillis(self.wall_ms());
         self.apply(&Operation::CancelJob { job, queue, at });
         let cancelled = self
