A job that arrives during a change of the configuration waits until it is committed

What callers saw: a POST that reached the head between a change's append and its commit was answered 404 if the change gave its route another name, though the queue was there before and after.

Cause: the head finds the route by the applied configuration and appends only its name; the name is looked up again when the entry is applied, after a change that was already in the log.

Change: the head appends a submission only while no change of the configuration is uncommitted; until then the request is kept with those that wait for the head to be ready, and handled again from the start.

Uncommitted operations are now listed in one place for both users.

--- a/crates/cluster-node/src/core/machine/requests.rs
+++ b/crates/cluster-node/src/core/machine/requests.rs
@@ -35,6 +35,11 @@
     }
 
     fn append_for(&mut self, operation: Operation, request: PendingRequest) {
+        if names_a_queue(&operation) && has_uncommitted_change(&self.chain) {
+            // The name may be that of another route once the change is applied.
+            self.requests.defer(request);
+            return;
+        }
         if let Err(kind) = self.admit(&operation) {
             self.reply(request.caller, Reply::Error(kind));
             return;
@@ -160,6 +165,22 @@
     }
 }
 
+/// Whether applying the operation depends on the route that has this name then.
+fn names_a_queue(operation: &Operation) -> bool {
+    matches!(operation, Operation::AcceptJob { .. })
+}
+
+/// Whether a change of the configuration is appended and not committed yet.
+fn has_uncommitted_change(chain: &Chain) -> bool {
+    uncommitted_operations(chain)
+        .any(|operation| matches!(operation, Operation::ChangeConfiguration(_)))
+}
+
+fn uncommitted_operations(chain: &Chain) -> impl Iterator<Item = &Operation> {
+    let uncommitted = chain.committed() + 1..=chain.last_index();
+    uncommitted.filter_map(|index| Some(&chain.entry(index)?.operation))
+}
+
 /// Whether an earlier request appended the same operation and it is not committed yet.
 fn is_uncommitted(chain: &Chain, operation: &Operation) -> bool {
     let is_same = |appended: &Operation| match (appended, operation) {
@@ -169,12 +190,7 @@
         }
         (appended, operation) => appended == operation,
     };
-    let mut uncommitted = chain.committed() + 1..=chain.last_index();
-    uncommitted.any(|index| {
-        chain
-            .entry(index)
-            .is_some_and(|entry| is_same(&entry.operation))
-    })
+    uncommitted_operations(chain).any(is_same)
 }
 
 /// The error for a request whose operation was not appended. A repeated operation is in doubt, since its earlier copy
--- a/crates/cluster-node/src/core/pending_requests.rs
+++ b/crates/cluster-node/src/core/pending_requests.rs
@@ -1,5 +1,5 @@
-//! Requests that wait at the head for an operation to be applied, for a barrier, or for the head to be ready, and
-//! subscribers' requests that wait for a barrier.
+//! Requests that wait at the head for an operation to be applied, for a barrier, for the head to be ready, or for a change
+//! of the configuration to be committed, and subscribers' requests that wait for a barrier.
 
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::operation::Operation;
@@ -68,7 +68,8 @@
     next_updates: BTreeMap<u64, UpdateRequest>,
     /// The number of the current barrier, if there is one.
     barrier: Option<u64>,
-    /// Requests received while this head was not ready.
+    /// Requests received while this head was not ready, or while a change of the configuration that concerns them was not
+    /// committed.
     deferred: Vec<PendingRequest>,
     /// Shard owners' operations received while this process was not a ready head.
     deferred_operations: Vec<Operation>,
@@ -121,12 +122,12 @@
         }
     }
 
-    /// Keeps a request until this head is ready.
+    /// Keeps a request, to be handled again from the start once this head is ready.
     pub fn defer(&mut self, request: PendingRequest) {
         self.deferred.push(request);
     }
 
-    /// Takes the requests that wait for this head to be ready.
+    /// Takes the requests that wait for this head to be ready, or for a change to be committed.
     pub fn take_deferred(&mut self) -> Vec<PendingRequest> {
         std::mem::take(&mut self.deferred)
     }
