A queue counts the jobs of former routes that its route serves now

The counts after a rename, a swap of names and a return are right since; before that each of them was 0 at the jobs' own address, or at a swap the other queue's.

Change: a job without a route at its address is counted at the route that matches its address now, or else at its own route where that was moved; each job is counted once.

Evidence: jobs_of_changed_routes::a_queue_counts_its_jobs_whatever_became_of_their_route failed at "served by a shorter prefix" (`Pending(0)`, 1 expected) while the count went by the name, and passes now; the tests of control-state and cluster-node's of requests, status and disks pass.

--- a/crates/cluster-node/tests/jobs_of_changed_routes.rs
+++ b/crates/cluster-node/tests/jobs_of_changed_routes.rs
@@ -16,7 +16,9 @@
 };
 use lupinrack_control_state::ControlState;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
-use shop::{read_of_job, replacement, route, submission, NamedPrefix, BILLS, JOB, ORDERS};
+use shop::{
+    read_of_job, read_of_queue, replacement, route, submission, NamedPrefix, BILLS, JOB, ORDERS,
+};
 
 const WALL: WallMillis = WallMillis(1_700_000_000_000);
 const VIEW: u64 = 3;
@@ -174,6 +176,40 @@
     assert_eq!(read(&state, "/orders/", JobId(8)), NO_SUCH_JOB);
 }
 
+fn pending(state: &ControlState, prefix: &str) -> Reply {
+    answer(state, &read_of_queue(prefix))
+}
+
+/// Guards against a pending count of 0 at a queue whose jobs wait, after their route was renamed, swapped names, gave its
+/// paths to a shorter prefix, came back or was moved.
+#[test]
+fn a_queue_counts_its_jobs_whatever_became_of_their_route() {
+    let (none, one) = (Reply::Pending(0), Reply::Pending(1));
+    let root = ("root", "/");
+    let mut state = with_job(&[ORDERS, BILLS], "/orders/");
+    put(&mut state, &[("purchases", "/orders/"), BILLS]);
+    assert_eq!(pending(&state, "/orders/"), one, "renamed");
+    put(
+        &mut state,
+        &[("bills", "/orders/"), ("purchases", "/bills/")],
+    );
+    assert_eq!(pending(&state, "/orders/"), one, "names swapped");
+    assert_eq!(pending(&state, "/bills/"), none, "names swapped");
+    put(&mut state, &[root, ("purchases", "/bills/")]);
+    assert_eq!(pending(&state, "/"), one, "served by a shorter prefix");
+    assert_eq!(
+        pending(&state, "/bills/"),
+        none,
+        "served by a shorter prefix"
+    );
+    put(&mut state, &[root, ORDERS, BILLS]);
+    assert_eq!(pending(&state, "/"), none, "come back");
+    assert_eq!(pending(&state, "/orders/"), one, "come back");
+    put(&mut state, &[("orders", "/sales/"), BILLS]);
+    assert_eq!(pending(&state, "/sales/"), one, "moved");
+    assert_eq!(pending(&state, "/bills/"), none, "moved");
+}
+
 /// The names and prefixes that the histories draw from. Some prefixes contain others.
 const NAMES: [&str; 4] = ["one", "two", "three", "four"];
 const PREFIXES: [&str; 6] = ["/", "/a/", "/a/b/", "/a/b/00", "/c/", "/c/d/"];
--- a/crates/control-state/src/jobs/queue.rs
+++ b/crates/control-state/src/jobs/queue.rs
@@ -51,6 +51,15 @@
         is_own_route || self.address(configuration).is_none_or(is_at_address)
     }
 
+    /// Whether the route of this name serves the job's queue now. If the job's own route was moved
+    /// or removed, the queue is served by the route that matches its address now, if there is one.
+    pub(super) fn is_served_by(&self, name: &QueueName, configuration: &Configuration) -> bool {
+        let former = self.former_address.as_ref();
+        let serving =
+            former.and_then(|address| configuration.route(&address.host, &address.path_prefix));
+        *name == *serving.map_or(&self.name, |route| &route.name)
+    }
+
     /// The address at which the job was accepted, if it is known.
     fn address(&self, configuration: &Configuration) -> Option<QueueAddress> {
         let of_route = || configuration.queue(&self.name).map(Route::address);
--- a/crates/control-state/src/jobs/table.rs
+++ b/crates/control-state/src/jobs/table.rs
@@ -66,9 +66,12 @@
         &self.open
     }
 
-    /// How many jobs of a queue have not ended.
-    pub fn pending(&self, queue: &QueueName) -> u64 {
-        let is_of_queue = |id: &&JobId| self.get(**id).is_some_and(|job| job.queue.name == *queue);
+    /// How many jobs of a queue have not ended, with those of former routes that its route serves.
+    pub(crate) fn pending(&self, queue: &QueueName, configuration: &Configuration) -> u64 {
+        let is_of_queue = |id: &&JobId| {
+            self.get(**id)
+                .is_some_and(|job| job.queue.is_served_by(queue, configuration))
+        };
         self.open.values().flatten().filter(is_of_queue).count() as u64
     }
 
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -100,9 +100,9 @@
         self.jobs.get(job)
     }
 
-    /// How many jobs of a queue have not ended.
+    /// How many jobs of a queue have not ended, with those of former routes that its route serves.
     pub fn pending(&self, queue: &QueueName) -> u64 {
-        self.jobs.pending(queue)
+        self.jobs.pending(queue, self.configuration())
     }
 
     /// The owners of shards.
