The retry of a submission is not refused since its route's name is in use elsewhere

What callers saw: a job was accepted, its answer was lost, and its route was removed while its name went to a route at another address. The same POST again was answered 404, as if the job had not been taken; it runs.

Change: a route counts as gone once it is not at the address where the job was accepted.

Evidence: jobs_of_changed_routes::a_retry_at_a_removed_address_is_in_doubt_though_the_name_of_its_route_is_in_use failed with the name alone (`Error(UnknownQueue)`), and passes now, with the tests of control-state.

--- a/crates/cluster-node/tests/jobs_of_changed_routes.rs
+++ b/crates/cluster-node/tests/jobs_of_changed_routes.rs
@@ -210,6 +210,18 @@
     assert_eq!(pending(&state, "/bills/"), none, "moved");
 }
 
+/// Guards against 404 for the retry of an accepted job's submission, whose first answer was lost, after the name of its
+/// route was given to another prefix.
+#[test]
+fn a_retry_at_a_removed_address_is_in_doubt_though_the_name_of_its_route_is_in_use() {
+    let mut state = with_job(&[ORDERS, BILLS], "/orders/");
+    put(&mut state, &[("orders", "/sales/"), BILLS]);
+    let retry = answer(&state, &submission("/orders/", JOB));
+    assert_eq!(retry, Reply::Error(ErrorKind::InDoubt));
+    let other = answer(&state, &submission("/orders/", JobId(8)));
+    assert_eq!(other, NO_SUCH_QUEUE);
+}
+
 /// The names and prefixes that the histories draw from. Some prefixes contain others.
 const NAMES: [&str; 4] = ["one", "two", "three", "four"];
 const PREFIXES: [&str; 6] = ["/", "/a/", "/a/b/", "/a/b/00", "/c/", "/c/d/"];
--- a/crates/control-state/src/jobs/queue.rs
+++ b/crates/control-state/src/jobs/queue.rs
@@ -51,6 +51,11 @@
         is_own_route || self.address(configuration).is_none_or(is_at_address)
     }
 
+    /// Whether the job's route is at the address where the job was accepted.
+    pub(crate) fn is_configured(&self, configuration: &Configuration) -> bool {
+        self.former_address.is_none() && configuration.queue(&self.name).is_some()
+    }
+
     /// Whether the route of this name serves the job's queue now. If the job's own route was moved
     /// or removed, the queue is served by the route that matches its address now, if there is one.
     pub(super) fn is_served_by(&self, name: &QueueName, configuration: &Configuration) -> bool {
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -119,7 +119,7 @@
     /// was configured, [`ErrorKind::UnknownQueue`] would be a false answer to a retry of its
     /// submission, since the job is in the job table.
     pub fn refusal_without_queue(&self, job: JobId) -> ErrorKind {
-        let has_queue = |job: &JobRecord| self.configuration().queue(&job.queue.name).is_some();
+        let has_queue = |job: &JobRecord| job.queue.is_configured(self.configuration());
         match self.job(job) {
             Some(known) if !has_queue(known) => ErrorKind::InDoubt,
             _ => ErrorKind::UnknownQueue,
