A job can be cancelled below its address after its route was removed

PROTOCOL.md: "DELETE cancels the job and answers 2xx or 410".

And the front answered 404 by itself for every call on a path that its configuration does not serve, although it does not know the jobs.

Change: the head cancels a job that was accepted at the called address, or whose address is unknown, also if no route serves it.

One check is replaced: request_steps::a_job_that_was_taken_is_not_answered_as_one_of_no_queue asked that such a cancel be answered 404 and change nothing, against the sentence above. It now asks that the job is cancelled, that the answer is 410, and that the cancel of a job that never was is answered 404.

Evidence: the old check failed with this change, and client_call::calls_for_jobs_on_unknown_routes_go_to_the_head failed without it (`Err(UnknownQueue)`); jobs_of_changed_routes::a_job_can_be_cancelled_after_its_route_was_removed covers repeats, other addresses and the return of the route.

--- a/crates/cluster-node/src/core/machine/requests.rs
+++ b/crates/cluster-node/src/core/machine/requests.rs
@@ -2,7 +2,9 @@
 
 use super::CoreMachine;
 use crate::core::pending_requests::{Caller, PendingRequest};
-use crate::core::request_steps::{reply_for, step_after_barrier, step_before_barrier, RequestStep};
+use crate::core::request_steps::{
+    reply_after, step_after_barrier, step_before_barrier, RequestStep,
+};
 use lupinrack_chain::{Chain, SubmitError};
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::frame::Frame;
@@ -105,7 +107,8 @@
     /// Replies to the request whose operation was applied, if there is one.
     pub(super) fn reply_to_applied(&mut self, index: u64, result: &OperationResult) {
         if let Some(request) = self.requests.take_applied(index) {
-            self.reply(request.caller, reply_for(result));
+            let reply = reply_after(self.replica.state(), &request.request, result);
+            self.reply(request.caller, reply);
         }
     }
 
--- a/crates/cluster-node/src/core/request_steps.rs
+++ b/crates/cluster-node/src/core/request_steps.rs
@@ -54,9 +54,14 @@
             let rejected = || RequestStep::Reply(Reply::Error(job_rejection(state, *job)));
             operation_on_job(state, request, wall).map_or_else(rejected, RequestStep::Append)
         }
-        Request::CancelJob { .. } => {
-            let unknown = || RequestStep::Reply(Reply::Error(unknown_queue(state)));
-            operation_on_job(state, request, wall).map_or_else(unknown, RequestStep::Append)
+        Request::CancelJob { target, job } => {
+            let operation = operation_on_job(state, request, wall);
+            operation
+                .or_else(|| cancellation_on_former_route(state, target, *job, wall))
+                .map_or_else(
+                    || RequestStep::Reply(Reply::Error(unknown_queue(state))),
+                    RequestStep::Append,
+                )
         }
         Request::ReadConfiguration => {
             RequestStep::Reply(Reply::ConfigurationDocument(state.document_json()))
@@ -72,7 +77,20 @@
     }
 }
 
-/// The reply to a request whose operation was applied.
+/// The reply to a request whose operation was applied to this state. A cancellation below an address that no route serves
+/// any more is acknowledged by [`ErrorKind::UnknownJob`]: success would show a removed route in service.
+pub fn reply_after(state: &ControlState, request: &Request, result: &OperationResult) -> Reply {
+    match (request, result) {
+        (Request::CancelJob { target, .. }, OperationResult::Job(_))
+            if route_of(state, target).is_none() =>
+        {
+            Reply::Error(ErrorKind::UnknownJob)
+        }
+        _ => reply_for(result),
+    }
+}
+
+/// The reply for the result of an operation.
 pub fn reply_for(result: &OperationResult) -> Reply {
     match result {
         OperationResult::Done | OperationResult::Starts(_) => Reply::Done,
@@ -98,6 +116,22 @@
     }
 }
 
+/// Cancels a job below an address that no route serves any more: the job still runs, and its client can only call there.
+fn cancellation_on_former_route(
+    state: &ControlState,
+    target: &Target,
+    job: JobId,
+    wall: WallMillis,
+) -> Option<Operation> {
+    let record = state.job(job)?;
+    let is_called = record.queue.is_called(target, None, state.configuration());
+    is_called.then(|| Operation::CancelJob {
+        job,
+        queue: record.queue.name.clone(),
+        at: wall,
+    })
+}
+
 fn operation_on_job(
     state: &ControlState,
     request: &Request,
--- a/crates/cluster-node/src/front/client_call.rs
+++ b/crates/cluster-node/src/front/client_call.rs
@@ -8,8 +8,9 @@
 use lupinrack_cluster_json::{parse_job, JobLimits, JobTarget};
 use lupinrack_cluster_transport::http_server::HttpRequest;
 
-/// Parses a client's call. The front answers that a queue does not exist only by a configuration that was confirmed
-/// within `negative_answer_validity_ms`. The head answers everything else that depends on the state of the cluster.
+/// Parses a client's call. The front answers that a queue does not exist only to calls that name no job, and only by a
+/// configuration that was confirmed within `negative_answer_validity_ms`. The head answers everything else that depends
+/// on the state of the cluster: it alone knows the jobs that were accepted on routes that were removed since.
 ///
 /// # Errors
 ///
@@ -24,10 +25,10 @@
         host: call.host.clone(),
         path: call.path.clone(),
     };
-    if known.lacks_queue(&target, negative_answer_validity_ms, now) {
+    let job = JobTarget::from_path(&call.path).job;
+    if job.is_none() && known.lacks_queue(&target, negative_answer_validity_ms, now) {
         return Err(ErrorKind::UnknownQueue);
     }
-    let job = JobTarget::from_path(&call.path).job;
     match (call.method.as_str(), job) {
         ("POST", Some(job)) => submission(target, job, call),
         ("GET", Some(job)) => Ok(Request::ReadJob { target, job }),
--- a/crates/cluster-node/tests/client_call.rs
+++ b/crates/cluster-node/tests/client_call.rs
@@ -106,6 +106,33 @@
     );
 }
 
+/// Guards against 404 by a front for a job that was accepted on a route that was removed since: only the head knows it.
+#[test]
+fn calls_for_jobs_on_unknown_routes_go_to_the_head() {
+    let path = "/b/00000000000000aa";
+    let target = Target {
+        host: "h.example".to_owned(),
+        path: path.to_owned(),
+    };
+    let cancel = Request::CancelJob {
+        target: target.clone(),
+        job: JOB,
+    };
+    assert_eq!(read_after(&call("DELETE", path, ""), 0), Ok(cancel));
+    let read = Request::ReadJob {
+        target: target.clone(),
+        job: JOB,
+    };
+    assert_eq!(read_after(&call("GET", path, ""), 0), Ok(read));
+    let submission = read_after(
+        &call("POST", path, r#"{"spec":"s","steps":[{"count":1}]}"#),
+        0,
+    );
+    assert!(
+        matches!(submission, Ok(Request::SubmitJob { target: to, job: JOB, .. }) if to == target)
+    );
+}
+
 #[test]
 fn calls_that_cannot_be_parsed_are_malformed() {
     for call in [
--- a/crates/cluster-node/tests/jobs_of_changed_routes.rs
+++ b/crates/cluster-node/tests/jobs_of_changed_routes.rs
@@ -12,12 +12,13 @@
 use lupinrack_cluster_api::request::{Reply, Request};
 use lupinrack_cluster_api::time::WallMillis;
 use lupinrack_cluster_node::core::request_steps::{
-    step_after_barrier, step_before_barrier, RequestStep,
+    reply_after, step_after_barrier, step_before_barrier, RequestStep,
 };
 use lupinrack_control_state::ControlState;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use shop::{
-    read_of_job, read_of_queue, replacement, route, submission, NamedPrefix, BILLS, JOB, ORDERS,
+    cancellation, read_of_job, read_of_queue, replacement, route, submission, NamedPrefix, BILLS,
+    JOB, ORDERS,
 };
 
 const WALL: WallMillis = WallMillis(1_700_000_000_000);
@@ -222,6 +223,35 @@
     assert_eq!(other, NO_SUCH_QUEUE);
 }
 
+/// Guards against a lasting job that nobody can end, since its route was removed: each cancellation was answered 404.
+#[test]
+fn a_job_can_be_cancelled_after_its_route_was_removed() {
+    let mut state = with_job(&[ORDERS, BILLS], "/orders/");
+    put(&mut state, &[BILLS]);
+    for request in [
+        cancellation("/orders/", JobId(8)),
+        cancellation("/sales/", JOB),
+    ] {
+        assert_eq!(answer(&state, &request), NO_SUCH_QUEUE, "{request:?}");
+    }
+    let request = cancellation("/orders/", JOB);
+    let RequestStep::AwaitBarrier = step_before_barrier(&state, &request, WALL) else {
+        panic!("the route may be in a configuration that is not applied yet");
+    };
+    for _ in 0..2 {
+        let RequestStep::Append(operation) = step_after_barrier(&state, VIEW, &request, WALL)
+        else {
+            panic!("the job is known, so it is cancelled");
+        };
+        let result = state.apply(&operation);
+        assert_eq!(result, OperationResult::Job(JobState::Cancelled));
+        assert_eq!(reply_after(&state, &request, &result), NO_SUCH_JOB);
+    }
+    put(&mut state, &[BILLS, ORDERS]);
+    let cancelled = Reply::Job(JobState::Cancelled);
+    assert_eq!(read(&state, "/orders/", JOB), cancelled);
+}
+
 /// The names and prefixes that the histories draw from. Some prefixes contain others.
 const NAMES: [&str; 4] = ["one", "two", "three", "four"];
 const PREFIXES: [&str; 6] = ["/", "/a/", "/a/b/", "/a/b/00", "/c/", "/c/d/"];
--- a/crates/cluster-node/tests/request_steps.rs
+++ b/crates/cluster-node/tests/request_steps.rs
@@ -9,7 +9,7 @@
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
 use lupinrack_cluster_node::core::request_steps::{
-    reply_for, step_after_barrier, step_before_barrier, RequestStep,
+    reply_after, reply_for, step_after_barrier, step_before_barrier, RequestStep,
 };
 use lupinrack_control_state::ControlState;
 
@@ -217,14 +217,23 @@
         error(ErrorKind::UnknownQueue),
         "one that never was"
     );
-    let cancel = Request::CancelJob {
+    let cancel = |job| Request::CancelJob {
         target: orders(),
-        job: JOB,
+        job,
     };
+    let step = step_after_barrier(&state, VIEW, &cancel(JOB), WALL);
+    let cancellation = submitted(step).expect("the job runs, so it is cancelled");
+    let result = state.apply(&cancellation);
+    assert_eq!(result, OperationResult::Job(JobState::Cancelled));
     assert_eq!(
-        second(&state, &cancel),
+        reply_after(&state, &cancel(JOB), &result),
+        Reply::Error(ErrorKind::UnknownJob),
+        "no success on a removed route"
+    );
+    assert_eq!(
+        second(&state, &cancel(JobId(8))),
         error(ErrorKind::UnknownQueue),
-        "a cancel changes nothing then"
+        "one that never was"
     );
 }
 
