Simulation: the operator changes the queues' routes over running jobs

Change: with `changes_routes` the operator's changes, whole or as patches, also give the routes of the queues other names, swap them, and serve the queues' paths by a shorter prefix, a longer one, or both, every 0.1 to 4 s, beside the faults of the profile. Clients submit, read and cancel at the same paths throughout. The oracle checks the service of each start.

--- a/crates/cluster-simulation/examples/hunt.rs
+++ b/crates/cluster-simulation/examples/hunt.rs
@@ -1,6 +1,7 @@
 //! Runs many seeds and prints those that violate a rule:
 //! `hunt FIRST COUNT [CORES] [TOLERANCE] [KIND] [SECONDS] [BUG]`, where the kind is `usual` (mixed faults), `worst` (severe
-//! faults) or the name of a scenario such as `PartitionWithCallers`, and the bug is its number in `InjectedBug::ALL`.
+//! faults), `routes` or `worst-routes` (the same with changes of the queues' routes) or the name of a scenario such as
+//! `PartitionWithCallers`, and the bug is its number in `InjectedBug::ALL`.
 //! The earlier names of scenarios are accepted too, so that recorded command lines can be repeated.
 
 use lupinrack_cluster_simulation::{
@@ -13,6 +14,9 @@
 /// Average interval between two job submissions, in milliseconds.
 const JOB_INTERVAL_MS: u64 = 1_000;
 
+/// The kinds of runs in which the operator also changes the routes of the queues.
+const KINDS_OF_CHANGING_ROUTES: [&str; 2] = ["routes", "worst-routes"];
+
 /// Earlier names of scenarios, which recorded command lines use.
 const EARLIER_NAMES: [(&str, FaultScenario); 10] = [
     ("ReplacedAgainAndAgain", FaultScenario::RepeatedReplacement),
@@ -36,7 +40,7 @@
             .unwrap_or(default)
     };
     let first = number(0, 1);
-    let kind = arguments.get(4).map_or("usual", String::as_str);
+    let kind = kind(&arguments);
     let Some(profile) = profile(kind) else {
         eprintln!("hunt: unknown kind {kind:?}; known are: {}", known_kinds());
         return ExitCode::FAILURE;
@@ -46,6 +50,11 @@
     ExitCode::SUCCESS
 }
 
+/// The kind of the runs.
+fn kind(arguments: &[String]) -> &str {
+    arguments.get(4).map_or("usual", String::as_str)
+}
+
 fn config(
     arguments: &[String],
     profile: FaultProfile,
@@ -59,6 +68,7 @@
         cores,
         tolerance: number(3, cores as u64 / 2) as usize,
         profile,
+        changes_routes: KINDS_OF_CHANGING_ROUTES.contains(&kind(arguments)),
         traffic_ms,
         jobs: traffic_ms / JOB_INTERVAL_MS,
         injected_bug: injected_bug.and_then(|number| InjectedBug::ALL.get(number).copied()),
@@ -69,8 +79,8 @@
 /// The profile for a kind; `None` if no profile or scenario has this name.
 fn profile(kind: &str) -> Option<FaultProfile> {
     match kind {
-        "usual" => Some(FaultProfile::Mixed),
-        "worst" => Some(FaultProfile::Severe),
+        "usual" | "routes" => Some(FaultProfile::Mixed),
+        "worst" | "worst-routes" => Some(FaultProfile::Severe),
         name => scenario(name).map(FaultProfile::Only),
     }
 }
@@ -86,7 +96,11 @@
 
 fn known_kinds() -> String {
     let scenarios = FaultScenario::ALL.map(FaultScenario::name);
-    format!("usual, worst, {}", scenarios.join(", "))
+    format!(
+        "usual, worst, {}, {}",
+        KINDS_OF_CHANGING_ROUTES.join(", "),
+        scenarios.join(", ")
+    )
 }
 
 fn hunt(first: u64, count: u64, config: SimulationConfig) {
--- a/crates/cluster-simulation/src/config.rs
+++ b/crates/cluster-simulation/src/config.rs
@@ -101,6 +101,9 @@
     pub finish_ms: u64,
     /// The profile of the faults.
     pub profile: FaultProfile,
+    /// Whether the operator's changes also rename the routes of the queues, swap their names, and serve the queues' paths
+    /// with shorter and longer prefixes.
+    pub changes_routes: bool,
     /// A bug injected into the system itself.
     pub injected_bug: Option<InjectedBug>,
 }
@@ -116,6 +119,7 @@
             traffic_ms: 40_000,
             finish_ms: 30_000,
             profile: FaultProfile::Mixed,
+            changes_routes: false,
             injected_bug: None,
         }
     }
--- a/crates/cluster-simulation/src/configuration_body.rs
+++ b/crates/cluster-simulation/src/configuration_body.rs
@@ -1,6 +1,7 @@
 //! Bodies of the operator's changes.
 
-use crate::workload::{MAX_RETRIES, QUEUES};
+use crate::route_layout::{QueueRoute, RouteLayout};
+use crate::workload::MAX_RETRIES;
 use lupinrack_cluster_api::operation::ConfigurationBody;
 
 /// The host of all routes.
@@ -18,8 +19,21 @@
 }
 
 fn route(name: &str, priority: u32, service: &str) -> String {
+    route_at(name, &format!("/{name}/"), priority, service)
+}
+
+fn queue_route(route: &QueueRoute) -> String {
+    route_at(
+        route.name,
+        &route.path_prefix,
+        route.priority,
+        route.service,
+    )
+}
+
+fn route_at(name: &str, path_prefix: &str, priority: u32, service: &str) -> String {
     format!(
-        r#"{{"name":"{name}","host":"{HOST}","path-prefix":"/{name}/","type":"non_idempotent","timeout-ms":3000,"target-latency-ms":800,"priority":{priority},"service":"{service}","max-retries":{MAX_RETRIES},"extension":2.0}}"#
+        r#"{{"name":"{name}","host":"{HOST}","path-prefix":"{path_prefix}","type":"non_idempotent","timeout-ms":3000,"target-latency-ms":800,"priority":{priority},"service":"{service}","max-retries":{MAX_RETRIES},"extension":2.0}}"#
     )
 }
 
@@ -39,20 +53,22 @@
 }
 
 /// A complete configuration with the marker route of this change alone.
-pub(crate) fn replacement(version: u64, change: usize) -> ConfigurationBody {
-    replacement_with_routes(version, change, 0)
+pub(crate) fn replacement(version: u64, change: usize, layout: &RouteLayout) -> ConfigurationBody {
+    replacement_with_routes(version, change, layout, 0)
 }
 
 /// A complete configuration of some hundreds of kilobytes, with the marker route of this change.
 pub(crate) fn large(version: u64, change: usize) -> ConfigurationBody {
-    replacement_with_routes(version, change, LARGE_ROUTES)
+    replacement_with_routes(version, change, &RouteLayout::usual(), LARGE_ROUTES)
 }
 
-fn replacement_with_routes(version: u64, change: usize, more_routes: usize) -> ConfigurationBody {
-    let queues = QUEUES.iter().enumerate();
-    let mut routes: Vec<String> = queues
-        .map(|(slot, (name, priority))| route(name, *priority, service_of_queue(slot)))
-        .collect();
+fn replacement_with_routes(
+    version: u64,
+    change: usize,
+    layout: &RouteLayout,
+    more_routes: usize,
+) -> ConfigurationBody {
+    let mut routes: Vec<String> = layout.routes.iter().map(queue_route).collect();
     routes.push(marker_route(change));
     routes.extend((0..more_routes).map(|number| route(&format!("more-{number}"), 3, SERVICES[0])));
     let services: Vec<String> = SERVICES.iter().map(|name| service(name)).collect();
@@ -71,6 +87,24 @@
     ))
 }
 
+/// A patch that adds the marker route of this change and replaces the routes of all queues.
+pub(crate) fn patch_of_routes(
+    version: u64,
+    change: usize,
+    layout: &RouteLayout,
+) -> ConfigurationBody {
+    let mut routes: Vec<String> = layout.routes.iter().map(queue_route).collect();
+    routes.push(marker_route(change));
+    let removed: Vec<String> = RouteLayout::all_names()
+        .map(|name| format!("\"{name}\""))
+        .collect();
+    ConfigurationBody::Patch(format!(
+        r#"{{"version":{version},"upsert":{{"routes":[{}]}},"remove":{{"routes":[{}]}}}}"#,
+        routes.join(","),
+        removed.join(",")
+    ))
+}
+
 /// A patch whose route names a service that does not exist.
 pub(crate) fn unknown_service(version: u64, change: usize) -> ConfigurationBody {
     let bad = route(&marker_route_name(change), 3, "nowhere");
--- a/crates/cluster-simulation/src/faults/schedule.rs
+++ b/crates/cluster-simulation/src/faults/schedule.rs
@@ -8,6 +8,7 @@
 use super::{mixed, severe};
 use crate::config::{FaultProfile, SimulationConfig};
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 /// Grace between the shutdown signal and the kill, in milliseconds.
 pub(crate) const GRACE_MS: u64 = 5_000;
@@ -15,6 +16,11 @@
 /// Time for which a core machine still counts as lost after its restart, or after its start if it is new, in milliseconds.
 pub(crate) const CATCH_UP_MS: u64 = 4_000;
 
+/// When the queues' routes are first changed, in milliseconds.
+const FIRST_CHANGE_OF_ROUTES_MS: u64 = 4_000;
+/// Intervals between two changes of the queues' routes, in milliseconds.
+const CHANGE_OF_ROUTES_INTERVALS_MS: Range<u64> = 100..4_000;
+
 /// An entry of a fault schedule.
 #[derive(Clone, Copy, Debug)]
 pub struct ScheduledFault {
@@ -32,17 +38,37 @@
     entries: BTreeMap<(u64, usize), ScheduledFault>,
 }
 
+/// Draws the operator's changes of the queues' routes, besides those of the profile.
+fn draw_changes_of_routes(
+    rng: &mut fastrand::Rng,
+    config: &SimulationConfig,
+) -> Vec<ScheduledFault> {
+    let mut changes = Vec::new();
+    let mut at = FIRST_CHANGE_OF_ROUTES_MS;
+    while at < config.traffic_ms {
+        changes.push(ScheduledFault {
+            at,
+            duration_ms: 0,
+            fault: Fault::Operator(OperatorAction::Change),
+        });
+        at += rng.u64(CHANGE_OF_ROUTES_INTERVALS_MS);
+    }
+    changes
+}
+
 impl FaultSchedule {
     /// Draws the schedule for the configuration's profile.
     pub fn draw(rng: &mut fastrand::Rng, config: &SimulationConfig) -> FaultSchedule {
-        match config.profile {
-            FaultProfile::Quiet => FaultSchedule::default(),
-            FaultProfile::Mixed => FaultSchedule::of(mixed::draw(rng, config)),
-            FaultProfile::Severe => FaultSchedule::of(severe::draw(rng, config, None)),
-            FaultProfile::Only(scenario) => {
-                FaultSchedule::of(severe::draw(rng, config, Some(scenario)))
-            }
+        let mut entries = match config.profile {
+            FaultProfile::Quiet => Vec::new(),
+            FaultProfile::Mixed => mixed::draw(rng, config),
+            FaultProfile::Severe => severe::draw(rng, config, None),
+            FaultProfile::Only(scenario) => severe::draw(rng, config, Some(scenario)),
+        };
+        if config.changes_routes {
+            entries.extend(draw_changes_of_routes(rng, config));
         }
+        FaultSchedule::of(entries)
     }
 
     /// A schedule of these faults.
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -31,6 +31,7 @@
 mod pending_call;
 mod process_start;
 mod processes;
+mod route_layout;
 mod server;
 mod simulation;
 mod work;
--- a/crates/cluster-simulation/src/operator/configuration_changes.rs
+++ b/crates/cluster-simulation/src/operator/configuration_changes.rs
@@ -2,10 +2,11 @@
 
 use super::{Operator, CALL_TIMEOUT_MS};
 use crate::configuration_body::{
-    large, marker_route_name, patch, replacement, truncated, unknown_service,
+    large, marker_route_name, patch, patch_of_routes, replacement, truncated, unknown_service,
 };
 use crate::faults::schedule::{Acknowledgement, OperatorAction};
 use crate::pending_call::{call, Outcome, PendingCall};
+use crate::route_layout::RouteLayout;
 use crate::world::World;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange};
@@ -115,10 +116,13 @@
         let if_match = self.known;
         let version = if_match + 1 + world.rng.u64(0..3);
         let is_replacement = if_match == 0 || world.rng.u32(0..3) == 0;
-        let body = if is_replacement {
-            replacement(version, number)
-        } else {
-            patch(version, number)
+        let changes_routes = world.config.changes_routes && if_match > 0;
+        let drawn = changes_routes.then(|| RouteLayout::draw(&mut world.rng));
+        let body = match drawn {
+            Some(layout) if is_replacement => replacement(version, number, &layout),
+            Some(layout) => patch_of_routes(version, number, &layout),
+            None if is_replacement => replacement(version, number, &RouteLayout::usual()),
+            None => patch(version, number),
         };
         self.send_change(if_match, version, body, Validity::Valid, world);
     }
--- a/crates/cluster-simulation/src/oracle.rs
+++ b/crates/cluster-simulation/src/oracle.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ExpectedJob {
     pub spec: JobSpec,
+    /// The service to which every configuration directs its queue.
+    pub service: &'static str,
     pub max_retries: u32,
     pub cancelled_at: Option<u64>,
     /// Failures of each task before it succeeds; for a hopeless job more than the queue allows.
@@ -54,6 +56,7 @@
     pub used: Resources,
     pub capacity: Resources,
     pub labels: &'a [String],
+    pub service: &'a str,
     /// Runs of the same step and time there.
     pub siblings: u32,
     pub draining_since: Option<u64>,
@@ -186,6 +189,7 @@
         check(history.done_observed && !is_idempotent, "TWICE: was done");
         check(!self.dependencies_done(job, step, start.task), "ORDER");
         check(start.is_early(job), "ORDER: ahead of its time");
+        check(start.service != job.service, "ROUTE: service");
         check(start.lacks_label(step), "ROUTE: label");
         check(start.exceeds_anti_affinity(step), "ROUTE: anti-affinity");
         let budget_is_spent = history.failures_observed >= job.max_retries;
--- a/crates/cluster-simulation/src/work.rs
+++ b/crates/cluster-simulation/src/work.rs
@@ -99,6 +99,7 @@
             used: server.used(),
             capacity: server.facts.capacity,
             labels: &server.facts.labels,
+            service: &server.facts.service.0,
             siblings: siblings.count() as u32,
             draining_since: server.draining_since,
             wall: self.wall(),
