Request steps: one function for each operation on a job, one test of an address

Cause: the head built the operations of submissions and cancellations in one function with an arm that never applied, and the rule which paths a route serves stood in two places since jobs have addresses.

Change: `acceptance` and `cancellation` take what they need and return none only where no route serves the target; both steps name what follows then. `Route::covers` and `QueueAddress::covers` share their test. Nothing is decided differently.

--- a/crates/cluster-api/src/configuration.rs
+++ b/crates/cluster-api/src/configuration.rs
@@ -38,11 +38,21 @@
 impl QueueAddress {
     /// Whether a request with this host and path is below the address.
     pub fn covers(&self, host: &str, path: &str) -> bool {
-        self.host == host && path.starts_with(&self.path_prefix)
+        is_below(&self.host, &self.path_prefix, host, path)
     }
 }
 
+/// Whether a request with this host and path is below the address of a queue.
+fn is_below(queue_host: &str, path_prefix: &str, host: &str, path: &str) -> bool {
+    queue_host == host && path.starts_with(path_prefix)
+}
+
 impl Route {
+    /// Whether a request with this host and path is below the address of its queue.
+    pub fn covers(&self, host: &str, path: &str) -> bool {
+        is_below(&self.host, &self.path_prefix, host, path)
+    }
+
     /// Where clients reach its queue.
     pub fn address(&self) -> QueueAddress {
         QueueAddress {
@@ -91,10 +101,9 @@
     /// The route of a request: among those for its host, the one with the longest prefix of its
     /// path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let serves = |route: &&Route| route.host == host && path.starts_with(&route.path_prefix);
         self.routes
             .iter()
-            .filter(serves)
+            .filter(|route| route.covers(host, path))
             .max_by_key(|route| route.path_prefix.len())
     }
 
--- a/crates/cluster-node/src/core/request_steps.rs
+++ b/crates/cluster-node/src/core/request_steps.rs
@@ -5,6 +5,7 @@
 use lupinrack_cluster_api::configuration::Route;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, QueueName};
+use lupinrack_cluster_api::job::JobSpec;
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
@@ -31,9 +32,11 @@
         Request::ChangeConfiguration(change) => {
             RequestStep::Append(Operation::ChangeConfiguration(change.clone()))
         }
-        Request::SubmitJob { .. } | Request::CancelJob { .. } => {
-            operation_on_job(state, request, wall)
-                .map_or(RequestStep::AwaitBarrier, RequestStep::Append)
+        Request::SubmitJob { target, job, spec } => {
+            append_or_await_barrier(acceptance(state, target, *job, spec, wall))
+        }
+        Request::CancelJob { target, job } => {
+            append_or_await_barrier(cancellation(state, target, *job, wall))
         }
         Request::ReadConfiguration
         | Request::ReadJob { .. }
@@ -50,18 +53,14 @@
     wall: WallMillis,
 ) -> RequestStep {
     match request {
-        Request::SubmitJob { job, .. } => {
-            let rejected = || RequestStep::Reply(Reply::Error(job_rejection(state, *job)));
-            operation_on_job(state, request, wall).map_or_else(rejected, RequestStep::Append)
+        Request::SubmitJob { target, job, spec } => {
+            let operation = acceptance(state, target, *job, spec, wall);
+            append_or_fail(operation, || job_rejection(state, *job))
         }
         Request::CancelJob { target, job } => {
-            let operation = operation_on_job(state, request, wall);
-            operation
-                .or_else(|| cancellation_on_former_route(state, target, *job, wall))
-                .map_or_else(
-                    || RequestStep::Reply(Reply::Error(unknown_queue(state))),
-                    RequestStep::Append,
-                )
+            let operation = cancellation(state, target, *job, wall)
+                .or_else(|| cancellation_on_former_route(state, target, *job, wall));
+            append_or_fail(operation, || unknown_queue(state))
         }
         Request::ReadConfiguration => {
             RequestStep::Reply(Reply::ConfigurationDocument(state.document_json()))
@@ -77,6 +76,17 @@
     }
 }
 
+fn append_or_await_barrier(operation: Option<Operation>) -> RequestStep {
+    operation.map_or(RequestStep::AwaitBarrier, RequestStep::Append)
+}
+
+fn append_or_fail(operation: Option<Operation>, error: impl Fn() -> ErrorKind) -> RequestStep {
+    operation.map_or_else(
+        || RequestStep::Reply(Reply::Error(error())),
+        RequestStep::Append,
+    )
+}
+
 /// The reply to a request whose operation was applied to this state. A cancellation below an address that no route serves
 /// any more is acknowledged by [`ErrorKind::UnknownJob`]: success would show a removed route in service.
 pub fn reply_after(state: &ControlState, request: &Request, result: &OperationResult) -> Reply {
@@ -132,31 +142,36 @@
     })
 }
 
-fn operation_on_job(
+/// Accepts a job on the route of its target; none if there is no route.
+fn acceptance(
     state: &ControlState,
-    request: &Request,
+    target: &Target,
+    job: JobId,
+    spec: &JobSpec,
     wall: WallMillis,
 ) -> Option<Operation> {
-    match request {
-        Request::SubmitJob { target, job, spec } => {
-            let queue = queue_of(state, target)?.clone();
-            Some(Operation::AcceptJob {
-                job: *job,
-                queue,
-                spec: spec.clone(),
-                at: wall,
-            })
-        }
-        Request::CancelJob { target, job } => {
-            let queue = queue_of(state, target)?.clone();
-            Some(Operation::CancelJob {
-                job: *job,
-                queue,
-                at: wall,
-            })
-        }
-        _ => None,
-    }
+    let queue = queue_of(state, target)?.clone();
+    Some(Operation::AcceptJob {
+        job,
+        queue,
+        spec: spec.clone(),
+        at: wall,
+    })
+}
+
+/// Cancels a job below the address of a route; none if there is no route.
+fn cancellation(
+    state: &ControlState,
+    target: &Target,
+    job: JobId,
+    wall: WallMillis,
+) -> Option<Operation> {
+    let queue = queue_of(state, target)?.clone();
+    Some(Operation::CancelJob {
+        job,
+        queue,
+        at: wall,
+    })
 }
 
 fn route_of<'a>(state: &'a ControlState, target: &Target) -> Option<&'a Route> {
