--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,7 +8,6 @@
 mod idle_check;
 mod json;
 mod late_beats;
-mod late_submission;
 mod record;
 mod retired_service;
 mod servers;
@@ -60,7 +59,6 @@
     let verdict = match case.as_str() {
         "gang-after-fault" => gang_after_fault::run(&setting),
         "late-beats" => late_beats::run(&setting),
-        "late-submission" => late_submission::run(&setting),
         "retired-service" => retired_service::run(&setting),
         "suspicion" => suspicion::run(&setting),
         _ => Verdict::CouldNotRun,
