--- a/review/standins-2/src/cluster.rs
+++ b/review/standins-2/src/cluster.rs
@@ -181,18 +181,6 @@
         }
     }
 
-    /// Sends a signal to a process that this program started.
-    pub fn signal(&self, name: &str, signal: &str) {
-        let children = self.children.lock().unwrap();
-        if let Some((_, child)) = children.iter().rev().find(|(other, _)| other == name) {
-            self.record.line(&format!("platform: {signal} to {name}"));
-            let _ = Command::new("kill")
-                .arg(format!("-{signal}"))
-                .arg(child.id().to_string())
-                .status();
-        }
-    }
-
     /// Kills a process and waits for its end.
     pub fn kill(&self, name: &str) {
         let mut children = self.children.lock().unwrap();
