--- a/review/standins-2/src/gang_after_fault.rs
+++ b/review/standins-2/src/gang_after_fault.rs
@@ -10,7 +10,7 @@
 
 const SERVICE: &str = "huvo11a";
 const PREFIX: &str = "/pufi791/";
-const LASTING: &str = "1111222233334444";
+const LASTING: &str = "111122223333444a";
 const GANG: &str = "aaaabbbbccccdddd";
 /// Servers of the usual size, each of which has a lasting task; and one of twice the size, as in the site file.
 const USUAL: usize = 6;
--- a/review/standins-2/src/suspicion.rs
+++ b/review/standins-2/src/suspicion.rs
@@ -11,10 +11,10 @@
 
 const SERVICE: &str = "huvo11a";
 const PREFIX: &str = "/pufi791/";
-const LASTING: &str = "1111222233334444";
-const FIRST: &str = "aaaabbbbccccddd1";
-const SECOND: &str = "aaaabbbbccccddd2";
-const WATCHER: &str = "5555666677778888";
+const LASTING: &str = "111122223333444a";
+const FIRST: &str = "aaaabbbbccccdd1d";
+const SECOND: &str = "aaaabbbbccccdd2d";
+const WATCHER: &str = "555566667777888b";
 /// Servers of the usual size, each with a lasting task, and one of twice the size.
 const USUAL: usize = 6;
 const LASTING_CPU: u64 = 9_000;
