Scheduler: the owner logs why tasks wait, which servers are left out, and since when

Change: once a second a round that leaves tasks waiting for 2 s reports, for the four steps that wait longest, every server under the first reason for which it starts none of them; starts that are proposed or recorded and not listed yet; the time without authority; and the number of sessions begun. Logged at info by the core process. No decision changes.

--- a/crates/cluster-node/src/core/machine/ownership.rs
+++ b/crates/cluster-node/src/core/machine/ownership.rs
@@ -3,9 +3,10 @@
 use super::CoreMachine;
 use crate::core::shard_authority::AUTHORITY_MS;
 use lupinrack_cluster_api::frame::Frame;
+use lupinrack_cluster_api::identity::ServiceName;
 use lupinrack_cluster_api::request::Request;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_scheduler::InferredEnd;
+use lupinrack_scheduler::{InferredEnd, WaitReport};
 use std::time::Duration;
 
 /// Limit on the log lines about inferred ends in one round.
@@ -43,8 +44,11 @@
         self.log_services();
         let (state, wall) = (self.replica.state(), self.moment.wall);
         let rounds = self.shards.round(state, now, wall, self.authority.until());
-        for round in rounds {
+        for (service, round) in rounds {
             log_inferred_ends(&round.inferred_ends);
+            if let Some(report) = &round.wait_report {
+                log_wait_report(&service, report);
+            }
             for operation in round.operations {
                 self.submit(operation);
             }
@@ -111,3 +115,21 @@
         server.0
     );
 }
+
+/// Logs why tasks have been waiting for long.
+fn log_wait_report(service: &ServiceName, report: &WaitReport) {
+    let WaitReport {
+        steps,
+        more_steps,
+        starts,
+        without_authority_ms,
+        sessions,
+    } = report;
+    let ServiceName(name) = service;
+    for step in steps {
+        spdlog::info!("service {name}: {step}");
+    }
+    spdlog::info!(
+        "service {name}: {more_steps} more steps wait; starts: {starts}; without authority for {without_authority_ms} ms; {sessions} sessions"
+    );
+}
--- a/crates/cluster-node/src/core/shards.rs
+++ b/crates/cluster-node/src/core/shards.rs
@@ -210,9 +210,12 @@
         now: Millis,
         wall: WallMillis,
         authority_until: Millis,
-    ) -> Vec<Round> {
-        let schedulers = self.schedulers.values_mut();
-        let rounds = schedulers.map(|scheduler| scheduler.round(state, now, wall, authority_until));
+    ) -> Vec<(ServiceName, Round)> {
+        let schedulers = self.schedulers.iter_mut();
+        let rounds = schedulers.map(|(service, scheduler)| {
+            let round = scheduler.round(state, now, wall, authority_until);
+            (service.clone(), round)
+        });
         rounds.collect()
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -63,6 +63,8 @@
 mod submissions;
 mod summarize;
 mod summary;
+mod wait_log;
+mod wait_report;
 
 pub use agent_order::AgentOrder;
 pub use inferred_end::{InferredEnd, InferredEndReason};
@@ -71,3 +73,4 @@
 pub use scheduler::Scheduler;
 pub use settings::SchedulerSettings;
 pub use summary::{ServerSummary, ServiceSummary, WaitingSummary};
+pub use wait_report::{ExcludedServers, Exclusion, UnlistedStarts, WaitReport, WaitingStep};
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -9,6 +9,7 @@
 pub(crate) mod candidates;
 pub(crate) mod demand;
 pub(crate) mod earliest_fit;
+pub(crate) mod exclusion;
 pub(crate) mod gang;
 pub(crate) mod headroom;
 pub(crate) mod pass;
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -130,7 +130,7 @@
         let reliable: Vec<usize> = eligible
             .iter()
             .copied()
-            .filter(|index| self.is_reliable(*index))
+            .filter(|index| self.planner.is_reliable_for(self.demand, *index))
             .collect();
         if self.could_fit(&reliable) {
             reliable
@@ -139,15 +139,6 @@
         }
     }
 
-    fn is_reliable(&self, index: usize) -> bool {
-        let candidate = &self.planner.candidates[index];
-        let has_faulted = self
-            .tasks
-            .iter()
-            .any(|task| self.planner.faults.has_faulted(*task, &candidate.server));
-        !has_faulted && candidate.slowdown <= 1.0
-    }
-
     /// Whether the gang fits on these candidates when they are otherwise empty.
     fn could_fit(&self, members: &[usize]) -> bool {
         let count = self.tasks.len() as u64;
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -184,6 +184,15 @@
         u64::from(demand.step.anti_affinity).saturating_sub((running + queued) as u64)
     }
 
+    /// Whether a candidate is not slow, and no waiting task of the demand has failed or stalled on it.
+    pub(crate) fn is_reliable_for(&self, demand: &Demand<'_>, candidate: usize) -> bool {
+        let candidate = &self.candidates[candidate];
+        let has_faulted = demand
+            .tasks()
+            .any(|task| self.faults.has_faulted(task, &candidate.server));
+        !has_faulted && candidate.slowdown <= 1.0
+    }
+
     /// Reserves capacity for work until its expected start, unless the limit on reservations is
     /// reached.
     pub(crate) fn reserve(&mut self, demand: &Demand<'_>, forecast: &Forecast) {
--- a/crates/scheduler/src/round.rs
+++ b/crates/scheduler/src/round.rs
@@ -2,6 +2,7 @@
 
 use crate::agent_order::AgentOrder;
 use crate::inferred_end::InferredEnd;
+use crate::wait_report::WaitReport;
 use lupinrack_cluster_api::operation::Operation;
 
 /// The decisions of one round.
@@ -13,4 +14,6 @@
     pub messages: Vec<AgentOrder>,
     /// The ends among the operations that were inferred, not reported by servers.
     pub inferred_ends: Vec<InferredEnd>,
+    /// Why tasks wait, if a report is due and some have waited for long.
+    pub wait_report: Option<WaitReport>,
 }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -29,6 +29,8 @@
 use crate::submissions::Submissions;
 use crate::summarize::summarize;
 use crate::summary::ServiceSummary;
+use crate::wait_log::WaitLog;
+use crate::wait_report::WaitReport;
 use lupinrack_cluster_api::agent::{AgentMessage, Heartbeat};
 use lupinrack_cluster_api::identity::{
     FencingToken, JobId, PeerAddress, ServerId, ServiceName, TaskId,
@@ -57,6 +59,9 @@
     urgent_usage: UrgentUsage,
     /// The time of the last full scan over the runs.
     last_full_scan: Option<Millis>,
+    wait_log: WaitLog,
+    /// The report of this round on waiting tasks.
+    wait_report: Option<WaitReport>,
 }
 
 /// The minimum time between two full scans over the runs, in milliseconds.
@@ -92,6 +97,8 @@
             history: History::default(),
             urgent_usage: UrgentUsage::default(),
             last_full_scan: None,
+            wait_log: WaitLog::default(),
+            wait_report: None,
             service,
             token,
             settings,
@@ -199,9 +206,14 @@
         self.incarnations().reconcile_bindings(state);
         self.refresh_jobs(state, time);
         self.infer_ends(time);
+        self.wait_log.note_authority(has_authority, now);
         if has_authority {
             self.run_placement(state, time);
         }
+        if self.wait_log.is_due(now) {
+            let (tracker, servers) = (&self.tracker, &self.servers);
+            self.wait_report = self.wait_log.report_starts(tracker, servers, now);
+        }
         let operations = self.tracker.submissions.due(now, wall);
         let messages = if has_authority {
             self.order_writer(state, now).write_all()
@@ -212,6 +224,7 @@
             operations,
             messages,
             inferred_ends: self.tracker.take_inferred_ends(),
+            wait_report: self.wait_report.take(),
         }
     }
 
@@ -395,6 +408,9 @@
             reservations: 0,
         };
         pass::run(&mut planner, demands);
+        if self.wait_log.is_due(now) {
+            self.wait_report = self.wait_log.report_pass(&planner, demands, &self.servers);
+        }
         let Planner {
             starts, candidates, ..
         } = planner;
--- a/crates/scheduler/src/servers/server.rs
+++ b/crates/scheduler/src/servers/server.rs
@@ -4,6 +4,7 @@
 use crate::run_id::RunId;
 use crate::servers::reported_ends::ReportedEnds;
 use crate::servers::session::{OrderId, ReportTimes, Session};
+use crate::wait_report::Exclusion;
 use lupinrack_cluster_api::agent::{Heartbeat, OwnerMessage};
 use lupinrack_cluster_api::identity::PeerAddress;
 use lupinrack_cluster_api::job::Resources;
@@ -168,11 +169,23 @@
 
     /// Whether it accepts new work.
     pub(crate) fn is_schedulable(&self, now: Millis, timeout_ms: u64) -> bool {
-        let has_orders = self
-            .session
-            .as_ref()
-            .is_some_and(|session| session.answered.is_some());
-        has_orders && self.draining_since.is_none() && self.is_reachable(now, timeout_ms)
+        self.unschedulable_reason(now, timeout_ms).is_none()
+    }
+
+    /// Why it accepts no new work; `None` if it does.
+    pub(crate) fn unschedulable_reason(&self, now: Millis, timeout_ms: u64) -> Option<Exclusion> {
+        let Some(session) = &self.session else {
+            return Some(Exclusion::NoSession);
+        };
+        if self.draining_since.is_some() {
+            Some(Exclusion::Draining)
+        } else if !self.is_reachable(now, timeout_ms) {
+            Some(Exclusion::NotHeardFrom)
+        } else if session.answered.is_none() {
+            Some(Exclusion::SessionNotAnswered)
+        } else {
+            None
+        }
     }
 }
 
--- a/crates/scheduler/src/servers/table.rs
+++ b/crates/scheduler/src/servers/table.rs
@@ -209,6 +209,11 @@
             })
     }
 
+    /// The number of sessions that were begun.
+    pub(crate) fn session_count(&self) -> u64 {
+        self.last_session
+    }
+
     fn next_session(&mut self) -> SessionId {
         self.last_session += 1;
         SessionId(self.last_session)
--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -10,3 +10,4 @@
 mod placement;
 mod policy;
 mod unproposed_starts;
+mod wait_reports;
