Tests, failing: an idle agent loses its session, and an owner that stood still its servers

The owner writes to an idle agent once in an eighth of the lease (750 ms for 6 s), the agent begins a new session after 600 ms without a message. An owner that did not run for 1 s takes all servers for silent, since it counts its own pause.

--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -9,5 +9,6 @@
 mod orders;
 mod placement;
 mod policy;
+mod stalled_owner;
 mod unproposed_starts;
 mod wait_reports;
