An agent keeps its session with an owner that has nothing to order or is slow

Cause: an owner without orders wrote only to renew a lease, every eighth of it (750 ms for a lease of 6 s, 1,250 ms for 10 s). An agent took an owner for gone after 600 ms without a message. So every idle agent began a new session every 600 ms: a full attach, all runs sent again, a question to the head, and a server that may not be used until the attach is answered. The slower the owner, the more sessions.

Change: the owner answers every regular report (they are 400 ms apart). An agent asks for a newer view after 600 ms without a message, as before, and begins a new session after 1,500 ms.

--- a/crates/cluster-node/src/agent/machine.rs
+++ b/crates/cluster-node/src/agent/machine.rs
@@ -20,8 +20,11 @@
 
 /// Interval at which an agent renews its subscription to views, in milliseconds.
 const SUBSCRIBE_INTERVAL_MS: u64 = 1_500;
-/// Timeout without a frame from the owner after which the session with it is restarted, in milliseconds.
-const OWNER_TIMEOUT_MS: u64 = 600;
+/// Time without a frame from the owner after which the agent asks the head for a newer view, in milliseconds.
+const VIEW_QUERY_INTERVAL_MS: u64 = 600;
+/// Timeout without a frame from the owner after which the session with it is restarted, in milliseconds. The owner answers
+/// every regular report; this is the time of several of them, so that a slow owner is not burdened with new sessions.
+const SESSION_TIMEOUT_MS: u64 = 1_500;
 /// How long the answer to a heartbeat that lists ended runs waits for new starts, in milliseconds.
 const RESPONSE_DELAY_AFTER_ENDS_MS: u64 = 80;
 /// How long the answer to an idle server waits for starts, in milliseconds.
@@ -62,6 +65,8 @@
     service: Option<ServiceName>,
     owner: Option<PeerAddress>,
     owner_received_at: Millis,
+    /// When the agent last asked the head for a newer view because the owner was silent.
+    view_queried_at: Millis,
     session: u64,
     view_source: ViewSource,
     pending: Option<PendingResponse<C>>,
@@ -84,6 +89,7 @@
             service,
             owner: None,
             owner_received_at: now,
+            view_queried_at: now,
             session: 0,
             view_source: ViewSource::new(own.address, own.zone),
             pending: None,
@@ -223,16 +229,26 @@
 
     /// Handles a tick of the timer. The table of live members is a hint and may be wrong.
     pub fn on_tick(&mut self, table: &LiveTable, now: Millis) -> Vec<AgentEffect<C>> {
-        let timed_out =
-            self.owner.is_some() && now.since(self.owner_received_at) >= OWNER_TIMEOUT_MS;
-        if timed_out {
+        self.check_owner(now);
+        self.send_to_owner(now);
+        self.subscribe(table, now);
+        self.take_effects()
+    }
+
+    /// Looks for a newer view if the owner is silent, and restarts the session if it stays so.
+    fn check_owner(&mut self, now: Millis) {
+        if self.owner.is_none() {
+            return;
+        }
+        let last_sign = self.owner_received_at.max(self.view_queried_at);
+        if now.since(last_sign) >= VIEW_QUERY_INTERVAL_MS {
+            self.view_queried_at = now;
             self.view_source.prefer_head(now);
             self.subscription.make_due();
+        }
+        if now.since(self.owner_received_at) >= SESSION_TIMEOUT_MS {
             self.begin_session(now);
         }
-        self.send_to_owner(now);
-        self.subscribe(table, now);
-        self.take_effects()
     }
 
     fn subscribe(&mut self, table: &LiveTable, now: Millis) {
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -20,6 +20,9 @@
 const MAX_SPEC_BYTES: usize = 1 << 20;
 /// A lease is renewed after `lease_ms` / this value.
 const RENEWALS_PER_LEASE: u64 = 8;
+/// A report that arrives this long after the last answered one is answered in any case, in
+/// milliseconds. Agents report more seldom than this, so each of their regular reports is answered.
+const MAX_ANSWER_INTERVAL_MS: u64 = 375;
 
 /// The starts and stops that have not been sent to a server's agent in its current session.
 #[derive(Debug, Default)]
@@ -75,7 +78,8 @@
             || !changes.stop.is_empty()
             || recorded_ends > session.acknowledged_ends
             || heartbeat_after_ms < session.heartbeat_after_ms;
-        let renew_after_ms = self.settings.lease_ms / RENEWALS_PER_LEASE;
+        let renew_after_ms =
+            (self.settings.lease_ms / RENEWALS_PER_LEASE).min(MAX_ANSWER_INTERVAL_MS);
         if !has_changes && !session.is_lease_renewal_due(renew_after_ms) {
             self.servers.set_orders_written(id);
             return None;
