Scheduler: an owner's own pause does not count as silence of servers or runs

What callers saw: after the owner's process had stood still, tasks waited although their servers were up and had sent their reports.

Cause: the time since the last report of an agent, and since the last progress of a run, was taken by the owner's clock. After a pause of the owner (a slow or frozen machine) all servers looked silent for as long as the pause, before their reports were read, and none got work.

Change: what exceeds the normal interval between two rounds moves the times of the last contact and progress forward, as the failure detector of core processes does already. Leases are not touched: their bounds are as before.

--- a/crates/scheduler/src/runs/table.rs
+++ b/crates/scheduler/src/runs/table.rs
@@ -208,6 +208,13 @@
         }
     }
 
+    /// Moves the times of the last progress forward by the time that this owner stood still.
+    pub(crate) fn exclude_stall(&mut self, stalled_ms: u64, now: Millis) {
+        for run in self.runs.values_mut() {
+            run.progressed_at = run.progressed_at.plus(stalled_ms).min(now);
+        }
+    }
+
     /// Marks a run as counted among the overdue ones.
     pub(crate) fn set_overdue(&mut self, task: TaskId) {
         if let Some(run) = self.runs.get_mut(&task) {
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -59,6 +59,7 @@
     urgent_usage: UrgentUsage,
     /// The time of the last full scan over the runs.
     last_full_scan: Option<Millis>,
+    last_round: Option<Millis>,
     wait_log: WaitLog,
     /// The report of this round on waiting tasks.
     wait_report: Option<WaitReport>,
@@ -67,6 +68,10 @@
 /// The minimum time between two full scans over the runs, in milliseconds.
 const FULL_SCAN_INTERVAL_MS: u64 = 50;
 
+/// Rounds are closer together than this while the owner's process runs, in milliseconds. It has
+/// stood still for what exceeds this time.
+const MAX_ROUND_INTERVAL_MS: u64 = 200;
+
 /// The time of a round.
 #[derive(Clone, Copy, Debug)]
 struct RoundTime {
@@ -97,6 +102,7 @@
             history: History::default(),
             urgent_usage: UrgentUsage::default(),
             last_full_scan: None,
+            last_round: None,
             wait_log: WaitLog::default(),
             wait_report: None,
             service,
@@ -199,6 +205,7 @@
             is_full_scan: self.begin_full_scan_if_due(now),
         };
         let has_authority = now < authority_until;
+        self.exclude_own_stall(now);
         self.adopt_once(state, now);
         self.read_heartbeats(state, now);
         let timeout_ms = self.settings.heartbeat_timeout_ms;
@@ -240,6 +247,17 @@
         is_due
     }
 
+    /// Excludes the time for which this owner stood still from the silence of servers and runs. What
+    /// they sent meanwhile may not have been received yet.
+    fn exclude_own_stall(&mut self, now: Millis) {
+        let interval_ms = self.last_round.map_or(0, |last| now.since(last));
+        self.last_round = Some(now);
+        if interval_ms > MAX_ROUND_INTERVAL_MS {
+            self.servers.exclude_stall(interval_ms, now);
+            self.tracker.runs.exclude_stall(interval_ms, now);
+        }
+    }
+
     fn infer_ends(&mut self, time: RoundTime) {
         let bound = (time.now > self.takeover_bound).then_some(TakeoverBoundExpired);
         if time.is_full_scan {
--- a/crates/scheduler/src/servers/table.rs
+++ b/crates/scheduler/src/servers/table.rs
@@ -151,6 +151,13 @@
             .filter(move |(_, server)| server.is_schedulable(now, timeout_ms))
     }
 
+    /// Moves the times of the last contacts forward by the time that this owner stood still.
+    pub(crate) fn exclude_stall(&mut self, stalled_ms: u64, now: Millis) {
+        for server in self.servers.values_mut() {
+            server.last_contact = server.last_contact.plus(stalled_ms).min(now);
+        }
+    }
+
     pub(crate) fn has_draining(&self) -> bool {
         self.servers
             .values()
