Scheduler: waiting steps that find no room cost a round next to nothing

Cause: each round evaluated every waiting step in full: lists of servers, distance, faults, forecasts, queues. Steps differ in their needs, so the memory of exhausted classes did not help.

Change: a step is passed over if no server has free capacity or a short enough queue for its needs and it cannot reserve any; a gang, if all servers together have no room for it now and nothing may be reserved. Queued needs are summed by priority; the faulty servers of a task are looked up once; a queued task's label is compared after its fit. Decisions are the same: the golden files of the scheduler did not change.

--- a/crates/scheduler/src/history/faults.rs
+++ b/crates/scheduler/src/history/faults.rs
@@ -107,6 +107,11 @@
             .is_some_and(|servers| servers.contains(server))
     }
 
+    /// The servers on which a task has failed or stalled; `None` if there are none.
+    pub(crate) fn faulty_servers_of(&self, task: TaskId) -> Option<&BTreeSet<ServerId>> {
+        self.servers_of_task.get(&task)
+    }
+
     pub(crate) fn remove_server(&mut self, server: &ServerId) {
         self.servers.remove(server);
     }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -14,6 +14,7 @@
 pub(crate) mod headroom;
 pub(crate) mod pass;
 pub(crate) mod planner;
+pub(crate) mod queued_totals;
 pub(crate) mod release;
 pub(crate) mod requeue;
 pub(crate) mod reservation;
--- a/crates/scheduler/src/placement/candidate.rs
+++ b/crates/scheduler/src/placement/candidate.rs
@@ -1,7 +1,7 @@
 //! A server as seen by one placement pass.
 
+use crate::placement::queued_totals::QueuedTotals;
 use crate::placement::reservation::Reservation;
-use crate::queues::task_queues::QueuedTask;
 use crate::resources::{difference, dominant_share, fits, sum};
 use crate::servers::server::rack_of;
 use lupinrack_cluster_api::identity::ServerId;
@@ -11,6 +11,10 @@
 use std::cell::OnceCell;
 use std::sync::Arc;
 
+/// A single task that does not fit anywhere now reserves capacity if it needs more than this share
+/// of a server.
+const MIN_RESERVED_SHARE: f64 = 0.25;
+
 /// Capacity of a server that is expected to become free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct FreedCapacity {
@@ -20,22 +24,6 @@
     pub(crate) amount: Resources,
 }
 
-/// The priority and resource needs of a task in a server's queue.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct QueuedNeeds {
-    pub(crate) priority: u32,
-    pub(crate) needs: Resources,
-}
-
-impl From<&QueuedTask> for QueuedNeeds {
-    fn from(queued: &QueuedTask) -> QueuedNeeds {
-        QueuedNeeds {
-            priority: queued.profile.priority,
-            needs: queued.profile.needs,
-        }
-    }
-}
-
 /// The capacity that would remain free on a server, as fractions of its total capacity.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Leftover {
@@ -55,7 +43,7 @@
     /// The capacity that is neither used by runs nor allocated in this round.
     pub(crate) free: Resources,
     /// The needs of the tasks in its queue.
-    pub(crate) queued: Vec<QueuedNeeds>,
+    pub(crate) queued: QueuedTotals,
     /// The number of its runs.
     pub(crate) running: usize,
     /// Whether it is suspected of causing its tasks to fail.
@@ -86,22 +74,24 @@
         fits(needs, &self.facts.capacity)
     }
 
+    /// Whether a task with these needs uses so much of the server that it may reserve capacity.
+    pub(crate) fn is_large(&self, needs: &Resources) -> bool {
+        dominant_share(needs, &self.facts.capacity) > MIN_RESERVED_SHARE
+    }
+
     /// The free capacity minus the needs of queued tasks of the same or a more urgent priority.
     pub(crate) fn free_for(&self, priority: u32) -> Resources {
-        self.free_beside(|queued| queued.priority <= priority)
+        self.free_beside(|queued| queued <= priority)
     }
 
     /// The free capacity minus the needs of queued tasks of more urgent priorities.
     pub(crate) fn free_beside_more_urgent(&self, priority: u32) -> Resources {
-        self.free_beside(|queued| queued.priority < priority)
+        self.free_beside(|queued| queued < priority)
     }
 
     /// The share of its capacity that its queued tasks and `more` need together.
     pub(crate) fn queued_share(&self, more: &Resources) -> f64 {
-        let total = self
-            .queued
-            .iter()
-            .fold(*more, |total, queued| sum(&total, &queued.needs));
+        let total = sum(&self.queued.needs_of(|_| true), more);
         dominant_share(&total, &self.facts.capacity)
     }
 
@@ -137,11 +127,9 @@
         self.reservation = Some(merged);
     }
 
-    fn free_beside(&self, counts: impl Fn(&QueuedNeeds) -> bool) -> Resources {
-        self.queued
-            .iter()
-            .filter(|queued| counts(queued))
-            .fold(self.free, |free, queued| difference(&free, &queued.needs))
+    /// The free capacity minus the needs of queued tasks whose priority `counts` accepts.
+    fn free_beside(&self, counts: impl Fn(u32) -> bool) -> Resources {
+        difference(&self.free, &self.queued.needs_of(counts))
     }
 }
 
--- a/crates/scheduler/src/placement/candidates.rs
+++ b/crates/scheduler/src/placement/candidates.rs
@@ -1,7 +1,8 @@
 //! Collects the candidates of a round.
 
 use crate::overview::Overview;
-use crate::placement::candidate::{Candidate, QueuedNeeds};
+use crate::placement::candidate::Candidate;
+use crate::placement::queued_totals::QueuedTotals;
 use crate::servers::server::Server;
 use lupinrack_cluster_api::identity::ServerId;
 use std::cell::OnceCell;
@@ -35,11 +36,7 @@
         server: id.clone(),
         facts: server.facts.clone(),
         free: overview.free(id, server),
-        queued: overview
-            .queues
-            .of_server(id)
-            .map(QueuedNeeds::from)
-            .collect(),
+        queued: QueuedTotals::of(overview.queues.of_server(id)),
         running: overview.runs.open_count(id) + server.unexpected.len(),
         suspected: suspects.contains(id),
         slowdown: speeds.slowdown(id, overview.now),
--- a/crates/scheduler/src/placement/demand.rs
+++ b/crates/scheduler/src/placement/demand.rs
@@ -90,7 +90,8 @@
             });
         }
     }
-    demands.sort_by_key(|demand| {
+    // The keys are unique, so the order does not depend on the stability of the sort.
+    demands.sort_unstable_by_key(|demand| {
         let ReadyStep {
             occurrence, step, ..
         } = demand.ready;
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -44,6 +44,9 @@
             return;
         }
         let count = self.tasks.len() as u64;
+        if !self.planner.may_reserve() && !self.might_start_now(count) {
+            return;
+        }
         let soonest = self
             .candidate_sets()
             .iter()
@@ -56,6 +59,19 @@
         }
     }
 
+    /// Whether all candidates together have free capacity for the gang. A cheap check that does not
+    /// consider labels, racks and suspicion.
+    fn might_start_now(&self, count: u64) -> bool {
+        let (needs, priority) = (&self.demand.step.needs, self.demand.job.priority);
+        let fitting: u64 = self
+            .planner
+            .candidates
+            .iter()
+            .map(|candidate| fitting_count(needs, &candidate.free_for(priority), count))
+            .sum();
+        fitting >= count
+    }
+
     /// The sets of candidates on which the gang could run. A gang that prefers one rack may use
     /// each rack or all racks together; other gangs may use the candidates near their data or all
     /// candidates.
--- a/crates/scheduler/src/placement/pass.rs
+++ b/crates/scheduler/src/placement/pass.rs
@@ -46,6 +46,10 @@
         if exhausted.contains(&class) {
             continue;
         }
+        // With many waiting steps most find no place; a full evaluation would change nothing.
+        if !planner.might_place(demand) {
+            continue;
+        }
         let placed_all = SinglePlacement::new(planner, demand).run();
         // A step with anti-affinity can fail to place its tasks on capacity that other steps can
         // still use.
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -21,6 +21,10 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_control_state::ControlState;
 
+/// The maximum expected wait in a server's queue, in milliseconds. A task that would wait longer
+/// stays unplaced.
+const MAX_QUEUE_WAIT_MS: u64 = 2_000;
+
 /// A set of candidates on which work may be placed.
 #[derive(Clone, Debug)]
 pub(crate) struct CandidateSet {
@@ -167,6 +171,42 @@
         }
     }
 
+    /// Whether the placement of single tasks of the demand might change anything: a candidate takes
+    /// one now or in its queue, or capacity is reserved. A cheap check that does not consider labels
+    /// and suspicion.
+    pub(crate) fn might_place(&self, demand: &Demand<'_>) -> bool {
+        let (needs, priority) = (&demand.step.needs, demand.job.priority);
+        let may_reserve = self.may_reserve();
+        (0..).zip(&self.candidates).any(|(index, candidate)| {
+            fits(needs, &candidate.free_for(priority))
+                || (may_reserve && candidate.is_large(needs))
+                || self.queue_end(index, needs, priority).is_some()
+        })
+    }
+
+    /// When a task that joins the queue of a candidate is expected to start; `None` if the queue is
+    /// too long, capacity is reserved there, or the wait would be too long.
+    pub(crate) fn queue_end(
+        &self,
+        index: usize,
+        needs: &Resources,
+        priority: u32,
+    ) -> Option<Millis> {
+        let candidate = &self.candidates[index];
+        let is_short = candidate.reservation.is_none()
+            && candidate.queued_share(needs) <= self.settings.max_queued_share;
+        if !is_short {
+            return None;
+        }
+        let starts_at = self.earliest_start(index, needs, priority)?;
+        (starts_at.since(self.now) <= MAX_QUEUE_WAIT_MS).then_some(starts_at)
+    }
+
+    /// Whether further demands may reserve capacity.
+    pub(crate) fn may_reserve(&self) -> bool {
+        self.reservations < self.settings.max_reservations
+    }
+
     /// How many more tasks of a step a candidate may run or queue under the step's anti-affinity
     /// limit.
     pub(crate) fn max_tasks_on(&self, demand: &Demand<'_>, candidate: usize) -> u64 {
@@ -196,8 +236,7 @@
     /// Reserves capacity for work until its expected start, unless the limit on reservations is
     /// reached.
     pub(crate) fn reserve(&mut self, demand: &Demand<'_>, forecast: &Forecast) {
-        let is_full = self.reservations >= self.settings.max_reservations;
-        if is_full || forecast.starts_at <= self.now {
+        if !self.may_reserve() || forecast.starts_at <= self.now {
             return;
         }
         self.reservations += 1;
--- a/crates/scheduler/src/placement/release.rs
+++ b/crates/scheduler/src/placement/release.rs
@@ -1,6 +1,6 @@
 //! Releases queued tasks in the order of their start tags.
 
-use crate::placement::candidate::{Candidate, QueuedNeeds};
+use crate::placement::candidate::Candidate;
 use crate::placement::headroom::Headroom;
 use crate::placement::planner::Planner;
 use crate::queues::task_queues::QueuedTask;
@@ -46,7 +46,7 @@
     queued: &QueuedTask,
     now: Millis,
 ) -> bool {
-    let QueuedNeeds { priority, needs } = QueuedNeeds::from(queued);
+    let (priority, needs) = (queued.profile.priority, queued.profile.needs);
     let ends_at = now.plus(queued.expected_ms);
     let is_free = fits(&needs, &candidate.free_beside_more_urgent(priority))
         && headroom.allows(priority, &needs, 1)
@@ -56,14 +56,7 @@
     }
     candidate.free = difference(&candidate.free, &needs);
     headroom.allocate(&needs);
-    let queued_needs = QueuedNeeds { priority, needs };
-    if let Some(position) = candidate
-        .queued
-        .iter()
-        .position(|queued| *queued == queued_needs)
-    {
-        candidate.queued.swap_remove(position);
-    }
+    candidate.queued.remove(priority, &needs);
     true
 }
 
--- a/crates/scheduler/src/placement/requeue.rs
+++ b/crates/scheduler/src/placement/requeue.rs
@@ -1,6 +1,7 @@
 //! Withdraws queued tasks that should be placed on another server.
 
-use crate::placement::candidate::{Candidate, QueuedNeeds};
+use crate::placement::candidate::Candidate;
+use crate::placement::queued_totals::QueuedTotals;
 use crate::queues::task_queues::{QueuedTask, TaskQueues};
 use crate::resources::{component_max, fits};
 use lupinrack_cluster_api::identity::TaskId;
@@ -34,10 +35,7 @@
         queues.withdraw(task);
     }
     for candidate in candidates {
-        candidate.queued = queues
-            .of_server(&candidate.server)
-            .map(QueuedNeeds::from)
-            .collect();
+        candidate.queued = QueuedTotals::of(queues.of_server(&candidate.server));
     }
 }
 
@@ -66,19 +64,18 @@
     /// Whether a task does not fit on its server now but fits on another candidate that is at least
     /// as near to the task's data.
     fn fits_on_another(&mut self, queued: &QueuedTask, current: usize) -> bool {
-        let QueuedNeeds { priority, needs } = QueuedNeeds::from(queued);
+        let (priority, needs) = (queued.profile.priority, queued.profile.needs);
         if fits(&needs, &self.candidates[current].free) || !self.may_fit_anywhere(priority, &needs)
         {
             return false;
         }
-        let current = &self.candidates[current];
-        self.candidates.iter().any(|other| {
-            let is_as_local =
-                other.has_label(&queued.affinity) || !current.has_label(&queued.affinity);
-            other.server != current.server
+        let is_local = self.candidates[current].has_label(&queued.affinity);
+        let mut others = self.candidates.iter().enumerate();
+        others.any(|(index, other)| {
+            index != current
                 && !other.suspected
-                && is_as_local
                 && fits(&needs, &other.free_for(priority))
+                && (!is_local || other.has_label(&queued.affinity))
         })
     }
 
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -5,16 +5,9 @@
 use crate::placement::planner::{CandidateSet, Planner};
 use crate::queues::task_queues::QueuedTask;
 use crate::recorded::task_record;
-use crate::resources::{dominant_share, fits};
+use crate::resources::fits;
 use lupinrack_cluster_api::identity::TaskId;
-use lupinrack_cluster_api::time::Millis;
 
-/// A single task that does not fit anywhere now reserves capacity if it needs more than this share
-/// of a server.
-const MIN_RESERVED_SHARE: f64 = 0.25;
-/// The maximum expected wait in a server's queue, in milliseconds. A task that would wait longer
-/// stays unplaced.
-const MAX_QUEUE_WAIT_MS: u64 = 2_000;
 /// The factor on the expected duration of a task on a server where it has failed or stalled.
 const FAULT_DURATION_FACTOR: f64 = 4.0;
 /// Duration factors are compared after rounding to multiples of 1 / this value.
@@ -96,7 +89,9 @@
             since: planner.now,
             profile,
         };
-        planner.candidates[index].queued.push((&queued).into());
+        planner.candidates[index]
+            .queued
+            .add(queued.profile.priority, &queued.profile.needs);
         planner.queues.enqueue(task, queued, charge);
     }
 
@@ -125,26 +120,25 @@
 
     /// The candidates that may run a task, with its duration factors.
     fn choices(&self, task: TaskId) -> Vec<Choice> {
+        let planner = &*self.planner;
+        let faulty = planner.faults.faulty_servers_of(task);
+        let fault_factor = |index: usize| {
+            let server = &planner.candidates[index].server;
+            match faulty {
+                Some(faulty) if faulty.contains(server) => FAULT_DURATION_FACTOR,
+                _ => 1.0,
+            }
+        };
         self.eligible
             .iter()
-            .filter(|choice| self.planner.max_tasks_on(self.demand, choice.candidate) > 0)
+            .filter(|choice| planner.max_tasks_on(self.demand, choice.candidate) > 0)
             .map(|choice| Choice {
                 candidate: choice.candidate,
-                duration_factor: choice.duration_factor * self.fault_factor(task, choice.candidate),
+                duration_factor: choice.duration_factor * fault_factor(choice.candidate),
             })
             .collect()
     }
 
-    /// The factor on the expected duration of a task on a candidate where it has failed or stalled.
-    fn fault_factor(&self, task: TaskId, index: usize) -> f64 {
-        let server = &self.planner.candidates[index].server;
-        if self.planner.faults.has_faulted(task, server) {
-            FAULT_DURATION_FACTOR
-        } else {
-            1.0
-        }
-    }
-
     /// The best candidate that has capacity now.
     ///
     /// Among candidates with the same rounded factor, chooses the one with the least and most
@@ -212,28 +206,15 @@
     /// The candidate whose queue is expected to start the task first; `None` if the task would wait
     /// too long in each queue.
     fn shortest_queue(&self, candidates: &[usize]) -> Option<usize> {
+        let (needs, priority) = (&self.demand.step.needs, self.demand.job.priority);
+        let queue_end = |candidate| self.planner.queue_end(candidate, needs, priority);
         candidates
             .iter()
-            .filter_map(|candidate| Some((self.queue_end(*candidate)?, *candidate)))
+            .filter_map(|candidate| Some((queue_end(*candidate)?, *candidate)))
             .min()
             .map(|(_, candidate)| candidate)
     }
 
-    /// When a task that joins the queue of a candidate is expected to start; `None` if the queue is
-    /// too long, capacity is reserved there, or the wait would be too long.
-    fn queue_end(&self, index: usize) -> Option<Millis> {
-        let planner = &*self.planner;
-        let candidate = &planner.candidates[index];
-        let needs = self.demand.step.needs;
-        let is_short = candidate.queued_share(&needs) <= planner.settings.max_queued_share
-            && candidate.reservation.is_none();
-        if !is_short {
-            return None;
-        }
-        let starts_at = planner.earliest_start(index, &needs, self.demand.job.priority)?;
-        (starts_at.since(planner.now) <= MAX_QUEUE_WAIT_MS).then_some(starts_at)
-    }
-
     /// A suspected server that may run this task as its next probation task.
     fn choose_for_probation(&self, task: TaskId) -> Option<usize> {
         let (planner, demand) = (&*self.planner, self.demand);
@@ -261,11 +242,8 @@
     /// Reserves capacity for a task that found none, if it needs a large share of a server.
     fn reserve_if_large(&mut self) {
         let needs = &self.demand.step.needs;
-        let is_large = self.eligible.iter().any(|choice| {
-            let capacity = &self.planner.candidates[choice.candidate].facts.capacity;
-            dominant_share(needs, capacity) > MIN_RESERVED_SHARE
-        });
-        if !is_large {
+        let is_large = |choice: &Choice| self.planner.candidates[choice.candidate].is_large(needs);
+        if !self.eligible.iter().any(is_large) {
             return;
         }
         let set = CandidateSet {
