Core process: rounds of any length leave half of the time to messages and writes

Cause: the pause after a long round was limited to 40 ms from the beginning of the round, and a round was due after 100 ms in any case. So rounds of more than 40 ms followed one another without a pause; heartbeats of the core, commits and agents' reports waited.

Change: an interval of twice the last round's duration at least, up to 500 ms (a process may have stood still in a round).

--- a/crates/cluster-node/src/core/round_schedule.rs
+++ b/crates/cluster-node/src/core/round_schedule.rs
@@ -5,11 +5,16 @@
 
 /// The shortest time between two rounds, in milliseconds.
 const MIN_ROUND_INTERVAL_MS: u64 = 5;
-/// Rounds take at most one part in this many of the time. After a long round the next one waits, so that messages are
-/// handled and synced writes are acknowledged in between.
+/// Rounds take at most one part in this many of the time, up to the limit below. After a long round the next one waits,
+/// so that messages are handled and synced writes are acknowledged in between.
 const ROUND_TIME_DIVISOR: u64 = 4;
-/// Limit on the interval that follows from the duration of a round, in milliseconds.
+/// Limit on the interval that follows from this part, in milliseconds.
 const MAX_PACED_INTERVAL_MS: u64 = 40;
+/// Longer rounds take at most one part in this many of the time, up to the limit below: a process that does nothing else
+/// is lost to the others.
+const LONG_ROUND_TIME_DIVISOR: u64 = 2;
+/// Limit on the interval that follows from that part, in milliseconds. The process may have stood still in a round.
+const MAX_LONG_INTERVAL_MS: u64 = 500;
 /// The longest time between two rounds, in milliseconds.
 const MAX_ROUND_INTERVAL_MS: u64 = 100;
 /// Interval between two summaries of the services in the log, in milliseconds.
@@ -40,8 +45,10 @@
     /// The shortest time from the last round to the next one, in milliseconds.
     fn interval_ms(&self) -> u64 {
         let took_us = u64::try_from(self.last_duration.as_micros()).unwrap_or(u64::MAX);
-        let paced_ms = took_us.saturating_mul(ROUND_TIME_DIVISOR) / 1_000;
-        paced_ms.clamp(MIN_ROUND_INTERVAL_MS, MAX_PACED_INTERVAL_MS)
+        let part_ms = |divisor| took_us.saturating_mul(divisor) / 1_000;
+        part_ms(ROUND_TIME_DIVISOR)
+            .clamp(MIN_ROUND_INTERVAL_MS, MAX_PACED_INTERVAL_MS)
+            .max(part_ms(LONG_ROUND_TIME_DIVISOR).min(MAX_LONG_INTERVAL_MS))
     }
 
     /// Requests a round.
@@ -59,8 +66,9 @@
     /// Begins a round if one is due. Returns whether it was.
     pub fn begin_if_due(&mut self, now: Millis) -> bool {
         let waited_ms = now.since(self.last_round_at);
-        let is_due = waited_ms >= MAX_ROUND_INTERVAL_MS
-            || (self.is_requested && waited_ms >= self.interval_ms());
+        let interval_ms = self.interval_ms();
+        let is_due =
+            waited_ms >= interval_ms && (self.is_requested || waited_ms >= MAX_ROUND_INTERVAL_MS);
         if is_due {
             self.last_round_at = now;
             self.is_requested = false;
