--- a/crates/cluster-node/tests/idle_sessions.rs
+++ b/crates/cluster-node/tests/idle_sessions.rs
@@ -163,11 +163,11 @@
             let effects = self.agent.on_frame(address(1), frame, now);
             self.carry_out(effects);
         }
-        if now.0 % HEARTBEAT_MS == 0 {
+        if now.0.is_multiple_of(HEARTBEAT_MS) {
             let effects = self.agent.on_heartbeat(heartbeat(now.0), (), now);
             self.carry_out(effects);
         }
-        if now.0 % TICK_MS == 0 {
+        if now.0.is_multiple_of(TICK_MS) {
             let effects = self.agent.on_tick(&LiveTable::default(), now);
             self.carry_out(effects);
         }
@@ -183,7 +183,7 @@
         for (_, message) in due {
             self.owner.receive(address(9), 1, message, now);
         }
-        if now.0 % ROUND_MS == 0 {
+        if now.0.is_multiple_of(ROUND_MS) {
             let authority_until = now.plus(1_000);
             let round = self
                 .owner
