Scheduler: a job with nothing running does not wait for its data beyond 1.5 s

Cause: a task waits for a server near its data while a forecast says that it would end sooner there, the further time counted twice. With a factor of 1.5 it waits for up to its own duration, with 3 for four times that, and each round forecasts anew, without the other tasks that wait for the same servers. So a job may have nothing running for 3 s and more with room for it on most servers.

Change: a job of which nothing runs, and whose step has been ready for 1.5 s, takes the best server that has room now; a gang starts where it can now; a task in the queue of a server that has no room leaves it for any that has. A server on which the task has failed is still waited past. Work of jobs that run waits for its data as before.

Measured: two tests failed before (no run after 3 s with three of four, and four of six, servers empty), a third guards the queue.

--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -47,11 +47,19 @@
         if !self.planner.may_reserve() && !self.might_start_now(count) {
             return;
         }
+        let (now, must_start) = (
+            self.planner.now,
+            self.planner.must_start_anywhere(self.demand),
+        );
+        let has_to_wait = |forecast: &Forecast| must_start && forecast.starts_at > now;
         let soonest = self
             .candidate_sets()
             .iter()
             .filter_map(|set| self.planner.forecast(self.demand, set, count))
-            .min_by_key(|forecast| (forecast.done_at, forecast.allocations.len()));
+            .min_by_key(|forecast| {
+                let allocations = forecast.allocations.len();
+                (has_to_wait(forecast), forecast.done_at, allocations)
+            });
         match soonest {
             Some(forecast) if forecast.starts_at <= self.planner.now => self.start(&forecast),
             Some(forecast) => self.planner.reserve(self.demand, &forecast),
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -25,6 +25,9 @@
 /// stays unplaced.
 const MAX_QUEUE_WAIT_MS: u64 = 2_000;
 
+/// A job with nothing running waits for better servers for this long at most, in milliseconds.
+pub(crate) const MAX_IDLE_WAIT_MS: u64 = 1_500;
+
 /// A set of candidates on which work may be placed.
 #[derive(Clone, Debug)]
 pub(crate) struct CandidateSet {
@@ -202,6 +205,13 @@
         (starts_at.since(self.now) <= MAX_QUEUE_WAIT_MS).then_some(starts_at)
     }
 
+    /// Whether nothing of the job runs although a step of it has been ready for so long that the work
+    /// has to start on any server that has room.
+    pub(crate) fn must_start_anywhere(&self, demand: &Demand<'_>) -> bool {
+        let waited_ms = self.now.since(demand.ready.since);
+        waited_ms >= MAX_IDLE_WAIT_MS && self.runs.is_idle(demand.id)
+    }
+
     /// Whether further demands may reserve capacity.
     pub(crate) fn may_reserve(&self) -> bool {
         self.reservations < self.settings.max_reservations
--- a/crates/scheduler/src/placement/requeue.rs
+++ b/crates/scheduler/src/placement/requeue.rs
@@ -1,9 +1,11 @@
 //! Withdraws queued tasks that should be placed on another server.
 
 use crate::placement::candidate::Candidate;
+use crate::placement::planner::MAX_IDLE_WAIT_MS;
 use crate::placement::queued_totals::QueuedTotals;
 use crate::queues::task_queues::{QueuedTask, TaskQueues};
 use crate::resources::{component_max, fits};
+use crate::runs::table::RunTable;
 use lupinrack_cluster_api::identity::TaskId;
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::time::Millis;
@@ -17,15 +19,17 @@
 pub(crate) fn withdraw_misplaced(
     queues: &mut TaskQueues,
     candidates: &mut [Candidate],
+    runs: &RunTable,
     now: Millis,
 ) {
     let mut search = BetterServerSearch {
         candidates,
+        runs,
         max_free: BTreeMap::new(),
     };
     let misplaced: Vec<TaskId> = queues
         .iter()
-        .filter(|(_, queued)| search.is_misplaced(queued, now))
+        .filter(|(task, queued)| search.is_misplaced(**task, queued, now))
         .map(|(task, _)| *task)
         .collect();
     if misplaced.is_empty() {
@@ -43,39 +47,48 @@
 struct BetterServerSearch<'a> {
     /// Sorted by server identity, for binary search.
     candidates: &'a [Candidate],
+    runs: &'a RunTable,
     /// For each priority, the maximum over all candidates of the free amount of each resource. A
     /// task whose needs exceed these amounts fits on no candidate.
     max_free: BTreeMap<u32, Resources>,
 }
 
 impl BetterServerSearch<'_> {
-    fn is_misplaced(&mut self, queued: &QueuedTask, now: Millis) -> bool {
+    fn is_misplaced(&mut self, task: TaskId, queued: &QueuedTask, now: Millis) -> bool {
         let current = self
             .candidates
             .binary_search_by(|candidate| candidate.server.cmp(&queued.server));
         let Ok(current) = current else {
             return true;
         };
-        now.since(queued.since) > MAX_QUEUED_MS
+        let queued_ms = now.since(queued.since);
+        let must_start_anywhere = queued_ms >= MAX_IDLE_WAIT_MS && self.runs.is_idle(task.job);
+        queued_ms > MAX_QUEUED_MS
             || self.candidates[current].suspected
-            || self.fits_on_another(queued, current)
+            || self.fits_on_another(queued, current, must_start_anywhere)
     }
 
     /// Whether a task does not fit on its server now but fits on another candidate that is at least
-    /// as near to the task's data.
-    fn fits_on_another(&mut self, queued: &QueuedTask, current: usize) -> bool {
+    /// as near to the task's data, or on any other one if it must start anywhere.
+    fn fits_on_another(
+        &mut self,
+        queued: &QueuedTask,
+        current: usize,
+        must_start_anywhere: bool,
+    ) -> bool {
         let (priority, needs) = (queued.profile.priority, queued.profile.needs);
         if fits(&needs, &self.candidates[current].free) || !self.may_fit_anywhere(priority, &needs)
         {
             return false;
         }
         let is_local = self.candidates[current].has_label(&queued.affinity);
+        let any_distance = must_start_anywhere || !is_local;
         let mut others = self.candidates.iter().enumerate();
         others.any(|(index, other)| {
             index != current
                 && !other.suspected
                 && fits(&needs, &other.free_for(priority))
-                && (!is_local || other.has_label(&queued.affinity))
+                && (any_distance || other.has_label(&queued.affinity))
         })
     }
 
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -111,7 +111,10 @@
             Some(immediate) if immediate.rounded_factor() == best_factor => {
                 Some(immediate.candidate)
             }
-            Some(immediate) if !self.should_wait(&best, best_factor, immediate.duration_factor) => {
+            Some(immediate)
+                if self.must_start_on(task, immediate)
+                    || !self.should_wait(&best, best_factor, immediate.duration_factor) =>
+            {
                 Some(immediate.candidate)
             }
             _ => self.shortest_queue(&best),
@@ -185,6 +188,14 @@
             && planner.headroom.allows(priority, needs, 1)
     }
 
+    /// Whether a task must not wait for a better candidate than this one, since nothing of its job
+    /// runs. It may still wait if it has failed here.
+    fn must_start_on(&self, task: TaskId, choice: Choice) -> bool {
+        let planner = &*self.planner;
+        let server = &planner.candidates[choice.candidate].server;
+        planner.must_start_anywhere(self.demand) && !planner.faults.has_faulted(task, server)
+    }
+
     /// Whether waiting for one of the best candidates is better than starting now on a candidate
     /// with the duration factor `immediate_factor`. Slower work also blocks capacity for longer,
     /// which delays other work, so the additional time counts twice.
--- a/crates/scheduler/src/runs/table.rs
+++ b/crates/scheduler/src/runs/table.rs
@@ -148,6 +148,11 @@
             .map(|(_, run)| run)
     }
 
+    /// Whether a job has no run that has not ended.
+    pub(crate) fn is_idle(&self, job: JobId) -> bool {
+        self.of_job(job).all(|run| run.ended)
+    }
+
     /// The runs of the step and occurrence of this task.
     pub(crate) fn of_step(&self, task: TaskId) -> impl Iterator<Item = &Run> {
         let first = TaskId { index: 0, ..task };
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -404,7 +404,7 @@
     ) -> Vec<Candidate> {
         let mut candidates = candidates(&self.overview(now));
         if self.settings.policy.requeues {
-            withdraw_misplaced(&mut self.queues, &mut candidates, now);
+            withdraw_misplaced(&mut self.queues, &mut candidates, &self.tracker.runs, now);
         }
         let History {
             durations, faults, ..
--- a/crates/scheduler/tests/decisions/placement.rs
+++ b/crates/scheduler/tests/decisions/placement.rs
@@ -253,3 +253,85 @@
     bench.run_for(500);
     assert_eq!(bench.machines_running(7).len(), 5);
 }
+
+#[test]
+fn a_job_with_nothing_running_starts_within_three_seconds_while_most_servers_are_free() {
+    let mut bench = servers(&[&["a", "r1"], &["a", "r2"], &["a", "r2"], &["a", "r2"]]);
+    bench.accept_steps(
+        1,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            ..step(1, 16_000, 8_000)
+        }],
+    );
+    bench.run_for(200);
+    assert_eq!(bench.machines_running(1), vec![1]);
+    bench.accept_steps(
+        7,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            ..step(1, 1_000, 10_000)
+        }],
+    );
+    bench.run_for(3_000);
+    assert_eq!(bench.machines_running(7).len(), 1);
+}
+
+#[test]
+fn a_gang_with_nothing_running_starts_within_three_seconds_while_most_servers_are_free() {
+    let mut bench = servers(&[
+        &["a", "r1"],
+        &["a", "r1"],
+        &["a", "r2"],
+        &["a", "r2"],
+        &["a", "r2"],
+        &["a", "r2"],
+    ]);
+    bench.accept_steps(
+        1,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            ..step(2, 16_000, 8_000)
+        }],
+    );
+    bench.run_for(200);
+    bench.accept_steps(
+        7,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            gang: true,
+            ..step(2, 10_000, 20_000)
+        }],
+    );
+    bench.run_for(3_000);
+    assert_eq!(bench.machines_running(7).len(), 2);
+}
+
+#[test]
+fn a_task_in_the_queue_of_its_data_server_leaves_it_when_its_job_has_nothing_running() {
+    let mut bench = servers(&[&["a", "r1"], &["a", "r2"], &["a", "r2"], &["a", "r2"]]);
+    bench.accept_steps(
+        1,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            ..step(1, 16_000, 1_800)
+        }],
+    );
+    bench.run_for(200);
+    bench.accept_steps(
+        7,
+        0,
+        vec![Step {
+            affinity: "r1".to_owned(),
+            ..step(1, 1_000, 10_000)
+        }],
+    );
+    // The run on the data server takes far longer than its client expected.
+    bench.run_for(3_000);
+    assert_eq!(bench.machines_running(7).len(), 1);
+}
