Tests, failing: jobs wait with nothing running beside servers that are sound and empty

Suspected servers are no candidates while one that could ever run the task is not suspected; gangs leave out servers that were slow or on which a member failed, while the others would hold them if empty. Neither ends while the others are full of lasting tasks.

Change: the simulation of the scheduler knows the sentence (IdleJobs of the testkit): for 3 s a job has nothing running while the turn of a task has come, there is room for it twice, and less than half of each resource is in use.

--- a/crates/scheduler-testkit/src/lib.rs
+++ b/crates/scheduler-testkit/src/lib.rs
@@ -15,6 +15,7 @@
 mod expected_job;
 mod gangs;
 mod heartbeat_response;
+mod idle_jobs;
 mod model_server;
 mod observed_start;
 mod oracle;
@@ -28,6 +29,7 @@
 
 pub use expected_job::ExpectedJob;
 pub use heartbeat_response::{HeartbeatResponse, StartCommand};
+pub use idle_jobs::{IdleJobs, MAX_IDLE_MS};
 pub use model_server::{
     ModelServer, OutdatedResponses, ServerBehavior, ServerSettings, RESPONSE_TIMEOUT_MS,
 };
--- a/crates/scheduler-testkit/src/violation.rs
+++ b/crates/scheduler-testkit/src/violation.rs
@@ -27,6 +27,8 @@
     PartialSuccess,
     /// An accepted job ends, and its final state agrees with the ends of its tasks.
     JobOutcome,
+    /// A job does not wait with nothing running while servers have room for it.
+    IdleJob,
     /// The configuration is the one of the last acknowledged change.
     Configuration,
 }
@@ -45,7 +47,7 @@
             Rule::Drain => "DRAIN",
             Rule::Gang => "GANG",
             Rule::PartialSuccess => "MIXED",
-            Rule::JobOutcome => "LOST",
+            Rule::JobOutcome | Rule::IdleJob => "LOST",
             Rule::Configuration => "CONFIG",
         }
     }
--- a/crates/scheduler/tests/simulation/main.rs
+++ b/crates/scheduler/tests/simulation/main.rs
@@ -2,6 +2,7 @@
 //! behind a network with delays, replicated state that applies operations, and random faults. The seed determines a day.
 
 mod day;
+mod idle_jobs;
 mod model_agent;
 mod world;
 
--- a/crates/scheduler/tests/simulation/world.rs
+++ b/crates/scheduler/tests/simulation/world.rs
@@ -16,8 +16,8 @@
 use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings};
 use lupinrack_scheduler_testkit::{
     generate_job, DrainRule, ExpectedJob, FarmSettings, GangRule, GeneratedJob, HeartbeatResponse,
-    Oracle, OracleRules, OutdatedResponses, Rule, ServerBehavior, ServerFarm, ServerSettings,
-    Speculation, StepContext, TimeBounds, QUEUES,
+    IdleJobs, Oracle, OracleRules, OutdatedResponses, Rule, ServerBehavior, ServerFarm,
+    ServerSettings, Speculation, StepContext, TimeBounds, QUEUES,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -115,6 +115,11 @@
     pub owners: Vec<Owner>,
     pub state: ControlState,
     pub oracle: Oracle,
+    /// Whether clients cancel jobs whose tasks run until then.
+    pub cancels_long_running: bool,
+    /// Until when faults suspend the check for idle jobs.
+    pub disturbed_until: u64,
+    idle_jobs: IdleJobs,
     events: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     last_connection: u64,
@@ -194,6 +199,9 @@
             owners: Vec::new(),
             state: ControlState::default(),
             oracle: Oracle::new(ORACLE_RULES),
+            cancels_long_running: true,
+            disturbed_until: u64::MAX,
+            idle_jobs: IdleJobs::default(),
             events: BTreeMap::new(),
             sequence: 0,
             last_connection: 0,
@@ -356,7 +364,8 @@
     fn submit(&mut self, job: GeneratedJob) {
         self.last_job += 1;
         let id = JobId(self.last_job);
-        let cancelled = job.expected.is_long_running() || self.rng.u32(0..20) == 0;
+        let is_long_running = job.expected.is_long_running();
+        let cancelled = (is_long_running && self.cancels_long_running) || self.rng.u32(0..20) == 0;
         if cancelled {
             let delay = self.rng.u64(200..9_000);
             self.send(delay, Event::Cancel(id));
@@ -417,9 +426,21 @@
         self.send_heartbeats();
         if self.now.is_multiple_of(ROUND_INTERVAL_MS) {
             self.run_rounds();
+            self.check_idle_jobs();
         }
     }
 
+    fn check_idle_jobs(&mut self) {
+        if self.now < self.disturbed_until {
+            self.idle_jobs.reset();
+            return;
+        }
+        let open = self.open_jobs().into_iter().map(|(job, _)| job);
+        let times = (self.now, self.wall_ms());
+        self.idle_jobs
+            .observe(open, &self.farm, &mut self.oracle, times);
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::Heartbeat { machine, heartbeat } => self.receive_heartbeat(machine, heartbeat),
