Scheduler: preferences among servers end for a job with nothing running

Cause: placement left servers out for what had happened on them before, without a bound. A suspected server was no candidate while any that could ever hold the task was not suspected, full or not; only single tasks may clear a suspicion, one at a time, so with gangs alone it lasted 30 s. A gang was not placed on servers that count as slow or on which a member had failed or stalled, while the others would have held it if empty. Lasting tasks keep the others full for good. The limit of 1.5 s covered distance to data alone, was reset by each start, and did not reach steps of a class that another step had found exhausted. Class: a preference that is applied as an exclusion.

Change: the time for which a job has had nothing running is kept (IdleTimes); after 1.5 s its work starts wherever there is room, suspected servers last: those whose newest fault is 1 s old, or 4 s while half of the capacity or more is in use, so that a server that still fails its runs gets few of them. Gangs first look where they did before. While less than half of the capacity is in use such a gang uses reserved capacity too. Long-running tasks wait for 1.5 s since they are ready.

--- a/crates/scheduler/src/history/faults.rs
+++ b/crates/scheduler/src/history/faults.rs
@@ -75,6 +75,12 @@
             .collect()
     }
 
+    /// The time since the newest fault on a server, in milliseconds; `None` if it has none.
+    pub(crate) fn since_last_fault_ms(&self, server: &ServerId, now: Millis) -> Option<u64> {
+        let newest = self.servers.get(server)?.jobs.values().max()?;
+        Some(now.since(*newest))
+    }
+
     /// Whether a suspected server may run a probation task now. `interval_ms` is the time between
     /// the first two probation tasks.
     pub(crate) fn is_probation_due(
--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -1,5 +1,6 @@
 //! The open jobs of the service: which of their tasks are ready to start, and how urgent they are.
 
+pub(crate) mod idle_times;
 pub(crate) mod open_jobs;
 pub(crate) mod plan;
 pub(crate) mod rank;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -19,3 +19,4 @@
 pub(crate) mod requeue;
 pub(crate) mod reservation;
 pub(crate) mod single;
+pub(crate) mod usage;
--- a/crates/scheduler/src/placement/candidate.rs
+++ b/crates/scheduler/src/placement/candidate.rs
@@ -48,6 +48,8 @@
     pub(crate) running: usize,
     /// Whether it is suspected of causing its tasks to fail.
     pub(crate) suspected: bool,
+    /// Whether it takes work that has to start anywhere although it is suspected.
+    pub(crate) is_last_resort: bool,
     /// The ratio of actual to expected duration of work on this server; 1 unless the server counts
     /// as slow.
     pub(crate) slowdown: f64,
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -47,24 +47,44 @@
         if !self.planner.may_reserve() && !self.might_start_now(count) {
             return;
         }
-        let (now, must_start) = (
-            self.planner.now,
-            self.planner.must_start_anywhere(self.demand),
-        );
+        match self.best_forecast() {
+            Some(forecast) if forecast.starts_at <= self.planner.now => self.start(&forecast),
+            Some(forecast) => self.planner.reserve(self.demand, &forecast),
+            None => {}
+        }
+    }
+
+    /// Where the gang should run. One that has to start anywhere uses unreliable candidates if it can
+    /// start there now and nowhere else.
+    fn best_forecast(&self) -> Option<Forecast> {
+        let now = self.planner.now;
+        let starts_now = |forecast: &Forecast| forecast.starts_at <= now;
+        let preferred = self.soonest(self.preferred());
+        if preferred.as_ref().is_some_and(starts_now) || !self.must_start_anywhere() {
+            return preferred;
+        }
+        self.soonest(self.planner.eligible(self.demand))
+            .filter(starts_now)
+            .or(preferred)
+    }
+
+    fn must_start_anywhere(&self) -> bool {
+        self.planner.must_start_anywhere(self.demand)
+    }
+
+    /// Where the gang would finish first on these candidates. One that has to start anywhere prefers
+    /// to start now.
+    fn soonest(&self, candidates: Vec<usize>) -> Option<Forecast> {
+        let (now, must_start) = (self.planner.now, self.must_start_anywhere());
         let has_to_wait = |forecast: &Forecast| must_start && forecast.starts_at > now;
-        let soonest = self
-            .candidate_sets()
+        let count = self.tasks.len() as u64;
+        self.candidate_sets(candidates)
             .iter()
             .filter_map(|set| self.planner.forecast(self.demand, set, count))
             .min_by_key(|forecast| {
                 let allocations = forecast.allocations.len();
                 (has_to_wait(forecast), forecast.done_at, allocations)
-            });
-        match soonest {
-            Some(forecast) if forecast.starts_at <= self.planner.now => self.start(&forecast),
-            Some(forecast) => self.planner.reserve(self.demand, &forecast),
-            None => {}
-        }
+            })
     }
 
     /// Whether all candidates together have free capacity for the gang. A cheap check that does not
@@ -80,15 +100,14 @@
         fitting >= count
     }
 
-    /// The sets of candidates on which the gang could run. A gang that prefers one rack may use
+    /// The sets of these candidates on which the gang could run. A gang that prefers one rack may use
     /// each rack or all racks together; other gangs may use the candidates near their data or all
     /// candidates.
-    fn candidate_sets(&self) -> Vec<CandidateSet> {
-        let reliable = self.reliable();
+    fn candidate_sets(&self, candidates: Vec<usize>) -> Vec<CandidateSet> {
         let mut sets = if self.demand.step.same_rack {
-            self.sets_by_rack(reliable)
+            self.sets_by_rack(candidates)
         } else {
-            self.sets_by_distance(reliable)
+            self.sets_by_distance(candidates)
         };
         for set in &mut sets {
             if !self.is_local(&set.members) {
@@ -147,9 +166,9 @@
             .all(|index| self.planner.candidates[*index].has_label(&self.demand.step.affinity))
     }
 
-    /// The eligible candidates that are not slow and on which no member has failed or stalled, if
-    /// the gang fits on them. Otherwise all eligible candidates.
-    fn reliable(&self) -> Vec<usize> {
+    /// The eligible candidates that are neither suspected nor slow and on which no member has failed
+    /// or stalled, if the gang would fit on them without other work. Otherwise all eligible candidates.
+    fn preferred(&self) -> Vec<usize> {
         let eligible = self.planner.eligible(self.demand);
         let reliable: Vec<usize> = eligible
             .iter()
--- a/crates/scheduler/src/placement/pass.rs
+++ b/crates/scheduler/src/placement/pass.rs
@@ -17,10 +17,12 @@
     requires: &'a str,
     affinity: &'a str,
     priority: u32,
+    /// Work that has to start anywhere finds capacity where other work does not look.
+    must_start_anywhere: bool,
 }
 
 impl<'a> EquivalenceClass<'a> {
-    fn of(demand: &Demand<'a>) -> EquivalenceClass<'a> {
+    fn of(planner: &Planner<'_>, demand: &Demand<'a>) -> EquivalenceClass<'a> {
         let needs = demand.step.needs;
         EquivalenceClass {
             cpu: needs.cpu,
@@ -29,6 +31,7 @@
             requires: &demand.step.requires,
             affinity: &demand.step.affinity,
             priority: demand.job.priority,
+            must_start_anywhere: planner.must_start_anywhere(demand),
         }
     }
 }
@@ -42,7 +45,7 @@
             GangPlacement::new(planner, demand).run();
             continue;
         }
-        let class = EquivalenceClass::of(demand);
+        let class = EquivalenceClass::of(planner, demand);
         if exhausted.contains(&class) {
             continue;
         }
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -2,6 +2,7 @@
 
 use crate::estimator::Estimator;
 use crate::history::faults::FaultHistory;
+use crate::jobs::idle_times::IdleTimes;
 use crate::placement::candidate::{Candidate, FreedCapacity};
 use crate::placement::demand::Demand;
 use crate::placement::earliest_fit::{
@@ -69,6 +70,9 @@
     pub(crate) runs: &'a mut RunTable,
     pub(crate) queues: &'a mut TaskQueues,
     pub(crate) faults: &'a mut FaultHistory,
+    pub(crate) idle_times: &'a IdleTimes,
+    /// Whether less than half of all capacity was in use when the pass began.
+    pub(crate) is_under_half_used: bool,
     /// The starts that the pass has decided. The starts of one gang form one group.
     pub(crate) starts: Vec<Vec<StartRecord>>,
     /// The number of demands that have reserved capacity.
@@ -152,7 +156,8 @@
     }
 
     /// The candidates that have the labels and the total capacity for tasks of this step. Includes
-    /// suspected servers only if all of these candidates are suspected.
+    /// suspected servers only if all of these candidates are suspected, or as the last resort of work
+    /// that has to start anywhere.
     pub(crate) fn eligible(&self, demand: &Demand<'_>) -> Vec<usize> {
         let step = demand.step;
         let capable: Vec<usize> = (0..)
@@ -162,15 +167,16 @@
             })
             .map(|(index, _)| index)
             .collect();
-        let trusted: Vec<usize> = capable
-            .iter()
-            .copied()
-            .filter(|index| !self.candidates[*index].suspected)
-            .collect();
-        if trusted.is_empty() {
+        let must_start = self.must_start_anywhere(demand);
+        let is_usable = |index: &usize| {
+            let candidate = &self.candidates[*index];
+            !candidate.suspected || (must_start && candidate.is_last_resort)
+        };
+        let usable: Vec<usize> = capable.iter().copied().filter(is_usable).collect();
+        if usable.is_empty() {
             capable
         } else {
-            trusted
+            usable
         }
     }
 
@@ -205,11 +211,15 @@
         (starts_at.since(self.now) <= MAX_QUEUE_WAIT_MS).then_some(starts_at)
     }
 
-    /// Whether nothing of the job runs although a step of it has been ready for so long that the work
-    /// has to start on any server that has room.
+    /// Whether the job has had nothing running, or a long-running step waiting tasks, for so long that
+    /// the work has to start on any server that has room. Preferences among servers no longer count.
     pub(crate) fn must_start_anywhere(&self, demand: &Demand<'_>) -> bool {
-        let waited_ms = self.now.since(demand.ready.since);
-        waited_ms >= MAX_IDLE_WAIT_MS && self.runs.is_idle(demand.id)
+        let waited_ms = if demand.step.long_running {
+            self.now.since(demand.ready.since)
+        } else {
+            self.idle_times.idle_ms(demand.id, self.now)
+        };
+        waited_ms >= MAX_IDLE_WAIT_MS
     }
 
     /// Whether further demands may reserve capacity.
@@ -234,13 +244,17 @@
         u64::from(demand.step.anti_affinity).saturating_sub((running + queued) as u64)
     }
 
-    /// Whether a candidate is not slow, and no waiting task of the demand has failed or stalled on it.
+    /// Whether a candidate is neither suspected nor slow, and no waiting task of the demand has failed
+    /// or stalled on it.
     pub(crate) fn is_reliable_for(&self, demand: &Demand<'_>, candidate: usize) -> bool {
         let candidate = &self.candidates[candidate];
+        if candidate.suspected || candidate.slowdown > 1.0 {
+            return false;
+        }
         let has_faulted = demand
             .tasks()
             .any(|task| self.faults.has_faulted(task, &candidate.server));
-        !has_faulted && candidate.slowdown <= 1.0
+        !has_faulted
     }
 
     /// Reserves capacity for work until its expected start, unless the limit on reservations is
@@ -289,8 +303,12 @@
         self.runs.insert(Run::proposed(start, profile, self.now));
     }
 
-    /// Whether these tasks may start now without using capacity that is kept for other work.
+    /// Whether these tasks may start now without using capacity that is kept for other work, or
+    /// although it is kept, since the job has been idle for too long in a service that is mostly free.
     fn admits_all(&self, demand: &Demand<'_>, allocations: &[Allocation], ends_at: Millis) -> bool {
+        if self.is_under_half_used && self.must_start_anywhere(demand) {
+            return true;
+        }
         let (priority, needs) = (demand.job.priority, &demand.step.needs);
         let count = allocations.iter().map(|allocation| allocation.count).sum();
         let admits = |allocation: &Allocation| {
--- a/crates/scheduler/src/placement/requeue.rs
+++ b/crates/scheduler/src/placement/requeue.rs
@@ -1,11 +1,11 @@
 //! Withdraws queued tasks that should be placed on another server.
 
+use crate::jobs::idle_times::IdleTimes;
 use crate::placement::candidate::Candidate;
 use crate::placement::planner::MAX_IDLE_WAIT_MS;
 use crate::placement::queued_totals::QueuedTotals;
 use crate::queues::task_queues::{QueuedTask, TaskQueues};
 use crate::resources::{component_max, fits};
-use crate::runs::table::RunTable;
 use lupinrack_cluster_api::identity::TaskId;
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::time::Millis;
@@ -19,12 +19,12 @@
 pub(crate) fn withdraw_misplaced(
     queues: &mut TaskQueues,
     candidates: &mut [Candidate],
-    runs: &RunTable,
+    idle_times: &IdleTimes,
     now: Millis,
 ) {
     let mut search = BetterServerSearch {
         candidates,
-        runs,
+        idle_times,
         max_free: BTreeMap::new(),
     };
     let misplaced: Vec<TaskId> = queues
@@ -47,7 +47,7 @@
 struct BetterServerSearch<'a> {
     /// Sorted by server identity, for binary search.
     candidates: &'a [Candidate],
-    runs: &'a RunTable,
+    idle_times: &'a IdleTimes,
     /// For each priority, the maximum over all candidates of the free amount of each resource. A
     /// task whose needs exceed these amounts fits on no candidate.
     max_free: BTreeMap<u32, Resources>,
@@ -61,9 +61,8 @@
         let Ok(current) = current else {
             return true;
         };
-        let queued_ms = now.since(queued.since);
-        let must_start_anywhere = queued_ms >= MAX_IDLE_WAIT_MS && self.runs.is_idle(task.job);
-        queued_ms > MAX_QUEUED_MS
+        let must_start_anywhere = self.idle_times.idle_ms(task.job, now) >= MAX_IDLE_WAIT_MS;
+        now.since(queued.since) > MAX_QUEUED_MS
             || self.candidates[current].suspected
             || self.fits_on_another(queued, current, must_start_anywhere)
     }
@@ -86,7 +85,7 @@
         let mut others = self.candidates.iter().enumerate();
         others.any(|(index, other)| {
             index != current
-                && !other.suspected
+                && (!other.suspected || (must_start_anywhere && other.is_last_resort))
                 && fits(&needs, &other.free_for(priority))
                 && (any_distance || other.has_label(&queued.affinity))
         })
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -10,6 +10,9 @@
 
 /// The factor on the expected duration of a task on a server where it has failed or stalled.
 const FAULT_DURATION_FACTOR: f64 = 4.0;
+/// The factor on the expected duration of a task on a suspected server that it may use as the last
+/// resort.
+const LAST_RESORT_DURATION_FACTOR: f64 = 8.0;
 /// Duration factors are compared after rounding to multiples of 1 / this value.
 const FACTOR_STEPS_PER_UNIT: f64 = 4.0;
 
@@ -47,10 +50,16 @@
             .into_iter()
             .map(|index| {
                 let candidate = &planner.candidates[index];
+                let suspicion_factor = if candidate.is_last_resort {
+                    LAST_RESORT_DURATION_FACTOR
+                } else {
+                    1.0
+                };
                 Choice {
                     candidate: index,
                     duration_factor: distance_factor(planner, demand, candidate)
-                        * candidate.slowdown,
+                        * candidate.slowdown
+                        * suspicion_factor,
                 }
             })
             .collect();
@@ -188,12 +197,13 @@
             && planner.headroom.allows(priority, needs, 1)
     }
 
-    /// Whether a task must not wait for a better candidate than this one, since nothing of its job
-    /// runs. It may still wait if it has failed here.
+    /// Whether a task must not wait for a better candidate than this one. If it has failed here, it
+    /// does not wait either unless load keeps it waiting.
     fn must_start_on(&self, task: TaskId, choice: Choice) -> bool {
         let planner = &*self.planner;
         let server = &planner.candidates[choice.candidate].server;
-        planner.must_start_anywhere(self.demand) && !planner.faults.has_faulted(task, server)
+        planner.must_start_anywhere(self.demand)
+            && (planner.is_under_half_used || !planner.faults.has_faulted(task, server))
     }
 
     /// Whether waiting for one of the best candidates is better than starting now on a candidate
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -7,6 +7,7 @@
 use crate::history::History;
 use crate::incarnations::Incarnations;
 use crate::inferred_end::InferredEndReason;
+use crate::jobs::idle_times::IdleTimes;
 use crate::jobs::open_jobs::{JobsRefresh, OpenJobs};
 use crate::orders::OrderWriter;
 use crate::overview::Overview;
@@ -17,6 +18,7 @@
 use crate::placement::pass;
 use crate::placement::planner::Planner;
 use crate::placement::requeue::withdraw_misplaced;
+use crate::placement::usage::is_under_half_used;
 use crate::queues::task_queues::TaskQueues;
 use crate::round::Round;
 use crate::run_id::RunId;
@@ -54,6 +56,7 @@
     servers: ServerTable,
     tracker: RunTracker,
     jobs: OpenJobs,
+    idle_times: IdleTimes,
     queues: TaskQueues,
     history: History,
     urgent_usage: UrgentUsage,
@@ -98,6 +101,7 @@
             servers: ServerTable::default(),
             tracker: RunTracker::new(submissions),
             jobs: OpenJobs::default(),
+            idle_times: IdleTimes::default(),
             queues: TaskQueues::new(settings.dispatch),
             history: History::default(),
             urgent_usage: UrgentUsage::default(),
@@ -371,6 +375,7 @@
         // borrowed mutably below.
         let jobs = std::mem::take(&mut self.jobs);
         let demands = demands(state, &jobs, &self.history.durations, wall);
+        self.idle_times.update(&demands, &self.tracker.runs, now);
         let candidates = if self.needs_placement(&demands) {
             Some(self.place(state, &demands, now))
         } else {
@@ -404,7 +409,7 @@
     ) -> Vec<Candidate> {
         let mut candidates = candidates(&self.overview(now));
         if self.settings.policy.requeues {
-            withdraw_misplaced(&mut self.queues, &mut candidates, &self.tracker.runs, now);
+            withdraw_misplaced(&mut self.queues, &mut candidates, &self.idle_times, now);
         }
         let History {
             durations, faults, ..
@@ -417,11 +422,13 @@
             headroom: self
                 .urgent_usage
                 .headroom(&candidates, self.settings.policy),
+            is_under_half_used: is_under_half_used(&candidates),
             candidates,
             weights: stream_weights(demands),
             runs: &mut self.tracker.runs,
             queues: &mut self.queues,
             faults,
+            idle_times: &self.idle_times,
             starts: Vec::new(),
             reservations: 0,
         };
