Scheduler: a job's last attempt waits until the server that failed it was quiet for 6 s

Cause: the time for which a job may be idle said nothing of how fresh the evidence against the server is, nor of what the job stands to lose.

Change: RetryLimit says when work that has to start anywhere may use a server in spite of faults there: once the newest fault is 1 s old, 4 s while half of the capacity or more is in use, 6 s if the job fails with its next failure. It holds for suspected servers and for faults of the task or gang itself. Long-running tasks have no limit of failures.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -18,5 +18,6 @@
 pub(crate) mod release;
 pub(crate) mod requeue;
 pub(crate) mod reservation;
+pub(crate) mod retry_limit;
 pub(crate) mod single;
 pub(crate) mod usage;
--- a/crates/scheduler/src/placement/candidate.rs
+++ b/crates/scheduler/src/placement/candidate.rs
@@ -48,8 +48,9 @@
     pub(crate) running: usize,
     /// Whether it is suspected of causing its tasks to fail.
     pub(crate) suspected: bool,
-    /// Whether it takes work that has to start anywhere although it is suspected.
-    pub(crate) is_last_resort: bool,
+    /// The time since the newest fault of a run there, in milliseconds; `None` if there is none since
+    /// the last success.
+    pub(crate) since_fault_ms: Option<u64>,
     /// The ratio of actual to expected duration of work on this server; 1 unless the server counts
     /// as slow.
     pub(crate) slowdown: f64,
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -63,11 +63,23 @@
         if preferred.as_ref().is_some_and(starts_now) || !self.must_start_anywhere() {
             return preferred;
         }
-        self.soonest(self.planner.eligible(self.demand))
+        self.soonest(self.last_resort())
             .filter(starts_now)
             .or(preferred)
     }
 
+    /// The eligible candidates without those on which a member failed lately.
+    fn last_resort(&self) -> Vec<usize> {
+        let planner = &*self.planner;
+        let retry_limit = planner.retry_limit(self.demand);
+        let is_allowed = |index: &usize| {
+            retry_limit.allows(planner.candidates[*index].since_fault_ms)
+                || !planner.has_faulted(self.demand, *index)
+        };
+        let eligible = planner.eligible(self.demand);
+        eligible.into_iter().filter(is_allowed).collect()
+    }
+
     fn must_start_anywhere(&self) -> bool {
         self.planner.must_start_anywhere(self.demand)
     }
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -10,8 +10,12 @@
 };
 use crate::placement::headroom::Headroom;
 use crate::placement::reservation::Reservation;
+use crate::placement::retry_limit::{
+    RetryLimit, BUSY_SERVICE_QUIET_MS, FREE_SERVICE_QUIET_MS, LAST_ATTEMPT_QUIET_MS,
+};
 use crate::queues::task_queues::{Charge, TaskQueues};
 use crate::queues::weights::{task_cost, StreamWeights};
+use crate::recorded::task_record;
 use crate::resources::{difference, fits, scaled, sum};
 use crate::runs::profile::RunProfile;
 use crate::runs::run::{Run, RunPhase};
@@ -167,10 +171,10 @@
             })
             .map(|(index, _)| index)
             .collect();
-        let must_start = self.must_start_anywhere(demand);
+        let retry_limit = self.retry_limit(demand);
         let is_usable = |index: &usize| {
             let candidate = &self.candidates[*index];
-            !candidate.suspected || (must_start && candidate.is_last_resort)
+            !candidate.suspected || retry_limit.allows(candidate.since_fault_ms)
         };
         let usable: Vec<usize> = capable.iter().copied().filter(is_usable).collect();
         if usable.is_empty() {
@@ -222,6 +226,23 @@
         waited_ms >= MAX_IDLE_WAIT_MS
     }
 
+    /// When work of the demand may use servers in spite of faults there.
+    pub(crate) fn retry_limit(&self, demand: &Demand<'_>) -> RetryLimit {
+        if !self.must_start_anywhere(demand) {
+            return RetryLimit::Never;
+        }
+        let failed = |task| task_record(demand.job, task).map_or(0, |record| record.failed);
+        let failures = demand.tasks().map(failed).max().unwrap_or(0);
+        let is_last_attempt = failures + 1 >= demand.job.max_retries;
+        RetryLimit::AfterQuiet {
+            ms: match (demand.step.long_running, is_last_attempt) {
+                (false, true) => LAST_ATTEMPT_QUIET_MS,
+                _ if self.is_under_half_used => FREE_SERVICE_QUIET_MS,
+                _ => BUSY_SERVICE_QUIET_MS,
+            },
+        }
+    }
+
     /// Whether further demands may reserve capacity.
     pub(crate) fn may_reserve(&self) -> bool {
         self.reservations < self.settings.max_reservations
@@ -246,15 +267,16 @@
 
     /// Whether a candidate is neither suspected nor slow, and no waiting task of the demand has failed
     /// or stalled on it.
-    pub(crate) fn is_reliable_for(&self, demand: &Demand<'_>, candidate: usize) -> bool {
-        let candidate = &self.candidates[candidate];
-        if candidate.suspected || candidate.slowdown > 1.0 {
-            return false;
-        }
-        let has_faulted = demand
-            .tasks()
-            .any(|task| self.faults.has_faulted(task, &candidate.server));
-        !has_faulted
+    pub(crate) fn is_reliable_for(&self, demand: &Demand<'_>, index: usize) -> bool {
+        let candidate = &self.candidates[index];
+        !candidate.suspected && candidate.slowdown <= 1.0 && !self.has_faulted(demand, index)
+    }
+
+    /// Whether a waiting task of the demand has failed or stalled on a candidate.
+    pub(crate) fn has_faulted(&self, demand: &Demand<'_>, index: usize) -> bool {
+        let server = &self.candidates[index].server;
+        let mut tasks = demand.tasks();
+        tasks.any(|task| self.faults.has_faulted(task, server))
     }
 
     /// Reserves capacity for work until its expected start, unless the limit on reservations is
--- a/crates/scheduler/src/placement/requeue.rs
+++ b/crates/scheduler/src/placement/requeue.rs
@@ -4,6 +4,7 @@
 use crate::placement::candidate::Candidate;
 use crate::placement::planner::MAX_IDLE_WAIT_MS;
 use crate::placement::queued_totals::QueuedTotals;
+use crate::placement::retry_limit::{RetryLimit, LAST_ATTEMPT_QUIET_MS};
 use crate::queues::task_queues::{QueuedTask, TaskQueues};
 use crate::resources::{component_max, fits};
 use lupinrack_cluster_api::identity::TaskId;
@@ -82,10 +83,14 @@
         }
         let is_local = self.candidates[current].has_label(&queued.affinity);
         let any_distance = must_start_anywhere || !is_local;
+        let last_attempt = RetryLimit::AfterQuiet {
+            ms: LAST_ATTEMPT_QUIET_MS,
+        };
         let mut others = self.candidates.iter().enumerate();
         others.any(|(index, other)| {
             index != current
-                && (!other.suspected || (must_start_anywhere && other.is_last_resort))
+                && (!other.suspected
+                    || (must_start_anywhere && last_attempt.allows(other.since_fault_ms)))
                 && fits(&needs, &other.free_for(priority))
                 && (any_distance || other.has_label(&queued.affinity))
         })
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -3,6 +3,7 @@
 use crate::placement::candidate::Candidate;
 use crate::placement::demand::Demand;
 use crate::placement::planner::{CandidateSet, Planner};
+use crate::placement::retry_limit::RetryLimit;
 use crate::queues::task_queues::QueuedTask;
 use crate::recorded::task_record;
 use crate::resources::fits;
@@ -10,9 +11,8 @@
 
 /// The factor on the expected duration of a task on a server where it has failed or stalled.
 const FAULT_DURATION_FACTOR: f64 = 4.0;
-/// The factor on the expected duration of a task on a suspected server that it may use as the last
-/// resort.
-const LAST_RESORT_DURATION_FACTOR: f64 = 8.0;
+/// The factor on the expected duration of a task on a suspected server.
+const SUSPECT_DURATION_FACTOR: f64 = 8.0;
 /// Duration factors are compared after rounding to multiples of 1 / this value.
 const FACTOR_STEPS_PER_UNIT: f64 = 4.0;
 
@@ -50,8 +50,8 @@
             .into_iter()
             .map(|index| {
                 let candidate = &planner.candidates[index];
-                let suspicion_factor = if candidate.is_last_resort {
-                    LAST_RESORT_DURATION_FACTOR
+                let suspicion_factor = if candidate.suspected {
+                    SUSPECT_DURATION_FACTOR
                 } else {
                     1.0
                 };
@@ -198,12 +198,17 @@
     }
 
     /// Whether a task must not wait for a better candidate than this one. If it has failed here, it
-    /// does not wait either unless load keeps it waiting.
+    /// waits until that was some time ago.
     fn must_start_on(&self, task: TaskId, choice: Choice) -> bool {
         let planner = &*self.planner;
-        let server = &planner.candidates[choice.candidate].server;
-        planner.must_start_anywhere(self.demand)
-            && (planner.is_under_half_used || !planner.faults.has_faulted(task, server))
+        let candidate = &planner.candidates[choice.candidate];
+        match planner.retry_limit(self.demand) {
+            RetryLimit::Never => false,
+            limit @ RetryLimit::AfterQuiet { .. } => {
+                limit.allows(candidate.since_fault_ms)
+                    || !planner.faults.has_faulted(task, &candidate.server)
+            }
+        }
     }
 
     /// Whether waiting for one of the best candidates is better than starting now on a candidate
--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod best_fit;
 mod eviction;
 mod inferred_ends;
+mod last_attempts;
 mod late_messages;
 mod leases;
 mod orders;
