Local cluster: the number of processes and the bounds are settings

Change: ClusterShape has the number of processes of each role, tolerated losses and bounds; its default is what lupinrack local starts, with the same addresses and settings files (golden files unchanged). Mock workers can be told how many of their runs fail, and events can be read from an index on. The lock of the gangs is no longer taken for each run of single tasks.

--- a/crates/cluster-local/src/child_process.rs
+++ b/crates/cluster-local/src/child_process.rs
@@ -1,5 +1,6 @@
 //! One child process of the cluster.
 
+use crate::cluster_shape::ClusterShape;
 use crate::error::LocalError;
 use crate::member::Member;
 use crate::ports::Ports;
@@ -16,7 +17,7 @@
 
 /// A process of the cluster; killed when it is dropped.
 #[derive(Debug)]
-pub(crate) struct ChildProcess {
+pub struct ChildProcess {
     member: Member,
     child: Child,
     log: PathBuf,
@@ -28,15 +29,16 @@
     /// # Errors
     ///
     /// [`LocalError::Write`] or [`LocalError::Start`].
-    pub(crate) fn start(
+    pub fn start(
         program: &Path,
+        shape: &ClusterShape,
         member: Member,
         ports: Ports,
         folder: &Path,
         start: StartKind,
     ) -> Result<ChildProcess, LocalError> {
         let settings = folder.join(format!("{member}.conf"));
-        write_files(member, ports, folder, start, &settings).map_err(|source| {
+        write_files(shape, member, ports, folder, start, &settings).map_err(|source| {
             let path = folder.to_owned();
             LocalError::Write { path, source }
         })?;
@@ -49,7 +51,7 @@
     }
 
     /// The member whose process this is.
-    pub(crate) fn member(&self) -> Member {
+    pub fn member(&self) -> Member {
         self.member
     }
 
@@ -58,7 +60,7 @@
     /// # Errors
     ///
     /// [`LocalError::Exited`] if it has exited by itself.
-    pub(crate) fn check_running(&mut self) -> Result<(), LocalError> {
+    pub fn check_running(&mut self) -> Result<(), LocalError> {
         match self.child.try_wait() {
             Ok(None) => Ok(()),
             _ => Err(LocalError::Exited {
@@ -78,6 +80,7 @@
 }
 
 fn write_files(
+    shape: &ClusterShape,
     member: Member,
     ports: Ports,
     folder: &Path,
@@ -85,7 +88,7 @@
     settings: &Path,
 ) -> io::Result<()> {
     fs::create_dir_all(folder.join(member.to_string()))?;
-    fs::write(settings, settings_text(member, ports, folder, start))
+    fs::write(settings, settings_text(shape, member, ports, folder, start))
 }
 
 fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
--- a/crates/cluster-local/src/lib.rs
+++ b/crates/cluster-local/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod child_process;
 mod client;
+mod cluster_shape;
 mod dependency_order;
 mod error;
 mod http_call;
@@ -25,7 +26,9 @@
 mod settings_file;
 mod shared_limits;
 
+pub use child_process::ChildProcess;
 pub use client::JobOutcome;
+pub use cluster_shape::ClusterShape;
 pub use dependency_order::count_early_starts;
 pub use error::{LocalError, Step};
 pub use job_kind::JobKind;
--- a/crates/cluster-local/src/local_cluster.rs
+++ b/crates/cluster-local/src/local_cluster.rs
@@ -1,12 +1,13 @@
 //! The running cluster: its child processes and the mock workers beside the agents.
 
 use crate::child_process::ChildProcess;
+use crate::cluster_shape::ClusterShape;
 use crate::error::{LocalError, Step};
 use crate::member::{Member, Role};
 use crate::operator::SERVICE;
 use crate::ports::Ports;
 use crate::settings_file::StartKind;
-use crate::shared_limits::{GANG_WAIT_MS, HEARTBEAT_INTERVAL_MS, MAX_LEASE_MS, RUN_STOP_MS, ZONE};
+use crate::shared_limits::ZONE;
 use mock_servers::worker::cluster_events::ClusterEvents;
 use mock_servers::worker::heartbeats::{self, HeartbeatSettings};
 use mock_servers::worker::messages::Capacity;
@@ -23,7 +24,7 @@
     gpu: 0,
 };
 /// Number of workers in a rack.
-const WORKERS_PER_RACK: u8 = 2;
+const WORKERS_PER_RACK: u16 = 2;
 /// Interval between two checks whether all runs have ended.
 const RUNS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -32,6 +33,7 @@
 pub(crate) struct LocalCluster {
     program: PathBuf,
     folder: PathBuf,
+    shape: ClusterShape,
     ports: Ports,
     processes: Vec<ChildProcess>,
     worker_events: ClusterEvents,
@@ -46,22 +48,29 @@
     ///
     /// [`LocalError::NoFreePorts`], or an error if a process cannot be started.
     pub(crate) fn start(program: &Path, folder: &Path) -> Result<LocalCluster, LocalError> {
-        let ports = Ports::draw()?;
+        let shape = ClusterShape::default();
+        let ports = Ports::draw(&shape)?;
         let worker_events = ClusterEvents::default();
         let mut cluster = LocalCluster {
             program: program.to_owned(),
             folder: folder.to_owned(),
+            shape,
             ports,
             processes: Vec::new(),
-            _workers: start_workers(ports, &worker_events),
+            _workers: start_workers(&shape, ports, &worker_events),
             worker_events,
         };
-        for member in Member::all() {
+        for member in Member::all(&shape) {
             cluster.start_process(member, StartKind::Bootstrap)?;
         }
         Ok(cluster)
     }
 
+    /// The number of its processes, and their settings.
+    pub(crate) fn shape(&self) -> &ClusterShape {
+        &self.shape
+    }
+
     /// The ports that all processes use.
     pub(crate) fn ports(&self) -> Ports {
         self.ports
@@ -126,29 +135,36 @@
     }
 
     fn start_process(&mut self, member: Member, start: StartKind) -> Result<(), LocalError> {
-        let process = ChildProcess::start(&self.program, member, self.ports, &self.folder, start)?;
+        let process = ChildProcess::start(
+            &self.program,
+            &self.shape,
+            member,
+            self.ports,
+            &self.folder,
+            start,
+        )?;
         self.processes.push(process);
         Ok(())
     }
 }
 
 /// Starts a worker beside each agent.
-fn start_workers(ports: Ports, events: &ClusterEvents) -> JoinSet<()> {
+fn start_workers(shape: &ClusterShape, ports: Ports, events: &ClusterEvents) -> JoinSet<()> {
     let epoch = Instant::now();
     let mut workers = JoinSet::new();
-    for agent in Member::with_role(Role::Agent) {
+    for agent in Member::with_role(Role::Agent, shape) {
         let heartbeats = HeartbeatSettings {
             agent: ports.control_address(agent),
-            interval: Duration::from_millis(HEARTBEAT_INTERVAL_MS),
+            interval: Duration::from_millis(shape.heartbeat_interval_ms),
             epoch,
         };
-        let worker = Worker::new(worker_settings(agent.number), events.clone());
+        let worker = Worker::new(worker_settings(shape, agent.number), events.clone());
         workers.spawn(heartbeats::run(worker, heartbeats));
     }
     workers
 }
 
-fn worker_settings(number: u8) -> WorkerSettings {
+fn worker_settings(shape: &ClusterShape, number: u16) -> WorkerSettings {
     let rack = format!("rack-{}", number / WORKERS_PER_RACK);
     WorkerSettings {
         id: format!("worker-{number}"),
@@ -156,9 +172,9 @@
         zone: ZONE.to_owned(),
         labels: vec!["plain".to_owned(), rack],
         capacity: WORKER_CAPACITY,
-        max_lease_ms: MAX_LEASE_MS,
+        max_lease_ms: shape.max_lease_ms,
         // Half the limit, so that the stop of a run is reported well within it.
-        stop_duration_ms: RUN_STOP_MS / 2,
-        gang_timeout_ms: GANG_WAIT_MS,
+        stop_duration_ms: shape.run_stop_ms / 2,
+        gang_timeout_ms: shape.gang_wait_ms,
     }
 }
--- a/crates/cluster-local/src/member.rs
+++ b/crates/cluster-local/src/member.rs
@@ -1,7 +1,9 @@
 //! The processes of the cluster and their loopback addresses, each of which represents a machine.
 
+use crate::cluster_shape::ClusterShape;
 use std::fmt;
 use std::net::Ipv4Addr;
+use std::ops::RangeInclusive;
 
 /// The role of a process in the cluster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,21 +20,12 @@
     /// Every role, in the order in which processes are started.
     pub const ALL: [Role; 3] = [Role::Core, Role::Front, Role::Agent];
 
-    /// Number of processes of this role in a cluster.
-    pub fn count(self) -> u8 {
+    /// The last bytes that the addresses of this role's processes may have.
+    fn last_bytes(self) -> RangeInclusive<u16> {
         match self {
-            Role::Core => 3,
-            Role::Front => 2,
-            Role::Agent => 4,
-        }
-    }
-
-    /// The last byte of the addresses of this role's processes, minus their number.
-    fn address_base(self) -> u8 {
-        match self {
-            Role::Core => 10,
-            Role::Front => 20,
-            Role::Agent => 30,
+            Role::Core => 11..=20,
+            Role::Front => 21..=30,
+            Role::Agent => 31..=250,
         }
     }
 
@@ -51,7 +44,7 @@
     /// Its role.
     pub role: Role,
     /// Its number among the processes of its role, from 1.
-    pub number: u8,
+    pub number: u16,
 }
 
 impl fmt::Display for Member {
@@ -61,18 +54,27 @@
 }
 
 impl Member {
-    /// Every process of the cluster, core processes first.
-    pub fn all() -> impl Iterator<Item = Member> {
-        Role::ALL.into_iter().flat_map(Member::with_role)
+    /// Every process of a cluster of this shape, core processes first.
+    pub fn all(shape: &ClusterShape) -> impl Iterator<Item = Member> + use<> {
+        let shape = *shape;
+        Role::ALL
+            .into_iter()
+            .flat_map(move |role| Member::with_role(role, &shape))
     }
 
-    /// Every process of a role.
-    pub fn with_role(role: Role) -> impl Iterator<Item = Member> {
-        (1..=role.count()).map(move |number| Member { role, number })
+    /// Every process of a role in a cluster of this shape.
+    pub fn with_role(role: Role, shape: &ClusterShape) -> impl Iterator<Item = Member> + use<> {
+        (1..=shape.count(role)).map(move |number| Member { role, number })
     }
 
     /// The loopback address that represents its machine.
     pub fn ip(self) -> Ipv4Addr {
-        Ipv4Addr::new(127, 0, 0, self.role.address_base() + self.number)
+        let last_bytes = self.role.last_bytes();
+        let per_network = last_bytes.end() - last_bytes.start() + 1;
+        let index = self.number.saturating_sub(1);
+        let last_byte = last_bytes.start() + index % per_network;
+        let [_, network] = (index / per_network).to_be_bytes();
+        let [_, last_byte] = last_byte.to_be_bytes();
+        Ipv4Addr::new(127, 0, network, last_byte)
     }
 }
--- a/crates/cluster-local/src/operator.rs
+++ b/crates/cluster-local/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operator's calls: the configuration, and reads of readiness and status.
 
+use crate::cluster_shape::ClusterShape;
 use crate::error::LocalError;
 use crate::http_call::{send, HttpCall, HttpResponse};
 use crate::member::{Member, Role};
@@ -58,7 +59,7 @@
 /// # Errors
 ///
 /// [`LocalError::ConfigurationRejected`] if it will never be accepted.
-pub(crate) async fn configure(ports: Ports) -> Result<bool, LocalError> {
+pub(crate) async fn configure(shape: &ClusterShape, ports: Ports) -> Result<bool, LocalError> {
     let call = HttpCall {
         method: Method::PUT,
         path: CONFIGURATION_PATH.to_owned(),
@@ -66,7 +67,7 @@
         body: configuration(),
         ..HttpCall::default()
     };
-    for core in Member::with_role(Role::Core) {
+    for core in Member::with_role(Role::Core, shape) {
         let Some(response) = send(ports.control_address(core), &call).await else {
             continue;
         };
@@ -82,9 +83,9 @@
 }
 
 /// Whether all fronts are ready.
-pub(crate) async fn all_fronts_ready(ports: Ports) -> bool {
+pub(crate) async fn all_fronts_ready(shape: &ClusterShape, ports: Ports) -> bool {
     let call = get(READINESS_PATH);
-    for front in Member::with_role(Role::Front) {
+    for front in Member::with_role(Role::Front, shape) {
         let response = send(ports.readiness_address(front), &call).await;
         if !response.is_some_and(|response| response.is_success()) {
             return false;
@@ -94,8 +95,8 @@
 }
 
 /// Whether every process reports its status under its own name.
-pub(crate) async fn all_report_status(ports: Ports) -> bool {
-    for member in Member::all() {
+pub(crate) async fn all_report_status(shape: &ClusterShape, ports: Ports) -> bool {
+    for member in Member::all(shape) {
         let address = match member.role {
             Role::Core | Role::Agent => ports.control_address(member),
             Role::Front => ports.readiness_address(member),
@@ -109,8 +110,8 @@
 }
 
 /// The core process that reports itself as the head of the chain.
-pub(crate) async fn find_head(ports: Ports) -> Option<Member> {
-    for core in Member::with_role(Role::Core) {
+pub(crate) async fn find_head(shape: &ClusterShape, ports: Ports) -> Option<Member> {
+    for core in Member::with_role(Role::Core, shape) {
         let status = status(ports.control_address(core)).await;
         if status.is_some_and(|text| text.lines().any(|line| line == HEAD_LINE)) {
             return Some(core);
--- a/crates/cluster-local/src/ports.rs
+++ b/crates/cluster-local/src/ports.rs
@@ -1,5 +1,6 @@
 //! The ports of the cluster, the same at every process's address.
 
+use crate::cluster_shape::ClusterShape;
 use crate::error::LocalError;
 use crate::member::Member;
 use std::net::{SocketAddrV4, TcpListener};
@@ -27,15 +28,15 @@
 }
 
 impl Ports {
-    /// Draws ports that are free at the addresses of all processes.
+    /// Draws ports that are free at the addresses of all processes of a cluster.
     ///
     /// # Errors
     ///
     /// [`LocalError::NoFreePorts`] if no drawn range is free at all addresses.
-    pub fn draw() -> Result<Ports, LocalError> {
+    pub fn draw(shape: &ClusterShape) -> Result<Ports, LocalError> {
         (0..MAX_DRAWS)
             .map(|_| Ports::starting_at(fastrand::u16(FIRST_PORT_START..FIRST_PORT_END)))
-            .find(|ports| ports.are_free())
+            .find(|ports| ports.are_free(shape))
             .ok_or(LocalError::NoFreePorts)
     }
 
@@ -63,9 +64,9 @@
         }
     }
 
-    fn are_free(self) -> bool {
+    fn are_free(self, shape: &ClusterShape) -> bool {
         let ports = self.internal..self.internal + PORT_COUNT;
-        Member::all().map(Member::ip).all(|ip| {
+        Member::all(shape).map(Member::ip).all(|ip| {
             ports
                 .clone()
                 .all(|port| TcpListener::bind(SocketAddrV4::new(ip, port)).is_ok())
--- a/crates/cluster-local/src/process_kills.rs
+++ b/crates/cluster-local/src/process_kills.rs
@@ -91,7 +91,7 @@
 async fn wait_for_head(cluster: &mut LocalCluster) -> Result<Member, LocalError> {
     let deadline = Instant::now() + FIND_HEAD_TIMEOUT;
     loop {
-        if let Some(head) = find_head(cluster.ports()).await {
+        if let Some(head) = find_head(cluster.shape(), cluster.ports()).await {
             return Ok(head);
         }
         cluster
--- a/crates/cluster-local/src/run.rs
+++ b/crates/cluster-local/src/run.rs
@@ -59,12 +59,12 @@
 pub async fn run(settings: &LocalSettings) -> Result<LocalReport, LocalError> {
     let progress = ProgressLog::start(settings.progress);
     let mut cluster = LocalCluster::start(&settings.program, &settings.folder)?;
-    let ports = cluster.ports();
+    let (shape, ports) = (*cluster.shape(), cluster.ports());
     progress.record(format!("processes started, ports from {}", ports.internal));
     wait_until_ready(&mut cluster, &progress).await?;
     let start = Instant::now();
     let end = start + settings.submit_for;
-    let fronts: Vec<SocketAddrV4> = Member::with_role(Role::Front)
+    let fronts: Vec<SocketAddrV4> = Member::with_role(Role::Front, &shape)
         .map(|front| ports.front_address(front))
         .collect();
     let (outcomes, killed) = tokio::join!(
@@ -84,24 +84,24 @@
     cluster: &mut LocalCluster,
     progress: &ProgressLog,
 ) -> Result<(), LocalError> {
-    let ports = cluster.ports();
+    let (shape, ports) = (*cluster.shape(), cluster.ports());
     let deadline = Instant::now() + STARTUP_TIMEOUT;
     let interval = STARTUP_CHECK_INTERVAL;
-    while !configure(ports).await? {
+    while !configure(&shape, ports).await? {
         let step = Step::Configuration;
         cluster
             .wait_for_next_check(step, interval, deadline)
             .await?;
     }
     progress.record("the configuration is accepted");
-    while !all_fronts_ready(ports).await {
+    while !all_fronts_ready(&shape, ports).await {
         let step = Step::Readiness;
         cluster
             .wait_for_next_check(step, interval, deadline)
             .await?;
     }
     progress.record("the fronts are ready");
-    while !all_report_status(ports).await {
+    while !all_report_status(&shape, ports).await {
         let step = Step::Status;
         cluster
             .wait_for_next_check(step, interval, deadline)
--- a/crates/cluster-local/src/settings_file.rs
+++ b/crates/cluster-local/src/settings_file.rs
@@ -1,8 +1,9 @@
 //! The settings files of the processes, in the `key=value` form of `lupinrack node`.
 
+use crate::cluster_shape::ClusterShape;
 use crate::member::{Member, Role};
 use crate::ports::Ports;
-use crate::shared_limits::{GANG_WAIT_MS, HEARTBEAT_INTERVAL_MS, MAX_LEASE_MS, RUN_STOP_MS, ZONE};
+use crate::shared_limits::ZONE;
 use std::path::Path;
 
 /// Whether a process starts on an empty disk or restarts after a kill.
@@ -14,12 +15,18 @@
     Restart,
 }
 
-/// The settings file of a process whose disk is in `folder`.
-pub fn settings_text(member: Member, ports: Ports, folder: &Path, start: StartKind) -> String {
+/// The settings file of a process of a cluster whose disks are in `folder`.
+pub fn settings_text(
+    shape: &ClusterShape,
+    member: Member,
+    ports: Ports,
+    folder: &Path,
+    start: StartKind,
+) -> String {
     let lines = [
         identity_lines(member),
-        cluster_lines(member, ports, start),
-        limit_lines(),
+        cluster_lines(shape, member, ports, start),
+        limit_lines(shape),
         role_lines(member, ports, folder),
     ];
     lines.concat().join("\n") + "\n"
@@ -43,8 +50,13 @@
     ]
 }
 
-fn cluster_lines(member: Member, ports: Ports, start: StartKind) -> Vec<String> {
-    let seeds: Vec<String> = Member::with_role(Role::Core)
+fn cluster_lines(
+    shape: &ClusterShape,
+    member: Member,
+    ports: Ports,
+    start: StartKind,
+) -> Vec<String> {
+    let seeds: Vec<String> = Member::with_role(Role::Core, shape)
         .map(|core| ports.control_address(core).to_string())
         .collect();
     vec![
@@ -55,13 +67,13 @@
     ]
 }
 
-fn limit_lines() -> Vec<String> {
+fn limit_lines(shape: &ClusterShape) -> Vec<String> {
     vec![
-        format!("heartbeat-ms={HEARTBEAT_INTERVAL_MS}"),
-        "fault-tolerance.machines=1".to_owned(),
-        format!("bounds.hold-max-ms={MAX_LEASE_MS}"),
-        format!("bounds.stop_ms={RUN_STOP_MS}"),
-        format!("bounds.gang_ms={GANG_WAIT_MS}"),
+        format!("heartbeat-ms={}", shape.heartbeat_interval_ms),
+        format!("fault-tolerance.machines={}", shape.tolerated_losses),
+        format!("bounds.hold-max-ms={}", shape.max_lease_ms),
+        format!("bounds.stop_ms={}", shape.run_stop_ms),
+        format!("bounds.gang_ms={}", shape.gang_wait_ms),
         "commands=heartbeat".to_owned(),
     ]
 }
--- a/crates/cluster-local/tests/golden.rs
+++ b/crates/cluster-local/tests/golden.rs
@@ -6,8 +6,8 @@
 use lupinrack_cluster_api::job::JobState;
 use lupinrack_cluster_json::job_body;
 use lupinrack_cluster_local::{
-    run, settings_text, JobKind, JobOutcome, KillTarget, KilledProcess, LocalError, LocalReport,
-    LocalSettings, Member, Ports, Progress, Role, StartKind, Step, UnexpectedJob,
+    run, settings_text, ClusterShape, JobKind, JobOutcome, KillTarget, KilledProcess, LocalError,
+    LocalReport, LocalSettings, Member, Ports, Progress, Role, StartKind, Step, UnexpectedJob,
 };
 use lupinrack_golden_files::{check_folder, check_text, is_update};
 use lupinrack_node_settings::NodeSettings;
@@ -55,7 +55,7 @@
 }
 
 fn starts() -> impl Iterator<Item = (Member, StartKind)> {
-    Member::all()
+    Member::all(&ClusterShape::default())
         .flat_map(|member| [StartKind::Bootstrap, StartKind::Restart].map(|start| (member, start)))
 }
 
@@ -85,7 +85,13 @@
 #[test]
 fn settings_files_stay_the_same() {
     for (member, start) in starts() {
-        let text = settings_text(member, PORTS, Path::new("/folder"), start);
+        let text = settings_text(
+            &ClusterShape::default(),
+            member,
+            PORTS,
+            Path::new("/folder"),
+            start,
+        );
         let name = settings_file(member, start);
         assert_golden(&name, &text);
         let kept = fs::read_to_string(golden_folder().join(&name)).expect("a golden file");
@@ -131,7 +137,7 @@
         let addresses = addresses.map(|address| address.to_string());
         (format!("member {member}"), addresses.join(" "))
     };
-    let members = Member::all().map(member);
+    let members = Member::all(&ClusterShape::default()).map(member);
     let all = JobKind::ALL
         .map(kind)
         .into_iter()
@@ -331,7 +337,7 @@
             start.replace(&folder.display().to_string(), "FOLDER")
         )
     };
-    Member::all().map(start).collect()
+    Member::all(&ClusterShape::default()).map(start).collect()
 }
 
 /// The effects of a run that the test observes.
--- a/crates/mock-servers/src/worker/cluster_events.rs
+++ b/crates/mock-servers/src/worker/cluster_events.rs
@@ -83,6 +83,12 @@
         lock(&self.0).events.clone()
     }
 
+    /// The events from this index on. The first event has the index 0.
+    pub fn events_from(&self, first: usize) -> Vec<Event> {
+        let record = lock(&self.0);
+        record.events.get(first..).unwrap_or_default().to_vec()
+    }
+
     /// Adds a member that has started to its gang of `size` members.
     pub fn join(&self, member: &RunName, size: usize, now: u64) {
         let mut record = lock(&self.0);
--- a/crates/mock-servers/src/worker/mod.rs
+++ b/crates/mock-servers/src/worker/mod.rs
@@ -6,6 +6,7 @@
 //! records every start and end of a run, so that a test can count violated guarantees afterwards.
 
 pub mod cluster_events;
+pub mod failure_rate;
 pub mod heartbeats;
 pub mod messages;
 pub mod state_machine;
--- a/crates/mock-servers/src/worker/state_machine.rs
+++ b/crates/mock-servers/src/worker/state_machine.rs
@@ -1,6 +1,7 @@
 //! A worker without its connection: its runs, their ends, its lease and its fencing token.
 
 use super::cluster_events::{ClusterEvents, Event, GangState, RunName};
+use super::failure_rate::FailureRate;
 use super::messages::{
     Capacity, End, FinishedRow, Heartbeat, HeartbeatAnswer, RunningRow, StartRow, StopRow,
 };
@@ -9,6 +10,8 @@
 
 /// The most ends that a heartbeat lists.
 const MAX_LISTED_ENDS: usize = 500;
+/// How long a run takes to fail on a worker on which every run fails, in milliseconds.
+const FAILURE_DELAY_MS: u64 = 150;
 /// Answers that arrive later than this are ignored, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 1_000;
 
@@ -45,6 +48,7 @@
 pub struct Worker {
     settings: WorkerSettings,
     events: ClusterEvents,
+    failures: FailureRate,
     sequence: u64,
     fence_token: u64,
     lease_until: u64,
@@ -61,6 +65,7 @@
         Worker {
             settings,
             events,
+            failures: FailureRate::default(),
             sequence: 0,
             fence_token: 0,
             lease_until: 0,
@@ -76,6 +81,11 @@
         &self.settings.id
     }
 
+    /// A handle that sets how many runs fail, also while the worker runs.
+    pub fn failure_rate(&self) -> FailureRate {
+        self.failures.clone()
+    }
+
     /// Number of runs that have ended.
     pub fn ends(&self) -> u64 {
         self.end_count
@@ -208,17 +218,22 @@
         if run.stops_at.is_some_and(|at| now >= at) {
             return Some(End::Stopped);
         }
-        let worked_since = match self.events.gang(name) {
-            _ if run.work.gang == 0 => run.started_at,
-            GangState::Working { since } => since,
-            GangState::Broken => return Some(End::Broken),
-            GangState::Gathering => {
+        let fails_at = run.started_at + FAILURE_DELAY_MS;
+        if self.failures.percent() >= 100 && now >= fails_at {
+            return Some(End::Failed);
+        }
+        let gang = (run.work.gang > 0).then(|| self.events.gang(name));
+        let worked_since = match gang {
+            None => run.started_at,
+            Some(GangState::Working { since }) => since,
+            Some(GangState::Broken) => return Some(End::Broken),
+            Some(GangState::Gathering) => {
                 let waited = now.saturating_sub(run.started_at);
                 return (waited >= self.settings.gang_timeout_ms).then_some(End::Alone);
             }
         };
         let done = now >= worked_since + run.work.takes_ms;
-        done.then_some(if run.work.fails {
+        done.then_some(if run.work.fails || self.failures.fail(name) {
             End::Failed
         } else {
             End::Done
