Simulation of the whole control plane: check that no job waits beside free servers

Change: the check of scheduler-testkit knows neither its farm nor its oracle any more, and cluster-simulation uses it from 8 s after the last fault on, in every run.

--- a/crates/cluster-simulation/src/client.rs
+++ b/crates/cluster-simulation/src/client.rs
@@ -64,6 +64,11 @@
         self.job
     }
 
+    /// Whether its job was accepted and is not known to have ended.
+    pub(crate) fn has_open_job(&self) -> bool {
+        self.accepted_at.is_some() && !self.finished
+    }
+
     /// Advances the client's call and begins the next one when it is due.
     pub(crate) fn advance(&mut self, world: &mut World) {
         if !self.finished {
--- a/crates/cluster-simulation/src/config.rs
+++ b/crates/cluster-simulation/src/config.rs
@@ -99,6 +99,8 @@
     pub traffic_ms: u64,
     /// Time after the traffic's end within which all jobs have to end, in milliseconds.
     pub finish_ms: u64,
+    /// Time after the last fault from which on no job may have nothing running beside free servers, in milliseconds.
+    pub settle_ms: u64,
     /// The profile of the faults.
     pub profile: FaultProfile,
     /// Whether the operator's changes also rename the routes of the queues, swap their names, and serve the queues' paths
@@ -118,6 +120,7 @@
             jobs: 40,
             traffic_ms: 40_000,
             finish_ms: 30_000,
+            settle_ms: 8_000,
             profile: FaultProfile::Mixed,
             changes_routes: false,
             injected_bug: None,
--- a/crates/cluster-simulation/src/faults/active.rs
+++ b/crates/cluster-simulation/src/faults/active.rs
@@ -5,7 +5,6 @@
 
 /// After the last fault, all machines are connected again within this time, in milliseconds.
 const STABILIZATION_MS: u64 = 4_000;
-
 /// The action that ends a fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Recovery {
@@ -67,6 +66,11 @@
         self.ends.is_empty() && now >= self.last_recovery_at + STABILIZATION_MS
     }
 
+    /// Whether no fault is in effect and the last one ended at least this long ago, in milliseconds.
+    pub(crate) fn have_settled(&self, now: u64, settle_ms: u64) -> bool {
+        self.ends.is_empty() && now >= self.last_recovery_at + settle_ms
+    }
+
     /// Takes the recoveries that are due.
     pub(crate) fn take_expired(&mut self, now: u64) -> Vec<Recovery> {
         let (over, remaining): (Vec<_>, Vec<_>) = std::mem::take(&mut self.ends)
--- a/crates/cluster-simulation/src/faults/fault.rs
+++ b/crates/cluster-simulation/src/faults/fault.rs
@@ -153,6 +153,8 @@
     SeedChange,
     /// A server crashes.
     ServerCrash(usize),
+    /// A server crashes and does not return.
+    ServerLoss(usize),
     /// A server changes its behavior.
     ServerBehaviorChange(usize, ServerBehavior),
     /// A server drains and shuts down.
--- a/crates/cluster-simulation/src/faults/injection.rs
+++ b/crates/cluster-simulation/src/faults/injection.rs
@@ -79,7 +79,11 @@
                 Recovery::StepClockBack(machine, by)
             }
             Fault::ServerCrash(slot) => {
-                self.crash(slot, duration_ms);
+                self.crash(slot, Some(duration_ms));
+                Recovery::Automatic
+            }
+            Fault::ServerLoss(slot) => {
+                self.crash(slot, None);
                 Recovery::Automatic
             }
             Fault::ServerBehaviorChange(slot, behavior) => {
--- a/crates/cluster-simulation/src/lib.rs
+++ b/crates/cluster-simulation/src/lib.rs
@@ -23,6 +23,7 @@
 mod faults;
 mod fenced_senders;
 mod gangs;
+mod idle_check;
 mod injected_bugs;
 mod machine;
 mod network;
--- a/crates/cluster-simulation/src/simulation.rs
+++ b/crates/cluster-simulation/src/simulation.rs
@@ -3,6 +3,7 @@
 use crate::client::Client;
 use crate::config::{FaultProfile, SimulationConfig};
 use crate::faults::schedule::{Fault, FaultSchedule, OperatorAction, ScheduledFault};
+use crate::idle_check::{IdleCheck, CHECK_INTERVAL_MS};
 use crate::machine::clock::WALL_START_MS;
 use crate::operator::Operator;
 use crate::workload::draw;
@@ -62,6 +63,7 @@
     schedule: FaultSchedule,
     clients: Vec<Client>,
     operator: Operator,
+    idle_check: IdleCheck,
 }
 
 impl Simulation {
@@ -77,6 +79,7 @@
             schedule,
             clients,
             operator,
+            idle_check: IdleCheck::default(),
         }
     }
 
@@ -110,6 +113,15 @@
         }
         self.operator.advance(&mut self.world);
         self.begin_due_faults();
+        if self.world.now.is_multiple_of(CHECK_INTERVAL_MS) {
+            self.check_idle_jobs();
+        }
+    }
+
+    fn check_idle_jobs(&mut self) {
+        let accepted = self.clients.iter().filter(|client| client.has_open_job());
+        let accepted: Vec<JobId> = accepted.map(Client::job).collect();
+        self.idle_check.observe(&accepted, &mut self.world);
     }
 
     fn begin_due_faults(&mut self) {
--- a/crates/cluster-simulation/src/work.rs
+++ b/crates/cluster-simulation/src/work.rs
@@ -18,6 +18,8 @@
 const WITHOUT_LABEL_FACTOR: f64 = 1.5;
 /// Factor on the run time on a slow server.
 const SLOW_FACTOR: f64 = 4.0;
+/// Time from a server's graceful shutdown until it restarts, in milliseconds.
+const RESTART_MS: u64 = 500;
 /// Run time until a failing server fails a task, in milliseconds.
 const FAILURE_AFTER_MS: u64 = 100;
 
@@ -269,7 +271,7 @@
             .and_then(|server| server.shuts_down_at);
         if leaves.is_some_and(|at| now >= at) {
             self.deregister_server(machine);
-            self.crash(machine, 500);
+            self.crash(machine, Some(RESTART_MS));
         }
         if self.server_slots[machine]
             .back_at
@@ -279,8 +281,8 @@
         }
     }
 
-    /// Crashes the server with all its runs. It restarts later with a new incarnation.
-    pub(crate) fn crash(&mut self, machine: usize, back_after_ms: u64) {
+    /// Crashes the server with all its runs. It restarts after this time, if any, with a new incarnation.
+    pub(crate) fn crash(&mut self, machine: usize, back_after_ms: Option<u64>) {
         let now = self.now;
         let incarnation = self.server_slots[machine].incarnation;
         let Some(server) = self.server_slots[machine].server.take() else {
@@ -292,6 +294,6 @@
                 self.record_gang_member_end(task, run.attempt, RunEnd::LeaseExpired);
             }
         }
-        self.server_slots[machine].back_at = Some(now + back_after_ms);
+        self.server_slots[machine].back_at = back_after_ms.map(|delay_ms| now + delay_ms);
     }
 }
--- a/crates/cluster-simulation/src/world.rs
+++ b/crates/cluster-simulation/src/world.rs
@@ -218,6 +218,14 @@
         self.has_configuration && self.active_faults.is_stable(self.now)
     }
 
+    /// Whether the effects of all faults have to be over.
+    pub(crate) fn has_settled(&self) -> bool {
+        self.has_configuration
+            && self
+                .active_faults
+                .have_settled(self.now, self.config.settle_ms)
+    }
+
     pub(crate) fn time_bounds(&self) -> TimeBounds {
         if self.is_stable() {
             TimeBounds::Checked
--- a/crates/cluster-simulation/tests/golden.rs
+++ b/crates/cluster-simulation/tests/golden.rs
@@ -161,6 +161,7 @@
         Fault::ClockStep(machine, by) => format!("machine {machine}: clock step {by}"),
         Fault::SeedChange => "new seeds".to_owned(),
         Fault::ServerCrash(slot) => format!("server {slot}: crash"),
+        Fault::ServerLoss(slot) => format!("server {slot}: loss"),
         Fault::ServerBehaviorChange(slot, behavior) => {
             format!("server {slot}: {}", behavior_word(behavior))
         }
--- a/crates/scheduler-testkit/src/idle_jobs.rs
+++ b/crates/scheduler-testkit/src/idle_jobs.rs
@@ -1,12 +1,7 @@
 //! Finds accepted jobs with nothing running although servers have room for them.
 
-use crate::expected_job::ExpectedJob;
-use crate::model_server::ModelServer;
-use crate::oracle::Oracle;
-use crate::server_farm::ServerFarm;
-use crate::violation::Rule;
 use lupinrack_cluster_api::identity::{JobId, TaskId};
-use lupinrack_cluster_api::job::{Resources, Step};
+use lupinrack_cluster_api::job::{JobSpec, Resources, Step};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A job may have nothing running for this long although there is room for it, in milliseconds.
@@ -14,6 +9,43 @@
 /// There is room for work if it fits this many times.
 const ROOM_FACTOR: u64 = 2;
 
+/// An accepted job that has not ended.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenJob<'a> {
+    /// Its ID.
+    pub id: JobId,
+    /// What its client submitted.
+    pub spec: &'a JobSpec,
+}
+
+/// A server that accepts new runs.
+#[derive(Clone, Copy, Debug)]
+pub struct OpenServer<'a> {
+    /// Its total resources.
+    pub capacity: Resources,
+    /// The resources of its runs.
+    pub used: Resources,
+    /// Its labels.
+    pub labels: &'a [String],
+}
+
+/// The states of tasks, as the servers know them.
+pub trait TaskStates {
+    /// Whether a server runs the task.
+    fn is_running(&self, task: TaskId) -> bool;
+    /// Whether the task has succeeded.
+    fn is_done(&self, task: TaskId) -> bool;
+}
+
+/// A job that has been idle for [`MAX_IDLE_MS`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct IdleJob {
+    /// Its ID.
+    pub id: JobId,
+    /// Since when it has been idle, in milliseconds.
+    pub since: u64,
+}
+
 /// For how long a job has been idle.
 #[derive(Clone, Copy, Debug)]
 struct IdleTime {
@@ -21,7 +53,7 @@
     is_reported: bool,
 }
 
-/// Measures for how long jobs have nothing running although they could, and reports those that wait for too long.
+/// Measures for how long jobs have nothing running although they could.
 #[derive(Clone, Debug, Default)]
 pub struct IdleJobs {
     idle: BTreeMap<JobId, IdleTime>,
@@ -33,161 +65,154 @@
         self.idle.clear();
     }
 
-    /// Observes these open jobs, and reports each one that has been idle for [`MAX_IDLE_MS`].
-    pub fn observe(
-        &mut self,
-        open: impl IntoIterator<Item = JobId>,
-        farm: &ServerFarm,
-        oracle: &mut Oracle,
-        (now, wall_ms): (u64, u64),
-    ) {
-        let servers = FreeServers::new(farm);
-        let idle: BTreeSet<JobId> = if servers.are_under_half_used() {
-            open.into_iter()
-                .filter(|job| is_idle(*job, &servers, oracle, wall_ms))
-                .collect()
-        } else {
-            BTreeSet::new()
-        };
+    /// Observes that these jobs and no others are idle now. Returns each job once that has been idle for
+    /// [`MAX_IDLE_MS`].
+    pub fn observe(&mut self, idle: &BTreeSet<JobId>, now: u64) -> Vec<IdleJob> {
         self.idle.retain(|job, _| idle.contains(job));
-        for job in idle {
-            let time = self.idle.entry(job).or_insert(IdleTime {
+        let mut reported = Vec::new();
+        for id in idle {
+            let time = self.idle.entry(*id).or_insert(IdleTime {
                 since: now,
                 is_reported: false,
             });
             if now - time.since >= MAX_IDLE_MS && !time.is_reported {
                 time.is_reported = true;
-                let detail = format!("{job} has had nothing running since {} ms", time.since);
-                oracle.report_violation(now, Rule::IdleJob, detail);
+                reported.push(IdleJob {
+                    id: *id,
+                    since: time.since,
+                });
             }
         }
+        reported
     }
 }
 
-/// Whether nothing of a job runs although the turn of a task has come and there is room for it.
-fn is_idle(job: JobId, servers: &FreeServers<'_>, oracle: &Oracle, wall_ms: u64) -> bool {
-    let Some(expected) = oracle.jobs().get(&job) else {
-        return false;
-    };
-    if expected.cancelled_at.is_some() || oracle.has_exhausted_retries(job) {
-        return false;
-    }
-    let runs = |task: &TaskId| {
-        let history = oracle.tasks().get(task);
-        history.is_some_and(|history| !history.running_on.is_empty())
-    };
-    let tasks = tasks_of(job, expected);
-    if tasks.iter().any(runs) {
-        return false;
+/// The jobs of which nothing runs although the turn of a task has come and the servers of their service, which are less
+/// than half used, have room for it.
+pub fn idle_jobs<'a>(
+    jobs: impl IntoIterator<Item = OpenJob<'a>>,
+    servers: &[OpenServer<'_>],
+    tasks: &impl TaskStates,
+    wall_ms: u64,
+) -> BTreeSet<JobId> {
+    if !are_under_half_used(servers) {
+        return BTreeSet::new();
     }
-    due_steps(job, expected, oracle, wall_ms)
+    let idle = jobs
         .into_iter()
-        .any(|(step, waiting)| servers.have_room_for(step, waiting))
+        .filter(|job| is_idle(job, servers, tasks, wall_ms));
+    idle.map(|job| job.id).collect()
 }
 
-/// All tasks of a job.
-fn tasks_of(job: JobId, expected: &ExpectedJob) -> Vec<TaskId> {
-    let mut tasks = Vec::new();
-    for occurrence in 0..expected.spec.repeat.max(1) {
-        for (step, spec) in (0..).zip(&expected.spec.steps) {
-            tasks.extend((0..spec.count).map(|index| TaskId {
-                job,
-                occurrence,
-                step,
-                index,
-            }));
-        }
+fn is_idle(
+    job: &OpenJob<'_>,
+    servers: &[OpenServer<'_>],
+    tasks: &impl TaskStates,
+    wall_ms: u64,
+) -> bool {
+    let is_running = job
+        .all_tasks()
+        .into_iter()
+        .any(|task| tasks.is_running(task));
+    if is_running {
+        return false;
     }
-    tasks
+    job.due_steps(tasks, wall_ms)
+        .into_iter()
+        .any(|(step, waiting)| have_room_for(servers, step, waiting))
 }
 
-/// The steps with waiting tasks whose turn has come, with the number of these tasks.
-fn due_steps<'a>(
-    job: JobId,
-    expected: &'a ExpectedJob,
-    oracle: &Oracle,
-    wall_ms: u64,
-) -> Vec<(&'a Step, u64)> {
-    let spec = &expected.spec;
-    let mut due = Vec::new();
-    for occurrence in 0..spec.repeat.max(1) {
-        if wall_ms < spec.start_at_ms + u64::from(occurrence) * spec.interval_ms {
-            continue;
-        }
-        let waiting_tasks = |step: u32| {
-            let count = spec.steps[step as usize].count;
-            let tasks = (0..count).map(|index| TaskId {
-                job,
-                occurrence,
-                step,
-                index,
-            });
-            tasks.filter(|task| !oracle.is_done(*task)).count() as u64
-        };
-        for (number, step) in (0..).zip(&spec.steps) {
-            let is_due = step
-                .depends_on
-                .iter()
-                .all(|other| waiting_tasks(*other) == 0);
-            let waiting = waiting_tasks(number);
-            if is_due && waiting > 0 {
-                due.push((step, waiting));
+impl<'a> OpenJob<'a> {
+    fn all_tasks(&self) -> Vec<TaskId> {
+        let mut tasks = Vec::new();
+        for occurrence in 0..self.spec.repeat.max(1) {
+            for (number, step) in (0..).zip(&self.spec.steps) {
+                tasks.extend(self.tasks_of_step(occurrence, number, step));
             }
         }
-    }
-    due
-}
-
-/// The servers that accept new runs.
-struct FreeServers<'a>(Vec<&'a ModelServer>);
-
-impl<'a> FreeServers<'a> {
-    fn new(farm: &'a ServerFarm) -> FreeServers<'a> {
-        let servers = (0..farm.slot_count()).filter_map(|slot| farm.server(slot));
-        FreeServers(
-            servers
-                .filter(|server| server.draining_since().is_none())
-                .collect(),
-        )
+        tasks
     }
 
-    /// Whether less than half of each resource is in use.
-    fn are_under_half_used(&self) -> bool {
-        let total = |amount: fn(&Resources) -> u64, of: fn(&ModelServer) -> Resources| {
-            self.0.iter().map(|server| amount(&of(server))).sum::<u64>()
-        };
-        let amounts: [fn(&Resources) -> u64; 3] =
-            [|all| all.cpu, |all| all.memory_mb, |all| all.gpu];
-        amounts.into_iter().all(|amount| {
-            let capacity = total(amount, |server| server.facts().capacity);
-            2 * total(amount, ModelServer::used) < capacity.max(1)
+    fn tasks_of_step(
+        &self,
+        occurrence: u32,
+        number: u32,
+        step: &Step,
+    ) -> impl Iterator<Item = TaskId> {
+        let job = self.id;
+        (0..step.count).map(move |index| TaskId {
+            job,
+            occurrence,
+            step: number,
+            index,
         })
     }
 
-    /// Whether the waiting tasks of a step, or one of them if they run by themselves, would fit several times.
-    fn have_room_for(&self, step: &Step, waiting: u64) -> bool {
-        let needed = if step.gang { waiting } else { 1 };
-        let fitting: u64 = self.0.iter().map(|server| fitting(server, step)).sum();
-        fitting >= ROOM_FACTOR * needed
+    /// The steps with waiting tasks whose turn has come, with the number of these tasks.
+    fn due_steps(&self, tasks: &impl TaskStates, wall_ms: u64) -> Vec<(&'a Step, u64)> {
+        let spec = self.spec;
+        let mut due = Vec::new();
+        for occurrence in 0..spec.repeat.max(1) {
+            if wall_ms < spec.start_at_ms + u64::from(occurrence) * spec.interval_ms {
+                continue;
+            }
+            let waiting_tasks = |number: u32| {
+                let step = &spec.steps[number as usize];
+                let waiting = self
+                    .tasks_of_step(occurrence, number, step)
+                    .filter(|task| !tasks.is_done(*task));
+                waiting.count() as u64
+            };
+            for (number, step) in (0..).zip(&spec.steps) {
+                let is_due = step
+                    .depends_on
+                    .iter()
+                    .all(|other| waiting_tasks(*other) == 0);
+                let waiting = waiting_tasks(number);
+                if is_due && waiting > 0 {
+                    due.push((step, waiting));
+                }
+            }
+        }
+        due
     }
 }
 
-/// The number of tasks of a step that fit on a server beside its runs.
-fn fitting(server: &ModelServer, step: &Step) -> u64 {
-    let has_label = step.requires.is_empty() || server.facts().labels.contains(&step.requires);
-    if !has_label {
-        return 0;
-    }
-    let (used, capacity, needs) = (server.used(), server.facts().capacity, step.needs);
-    let times = |used: u64, capacity: u64, need: u64| {
-        let free = capacity.saturating_sub(used);
-        free.checked_div(need).unwrap_or(u64::MAX)
-    };
-    let fitting = times(used.cpu, capacity.cpu, needs.cpu)
-        .min(times(used.memory_mb, capacity.memory_mb, needs.memory_mb))
-        .min(times(used.gpu, capacity.gpu, needs.gpu));
-    match step.anti_affinity {
-        0 => fitting,
-        limit => fitting.min(u64::from(limit)),
+/// Whether less than half of each resource is in use.
+fn are_under_half_used(servers: &[OpenServer<'_>]) -> bool {
+    let amounts: [fn(&Resources) -> u64; 3] = [|all| all.cpu, |all| all.memory_mb, |all| all.gpu];
+    amounts.into_iter().all(|amount| {
+        let capacity: u64 = servers.iter().map(|server| amount(&server.capacity)).sum();
+        let used: u64 = servers.iter().map(|server| amount(&server.used)).sum();
+        2 * used < capacity.max(1)
+    })
+}
+
+/// Whether the waiting tasks of a step, or one of them if they run by themselves, would fit several times.
+fn have_room_for(servers: &[OpenServer<'_>], step: &Step, waiting: u64) -> bool {
+    let needed = if step.gang { waiting } else { 1 };
+    let fitting: u64 = servers.iter().map(|server| server.fitting(step)).sum();
+    fitting >= ROOM_FACTOR * needed
+}
+
+impl OpenServer<'_> {
+    /// The number of tasks of a step that fit on the server beside its runs.
+    fn fitting(&self, step: &Step) -> u64 {
+        let has_label = step.requires.is_empty() || self.labels.contains(&step.requires);
+        if !has_label {
+            return 0;
+        }
+        let (used, capacity, needs) = (self.used, self.capacity, step.needs);
+        let times = |used: u64, capacity: u64, need: u64| {
+            let free = capacity.saturating_sub(used);
+            free.checked_div(need).unwrap_or(u64::MAX)
+        };
+        let fitting = times(used.cpu, capacity.cpu, needs.cpu)
+            .min(times(used.memory_mb, capacity.memory_mb, needs.memory_mb))
+            .min(times(used.gpu, capacity.gpu, needs.gpu));
+        match step.anti_affinity {
+            0 => fitting,
+            limit => fitting.min(u64::from(limit)),
+        }
     }
 }
--- a/crates/scheduler-testkit/src/lib.rs
+++ b/crates/scheduler-testkit/src/lib.rs
@@ -9,6 +9,8 @@
 //!   [`ServerFarm::step`] advances all servers in time.
 //! - [`Oracle`] records what servers and clients observe, and reports each broken rule as a [`Violation`].
 //! - [`generate_job`] generates random jobs of several kinds.
+//! - [`idle_jobs`] and [`IdleJobs`] find jobs that have nothing running beside free servers. They know neither the farm nor
+//!   the oracle, so the simulation of the whole control plane uses them too.
 //!
 //! Times are plain numbers: milliseconds since the simulation began. Their names end in `_at`, those of durations in `_ms`.
 
@@ -29,7 +31,7 @@
 
 pub use expected_job::ExpectedJob;
 pub use heartbeat_response::{HeartbeatResponse, StartCommand};
-pub use idle_jobs::{IdleJobs, MAX_IDLE_MS};
+pub use idle_jobs::{idle_jobs, IdleJob, IdleJobs, OpenJob, OpenServer, TaskStates, MAX_IDLE_MS};
 pub use model_server::{
     ModelServer, OutdatedResponses, ServerBehavior, ServerSettings, RESPONSE_TIMEOUT_MS,
 };
--- a/crates/scheduler-testkit/src/oracle.rs
+++ b/crates/scheduler-testkit/src/oracle.rs
@@ -1,6 +1,7 @@
 //! Checks what the servers and clients of a simulation observe against the rules for running tasks.
 
 use crate::expected_job::ExpectedJob;
+use crate::idle_jobs::{OpenJob, TaskStates};
 use crate::observed_start::ObservedStart;
 use crate::start_rules::{Bound, BrokenRule, StartRules};
 use crate::step_context::TimeBounds;
@@ -170,11 +171,14 @@
         self.tasks.get(&task).map_or(0, |history| history.failures)
     }
 
-    /// Whether a task is done.
-    pub(crate) fn is_done(&self, task: TaskId) -> bool {
-        self.tasks
-            .get(&task)
-            .is_some_and(|history| history.done_at.is_some())
+    /// A job that must make progress; `None` if it was cancelled or has no attempts left.
+    pub fn expected_to_progress(&self, id: JobId) -> Option<OpenJob<'_>> {
+        let expected = self.jobs.get(&id)?;
+        let may_end = expected.cancelled_at.is_some() || self.has_exhausted_retries(id);
+        (!may_end).then_some(OpenJob {
+            id,
+            spec: &expected.spec,
+        })
     }
 
     /// Checks and records a start.
@@ -282,3 +286,15 @@
         (0..count).all(|index| self.is_done(TaskId { index, ..first }))
     }
 }
+
+impl TaskStates for Oracle {
+    fn is_running(&self, task: TaskId) -> bool {
+        let history = self.tasks.get(&task);
+        history.is_some_and(|history| !history.running_on.is_empty())
+    }
+
+    fn is_done(&self, task: TaskId) -> bool {
+        let history = self.tasks.get(&task);
+        history.is_some_and(|history| history.done_at.is_some())
+    }
+}
--- a/crates/scheduler-testkit/src/server_farm.rs
+++ b/crates/scheduler-testkit/src/server_farm.rs
@@ -4,6 +4,7 @@
 
 use crate::gangs::{GangId, Gangs};
 use crate::heartbeat_response::{HeartbeatResponse, StartCommand};
+use crate::idle_jobs::OpenServer;
 use crate::model_server::{ModelServer, ServerEnd, ServerSettings};
 use crate::observed_start::ObservedStart;
 use crate::server_run::{RunPlan, ServerRun};
@@ -87,6 +88,19 @@
         self.slots[slot].server.as_ref()
     }
 
+    /// The servers that accept new runs.
+    pub fn open_servers(&self) -> Vec<OpenServer<'_>> {
+        let servers = self.slots.iter().filter_map(|slot| slot.server.as_ref());
+        servers
+            .filter(|server| server.draining_since().is_none())
+            .map(|server| OpenServer {
+                capacity: server.facts().capacity,
+                used: server.used(),
+                labels: &server.facts().labels,
+            })
+            .collect()
+    }
+
     /// The server of a slot, if it is up.
     pub fn server_mut(&mut self, slot: usize) -> Option<&mut ModelServer> {
         self.slots[slot].server.as_mut()
--- a/crates/scheduler-testkit/src/server_farm/step.rs
+++ b/crates/scheduler-testkit/src/server_farm/step.rs
@@ -2,6 +2,7 @@
 
 use super::{Deregistration, ServerFarm, ServerSlot};
 use crate::gangs::{GangId, GangState};
+use crate::idle_jobs::TaskStates;
 use crate::model_server::ServerBehavior;
 use crate::server_run::ServerRun;
 use crate::step_context::{StepContext, TimeBounds};
--- a/crates/scheduler/tests/simulation/world.rs
+++ b/crates/scheduler/tests/simulation/world.rs
@@ -15,9 +15,9 @@
 use lupinrack_control_state::ControlState;
 use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings};
 use lupinrack_scheduler_testkit::{
-    generate_job, DrainRule, ExpectedJob, FarmSettings, GangRule, GeneratedJob, HeartbeatResponse,
-    IdleJobs, Oracle, OracleRules, OutdatedResponses, Rule, ServerBehavior, ServerFarm,
-    ServerSettings, Speculation, StepContext, TimeBounds, QUEUES,
+    generate_job, idle_jobs, DrainRule, ExpectedJob, FarmSettings, GangRule, GeneratedJob,
+    HeartbeatResponse, IdleJobs, Oracle, OracleRules, OutdatedResponses, Rule, ServerBehavior,
+    ServerFarm, ServerSettings, Speculation, StepContext, TimeBounds, QUEUES,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -435,10 +435,17 @@
             self.idle_jobs.reset();
             return;
         }
-        let open = self.open_jobs().into_iter().map(|(job, _)| job);
-        let times = (self.now, self.wall_ms());
-        self.idle_jobs
-            .observe(open, &self.farm, &mut self.oracle, times);
+        let open = self.open_jobs();
+        let jobs = open
+            .iter()
+            .filter_map(|(job, _)| self.oracle.expected_to_progress(*job));
+        let servers = self.farm.open_servers();
+        let idle = idle_jobs(jobs, &servers, &self.oracle, self.wall_ms());
+        for job in self.idle_jobs.observe(&idle, self.now) {
+            let detail = format!("{} has had nothing running since {} ms", job.id, job.since);
+            self.oracle
+                .report_violation(self.now, Rule::IdleJob, detail);
+        }
     }
 
     fn handle(&mut self, event: Event) {
