--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod orders;
 mod placement;
 mod policy;
+mod reserved_capacity;
 mod stalled_owner;
 mod unproposed_starts;
 mod wait_reports;
