Scheduler: a job with nothing running may use reserved capacity for single tasks too

Callers saw a job of single tasks with nothing running for as long as a gang waited for the servers with its label (20 s in the test), although these were empty and the service mostly free. Cause: reservations and headroom bound single tasks without a limit of time, in the choice of a server and again when its queue is released; only gangs had the exception. Class: a preference applied as an exclusion.

--- a/crates/scheduler/src/placement/pass.rs
+++ b/crates/scheduler/src/placement/pass.rs
@@ -19,6 +19,7 @@
     priority: u32,
     /// Work that has to start anywhere finds capacity where other work does not look.
     must_start_anywhere: bool,
+    may_use_kept_capacity: bool,
 }
 
 impl<'a> EquivalenceClass<'a> {
@@ -32,6 +33,7 @@
             affinity: &demand.step.affinity,
             priority: demand.job.priority,
             must_start_anywhere: planner.must_start_anywhere(demand),
+            may_use_kept_capacity: planner.kept_capacity_access().is_granted_to(demand.id),
         }
     }
 }
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -9,6 +9,7 @@
     earliest_fit, Allocation, CapacitySupply, EarliestFit, TaskGroup,
 };
 use crate::placement::headroom::Headroom;
+use crate::placement::kept_capacity::KeptCapacityAccess;
 use crate::placement::reservation::Reservation;
 use crate::placement::retry_limit::{
     RetryLimit, BUSY_SERVICE_QUIET_MS, FREE_SERVICE_QUIET_MS, LAST_ATTEMPT_QUIET_MS,
@@ -83,7 +84,7 @@
     pub(crate) reservations: usize,
 }
 
-impl Planner<'_> {
+impl<'a> Planner<'a> {
     /// When `count` tasks would finish on these candidates if they started together as early as
     /// possible. `None` if the known ends of runs do not free enough capacity, or if the tasks fit
     /// now but the capacity is kept for other work.
@@ -226,6 +227,15 @@
         waited_ms >= MAX_IDLE_WAIT_MS
     }
 
+    /// Which jobs may use capacity that is kept for other work.
+    pub(crate) fn kept_capacity_access(&self) -> KeptCapacityAccess<'a> {
+        KeptCapacityAccess {
+            idle_times: self.idle_times,
+            is_under_half_used: self.is_under_half_used,
+            now: self.now,
+        }
+    }
+
     /// When work of the demand may use servers in spite of faults there.
     pub(crate) fn retry_limit(&self, demand: &Demand<'_>) -> RetryLimit {
         if !self.must_start_anywhere(demand) {
--- a/crates/scheduler/src/placement/release.rs
+++ b/crates/scheduler/src/placement/release.rs
@@ -21,6 +21,7 @@
 }
 
 fn release_on(planner: &mut Planner<'_>, index: usize) {
+    let kept_capacity = planner.kept_capacity_access();
     let Planner {
         candidates,
         headroom,
@@ -30,34 +31,43 @@
     } = planner;
     let candidate = &mut candidates[index];
     let (server, running) = (candidate.server.clone(), candidate.running);
-    let released = queues.release(&server, running, *now, |queued| {
-        allocate_if_free(candidate, headroom, queued, *now)
+    let released = queues.release(&server, running, *now, |task, queued| {
+        let is_free = has_free_capacity(candidate, queued)
+            && (kept_capacity.is_granted_to(task.job)
+                || is_admitted(candidate, headroom, queued, *now));
+        if is_free {
+            allocate(candidate, headroom, queued);
+        }
+        is_free
     });
     for (task, queued) in released {
         start(planner, index, task, queued.profile);
     }
 }
 
-/// Allocates capacity for a queued task if it fits next to more urgent queued tasks, reservations
-/// and headroom. Returns whether it fits.
-fn allocate_if_free(
-    candidate: &mut Candidate,
-    headroom: &mut Headroom,
+/// Whether a queued task fits next to more urgent queued tasks.
+fn has_free_capacity(candidate: &Candidate, queued: &QueuedTask) -> bool {
+    let (priority, needs) = (queued.profile.priority, queued.profile.needs);
+    fits(&needs, &candidate.free_beside_more_urgent(priority))
+}
+
+/// Whether a queued task may start next to reservations and headroom.
+fn is_admitted(
+    candidate: &Candidate,
+    headroom: &Headroom,
     queued: &QueuedTask,
     now: Millis,
 ) -> bool {
     let (priority, needs) = (queued.profile.priority, queued.profile.needs);
     let ends_at = now.plus(queued.expected_ms);
-    let is_free = fits(&needs, &candidate.free_beside_more_urgent(priority))
-        && headroom.allows(priority, &needs, 1)
-        && candidate.admits(priority, &needs, ends_at);
-    if !is_free {
-        return false;
-    }
+    headroom.allows(priority, &needs, 1) && candidate.admits(priority, &needs, ends_at)
+}
+
+fn allocate(candidate: &mut Candidate, headroom: &mut Headroom, queued: &QueuedTask) {
+    let (priority, needs) = (queued.profile.priority, queued.profile.needs);
     candidate.free = difference(&candidate.free, &needs);
     headroom.allocate(&needs);
     candidate.queued.remove(priority, &needs);
-    true
 }
 
 /// Decides to start a single task whose capacity has been allocated.
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -33,6 +33,13 @@
     }
 }
 
+/// Whether capacity that is kept for other work, by a reservation or as headroom, counts as free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum KeptCapacity {
+    Excluded,
+    Included,
+}
+
 /// Places the single tasks of one step.
 pub(crate) struct SinglePlacement<'p, 'a> {
     planner: &'p mut Planner<'a>,
@@ -116,7 +123,7 @@
             .filter(|choice| choice.rounded_factor() == best_factor)
             .map(|choice| choice.candidate)
             .collect();
-        match self.best_with_capacity(&choices) {
+        match self.immediate(&choices) {
             Some(immediate) if immediate.rounded_factor() == best_factor => {
                 Some(immediate.candidate)
             }
@@ -151,15 +158,28 @@
             .collect()
     }
 
+    /// The best candidate that has capacity now. If none has, capacity that is kept for other work
+    /// counts too, once the job may use it.
+    fn immediate(&self, choices: &[Choice]) -> Option<Choice> {
+        let unreserved = self.best_with_capacity(choices, KeptCapacity::Excluded);
+        let access = self.planner.kept_capacity_access();
+        if unreserved.is_some() || !access.is_granted_to(self.demand.id) {
+            return unreserved;
+        }
+        self.best_with_capacity(choices, KeptCapacity::Included)
+    }
+
     /// The best candidate that has capacity now.
     ///
     /// Among candidates with the same rounded factor, chooses the one with the least and most
     /// balanced remaining capacity. Long-running tasks are spread instead, to the candidate with
     /// the most remaining capacity. They never end by themselves: packed on one server they would
     /// use up one of its resources permanently, and its other resources would stay idle.
-    fn best_with_capacity(&self, choices: &[Choice]) -> Option<Choice> {
+    fn best_with_capacity(&self, choices: &[Choice], kept: KeptCapacity) -> Option<Choice> {
         if !self.planner.settings.policy.packs {
-            let with_capacity = choices.iter().filter(|choice| self.has_capacity(choice));
+            let with_capacity = choices
+                .iter()
+                .filter(|choice| self.has_capacity(choice, kept));
             return with_capacity
                 .min_by_key(|choice| choice.rounded_factor())
                 .copied();
@@ -177,7 +197,7 @@
         };
         choices
             .iter()
-            .filter(|choice| self.has_capacity(choice))
+            .filter(|choice| self.has_capacity(choice, kept))
             .map(|choice| (choice.rounded_factor(), cost(choice), choice))
             .min_by(|(rounded_a, cost_a, _), (rounded_b, cost_b, _)| {
                 rounded_a.cmp(rounded_b).then(cost_a.total_cmp(cost_b))
@@ -185,16 +205,19 @@
             .map(|(_, _, choice)| *choice)
     }
 
-    fn has_capacity(&self, choice: &Choice) -> bool {
+    fn has_capacity(&self, choice: &Choice, kept: KeptCapacity) -> bool {
         let planner = &*self.planner;
         let candidate = &planner.candidates[choice.candidate];
         let (needs, priority) = (&self.demand.step.needs, self.demand.job.priority);
+        if !fits(needs, &candidate.free_for(priority)) {
+            return false;
+        }
         let ends_at = planner
             .now
             .plus(self.demand.work_ms(choice.duration_factor));
-        fits(needs, &candidate.free_for(priority))
-            && candidate.admits(priority, needs, ends_at)
-            && planner.headroom.allows(priority, needs, 1)
+        kept == KeptCapacity::Included
+            || (candidate.admits(priority, needs, ends_at)
+                && planner.headroom.allows(priority, needs, 1))
     }
 
     /// Whether a task must not wait for a better candidate than this one. If it has failed here, it
--- a/crates/scheduler/src/queues/task_queues.rs
+++ b/crates/scheduler/src/queues/task_queues.rs
@@ -112,11 +112,11 @@
         server: &ServerId,
         running: usize,
         now: Millis,
-        mut fits: impl FnMut(&QueuedTask) -> bool,
+        mut fits: impl FnMut(TaskId, &QueuedTask) -> bool,
     ) -> Vec<(TaskId, QueuedTask)> {
         let tasks = &self.tasks;
         let released = self.dispatcher.release(server, running, now, |task| {
-            tasks.get(task).is_some_and(&mut fits)
+            tasks.get(task).is_some_and(|queued| fits(*task, queued))
         });
         released
             .into_iter()
