Scheduler: a job with nothing running leaves a queue whose capacity belongs to urgent work

Callers saw a job with nothing running for 3 s beside an empty server, until its task was withdrawn from the queue as queued for too long. Cause: a queued task is placed again only if it does not fit into the free capacity of its server, and that includes what more urgent queued tasks wait for. Class: a preference (near the data) that becomes an exclusion. Change: a task of a job that has been idle for 1.5 s is placed again if it does not fit beside more urgent queued tasks, and another server has room.

--- a/crates/scheduler/src/placement/requeue.rs
+++ b/crates/scheduler/src/placement/requeue.rs
@@ -69,7 +69,8 @@
     }
 
     /// Whether a task does not fit on its server now but fits on another candidate that is at least
-    /// as near to the task's data, or on any other one if it must start anywhere.
+    /// as near to the task's data, or on any other one if it must start anywhere. Such a task does not
+    /// wait for capacity that belongs to more urgent queued tasks either.
     fn fits_on_another(
         &mut self,
         queued: &QueuedTask,
@@ -77,8 +78,12 @@
         must_start_anywhere: bool,
     ) -> bool {
         let (priority, needs) = (queued.profile.priority, queued.profile.needs);
-        if fits(&needs, &self.candidates[current].free) || !self.may_fit_anywhere(priority, &needs)
-        {
+        let free_here = if must_start_anywhere {
+            self.candidates[current].free_beside_more_urgent(priority)
+        } else {
+            self.candidates[current].free
+        };
+        if fits(&needs, &free_here) || !self.may_fit_anywhere(priority, &needs) {
             return false;
         }
         let is_local = self.candidates[current].has_label(&queued.affinity);
