--- a/crates/scheduler-testkit/src/lib.rs
+++ b/crates/scheduler-testkit/src/lib.rs
@@ -40,4 +40,4 @@
 pub use step_context::{StepContext, TimeBounds};
 pub use task_history::TaskHistory;
 pub use violation::{Rule, Violation};
-pub use workload::{generate_job, GeneratedJob, Speculation, MAX_RETRIES, QUEUES};
+pub use workload::{generate_job, restrict_job, GeneratedJob, Speculation, MAX_RETRIES, QUEUES};
--- a/crates/scheduler-testkit/src/workload.rs
+++ b/crates/scheduler-testkit/src/workload.rs
@@ -9,6 +9,9 @@
 /// The queues, with their priorities.
 pub const QUEUES: [(&str, u32); 3] = [("q0", 0), ("q1", 1), ("q2", 2)];
 
+/// The factor on the duration of runs that take much longer than estimated.
+const OVERRUN_FACTOR: f64 = 6.0;
+
 /// Whether some jobs allow speculative runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Speculation {
@@ -110,6 +113,22 @@
     }
 }
 
+/// Makes a job harder to place: most steps require one of these labels, some tasks need a large part of a server, and some
+/// runs take much longer than estimated.
+pub fn restrict_job(job: &mut GeneratedJob, labels: &[&str], rng: &mut fastrand::Rng) {
+    for step in &mut job.expected.spec.steps {
+        if rng.u32(0..10) < 7 {
+            step.requires = labels[rng.usize(0..labels.len())].to_owned();
+        }
+        if !step.gang && rng.u32(0..4) == 0 {
+            step.needs.cpu = rng.u64(4_000..12_000);
+        }
+    }
+    if rng.u32(0..3) == 0 {
+        job.expected.work_factor *= OVERRUN_FACTOR;
+    }
+}
+
 fn small_steps(speculation: Speculation, rng: &mut fastrand::Rng) -> Vec<Step> {
     let affinity = ["", "r1-1", "r1-2"][rng.usize(0..3)].to_owned();
     let first = Step {
--- a/crates/scheduler/tests/simulation/idle_jobs.rs
+++ b/crates/scheduler/tests/simulation/idle_jobs.rs
@@ -6,6 +6,8 @@
 
 const MACHINE_COUNT: usize = 16;
 const JOBS: u64 = 220;
+/// Jobs of a day on which most need a label.
+const RESTRICTED_JOBS: u64 = 90;
 const TRAFFIC_DURATION_MS: u64 = 12_000;
 /// When the faults begin and end, from the start of the day.
 const FAULTS_MS: std::ops::Range<u64> = 4_000..12_000;
@@ -21,7 +23,24 @@
     None,
 }
 
+/// Which jobs a day has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Workload {
+    Usual,
+    Restricted,
+}
+
 fn idle_day(seed: u64, fault: ServerFault, share_percent: u32, takeovers: bool) -> World {
+    day_of(Workload::Usual, seed, fault, share_percent, takeovers)
+}
+
+fn day_of(
+    workload: Workload,
+    seed: u64,
+    fault: ServerFault,
+    share_percent: u32,
+    takeovers: bool,
+) -> World {
     let faults = Faults {
         takeovers,
         crashes: true,
@@ -29,7 +48,12 @@
     };
     let mut world = World::new(seed, MACHINE_COUNT, faults, no_observer());
     world.cancels_long_running = false;
-    world.submit_jobs(JOBS, TRAFFIC_DURATION_MS);
+    match workload {
+        Workload::Usual => world.submit_jobs(JOBS, TRAFFIC_DURATION_MS),
+        Workload::Restricted => {
+            world.submit_restricted_jobs(RESTRICTED_JOBS, TRAFFIC_DURATION_MS);
+        }
+    }
     let start = world.now;
     let affected: Vec<usize> = (0..MACHINE_COUNT)
         .filter(|_| world.rng.u32(0..100) < share_percent)
@@ -116,3 +140,40 @@
 fn no_job_waits_beside_free_servers_after_crashes_and_a_takeover() {
     check(&[0, 1], |seed| idle_day(seed, ServerFault::Crash, 30, true));
 }
+
+/// A day on which most jobs need a label that few servers have.
+fn restricted_day(seed: u64, fault: ServerFault, share_percent: u32, takeovers: bool) -> World {
+    day_of(Workload::Restricted, seed, fault, share_percent, takeovers)
+}
+
+#[test]
+fn no_job_that_needs_a_label_waits_beside_free_servers_without_faults() {
+    check(&[20, 37], |seed| {
+        restricted_day(seed, ServerFault::None, 0, false)
+    });
+}
+
+#[test]
+fn no_job_that_needs_a_label_waits_beside_servers_that_are_sound_again() {
+    let fault = ServerFault::Behavior(ServerBehavior::Failing);
+    check(&[16, 33], |seed| restricted_day(seed, fault, 30, true));
+}
+
+#[test]
+fn no_job_that_needs_a_label_waits_beside_servers_that_stalled_before() {
+    let fault = ServerFault::Behavior(ServerBehavior::Stalled);
+    check(&[0, 1], |seed| restricted_day(seed, fault, 30, false));
+}
+
+#[test]
+fn no_job_that_needs_a_label_waits_beside_servers_that_were_slow_before() {
+    let fault = ServerFault::Behavior(ServerBehavior::Slow);
+    check(&[0, 1], |seed| restricted_day(seed, fault, 30, false));
+}
+
+#[test]
+fn no_job_that_needs_a_label_waits_beside_free_servers_after_crashes_and_a_takeover() {
+    check(&[47, 340], |seed| {
+        restricted_day(seed, ServerFault::Crash, 30, true)
+    });
+}
--- a/crates/scheduler/tests/simulation/world.rs
+++ b/crates/scheduler/tests/simulation/world.rs
@@ -15,9 +15,9 @@
 use lupinrack_control_state::ControlState;
 use lupinrack_scheduler::{Round, Scheduler, SchedulerSettings};
 use lupinrack_scheduler_testkit::{
-    generate_job, idle_jobs, DrainRule, ExpectedJob, FarmSettings, GangRule, GeneratedJob,
-    HeartbeatResponse, IdleJobs, Oracle, OracleRules, OutdatedResponses, Rule, ServerBehavior,
-    ServerFarm, ServerSettings, Speculation, StepContext, TimeBounds, QUEUES,
+    generate_job, idle_jobs, restrict_job, DrainRule, ExpectedJob, FarmSettings, GangRule,
+    GeneratedJob, HeartbeatResponse, IdleJobs, Oracle, OracleRules, OutdatedResponses, Rule,
+    ServerBehavior, ServerFarm, ServerSettings, Speculation, StepContext, TimeBounds, QUEUES,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -135,6 +135,9 @@
     ToAgent,
 }
 
+/// The label of half of the servers, and those of three racks.
+const RESTRICTING_LABELS: [&str; 4] = ["a", "r1-1", "r1-2", "r1-3"];
+
 fn facts(machine: usize, incarnation: u64) -> ServerFacts {
     ServerFacts {
         id: ServerId(format!("s{machine}-{incarnation}")),
@@ -361,6 +364,17 @@
         }
     }
 
+    /// Like [`Self::submit_jobs`], with jobs that are hard to place: most require a label that few servers have.
+    pub fn submit_restricted_jobs(&mut self, count: u64, within_ms: u64) {
+        for number in 0..count {
+            let delay = self.rng.u64(0..within_ms);
+            let wall_ms = self.wall_ms() + delay;
+            let mut job = generate_job(number, wall_ms, Speculation::Never, &mut self.rng);
+            restrict_job(&mut job, &RESTRICTING_LABELS, &mut self.rng);
+            self.send(delay, Event::Submit(job));
+        }
+    }
+
     fn submit(&mut self, job: GeneratedJob) {
         self.last_job += 1;
         let id = JobId(self.last_job);
