Scheduler: a job with nothing running may use capacity that urgent queued tasks wait for

Class: a preference applied as an exclusion. Change: after 1.5 s with nothing running, while less than half of the service is in use, one task of the job may use such capacity as it may use reserved capacity, if no other is free; a gang likewise. Gangs, single tasks, queues and moves between them ask one place, placement/kept_capacity.rs.

--- a/crates/scheduler-testkit/src/workload.rs
+++ b/crates/scheduler-testkit/src/workload.rs
@@ -118,7 +118,7 @@
 pub fn restrict_job(job: &mut GeneratedJob, labels: &[&str], rng: &mut fastrand::Rng) {
     for step in &mut job.expected.spec.steps {
         if rng.u32(0..10) < 7 {
-            step.requires = labels[rng.usize(0..labels.len())].to_owned();
+            labels[rng.usize(0..labels.len())].clone_into(&mut step.requires);
         }
         if !step.gang && rng.u32(0..4) == 0 {
             step.needs.cpu = rng.u64(4_000..12_000);
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -12,7 +12,7 @@
 pub(crate) mod exclusion;
 pub(crate) mod gang;
 pub(crate) mod headroom;
-mod kept_capacity;
+pub(crate) mod kept_capacity;
 pub(crate) mod pass;
 pub(crate) mod planner;
 pub(crate) mod queued_totals;
--- a/crates/scheduler/src/placement/earliest_fit.rs
+++ b/crates/scheduler/src/placement/earliest_fit.rs
@@ -1,6 +1,6 @@
 //! Finds the earliest time at which several tasks can start together, and on which servers.
 
-use crate::placement::candidate::{Candidate, FreedCapacity};
+use crate::placement::candidate::FreedCapacity;
 use crate::resources::{fitting_count, sum};
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::time::Millis;
@@ -13,8 +13,6 @@
     pub(crate) needs: Resources,
     /// The number of tasks.
     pub(crate) count: u64,
-    /// The priority of the tasks.
-    pub(crate) priority: u32,
 }
 
 /// The number of tasks allocated to a candidate.
@@ -36,10 +34,11 @@
 }
 
 /// The free capacity of candidates, now and in the future.
-pub(crate) struct CapacitySupply<'a, F> {
-    pub(crate) candidates: &'a [Candidate],
+pub(crate) struct CapacitySupply<'a, F, G> {
     /// The indices of the candidates to consider.
     pub(crate) chosen: &'a [usize],
+    /// Returns the capacity of a candidate that is free now, by the candidate's index.
+    pub(crate) free: G,
     /// Returns when the runs of a candidate free capacity, soonest first, by the candidate's index.
     pub(crate) freed: F,
 }
@@ -55,21 +54,19 @@
 /// The earliest time at which the chosen candidates have capacity for all tasks of the group at
 /// once; `None` if the known ends of runs do not free enough. `max_tasks_on` limits the number of
 /// tasks of the group on each candidate.
-pub(crate) fn earliest_fit<'a, F: Fn(usize) -> &'a [FreedCapacity]>(
-    supply: &CapacitySupply<'a, F>,
+pub(crate) fn earliest_fit<'a, F: Fn(usize) -> &'a [FreedCapacity], G: Fn(usize) -> Resources>(
+    supply: &CapacitySupply<'a, F, G>,
     group: &TaskGroup,
     max_tasks_on: impl Fn(usize) -> u64,
     now: Millis,
 ) -> Option<EarliestFit> {
-    let CapacitySupply {
-        candidates, chosen, ..
-    } = *supply;
+    let chosen = supply.chosen;
     let count_in = |position: usize, free: &Resources| {
         fitting_count(&group.needs, free, max_tasks_on(chosen[position]))
     };
     let mut free: Vec<Resources> = chosen
         .iter()
-        .map(|candidate| candidates[*candidate].free_for(group.priority))
+        .map(|candidate| (supply.free)(*candidate))
         .collect();
     let mut counts: Vec<u64> = free
         .iter()
@@ -97,8 +94,8 @@
 }
 
 /// The times at which capacity of the chosen candidates becomes free, soonest first.
-fn freed_in_order<'a, F: Fn(usize) -> &'a [FreedCapacity]>(
-    supply: &CapacitySupply<'a, F>,
+fn freed_in_order<'a, F: Fn(usize) -> &'a [FreedCapacity], G>(
+    supply: &CapacitySupply<'a, F, G>,
 ) -> Vec<FreedEvent> {
     let mut events = Vec::new();
     for (position, candidate) in supply.chosen.iter().enumerate() {
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -102,12 +102,10 @@
     /// Whether all candidates together have free capacity for the gang. A cheap check that does not
     /// consider labels, racks and suspicion.
     fn might_start_now(&self, count: u64) -> bool {
-        let (needs, priority) = (&self.demand.step.needs, self.demand.job.priority);
-        let fitting: u64 = self
-            .planner
-            .candidates
-            .iter()
-            .map(|candidate| fitting_count(needs, &candidate.free_for(priority), count))
+        let (planner, demand) = (&*self.planner, self.demand);
+        let fitting: u64 = (0..planner.candidates.len())
+            .map(|index| planner.free_for(demand, index))
+            .map(|free| fitting_count(&demand.step.needs, &free, count))
             .sum();
         fitting >= count
     }
--- a/crates/scheduler/src/placement/pass.rs
+++ b/crates/scheduler/src/placement/pass.rs
@@ -33,7 +33,7 @@
             affinity: &demand.step.affinity,
             priority: demand.job.priority,
             must_start_anywhere: planner.must_start_anywhere(demand),
-            may_use_kept_capacity: planner.kept_capacity_access().is_granted_to(demand.id),
+            may_use_kept_capacity: planner.kept_capacity.is_granted_to(demand.id),
         }
     }
 }
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -2,7 +2,6 @@
 
 use crate::estimator::Estimator;
 use crate::history::faults::FaultHistory;
-use crate::jobs::idle_times::IdleTimes;
 use crate::placement::candidate::{Candidate, FreedCapacity};
 use crate::placement::demand::Demand;
 use crate::placement::earliest_fit::{
@@ -75,16 +74,15 @@
     pub(crate) runs: &'a mut RunTable,
     pub(crate) queues: &'a mut TaskQueues,
     pub(crate) faults: &'a mut FaultHistory,
-    pub(crate) idle_times: &'a IdleTimes,
-    /// Whether less than half of all capacity was in use when the pass began.
-    pub(crate) is_under_half_used: bool,
+    /// Which jobs may use capacity that is kept for other work.
+    pub(crate) kept_capacity: KeptCapacityAccess<'a>,
     /// The starts that the pass has decided. The starts of one gang form one group.
     pub(crate) starts: Vec<Vec<StartRecord>>,
     /// The number of demands that have reserved capacity.
     pub(crate) reservations: usize,
 }
 
-impl<'a> Planner<'a> {
+impl Planner<'_> {
     /// When `count` tasks would finish on these candidates if they started together as early as
     /// possible. `None` if the known ends of runs do not free enough capacity, or if the tasks fit
     /// now but the capacity is kept for other work.
@@ -97,12 +95,11 @@
         let group = TaskGroup {
             needs: demand.step.needs,
             count,
-            priority: demand.job.priority,
         };
         let max_tasks_on = |candidate: usize| self.max_tasks_on(demand, candidate);
         let supply = CapacitySupply {
-            candidates: &self.candidates,
             chosen: &set.members,
+            free: |candidate| self.free_for(demand, candidate),
             freed: |candidate| self.freed(candidate),
         };
         let EarliestFit { at, allocations } =
@@ -117,6 +114,13 @@
         })
     }
 
+    /// The capacity of a candidate that counts as free for the demand.
+    pub(crate) fn free_for(&self, demand: &Demand<'_>, index: usize) -> Resources {
+        let candidate = &self.candidates[index];
+        self.kept_capacity
+            .free_for(demand.id, demand.job.priority, candidate)
+    }
+
     /// When the runs of a candidate are expected to free capacity, soonest first. Leaves out runs
     /// that this round has proposed, since their capacity counts as used in this round.
     pub(crate) fn freed(&self, index: usize) -> &[FreedCapacity] {
@@ -192,7 +196,7 @@
         let (needs, priority) = (&demand.step.needs, demand.job.priority);
         let may_reserve = self.may_reserve();
         (0..).zip(&self.candidates).any(|(index, candidate)| {
-            fits(needs, &candidate.free_for(priority))
+            fits(needs, &self.free_for(demand, index))
                 || (may_reserve && candidate.is_large(needs))
                 || self.queue_end(index, needs, priority).is_some()
         })
@@ -222,20 +226,11 @@
         let waited_ms = if demand.step.long_running {
             self.now.since(demand.ready.since)
         } else {
-            self.idle_times.idle_ms(demand.id, self.now)
+            self.kept_capacity.idle_times.idle_ms(demand.id, self.now)
         };
         waited_ms >= MAX_IDLE_WAIT_MS
     }
 
-    /// Which jobs may use capacity that is kept for other work.
-    pub(crate) fn kept_capacity_access(&self) -> KeptCapacityAccess<'a> {
-        KeptCapacityAccess {
-            idle_times: self.idle_times,
-            is_under_half_used: self.is_under_half_used,
-            now: self.now,
-        }
-    }
-
     /// When work of the demand may use servers in spite of faults there.
     pub(crate) fn retry_limit(&self, demand: &Demand<'_>) -> RetryLimit {
         if !self.must_start_anywhere(demand) {
@@ -247,7 +242,7 @@
         RetryLimit::AfterQuiet {
             ms: match (demand.step.long_running, is_last_attempt) {
                 (false, true) => LAST_ATTEMPT_QUIET_MS,
-                _ if self.is_under_half_used => FREE_SERVICE_QUIET_MS,
+                _ if self.kept_capacity.is_under_half_used => FREE_SERVICE_QUIET_MS,
                 _ => BUSY_SERVICE_QUIET_MS,
             },
         }
@@ -338,7 +333,7 @@
     /// Whether these tasks may start now without using capacity that is kept for other work, or
     /// although it is kept, since the job has been idle for too long in a service that is mostly free.
     fn admits_all(&self, demand: &Demand<'_>, allocations: &[Allocation], ends_at: Millis) -> bool {
-        if self.is_under_half_used && self.must_start_anywhere(demand) {
+        if self.kept_capacity.is_under_half_used && self.must_start_anywhere(demand) {
             return true;
         }
         let (priority, needs) = (demand.job.priority, &demand.step.needs);
--- a/crates/scheduler/src/placement/release.rs
+++ b/crates/scheduler/src/placement/release.rs
@@ -21,20 +21,23 @@
 }
 
 fn release_on(planner: &mut Planner<'_>, index: usize) {
-    let kept_capacity = planner.kept_capacity_access();
     let Planner {
         candidates,
         headroom,
         queues,
+        runs,
+        kept_capacity,
         now,
         ..
     } = planner;
     let candidate = &mut candidates[index];
     let (server, running) = (candidate.server.clone(), candidate.running);
     let released = queues.release(&server, running, *now, |task, queued| {
-        let is_free = has_free_capacity(candidate, queued)
-            && (kept_capacity.is_granted_to(task.job)
-                || is_admitted(candidate, headroom, queued, *now));
+        let is_free = if kept_capacity.is_granted_to(task.job) && runs.is_idle(task.job) {
+            fits(&queued.profile.needs, &candidate.free)
+        } else {
+            is_admitted(candidate, headroom, queued, *now)
+        };
         if is_free {
             allocate(candidate, headroom, queued);
         }
@@ -45,13 +48,7 @@
     }
 }
 
-/// Whether a queued task fits next to more urgent queued tasks.
-fn has_free_capacity(candidate: &Candidate, queued: &QueuedTask) -> bool {
-    let (priority, needs) = (queued.profile.priority, queued.profile.needs);
-    fits(&needs, &candidate.free_beside_more_urgent(priority))
-}
-
-/// Whether a queued task may start next to reservations and headroom.
+/// Whether a queued task fits next to more urgent queued tasks, reservations and headroom.
 fn is_admitted(
     candidate: &Candidate,
     headroom: &Headroom,
@@ -60,7 +57,9 @@
 ) -> bool {
     let (priority, needs) = (queued.profile.priority, queued.profile.needs);
     let ends_at = now.plus(queued.expected_ms);
-    headroom.allows(priority, &needs, 1) && candidate.admits(priority, &needs, ends_at)
+    fits(&needs, &candidate.free_beside_more_urgent(priority))
+        && headroom.allows(priority, &needs, 1)
+        && candidate.admits(priority, &needs, ends_at)
 }
 
 fn allocate(candidate: &mut Candidate, headroom: &mut Headroom, queued: &QueuedTask) {
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// Whether capacity that is kept for other work, by a reservation or as headroom, counts as free.
+/// Whether capacity that is kept for other work counts as free.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum KeptCapacity {
     Excluded,
@@ -158,12 +158,13 @@
             .collect()
     }
 
-    /// The best candidate that has capacity now. If none has, capacity that is kept for other work
-    /// counts too, once the job may use it.
+    /// The best candidate that has capacity now. If none has, one task of the job may use capacity that
+    /// is kept for other work, once the job has access to it.
     fn immediate(&self, choices: &[Choice]) -> Option<Choice> {
         let unreserved = self.best_with_capacity(choices, KeptCapacity::Excluded);
-        let access = self.planner.kept_capacity_access();
-        if unreserved.is_some() || !access.is_granted_to(self.demand.id) {
+        let (planner, job) = (&*self.planner, self.demand.id);
+        let has_access = planner.kept_capacity.is_granted_to(job) && !planner.queues.has_job(job);
+        if unreserved.is_some() || !has_access {
             return unreserved;
         }
         self.best_with_capacity(choices, KeptCapacity::Included)
@@ -209,15 +210,15 @@
         let planner = &*self.planner;
         let candidate = &planner.candidates[choice.candidate];
         let (needs, priority) = (&self.demand.step.needs, self.demand.job.priority);
-        if !fits(needs, &candidate.free_for(priority)) {
-            return false;
+        if kept == KeptCapacity::Included {
+            return fits(needs, &candidate.free);
         }
         let ends_at = planner
             .now
             .plus(self.demand.work_ms(choice.duration_factor));
-        kept == KeptCapacity::Included
-            || (candidate.admits(priority, needs, ends_at)
-                && planner.headroom.allows(priority, needs, 1))
+        fits(needs, &candidate.free_for(priority))
+            && candidate.admits(priority, needs, ends_at)
+            && planner.headroom.allows(priority, needs, 1)
     }
 
     /// Whether a task must not wait for a better candidate than this one. If it has failed here, it
--- a/crates/scheduler/src/queues/task_queues.rs
+++ b/crates/scheduler/src/queues/task_queues.rs
@@ -131,13 +131,20 @@
         }
     }
 
+    /// Whether a task of a job is in a queue.
+    pub(crate) fn has_job(&self, job: JobId) -> bool {
+        self.of_job(job).next().is_some()
+    }
+
+    /// The queued tasks of a job.
+    fn of_job(&self, job: JobId) -> impl Iterator<Item = TaskId> + '_ {
+        let tasks = self.tasks.range(first_task(job)..=last_task(job));
+        tasks.map(|(task, _)| *task)
+    }
+
     /// Removes the tasks of a job from all queues.
     pub(crate) fn withdraw_job(&mut self, job: JobId) {
-        let tasks: Vec<TaskId> = self
-            .tasks
-            .range(first_task(job)..=last_task(job))
-            .map(|(task, _)| *task)
-            .collect();
+        let tasks: Vec<TaskId> = self.of_job(job).collect();
         for task in tasks {
             self.withdraw(task);
         }
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -15,6 +15,7 @@
 use crate::placement::candidates::candidates;
 use crate::placement::demand::{demands, stream_weights, Demand};
 use crate::placement::headroom::{UrgentUsage, URGENT_PRIORITY};
+use crate::placement::kept_capacity::KeptCapacityAccess;
 use crate::placement::pass;
 use crate::placement::planner::Planner;
 use crate::placement::requeue::withdraw_misplaced;
@@ -408,8 +409,13 @@
         now: Millis,
     ) -> Vec<Candidate> {
         let mut candidates = candidates(&self.overview(now));
+        let kept_capacity = KeptCapacityAccess {
+            idle_times: &self.idle_times,
+            is_under_half_used: is_under_half_used(&candidates),
+            now,
+        };
         if self.settings.policy.requeues {
-            withdraw_misplaced(&mut self.queues, &mut candidates, &self.idle_times, now);
+            withdraw_misplaced(&mut self.queues, &mut candidates, kept_capacity);
         }
         let History {
             durations, faults, ..
@@ -422,13 +428,12 @@
             headroom: self
                 .urgent_usage
                 .headroom(&candidates, self.settings.policy),
-            is_under_half_used: is_under_half_used(&candidates),
             candidates,
             weights: stream_weights(demands),
             runs: &mut self.tracker.runs,
             queues: &mut self.queues,
             faults,
-            idle_times: &self.idle_times,
+            kept_capacity,
             starts: Vec::new(),
             reservations: 0,
         };
--- a/crates/scheduler/tests/simulation/idle_jobs.rs
+++ b/crates/scheduler/tests/simulation/idle_jobs.rs
@@ -48,12 +48,12 @@
     };
     let mut world = World::new(seed, MACHINE_COUNT, faults, no_observer());
     world.cancels_long_running = false;
-    match workload {
-        Workload::Usual => world.submit_jobs(JOBS, TRAFFIC_DURATION_MS),
-        Workload::Restricted => {
-            world.submit_restricted_jobs(RESTRICTED_JOBS, TRAFFIC_DURATION_MS);
-        }
-    }
+    world.restricts_jobs = workload == Workload::Restricted;
+    let jobs = match workload {
+        Workload::Usual => JOBS,
+        Workload::Restricted => RESTRICTED_JOBS,
+    };
+    world.submit_jobs(jobs, TRAFFIC_DURATION_MS);
     let start = world.now;
     let affected: Vec<usize> = (0..MACHINE_COUNT)
         .filter(|_| world.rng.u32(0..100) < share_percent)
--- a/crates/scheduler/tests/simulation/world.rs
+++ b/crates/scheduler/tests/simulation/world.rs
@@ -117,6 +117,8 @@
     pub oracle: Oracle,
     /// Whether clients cancel jobs whose tasks run until then.
     pub cancels_long_running: bool,
+    /// Whether jobs are hard to place: most require a label that few servers have.
+    pub restricts_jobs: bool,
     /// Until when faults suspend the check for idle jobs.
     pub disturbed_until: u64,
     idle_jobs: IdleJobs,
@@ -204,6 +206,7 @@
             oracle: Oracle::new(ORACLE_RULES),
             cancels_long_running: true,
             disturbed_until: u64::MAX,
+            restricts_jobs: false,
             idle_jobs: IdleJobs::default(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -356,21 +359,13 @@
     }
 
     pub fn submit_jobs(&mut self, count: u64, within_ms: u64) {
-        for number in 0..count {
-            let delay = self.rng.u64(0..within_ms);
-            let wall_ms = self.wall_ms() + delay;
-            let job = generate_job(number, wall_ms, Speculation::Never, &mut self.rng);
-            self.send(delay, Event::Submit(job));
-        }
-    }
-
-    /// Like [`Self::submit_jobs`], with jobs that are hard to place: most require a label that few servers have.
-    pub fn submit_restricted_jobs(&mut self, count: u64, within_ms: u64) {
         for number in 0..count {
             let delay = self.rng.u64(0..within_ms);
             let wall_ms = self.wall_ms() + delay;
             let mut job = generate_job(number, wall_ms, Speculation::Never, &mut self.rng);
-            restrict_job(&mut job, &RESTRICTING_LABELS, &mut self.rng);
+            if self.restricts_jobs {
+                restrict_job(&mut job, &RESTRICTING_LABELS, &mut self.rng);
+            }
             self.send(delay, Event::Submit(job));
         }
     }
