Core process: the writes of one event share one sync

One of several causes. Cause: the driver handed each write to the writer's thread by itself. The thread took the first as soon as it came, so the vote and the view of one event, or a truncation, a status and an entry, cost one sync each, one after the other. Change: the driver collects the writes of an event and queues them together (Writer::write_all). Result: the new test of the writer has one sync for each of 20 groups of three batches; single batches had one sync for the first and one for the rest whenever the thread was idle.

--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -12,7 +12,7 @@
 use lupinrack_cluster_api::identity::DiskId;
 use lupinrack_cluster_membership::{LiveMember, LiveTable, SwimSettings};
 use lupinrack_cluster_transport::peers::{PeerEvent, PeerSettings, Peers};
-use lupinrack_control_store::{ControlStore, StoreSettings, WriteOutcome, Writer};
+use lupinrack_control_store::{ControlStore, QueuedBatch, StoreSettings, WriteOutcome, Writer};
 use lupinrack_node_settings::{MachineLimits, SettingsFile};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -255,23 +255,19 @@
         let began = Instant::now();
         let effects = self.machine.take_effects(self.clock.moment());
         self.machine.events_finished_in(began.elapsed());
+        let mut batches = Vec::new();
         for effect in effects {
-            self.carry_out(effect);
-        }
-    }
-
-    fn carry_out(&mut self, effect: CoreEffect) {
-        match effect {
-            CoreEffect::Send { to, frame } => {
-                self.peers.send(to, frame);
-            }
-            CoreEffect::SendOn { connection, frame } => {
-                self.peers.send_on(connection, frame);
-            }
-            CoreEffect::Write { number, batch } => {
-                // Writing fails only if the writer's thread has ended, which happens only at exit.
-                let _ = self.writer.write(number, batch);
+            match effect {
+                CoreEffect::Send { to, frame } => {
+                    self.peers.send(to, frame);
+                }
+                CoreEffect::SendOn { connection, frame } => {
+                    self.peers.send_on(connection, frame);
+                }
+                CoreEffect::Write { number, batch } => batches.push(QueuedBatch { number, batch }),
             }
         }
+        // Writing fails only if the writer's thread has ended, which happens only at exit.
+        let _ = self.writer.write_all(batches);
     }
 }
--- a/crates/control-store/src/lib.rs
+++ b/crates/control-store/src/lib.rs
@@ -56,4 +56,4 @@
 pub use recovered::Recovered;
 pub use settings::StoreSettings;
 pub use store::{ControlStore, FailedCommit};
-pub use writer::{RetryBackoff, WriteOutcome, Writer, WriterStopped};
+pub use writer::{QueuedBatch, RetryBackoff, WriteOutcome, Writer, WriterStopped};
--- a/crates/control-store/src/writer.rs
+++ b/crates/control-store/src/writer.rs
@@ -3,7 +3,7 @@
 use crate::batch::Batch;
 use crate::error::StoreError;
 use crate::store::ControlStore;
-use crate::writer_thread::{QueuedBatch, WriterThread};
+use crate::writer_thread::WriterThread;
 use std::io;
 use std::sync::mpsc::{channel, Sender};
 use std::thread::{Builder, JoinHandle};
@@ -37,6 +37,15 @@
     }
 }
 
+/// A batch under its number.
+#[derive(Debug)]
+pub struct QueuedBatch {
+    /// The number that a [`WriteOutcome`] returns.
+    pub number: u64,
+    /// The batch.
+    pub batch: Batch,
+}
+
 /// What the writer reports after each attempt.
 #[derive(Debug)]
 pub struct WriteOutcome {
@@ -59,7 +68,7 @@
 /// the queued batches, if the disk does not fail, and ends.
 #[derive(Debug)]
 pub struct Writer {
-    queue: Sender<QueuedBatch>,
+    queue: Sender<Vec<QueuedBatch>>,
     thread: JoinHandle<()>,
 }
 
@@ -102,9 +111,19 @@
     ///
     /// If the thread has ended, which only a panic of `on_outcome` can cause.
     pub fn write(&self, number: u64, batch: Batch) -> Result<(), WriterStopped> {
-        self.queue
-            .send(QueuedBatch { number, batch })
-            .map_err(|_| WriterStopped)
+        self.write_all(vec![QueuedBatch { number, batch }])
+    }
+
+    /// Queues batches that are written with one sync, in their order. Never blocks.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Writer::write`].
+    pub fn write_all(&self, batches: Vec<QueuedBatch>) -> Result<(), WriterStopped> {
+        if batches.is_empty() {
+            return Ok(());
+        }
+        self.queue.send(batches).map_err(|_| WriterStopped)
     }
 
     /// Closes the queue, and waits until the thread has written the queued batches, or has failed
--- a/crates/control-store/src/writer_thread.rs
+++ b/crates/control-store/src/writer_thread.rs
@@ -3,24 +3,17 @@
 use crate::batch::Batch;
 use crate::error::StoreError;
 use crate::store::{ControlStore, FailedCommit};
-use crate::writer::{RetryBackoff, WriteOutcome};
+use crate::writer::{QueuedBatch, RetryBackoff, WriteOutcome};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
 
-/// A batch under its number.
-#[derive(Debug)]
-pub(crate) struct QueuedBatch {
-    pub(crate) number: u64,
-    pub(crate) batch: Batch,
-}
-
 /// The queue was closed while the disk was failing.
 struct QueueClosed;
 
 /// The thread's state.
 pub(crate) struct WriterThread<OnOutcome> {
     store: ControlStore,
-    incoming: Receiver<QueuedBatch>,
+    incoming: Receiver<Vec<QueuedBatch>>,
     /// Batches that were received and are not in a group yet.
     pending: Vec<QueuedBatch>,
     /// Batches that are written by one commit.
@@ -32,7 +25,7 @@
 impl<OnOutcome: Fn(WriteOutcome)> WriterThread<OnOutcome> {
     pub(crate) fn new(
         store: ControlStore,
-        incoming: Receiver<QueuedBatch>,
+        incoming: Receiver<Vec<QueuedBatch>>,
         backoff: RetryBackoff,
         on_outcome: OnOutcome,
     ) -> Self {
@@ -59,11 +52,11 @@
     fn form_group(&mut self) -> bool {
         if self.pending.is_empty() {
             match self.incoming.recv() {
-                Ok(batch) => self.pending.push(batch),
+                Ok(batches) => self.pending.extend(batches),
                 Err(_) => return false,
             }
         }
-        self.pending.extend(self.incoming.try_iter());
+        self.pending.extend(self.incoming.try_iter().flatten());
         self.group = std::mem::take(&mut self.pending);
         self.reject_invalid();
         true
@@ -142,7 +135,7 @@
                 .incoming
                 .recv_timeout(end.saturating_duration_since(Instant::now()))
             {
-                Ok(batch) => self.pending.push(batch),
+                Ok(batches) => self.pending.extend(batches),
                 Err(RecvTimeoutError::Timeout) => return Ok(()),
                 Err(RecvTimeoutError::Disconnected) => return Err(QueueClosed),
             }
--- a/crates/control-store/tests/writer.rs
+++ b/crates/control-store/tests/writer.rs
@@ -5,7 +5,8 @@
 use common::{append, entry_of, open};
 use lupinrack_control_store::simulated::SimulatedDisk;
 use lupinrack_control_store::{
-    Batch, InvalidBatch, LogBounds, RetryBackoff, StoreError, WriteOutcome, Writer, DATA_FILE,
+    Batch, InvalidBatch, LogBounds, QueuedBatch, RetryBackoff, StoreError, WriteOutcome, Writer,
+    DATA_FILE,
 };
 use std::io::ErrorKind;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -51,6 +52,27 @@
     open(disk).expect("opens").1.entries.len() as u64
 }
 
+/// Guards against one sync for each of several writes that one event causes.
+#[test]
+fn batches_that_are_queued_together_cost_one_sync() {
+    let disk = SimulatedDisk::new();
+    let (writer, outcomes) = spawn_writer(&disk);
+    let before = disk.counters().syncs;
+    for round in 0..20 {
+        let numbers = 3 * round + 1..=3 * round + 3;
+        let last = *numbers.end();
+        let batches = numbers.map(|number| QueuedBatch {
+            number,
+            batch: append(number..=number),
+        });
+        assert!(writer.write_all(batches.collect()).is_ok());
+        let all = until_synced(&outcomes, last);
+        assert_eq!(synced_by(&all), (last - 2..=last).collect::<Vec<_>>());
+    }
+    assert_eq!(disk.counters().syncs - before, 20);
+    writer.close();
+}
+
 #[test]
 fn numbers_are_reported_in_order_once_their_batches_are_synced() {
     let disk = SimulatedDisk::new();
