Core process: a repeated request of a proposer costs no further sync

Cause: a proposer repeats its requests every 100 ms until they are answered, and an acceptor wrote and synced the unchanged vote for each. On a disk of 260 ms a sync the disk was never idle during an agreement, and each further write, as that of the next phase, waited for such a sync. Change: VoteWriter writes a vote only if it differs from the newest one given to the disk. While that is being written nothing is done, since its messages answer the request; once it is synced the response is sent at once.

--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -30,6 +30,7 @@
 pub mod stall_watch;
 pub mod state_size;
 mod view_manager;
+pub mod vote_writer;
 
 pub use effect::CoreEffect;
 pub use event::CoreEvent;
--- a/crates/cluster-node/src/core/pending_writes.rs
+++ b/crates/cluster-node/src/core/pending_writes.rs
@@ -1,7 +1,6 @@
 //! Writes to the disk that are not synced yet, and their continuations.
 
-use lupinrack_cluster_api::agreement::AgreementMessage;
-use lupinrack_cluster_api::identity::PeerAddress;
+use super::vote_writer::VoteMessages;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use std::collections::BTreeMap;
@@ -17,7 +16,7 @@
     /// No action.
     Nothing,
     /// Sends these messages of the agreement on views.
-    SendVotes(Vec<(PeerAddress, AgreementMessage)>),
+    SendVotes(VoteMessages),
     /// Notifies the chain that its entries up to this index are on the disk.
     EntriesWritten(u64),
     /// Adopts the view.
--- a/crates/cluster-node/src/core/view_manager.rs
+++ b/crates/cluster-node/src/core/view_manager.rs
@@ -1,6 +1,7 @@
 //! Views: the agreement on them, the policy that selects the one to propose, and the one that this process has adopted.
 
 use super::pending_writes::WriteContinuation;
+use super::vote_writer::{VoteMessages, VoteWrite, VoteWriter};
 use borsh::BorshSerialize;
 use lupinrack_cluster_api::agreement::AgreementMessage;
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
@@ -8,7 +9,7 @@
 use lupinrack_cluster_api::view::{View, Voter};
 use lupinrack_control_store::Batch;
 use lupinrack_view_agreement::policy::{DuplicateDisk, Redundancy};
-use lupinrack_view_agreement::{Agreement, Effect, PeerReport, ViewPolicy};
+use lupinrack_view_agreement::{Agreement, Effect, PeerReport, ViewPolicy, VoteState};
 use std::collections::VecDeque;
 
 /// An effect of the agreement on views.
@@ -30,6 +31,7 @@
     adopted: u64,
     /// Messages of the agreement to this process itself.
     to_self: VecDeque<AgreementMessage>,
+    votes: VoteWriter,
     /// The links that the last heartbeat reported.
     reported_links: Vec<DiskId>,
 }
@@ -43,6 +45,7 @@
             policy,
             adopted: 0,
             to_self: VecDeque::new(),
+            votes: VoteWriter::default(),
             reported_links: Vec::new(),
         }
     }
@@ -117,10 +120,12 @@
     }
 
     /// Sends the messages of votes that are now on the disk.
-    pub(super) fn votes_stored(
-        &mut self,
-        messages: Vec<(PeerAddress, AgreementMessage)>,
-    ) -> Vec<ViewEffect> {
+    pub(super) fn votes_stored(&mut self, messages: VoteMessages) -> Vec<ViewEffect> {
+        self.votes.synced();
+        self.send_all(messages)
+    }
+
+    fn send_all(&mut self, messages: VoteMessages) -> Vec<ViewEffect> {
         let sent = messages
             .into_iter()
             .filter_map(|(to, message)| self.send(to, message));
@@ -214,20 +219,28 @@
 
     fn effects(&mut self, effects: Vec<Effect>) -> Vec<ViewEffect> {
         let effects = effects.into_iter();
-        effects.filter_map(|effect| self.effect(effect)).collect()
+        effects.flat_map(|effect| self.effect(effect)).collect()
     }
 
-    fn effect(&mut self, effect: Effect) -> Option<ViewEffect> {
+    fn effect(&mut self, effect: Effect) -> Vec<ViewEffect> {
         match effect {
-            Effect::Persist { vote, then } => {
+            Effect::Persist { vote, then } => self.persist(vote, then),
+            Effect::Send(to, message) => self.send(to, message).into_iter().collect(),
+            Effect::Agreed(view) => vec![store(view)],
+        }
+    }
+
+    fn persist(&mut self, vote: VoteState, then: VoteMessages) -> Vec<ViewEffect> {
+        match self.votes.persist(vote, then) {
+            VoteWrite::Write(vote, then) => {
                 let batch = Batch {
                     vote: Some(encode(&vote)),
                     ..Batch::default()
                 };
-                Some(ViewEffect::Write(batch, WriteContinuation::SendVotes(then)))
+                vec![ViewEffect::Write(batch, WriteContinuation::SendVotes(then))]
             }
-            Effect::Send(to, message) => self.send(to, message),
-            Effect::Agreed(view) => Some(store(view)),
+            VoteWrite::Send(messages) => self.send_all(messages),
+            VoteWrite::InProgress => Vec::new(),
         }
     }
 
