Core process: a disk is unhealthy if it is far slower than it usually is

Callers saw: on disks of about 120 ms a sync and more the chain changes again and again without a fault; each change takes the owners' authority and costs several syncs. Cause: a write of 150 ms made a disk unhealthy for 2 s. Where all disks are about that slow, some count as unhealthy and some do not, by chance and by who wrote last, and members are replaced by spares that are no faster. Change: a write is slow from three times the median of the last nine on (150 ms at least), and the median starts with the slowest sync of the store's opening. A disk that hangs, fails or slows down is unhealthy as before; one that stays slow counts as usual after a few writes.

--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -136,7 +136,7 @@
             fault: None,
             outbox: Outbox::default(),
             stalls: StallWatch::new(moment.now),
-            writes: PendingWrites::default(),
+            writes: PendingWrites::on_disk(settings.sync_ms),
             views: ViewManager::new(me.clone(), agreement, policy),
             peers: CorePeers::new(settings.seeds, settings.catch_up_ms),
             chain,
--- a/crates/cluster-node/src/core/mod.rs
+++ b/crates/cluster-node/src/core/mod.rs
@@ -31,6 +31,7 @@
 pub mod state_size;
 mod view_manager;
 pub mod vote_writer;
+pub mod write_latency;
 
 pub use effect::CoreEffect;
 pub use event::CoreEvent;
--- a/crates/cluster-node/src/core/pending_writes.rs
+++ b/crates/cluster-node/src/core/pending_writes.rs
@@ -1,12 +1,11 @@
 //! Writes to the disk that are not synced yet, and their continuations.
 
 use super::vote_writer::VoteMessages;
+use super::write_latency::WriteLatency;
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 use std::collections::BTreeMap;
 
-/// A write that is not synced after this long makes the disk unhealthy, in milliseconds.
-const SLOW_WRITE_MS: u64 = 150;
 /// A disk is healthy again once no write has been slow or failed for this long, in milliseconds.
 const RECOVERY_MS: u64 = 2_000;
 
@@ -42,9 +41,18 @@
     last_number: u64,
     pending: BTreeMap<u64, PendingWrite>,
     last_slow_at: Option<Millis>,
+    latency: WriteLatency,
 }
 
 impl PendingWrites {
+    /// Starts on a disk on which a sync took this long when the store was opened, in milliseconds.
+    pub fn on_disk(sync_ms: u64) -> PendingWrites {
+        PendingWrites {
+            latency: WriteLatency::starting_at(sync_ms),
+            ..PendingWrites::default()
+        }
+    }
+
     /// Records a write that begins now. Returns its number.
     pub fn begin(&mut self, continuation: WriteContinuation, now: Millis) -> u64 {
         self.last_number += 1;
@@ -63,9 +71,11 @@
             let Some(write) = self.pending.remove(number) else {
                 continue;
             };
-            if now.since(write.began_at) >= SLOW_WRITE_MS {
+            let latency_ms = now.since(write.began_at);
+            if latency_ms >= self.latency.slow_ms() {
                 self.last_slow_at = Some(now);
             }
+            self.latency.observed(latency_ms);
             continuations.push(write.continuation);
         }
         continuations
@@ -83,13 +93,22 @@
         self.last_slow_at = Some(now);
     }
 
+    /// The slowest recent latency of a write, including those that are not synced yet, in milliseconds.
+    pub fn latency_ms(&self, now: Millis) -> u64 {
+        self.latency.slowest_ms().max(self.oldest_pending_ms(now))
+    }
+
     /// Whether no write has been slow or failed recently.
     pub fn is_healthy(&self, now: Millis) -> bool {
-        let oldest = self.pending.values().next();
-        let is_slow = oldest.is_some_and(|write| now.since(write.began_at) >= SLOW_WRITE_MS);
+        let is_slow = self.oldest_pending_ms(now) >= self.latency.slow_ms();
         let was_slow = self
             .last_slow_at
             .is_some_and(|at| now.since(at) < RECOVERY_MS);
         !is_slow && !was_slow
     }
+
+    fn oldest_pending_ms(&self, now: Millis) -> u64 {
+        let oldest = self.pending.values().next();
+        oldest.map_or(0, |write| now.since(write.began_at))
+    }
 }
--- a/crates/cluster-node/src/core/process.rs
+++ b/crates/cluster-node/src/core/process.rs
@@ -66,7 +66,8 @@
     let disk = store
         .identify(&mut recovered, DiskId(draw()))
         .map_err(NodeError::OpenStore)?;
-    let core_settings = CoreSettings::of_node(settings, disk, draw());
+    let sync_ms = store.opening_sync().as_millis() as u64;
+    let core_settings = CoreSettings::of_node(settings, disk, sync_ms, draw());
     let (peers, peer_events) = Peers::start(
         settings.internal_address,
         hello(&core_settings),
--- a/crates/cluster-node/src/core/settings.rs
+++ b/crates/cluster-node/src/core/settings.rs
@@ -38,6 +38,8 @@
     pub remember_ms: u64,
     /// Settings of its schedulers.
     pub scheduler: SchedulerSettings,
+    /// How long a sync took when the store was opened, in milliseconds.
+    pub sync_ms: u64,
     /// Size limits of the log in bytes.
     pub log_bytes: ByteLimits,
     /// Size limit of the state up to which new work is admitted, in bytes.
@@ -58,13 +60,20 @@
             grace_ms: GRACE_MS,
             remember_ms: REMEMBER_MARGIN_MS,
             scheduler: SchedulerSettings::default(),
+            sync_ms: 0,
             log_bytes: ByteLimits::default(),
             admitted_state_bytes: max_admitted_bytes(0, 0),
         }
     }
 
-    /// Derives the settings from those of the node, for this disk and incarnation.
-    pub fn of_node(node: &NodeSettings, disk: DiskId, incarnation: u64) -> CoreSettings {
+    /// Derives the settings from those of the node, for this disk and incarnation. `sync_ms` is how long a sync took when
+    /// the store was opened, in milliseconds.
+    pub fn of_node(
+        node: &NodeSettings,
+        disk: DiskId,
+        sync_ms: u64,
+        incarnation: u64,
+    ) -> CoreSettings {
         let address = PeerAddress(node.internal_address);
         let seeds = node.seed_internal();
         let founders = if node.is_founder() {
@@ -87,6 +96,7 @@
             grace_ms: node.bounds.grace_ms,
             remember_ms: node.bounds.status_ms.saturating_add(REMEMBER_MARGIN_MS),
             scheduler: scheduler_settings(node),
+            sync_ms,
             log_bytes: ByteLimits::of_machine(node.limits.memory_mb, node.limits.disk_mb),
             admitted_state_bytes: max_admitted_bytes(node.limits.memory_mb, node.limits.disk_mb),
         }
--- a/crates/cluster-node/tests/core_settings.rs
+++ b/crates/cluster-node/tests/core_settings.rs
@@ -18,14 +18,14 @@
 #[test]
 fn the_bounds_of_the_log_follow_from_memory_and_disk() {
     for (memory_mb, disk_mb) in [(192, 128), (256, 128), (384, 192), (0, 0)] {
-        let settings = CoreSettings::of_node(&node(memory_mb, disk_mb), DiskId(1), 1);
+        let settings = CoreSettings::of_node(&node(memory_mb, disk_mb), DiskId(1), 0, 1);
         assert_eq!(
             settings.log_bytes,
             ByteLimits::of_machine(memory_mb, disk_mb)
         );
     }
-    let small = CoreSettings::of_node(&node(192, 128), DiskId(1), 1).log_bytes;
-    let large = CoreSettings::of_node(&node(256, 128), DiskId(1), 1).log_bytes;
+    let small = CoreSettings::of_node(&node(192, 128), DiskId(1), 0, 1).log_bytes;
+    let large = CoreSettings::of_node(&node(256, 128), DiskId(1), 0, 1).log_bytes;
     assert!(
         small.snapshot_after < large.snapshot_after,
         "{small:?} {large:?}"
--- a/crates/cluster-node/tests/restarted_core.rs
+++ b/crates/cluster-node/tests/restarted_core.rs
@@ -58,6 +58,7 @@
         grace_ms: 6_000,
         remember_ms: 10_000,
         scheduler: SchedulerSettings::default(),
+        sync_ms: 0,
         log_bytes: ByteLimits::default(),
         admitted_state_bytes: max_admitted_bytes(0, 0),
     };
--- a/crates/cluster-simulation/src/config.rs
+++ b/crates/cluster-simulation/src/config.rs
@@ -113,6 +113,8 @@
     pub finish_ms: u64,
     /// Time after the last fault from which on no job may have nothing running beside free servers, in milliseconds.
     pub settle_ms: u64,
+    /// How long each sync takes on every disk, one after another, in milliseconds; short random times if none.
+    pub sync_ms: Option<u64>,
     /// The profile of the faults.
     pub profile: FaultProfile,
     /// What the operator's changes do to the routes of the queues.
@@ -132,6 +134,7 @@
             traffic_ms: 40_000,
             finish_ms: 30_000,
             settle_ms: 8_000,
+            sync_ms: None,
             profile: FaultProfile::Mixed,
             route_changes: RouteChanges::None,
             injected_bug: None,
--- a/crates/cluster-simulation/src/process_start.rs
+++ b/crates/cluster-simulation/src/process_start.rs
@@ -140,6 +140,7 @@
                 lease_ms: MAX_LEASE_MS,
                 ..SchedulerSettings::default()
             },
+            sync_ms: self.config.sync_ms.unwrap_or(0),
             log_bytes: self.config.log_bytes(),
             admitted_state_bytes: max_admitted_bytes(0, 0),
         };
--- a/crates/control-store/src/data_file.rs
+++ b/crates/control-store/src/data_file.rs
@@ -3,12 +3,13 @@
 use crate::directory::Directory;
 use crate::error::StoreError;
 use crate::file_names::{DATA_FILE, NEW_FILE};
-use crate::growth_synced_file::{GrowthSyncedFile, SyncFailureFlag};
+use crate::growth_synced_file::{GrowthSyncedFile, SyncRecord};
 use crate::panic_guard::catch_panic;
 use crate::row_writer;
 use crate::settings::StoreSettings;
 use redb::{Builder, Database, StorageBackend};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The sequence number of the commit with which a file is created.
 const FIRST_SEQUENCE: u64 = 0;
@@ -26,7 +27,7 @@
 pub(crate) struct DataFile {
     directory: Arc<dyn Directory>,
     settings: StoreSettings,
-    sync_failure: SyncFailureFlag,
+    syncs: SyncRecord,
 }
 
 impl DataFile {
@@ -34,7 +35,7 @@
         Self {
             directory,
             settings,
-            sync_failure: SyncFailureFlag::default(),
+            syncs: SyncRecord::default(),
         }
     }
 
@@ -60,14 +61,19 @@
             file.write(offset, &file.read(offset, bytes as usize)?)?;
             offset += bytes;
         }
-        file.sync_data(false)?;
-        self.sync_failure.clear();
+        self.syncs.sync(file.as_ref())?;
+        self.syncs.clear_failure();
         Ok(())
     }
 
+    /// How long the slowest sync of the file took.
+    pub(crate) fn slowest_sync(&self) -> Duration {
+        self.syncs.slowest()
+    }
+
     /// Rewrites the file if a sync of it has failed since it was opened or rewritten.
     pub(crate) fn rewrite_after_failed_sync(&self) -> Result<(), StoreError> {
-        if self.sync_failure.is_set() {
+        if self.syncs.has_failure() {
             self.rewrite()?;
         }
         Ok(())
@@ -124,6 +130,6 @@
     }
 
     fn growth_synced(&self, file: Box<dyn StorageBackend>) -> GrowthSyncedFile {
-        GrowthSyncedFile::new(file, self.sync_failure.clone())
+        GrowthSyncedFile::new(file, self.syncs.clone())
     }
 }
--- a/crates/control-store/src/growth_synced_file.rs
+++ b/crates/control-store/src/growth_synced_file.rs
@@ -2,51 +2,68 @@
 
 use redb::StorageBackend;
 use std::io;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
-/// Whether a sync of the data file has failed; shared by a store and all its handles of the file.
+/// The outcomes of syncs of the data file; shared by a store and all its handles of the file.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct SyncFailureFlag(Arc<AtomicBool>);
+pub(crate) struct SyncRecord(Arc<SyncOutcomes>);
 
-impl SyncFailureFlag {
-    /// Whether a sync has failed since the flag was cleared.
-    pub(crate) fn is_set(&self) -> bool {
-        self.0.load(Ordering::SeqCst)
+#[derive(Debug, Default)]
+struct SyncOutcomes {
+    has_failed: AtomicBool,
+    /// In microseconds.
+    slowest: AtomicU64,
+}
+
+impl SyncRecord {
+    /// Whether a sync has failed since the record was cleared.
+    pub(crate) fn has_failure(&self) -> bool {
+        self.0.has_failed.load(Ordering::SeqCst)
     }
 
-    /// Clears the flag, once everything that the failed sync may have lost was written again and
+    /// Forgets a failure, once everything that the failed sync may have lost was written again and
     /// synced.
-    pub(crate) fn clear(&self) {
-        self.0.store(false, Ordering::SeqCst);
+    pub(crate) fn clear_failure(&self) {
+        self.0.has_failed.store(false, Ordering::SeqCst);
     }
 
-    fn set(&self) {
-        self.0.store(true, Ordering::SeqCst);
+    /// How long the slowest sync took.
+    pub(crate) fn slowest(&self) -> Duration {
+        Duration::from_micros(self.0.slowest.load(Ordering::SeqCst))
+    }
+
+    /// Syncs a file and records the outcome.
+    pub(crate) fn sync(&self, file: &dyn StorageBackend) -> io::Result<()> {
+        let began = Instant::now();
+        let result = file.sync_data(false);
+        let elapsed = began.elapsed().as_micros() as u64;
+        self.0.slowest.fetch_max(elapsed, Ordering::SeqCst);
+        if result.is_err() {
+            self.0.has_failed.store(true, Ordering::SeqCst);
+        }
+        result
     }
 }
 
-/// A file that is synced as soon as it grows, and that records failed syncs.
+/// A file that is synced as soon as it grows, and that records the outcomes of its syncs.
 ///
 /// `redb` expects a file to be as long as its header says, so the header must not reach the disk
 /// before the length.
 #[derive(Debug)]
 pub(crate) struct GrowthSyncedFile {
     file: Box<dyn StorageBackend>,
-    sync_failure: SyncFailureFlag,
+    syncs: SyncRecord,
 }
 
 impl GrowthSyncedFile {
-    pub(crate) fn new(file: Box<dyn StorageBackend>, sync_failure: SyncFailureFlag) -> Self {
-        Self { file, sync_failure }
+    pub(crate) fn new(file: Box<dyn StorageBackend>, syncs: SyncRecord) -> Self {
+        Self { file, syncs }
     }
 
     fn sync(&self) -> io::Result<()> {
-        let result = self.file.sync_data(false);
-        if result.is_err() {
-            self.sync_failure.set();
-        }
-        result
+        self.syncs.sync(self.file.as_ref())
     }
 }
 
--- a/crates/control-store/src/store.rs
+++ b/crates/control-store/src/store.rs
@@ -14,6 +14,7 @@
 use redb::Database;
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 /// The durable state of a core process.
 ///
@@ -29,6 +30,8 @@
     sequence: u64,
     /// The bounds after a failed commit, if it is unknown whether that commit reached the disk.
     uncertain_commit: Option<LogBounds>,
+    /// How long the slowest sync took while the store was opened.
+    opening_sync: Duration,
 }
 
 /// Whether a failed commit is on the disk nevertheless.
@@ -71,6 +74,7 @@
             Ok((rows.recovered()?, rows.commit_header()?))
         })?;
         let store = ControlStore {
+            opening_sync: file.slowest_sync(),
             file,
             database: Some(database),
             bounds: recovered.bounds(),
@@ -103,6 +107,11 @@
         Ok(drawn)
     }
 
+    /// How long the slowest sync took while the store was opened.
+    pub fn opening_sync(&self) -> Duration {
+        self.opening_sync
+    }
+
     /// Which indices the log covers.
     pub fn bounds(&self) -> LogBounds {
         self.bounds
