View agreement: attempts last as long as votes take, and others are left to complete

Callers saw: on disks of 260 ms a sync no view is agreed for many seconds after a kill, and a new deployment is never founded: the chain of views had nothing to agree on the loss with. Cause: an attempt ended after 400 ms. A vote costs a sync, which may wait for another one, so the votes arrived up to 600 ms later and were of no use: the next attempt had a higher number and cost each acceptor another sync. And a second proposer, whose turn comes 300 ms after the first one's, began beside it; the higher number made acceptors reject the first one's next request, and so on in turn. Change: an attempt lasts 800 ms, or four times what a write to this process's disk lately took; a process that voted for another's proposal starts none while requests of that one come, for three times that time a phase. On a fast disk that is a few milliseconds, so nothing changes there: all shapes of one-way links pass as before.

--- a/crates/cluster-node/src/core/machine/mod.rs
+++ b/crates/cluster-node/src/core/machine/mod.rs
@@ -336,7 +336,7 @@
 
     fn on_tick(&mut self) {
         let now = self.now();
-        let effects = self.views.tick(now);
+        let effects = self.views.tick(self.writes.latency_ms(now), now);
         self.carry_out_views(effects);
         let effects = self.chain.tick(now);
         self.carry_out_chain(effects);
--- a/crates/cluster-node/src/core/view_manager.rs
+++ b/crates/cluster-node/src/core/view_manager.rs
@@ -103,8 +103,9 @@
         Some(self.receive(self.me.address, message, now))
     }
 
-    /// Handles a tick of the timer.
-    pub(super) fn tick(&mut self, now: Millis) -> Vec<ViewEffect> {
+    /// Handles a tick of the timer. `vote_ms` is how long this disk lately took for a write.
+    pub(super) fn tick(&mut self, vote_ms: u64, now: Millis) -> Vec<ViewEffect> {
+        self.agreement.set_vote_ms(vote_ms);
         let effects = self.agreement.tick(now);
         self.effects(effects)
     }
--- a/crates/view-agreement/src/agreement.rs
+++ b/crates/view-agreement/src/agreement.rs
@@ -2,6 +2,7 @@
 
 use crate::acceptor::Response;
 use crate::effect::Effect;
+use crate::pace::Request;
 use crate::proposer::{Prepared, Proposer, Requests};
 use crate::vote::VoteState;
 use lupinrack_cluster_api::agreement::{AgreementMessage, ProposalNumber};
@@ -63,6 +64,13 @@
         &self.vote.founders
     }
 
+    /// Sets how long this process's disk lately took for a vote, in milliseconds. The other disks are
+    /// assumed to be alike, so a proposal waits for votes, and for another process's proposal, for a
+    /// multiple of this time.
+    pub fn set_vote_ms(&mut self, vote_ms: u64) {
+        self.proposer.set_vote_ms(vote_ms);
+    }
+
     /// Receives a message from another process or, looped back, from this one.
     pub fn receive(
         &mut self,
@@ -71,7 +79,9 @@
         now: Millis,
     ) -> Vec<Effect> {
         match message {
-            AgreementMessage::Prepare { proposal_number } => self.on_prepare(from, proposal_number),
+            AgreementMessage::Prepare { proposal_number } => {
+                self.on_prepare(from, proposal_number, now)
+            }
             AgreementMessage::Prepared {
                 proposal_number,
                 disk,
@@ -92,7 +102,7 @@
             AgreementMessage::Accept {
                 proposal_number,
                 view,
-            } => self.on_accept(from, proposal_number, &view),
+            } => self.on_accept(from, proposal_number, &view, now),
             AgreementMessage::Accepted {
                 proposal_number,
                 disk,
@@ -111,8 +121,8 @@
     /// Proposes the next view.
     ///
     /// Nothing happens if the view does not follow the current one or this disk has no vote. If
-    /// another view may have been chosen already, that one is completed and announced instead. A
-    /// repeated call keeps the proposal alive and replaces its view, unless accept requests for it
+    /// another view may have been chosen already, that one is completed and announced instead. While
+    /// another process's proposal is in progress, that one is left to complete. A repeated call keeps the proposal alive and replaces its view, unless accept requests for it
     /// were sent already.
     pub fn propose(&mut self, next: View, now: Millis) -> Vec<Effect> {
         let follows = next.number == self.vote.next_view_number();
@@ -157,9 +167,18 @@
         }
     }
 
-    fn on_prepare(&mut self, from: PeerAddress, proposal_number: ProposalNumber) -> Vec<Effect> {
+    fn on_prepare(
+        &mut self,
+        from: PeerAddress,
+        proposal_number: ProposalNumber,
+        now: Millis,
+    ) -> Vec<Effect> {
         self.proposer.observe(proposal_number);
         let response = self.vote.prepare(&self.me, proposal_number);
+        if is_vote_for_other(&response, from, &self.me) {
+            self.proposer
+                .voted_for(proposal_number, Request::Prepare, now);
+        }
         self.respond(from, response)
     }
 
@@ -168,9 +187,14 @@
         from: PeerAddress,
         proposal_number: ProposalNumber,
         view: &View,
+        now: Millis,
     ) -> Vec<Effect> {
         self.proposer.observe(proposal_number);
         let response = self.vote.accept(&self.me, proposal_number, view);
+        if is_vote_for_other(&response, from, &self.me) {
+            self.proposer
+                .voted_for(proposal_number, Request::Accept, now);
+        }
         self.respond(from, response)
     }
 
@@ -240,6 +264,11 @@
     }
 }
 
+/// Whether a response is a vote for the request of another process.
+fn is_vote_for_other(response: &Response, from: PeerAddress, me: &Voter) -> bool {
+    from != me.address && matches!(response, Response::Vote(_))
+}
+
 /// Whether a view can be proposed: it lists no disk twice, and its chain is not empty and consists of
 /// voters.
 fn is_well_formed(view: &View) -> bool {
--- a/crates/view-agreement/src/lib.rs
+++ b/crates/view-agreement/src/lib.rs
@@ -29,10 +29,12 @@
 mod backoff;
 mod effect;
 mod electorate;
+mod pace;
 pub mod policy;
 mod proposal;
 mod proposer;
 mod quorum;
+mod rival;
 mod vote;
 
 pub use agreement::Agreement;
--- a/crates/view-agreement/src/proposal.rs
+++ b/crates/view-agreement/src/proposal.rs
@@ -6,10 +6,8 @@
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_cluster_api::view::View;
 
-/// Milliseconds after which an attempt is abandoned and the next one scheduled.
-const ATTEMPT_TIMEOUT_MS: u64 = 400;
 /// Milliseconds after which a request without a response is sent again.
-const RESEND_AFTER_MS: u64 = 100;
+pub(crate) const RESEND_AFTER_MS: u64 = 100;
 
 /// A view that this process proposes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -35,7 +33,7 @@
     Preparing {
         /// The number of the attempt.
         proposal_number: ProposalNumber,
-        /// When requests are repeated and the attempt ends.
+        /// When the phase began, and when requests are repeated.
         timers: Timers,
         /// The responses so far.
         responses: PrepareResponses,
@@ -45,7 +43,7 @@
     Accepting {
         /// The number of the attempt.
         proposal_number: ProposalNumber,
-        /// When requests are repeated and the attempt ends.
+        /// When the phase began, and when requests are repeated.
         timers: Timers,
         /// The proposed view, which differs from the wanted one if another may have been chosen.
         view: View,
@@ -78,24 +76,24 @@
     }
 }
 
-/// When the requests of an attempt are repeated, and when the attempt times out.
+/// When a phase of an attempt began, and when its requests are repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Timers {
+    began_at: Millis,
     resend_at: Millis,
-    timeout_at: Millis,
 }
 
 impl Timers {
     pub(crate) fn start(now: Millis) -> Timers {
         Timers {
+            began_at: now,
             resend_at: now.plus(RESEND_AFTER_MS),
-            timeout_at: now.plus(ATTEMPT_TIMEOUT_MS),
         }
     }
 
-    /// Whether the attempt has taken too long.
-    pub(crate) fn has_timed_out(&self, now: Millis) -> bool {
-        now >= self.timeout_at
+    /// Whether the phase has taken this many milliseconds.
+    pub(crate) fn has_timed_out(&self, timeout_ms: u64, now: Millis) -> bool {
+        now.since(self.began_at) >= timeout_ms
     }
 
     /// Whether the requests are due to be sent again; if so, the next time is set.
--- a/crates/view-agreement/src/proposer.rs
+++ b/crates/view-agreement/src/proposer.rs
@@ -2,6 +2,7 @@
 
 use crate::backoff::Backoff;
 use crate::electorate::Electorate;
+use crate::pace::{Pace, Request};
 use crate::proposal::{Phase, PrepareResponses, Proposal, Timers};
 use crate::quorum::Responders;
 use lupinrack_cluster_api::agreement::{AgreementMessage, ProposalNumber};
@@ -34,6 +35,7 @@
     highest_term: u64,
     proposal: Option<Proposal>,
     backoff: Backoff,
+    pace: Pace,
 }
 
 impl Proposer {
@@ -44,6 +46,7 @@
             highest_term,
             proposal: None,
             backoff,
+            pace: Pace::default(),
         }
     }
 
@@ -52,8 +55,23 @@
         self.highest_term = self.highest_term.max(proposal_number.term);
     }
 
+    /// Sets how long a vote takes at present, in milliseconds.
+    pub(crate) fn set_vote_ms(&mut self, vote_ms: u64) {
+        self.pace.set_vote_ms(vote_ms);
+    }
+
+    /// Notes that this disk voted for a request of another process.
+    pub(crate) fn voted_for(
+        &mut self,
+        proposal_number: ProposalNumber,
+        request: Request,
+        now: Millis,
+    ) {
+        self.pace.voted_for(proposal_number, request, now);
+    }
+
     /// Proposes a view. A proposal in progress is kept alive, and its view is replaced unless accept
-    /// requests for it were sent already.
+    /// requests for it were sent already. None is started while another process's is in progress.
     pub(crate) fn propose(
         &mut self,
         wanted: View,
@@ -66,6 +84,9 @@
             proposal.attempts = proposal.attempts.min(MAX_ATTEMPTS - 1);
             return Vec::new();
         }
+        if self.pace.awaits_rival(now) {
+            return Vec::new();
+        }
         let phase = Phase::BackingOff { until: now };
         self.proposal = Some(Proposal {
             wanted,
@@ -78,18 +99,20 @@
     /// Drops the proposal, since its instance is decided.
     pub(crate) fn abandon(&mut self) {
         self.proposal = None;
+        self.pace.instance_decided();
     }
 
     /// Starts the next attempt, or repeats the requests of the current one, when either is due.
     pub(crate) fn tick(&mut self, electorate: Electorate, now: Millis) -> Requests {
+        let awaits_rival = self.pace.awaits_rival(now);
         let Some(proposal) = &mut self.proposal else {
             return Vec::new();
         };
         match &mut proposal.phase {
-            Phase::BackingOff { until } if now < *until => Vec::new(),
+            Phase::BackingOff { until } if now < *until || awaits_rival => Vec::new(),
             Phase::BackingOff { .. } => self.begin_attempt(electorate, now),
             Phase::Preparing { timers, .. } | Phase::Accepting { timers, .. } => {
-                if timers.has_timed_out(now) {
+                if timers.has_timed_out(self.pace.timeout_ms(), now) {
                     self.back_off(now);
                     return Vec::new();
                 }
