View policy: unhealthy disks are used where no better ones are

Cause: a process with an unhealthy disk proposed nothing, founded nothing and joined no chain. Where every sync is slow all disks are unhealthy for 2 s after each write, so nobody proposed the view without the lost process until nothing had been written for 2 s; the vote that followed made them unhealthy again. The class is a preference that is applied as an exclusion. Change: health counts only while at least half of the reachable processes are healthy; and a chain that is too short to acknowledge takes a caught-up spare whatever its disk. Looked for elsewhere: founders, proposers, spares, members and new voters all ask the same question now.

--- a/crates/view-agreement/src/policy/chain_plan.rs
+++ b/crates/view-agreement/src/policy/chain_plan.rs
@@ -30,21 +30,22 @@
         {
             return None;
         }
-        let spares = self.spares();
+        let (spares, unhealthy_spares) = self.spares();
         let members = self.without(remaining, spares.len(), |voter| self.is_unhealthy(voter));
         let is_draining = |voter: &Voter| self.snapshot.detector.is_draining(voter);
         let members = self.without(members, spares.len(), is_draining);
         let chain = self.headed_by_complete(&self.linked(&members))?;
-        let length =
-            target_chain_length(self.voters().len(), self.snapshot.settings.tolerated_losses);
+        let tolerated_losses = self.snapshot.settings.tolerated_losses;
+        let length = target_chain_length(self.voters().len(), tolerated_losses);
+        let chain = self.extended(chain, &spares, length);
+        // A shorter chain acknowledges nothing, so an unhealthy disk is better than none.
+        let minimum_length = tolerated_losses + 1;
+        Some(self.extended(chain, &unhealthy_spares, minimum_length))
+    }
+
+    fn extended(&self, chain: Vec<DiskId>, spares: &[Voter], length: usize) -> Vec<DiskId> {
         let is_linked = |one: &Voter, other: &Voter| self.are_linked(one, other);
-        Some(spread_over_zones(
-            chain,
-            &spares,
-            self.voters(),
-            length,
-            is_linked,
-        ))
+        spread_over_zones(chain, spares, self.voters(), length, is_linked)
     }
 
     /// The members, with the first complete one moved to the head. None if no member is complete, or
@@ -107,8 +108,8 @@
         kept
     }
 
-    /// Voters outside the chain that could join it.
-    fn spares(&self) -> Vec<Voter> {
+    /// Voters outside the chain that could join it: those with a usable disk, and the others.
+    fn spares(&self) -> (Vec<Voter>, Vec<Voter>) {
         let ClusterSnapshot {
             detector,
             current,
@@ -120,7 +121,7 @@
             .voters_outside_chain()
             .filter(could_join)
             .cloned()
-            .collect()
+            .partition(|voter| detector.has_usable_disk(voter, now))
     }
 
     /// Removes the members for which the predicate holds, provided that the rest together with the
@@ -146,7 +147,8 @@
 
     fn is_unhealthy(&self, voter: &Voter) -> bool {
         let ClusterSnapshot { detector, now, .. } = *self.snapshot;
-        detector.unhealthy_ms(voter, now) > UNHEALTHY_AFTER_MS
+        let is_unhealthy = detector.unhealthy_ms(voter, now) > UNHEALTHY_AFTER_MS;
+        is_unhealthy && !detector.has_usable_disk(voter, now)
     }
 
     /// Whether a member is reachable and not known to lack anything that was committed before the
--- a/crates/view-agreement/src/policy/failure_detector.rs
+++ b/crates/view-agreement/src/policy/failure_detector.rs
@@ -248,6 +248,21 @@
         self.peer(voter).is_some_and(Peer::has_healthy_disk)
     }
 
+    /// Whether nothing speaks against relying on this disk: it is healthy, or most disks are unhealthy,
+    /// so that none is preferable.
+    pub(super) fn has_usable_disk(&self, voter: &Voter, now: Millis) -> bool {
+        let is_known = self.peer(voter).is_some();
+        is_known && (self.has_healthy_disk(voter) || self.are_most_disks_unhealthy(now))
+    }
+
+    /// Whether more than half of the reachable processes report an unhealthy disk.
+    fn are_most_disks_unhealthy(&self, now: Millis) -> bool {
+        let reachable = |peer: &&Peer| peer.is_reachable(&self.settings, now);
+        let peers: Vec<&Peer> = self.peers.values().filter(reachable).collect();
+        let healthy = peers.iter().filter(|peer| peer.has_healthy_disk()).count();
+        2 * healthy < peers.len()
+    }
+
     /// Whether this disk's process is shutting down, by its last heartbeat.
     pub(super) fn is_draining(&self, voter: &Voter) -> bool {
         self.peer(voter).is_some_and(|peer| peer.report.draining)
@@ -259,15 +274,14 @@
         since.map_or(0, |since| now.since(since))
     }
 
-    /// Whether this disk could join the chain of this view at once.
+    /// Whether the replica of this disk could join the chain of this view at once, whatever the health
+    /// of the disk.
     pub(super) fn could_join(&self, voter: &Voter, view_number: u64, now: Millis) -> bool {
         let is_ready = |peer: &Peer| {
             let replica = peer.replica_in(view_number);
             replica.is_some_and(|replica| replica.caught_up) && !peer.report.draining
         };
-        self.is_reachable(voter, now)
-            && self.has_healthy_disk(voter)
-            && self.peer(voter).is_some_and(is_ready)
+        self.is_reachable(voter, now) && self.peer(voter).is_some_and(is_ready)
     }
 
     /// The progress of the replica of this disk in this view; none if its process has not reported in
@@ -330,12 +344,12 @@
         self.peers.values().filter(usable).map(|peer| &peer.voter)
     }
 
-    /// The founders that are reachable, with a healthy disk, in the order of their disks.
+    /// The founders that are reachable, with a usable disk, in the order of their disks.
     pub(super) fn founders_present(&self, founders: &[PeerAddress], now: Millis) -> Vec<Voter> {
         let is_present = |peer: &&Peer| {
             founders.contains(&peer.voter.address)
                 && peer.is_reachable(&self.settings, now)
-                && peer.has_healthy_disk()
+                && self.has_usable_disk(&peer.voter, now)
                 && !peer.report.draining
         };
         let present = self.peers.values().filter(is_present);
@@ -354,7 +368,7 @@
     fn is_stable(&self, peer: &Peer, view_number: u64, now: Millis) -> bool {
         let is_present = peer.is_reachable(&self.settings, now)
             && now.since(peer.present_since) >= STABLE_AFTER_MS;
-        let stays = peer.has_healthy_disk() && !peer.report.draining;
+        let stays = self.has_usable_disk(&peer.voter, now) && !peer.report.draining;
         is_present && stays && peer.report.view_number == view_number
     }
 
--- a/crates/view-agreement/src/policy/proposer_order.rs
+++ b/crates/view-agreement/src/policy/proposer_order.rs
@@ -26,14 +26,17 @@
 }
 
 /// The processes that may propose, in order: voters that are reachable, are not known to lack links
-/// to a majority, have a healthy disk and are not draining; members of the chain come first.
+/// to a majority, have a usable disk and are not draining; members of the chain come first.
 fn proposers(snapshot: &ClusterSnapshot) -> Vec<DiskId> {
     let ClusterSnapshot {
-        detector, current, ..
+        detector,
+        current,
+        now,
+        ..
     } = *snapshot;
     let may_propose = |voter: &&Voter| {
         let stays = snapshot.is_reachable(voter) && !detector.is_draining(voter);
-        stays && detector.has_healthy_disk(voter) && may_reach_majority(snapshot, voter)
+        stays && detector.has_usable_disk(voter, now) && may_reach_majority(snapshot, voter)
     };
     let voters = current.voters.iter().filter(may_propose);
     let mut disks: Vec<DiskId> = voters.map(|voter| voter.disk).collect();
--- a/crates/view-agreement/tests/policy/main.rs
+++ b/crates/view-agreement/tests/policy/main.rs
@@ -8,4 +8,5 @@
 mod replacement;
 mod rules;
 mod tolerance;
+mod unhealthy_disks;
 mod watch;
