View policy: the head of the first view has time to become complete

Callers saw: a second view right after the first one on slow disks, which costs several syncs. Cause: members of the first view begin incomplete and are complete once they have synced so. A member whose disk was idle was ready first, and another order of the chain was proposed at once. Change: in the first view a change of the order alone waits for 2 s.

--- a/crates/view-agreement/src/policy/view_policy.rs
+++ b/crates/view-agreement/src/policy/view_policy.rs
@@ -16,6 +16,11 @@
 use lupinrack_cluster_api::view::{View, Voter};
 use std::collections::BTreeSet;
 
+/// Milliseconds for which the head of the first view keeps its place until it is complete. All
+/// members begin incomplete there and need a sync to be complete; a view with another order costs
+/// several.
+const REORDER_DELAY_MS: u64 = 2000;
+
 /// A failure detector over the core processes, and the rules that derive the next view from it.
 #[derive(Clone, Debug)]
 pub struct ViewPolicy {
@@ -125,6 +130,9 @@
         };
         let delay_ms = match (&next, current.number) {
             (Some(first_view), 0) => founder_delay_ms(first_view, me),
+            (Some(next), 1) if is_reordered(current, next, &snapshot) => {
+                proposer_delay_ms(&snapshot, me).map(|delay_ms| delay_ms + REORDER_DELAY_MS)
+            }
             _ => proposer_delay_ms(&snapshot, me),
         };
         let pending_ms = self.pending_ms(next.is_some(), current.number, now);
@@ -159,6 +167,13 @@
     }
 }
 
+/// Whether the next view differs from the current one only in the order of the chain.
+fn is_reordered(current: &View, next: &View, snapshot: &ClusterSnapshot) -> bool {
+    let members = |view: &View| view.chain.iter().copied().collect::<BTreeSet<DiskId>>();
+    let has_same_members = current.voters == next.voters && members(current) == members(next);
+    has_same_members && !snapshot.head_needs_view()
+}
+
 /// The view after the current one, if the chain or the voters should change and a majority is
 /// reachable to agree. The chain is changed first; voters change one at a time.
 fn next_view(snapshot: &ClusterSnapshot, me: &Voter) -> Option<View> {
--- a/crates/view-agreement/tests/policy/rules.rs
+++ b/crates/view-agreement/tests/policy/rules.rs
@@ -32,6 +32,19 @@
     assert_eq!(alone.advance(30_000), None);
 }
 
+/// Guards against a second view whose only purpose is another order while the first members sync that they are complete.
+#[test]
+fn the_head_of_the_first_view_has_time_to_become_complete() {
+    let mut watch = Watch::new(0, view(1, &[0, 1, 2], &[0, 1]), &[]).with(&[0, 1, 2]);
+    watch.heartbeat(0).replica.complete = false;
+    assert_eq!(watch.advance(1_500), None);
+    watch.heartbeat(0).replica.complete = true;
+    assert_eq!(watch.advance(5_000), None);
+    watch.heartbeat(0).replica.complete = false;
+    let (wanted, _) = watch.until_wanted(5_000).expect("another head");
+    assert_eq!(wanted.chain, [1, 0].map(disk));
+}
+
 #[test]
 fn founding_is_for_founders() {
     let mut stranger = Watch::new(3, View::default(), &[0, 1, 2]).with(&[0, 1, 2, 3]);
