--- a/crates/cluster-node/tests/network/mod.rs
+++ b/crates/cluster-node/tests/network/mod.rs
@@ -6,8 +6,11 @@
 // Each test file uses only some of these helpers.
 #![allow(dead_code)]
 
+pub mod disk;
 pub mod operator;
+pub mod service_owner;
 
+use disk::Disk;
 use lupinrack_cluster_api::frame::{Frame, Hello, Role};
 use lupinrack_cluster_api::identity::{DiskId, PeerAddress};
 use lupinrack_cluster_api::request::{ProcessQuery, Reply, Request};
@@ -24,7 +27,8 @@
 pub const STEP_MS: u64 = 1;
 const TICK_MS: u64 = 25;
 const LINK_MS: u64 = 1;
-const DISK_MS: u64 = 2;
+/// How long a sync takes unless a test sets another time, in milliseconds.
+const SYNC_MS: u64 = 2;
 const REMEMBER_MS: u64 = 60_000;
 
 /// An event that reaches a process at a given time, in milliseconds.
@@ -42,6 +46,7 @@
     incarnation: u64,
     is_frozen: bool,
     has_ended: bool,
+    disk: Disk,
     /// Events that arrived while it was frozen.
     pending: VecDeque<CoreEvent>,
 }
@@ -54,6 +59,7 @@
             incarnation,
             is_frozen: false,
             has_ended: false,
+            disk: Disk::new(SYNC_MS),
             pending: VecDeque::new(),
         }
     }
@@ -110,12 +116,7 @@
 impl Network {
     /// Starts `count` core processes, which found the first view together.
     pub fn new(count: usize) -> Network {
-        let processes = (0..count).map(|number| {
-            let incarnation = number as u64 + 1;
-            let machine = machine(number, count, incarnation, true);
-            Process::new(machine, voter(number, incarnation), incarnation)
-        });
-        Network::from_processes(processes.collect())
+        Network::with_slow_disks(count, SYNC_MS)
     }
 
     /// Restarts core processes, each as the given voter and with the state recovered from its disk.
@@ -137,6 +138,23 @@
         Network::from_processes(disks.into_iter().enumerate().map(restored).collect())
     }
 
+    /// Starts `count` core processes, which found the first view together, on disks whose every sync takes this long.
+    pub fn with_slow_disks(count: usize, sync_ms: u64) -> Network {
+        let processes = (0..count).map(|number| {
+            let incarnation = number as u64 + 1;
+            let machine = machine(number, count, incarnation, true, sync_ms);
+            let mut process = Process::new(machine, voter(number, incarnation), incarnation);
+            process.disk = Disk::new(sync_ms);
+            process
+        });
+        Network::from_processes(processes.collect())
+    }
+
+    /// How many syncs the disk of a process has completed.
+    pub fn syncs(&self, number: usize) -> u64 {
+        self.processes[number].disk.completed()
+    }
+
     fn from_processes(processes: Vec<Process>) -> Network {
         let mut network = Network {
             now: 1,
@@ -250,7 +268,7 @@
             .max()
             .unwrap_or(0)
             + 1;
-        let machine = machine(number, self.count(), incarnation, false);
+        let machine = machine(number, self.count(), incarnation, false, SYNC_MS);
         self.processes[number] = Process::new(machine, voter(number, incarnation), incarnation);
         for other in (0..self.count()).filter(|other| *other != number) {
             self.send_hello(number, other);
@@ -259,7 +277,7 @@
     }
 
     /// Ends a process and closes its connections.
-    fn end_process(&mut self, number: usize) {
+    pub fn end_process(&mut self, number: usize) {
         self.processes[number].has_ended = true;
         let from = self.address(number);
         self.scheduled.retain(|event| {
@@ -324,6 +342,26 @@
             .expect("a process answers a status query at once")
     }
 
+    /// The number of the newest view that a process knows.
+    pub fn view_number(&mut self, number: usize) -> u64 {
+        let status = self.status(number);
+        let view = status.lines().find_map(|line| line.strip_prefix("view "));
+        view.and_then(|view| view.parse().ok())
+            .expect("a status names the view")
+    }
+
+    /// Advances until every process knows a view; after how many milliseconds, if that is within `wait_ms`.
+    pub fn advance_until_founded(&mut self, wait_ms: u64) -> Option<u64> {
+        let began = self.now;
+        while self.now < began + wait_ms {
+            self.step();
+            if (0..self.count()).all(|number| self.view_number(number) > 0) {
+                return Some(self.now - began);
+            }
+        }
+        None
+    }
+
     /// Sends a frame from the outside to a process.
     pub fn send_from_outside(&mut self, to: usize, frame: Frame) {
         self.deliver(self.outside(), to, frame);
@@ -343,6 +381,10 @@
             }
         }
         for number in 0..self.count() {
+            let synced = self.processes[number].disk.advance(self.now);
+            if !synced.is_empty() {
+                self.receive(number, CoreEvent::Synced(synced));
+            }
             if self.now % TICK_MS == number as u64 && !self.processes[number].is_frozen {
                 self.receive(number, CoreEvent::Tick);
             }
@@ -396,14 +438,7 @@
                     self.send(from, to, frame);
                 }
             }
-            CoreEffect::Write { number, .. } => {
-                let event = CoreEvent::Synced(vec![number]);
-                self.scheduled.push_back(ScheduledEvent {
-                    at: self.now + DISK_MS,
-                    to: from,
-                    event,
-                });
-            }
+            CoreEffect::Write { number, .. } => self.processes[from].disk.write(number),
         }
     }
 
@@ -434,12 +469,19 @@
     }
 }
 
-fn machine(number: usize, count: usize, incarnation: u64, founds: bool) -> CoreMachine {
+fn machine(
+    number: usize,
+    count: usize,
+    incarnation: u64,
+    founds: bool,
+    sync_ms: u64,
+) -> CoreMachine {
     let seeds: Vec<PeerAddress> = (0..count).map(address).collect();
     let settings = CoreSettings {
         name: format!("core-{number}"),
         founders: if founds { seeds.clone() } else { Vec::new() },
         seeds,
+        sync_ms,
         tolerated_losses: (count - 1) / 2,
         remember_ms: REMEMBER_MS,
         ..CoreSettings::with_defaults(voter(number, incarnation), incarnation)
--- a/crates/cluster-simulation/src/machine/disk.rs
+++ b/crates/cluster-simulation/src/machine/disk.rs
@@ -34,6 +34,27 @@
     /// The current fault.
     pub fault: DiskFault,
     busy_until: u64,
+    groups: GroupCommit,
+}
+
+/// When a disk syncs that writes one group of batches after another.
+#[derive(Clone, Copy, Debug, Default)]
+struct GroupCommit {
+    /// When the newest group began to be synced; batches of the same time belong to it.
+    began_at: u64,
+    /// When the newest group is synced.
+    ends_at: u64,
+}
+
+impl GroupCommit {
+    /// Adds a batch, and returns when it is synced. A batch that arrives during a sync waits for the next one.
+    fn add(&mut self, now: u64, sync_ms: u64) -> u64 {
+        if now > self.began_at {
+            self.began_at = self.ends_at.max(now);
+            self.ends_at = self.began_at + sync_ms;
+        }
+        self.ends_at
+    }
 }
 
 /// A completion that a disk reports to its process.
@@ -57,6 +78,7 @@
             pending: VecDeque::new(),
             fault: DiskFault::None,
             busy_until: 0,
+            groups: GroupCommit::default(),
         }
     }
 }
@@ -67,15 +89,27 @@
         self.contents.clone()
     }
 
+    /// Queues a batch on a disk that syncs one group after another, each in `sync_ms` if it is healthy.
+    pub(crate) fn write_in_group(&mut self, batch_id: u64, batch: Batch, now: u64, sync_ms: u64) {
+        let synced_at = self.groups.add(now, sync_ms * self.slow_factor());
+        self.pending.push_back(PendingBatch {
+            batch_id,
+            batch,
+            synced_at,
+        });
+    }
+
+    fn slow_factor(&self) -> u64 {
+        match self.fault {
+            DiskFault::Slow(factor) => factor,
+            _ => 1,
+        }
+    }
+
     /// Queues a batch whose sync takes `sync_ms` on a healthy disk.
     pub(crate) fn write(&mut self, batch_id: u64, batch: Batch, now: u64, sync_ms: u64) {
-        let factor = if let DiskFault::Slow(factor) = self.fault {
-            factor
-        } else {
-            1
-        };
         // Waiting batches are synced together, so a later one takes little longer.
-        let synced_at = self.busy_until.max(now + sync_ms * factor);
+        let synced_at = self.busy_until.max(now + sync_ms * self.slow_factor());
         self.busy_until = synced_at;
         self.pending.push_back(PendingBatch {
             batch_id,
@@ -129,12 +163,14 @@
                 .for_each(|write| apply(&mut self.contents, write.batch));
         }
         self.busy_until = 0;
+        self.groups = GroupCommit::default();
     }
 
     /// Loses everything that was not synced; for injected bugs.
     pub(crate) fn crash_hard(&mut self) {
         self.pending.clear();
         self.busy_until = 0;
+        self.groups = GroupCommit::default();
     }
 
     /// Empties the disk.
--- a/crates/cluster-simulation/src/processes.rs
+++ b/crates/cluster-simulation/src/processes.rs
@@ -227,6 +227,7 @@
 
     fn write(&mut self, machine: usize, ticket: u64, batch: Batch) {
         let sync_ms = self.rng.u64(1..8);
+        let slow_sync_ms = self.config.sync_ms;
         self.snapshots_written += usize::from(batch.snapshot.is_some());
         let batch = self.apply_bug_to_batch(machine, batch);
         let now = self.now;
@@ -235,6 +236,9 @@
                 .disk
                 .write(ticket, batch, now, UNSYNCED_MS);
             self.dispatch(machine, ProcessEvent::Synced(vec![ticket]));
+        } else if let Some(sync_ms) = slow_sync_ms {
+            let disk = &mut self.machines[machine].disk;
+            disk.write_in_group(ticket, batch, now, sync_ms);
         } else {
             self.machines[machine]
                 .disk
