Agent: another incarnation is accepted only if it is later, or nothing runs any more

Cause: an overdue current incarnation and a second heartbeat of the other one were taken as proof that the other one is later; the owner then ends the runs of the one that is replaced without waiting for its lease. Why the change works: an earlier incarnation sent all its heartbeats before the current one sent its first. So after the current one has been known for the longest delay (10 s), another sender is the later one; before that it is accepted only once the leases in the current one's responses are over. Tests: one that failed before, and one that the wait ends with the lease. Five tests of replaced incarnations play 10 s later, with the same checks.

--- a/crates/worker-agent/src/agent.rs
+++ b/crates/worker-agent/src/agent.rs
@@ -63,6 +63,7 @@
             .map(|incarnation| CurrentIncarnation {
                 newest: incarnation.heartbeat(),
                 overdue: incarnation.is_overdue(now),
+                is_replaceable: incarnation.is_replaceable(now),
             });
         match self.history.classify(&received.heartbeat, current) {
             HeartbeatStatus::Current => {
@@ -85,6 +86,7 @@
         let response = self.build_response(pending);
         if let Some(incarnation) = &mut self.incarnation {
             incarnation.expect_heartbeat(now, response.heartbeat_after_ms);
+            incarnation.record_lease(pending.arrived_at, response.lease_ms);
         }
         response
     }
--- a/crates/worker-agent/src/incarnation.rs
+++ b/crates/worker-agent/src/incarnation.rs
@@ -17,6 +17,12 @@
 /// A server is overdue if its next heartbeat arrives more than this many milliseconds after the requested interval.
 pub const HEARTBEAT_GRACE_MS: u64 = 600;
 
+/// The longest delay of a heartbeat, in milliseconds.
+pub const MAX_HEARTBEAT_DELAY_MS: u64 = 10_000;
+
+/// The server's clock may be slow by one part in this many.
+const CLOCK_DRIFT_DIVISOR: u64 = 50;
+
 /// The server's progress in draining. It never returns to an earlier state, even if a later heartbeat does not report
 /// draining.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,6 +49,10 @@
     drain_state: DrainState,
     /// The owner has recorded the ends up to this number.
     observed: u64,
+    /// When its first heartbeat arrived.
+    first_heartbeat_at: Millis,
+    /// The server's runs may go on until then under the leases of the responses.
+    held_until: Millis,
     /// The next heartbeat is overdue after this time.
     expected_by: Millis,
     lease: Lease,
@@ -63,6 +73,8 @@
             all_ends_listed: false,
             drain_state: DrainState::Serving,
             observed: 0,
+            first_heartbeat_at: now,
+            held_until: Millis::default(),
             expected_by: Millis::default(),
             lease: Lease::default(),
             desired: DesiredState::default(),
@@ -141,6 +153,20 @@
         now > self.expected_by
     }
 
+    /// Whether another incarnation that sends a heartbeat now may be accepted: it is certain to be later than this one, or
+    /// nothing runs under this one's lease any more.
+    pub(crate) fn is_replaceable(&self, now: Millis) -> bool {
+        let is_other_later = now.since(self.first_heartbeat_at) >= MAX_HEARTBEAT_DELAY_MS;
+        is_other_later || now >= self.held_until
+    }
+
+    /// Records the lease in the response to a heartbeat that arrived at `arrived_at`.
+    pub(crate) fn record_lease(&mut self, arrived_at: Millis, lease_ms: u64) {
+        let drift_ms = lease_ms / CLOCK_DRIFT_DIVISOR;
+        let ends_at = arrived_at.plus(lease_ms + drift_ms);
+        self.held_until = self.held_until.max(ends_at);
+    }
+
     /// Sets the time by which the next heartbeat is expected: `heartbeat_after_ms` after `now`, plus
     /// [`HEARTBEAT_GRACE_MS`].
     pub(crate) fn expect_heartbeat(&mut self, now: Millis, heartbeat_after_ms: u64) {
--- a/crates/worker-agent/src/incarnation_history.rs
+++ b/crates/worker-agent/src/incarnation_history.rs
@@ -4,6 +4,11 @@
 //! ended. If the agent took a dead incarnation for a new one, the owner would give up the runs of the running one. So while
 //! the current incarnation has not deregistered, another identity is accepted only when the current incarnation is overdue
 //! and the other one has sent a second heartbeat. The response to its first heartbeat requests the second one soon.
+//!
+//! The order in which heartbeats arrive does not prove which incarnation is the later one. An earlier incarnation sent all of
+//! its heartbeats before the current one sent its first, so a heartbeat proves that its sender is later only if it arrives
+//! after the longest possible delay since then. Until that, the other identity waits for the end of the current
+//! incarnation's lease, after which nothing runs there.
 
 use lupinrack_cluster_api::agent::Heartbeat;
 use lupinrack_cluster_api::identity::ServerId;
@@ -30,6 +35,15 @@
     pub(crate) newest: &'a Heartbeat,
     /// Whether its next heartbeat should have arrived by now.
     pub(crate) overdue: bool,
+    /// Whether accepting another incarnation now is safe: a heartbeat of an earlier one would have arrived by now, or the
+    /// lease of the current one is over.
+    pub(crate) is_replaceable: bool,
+}
+
+impl CurrentIncarnation<'_> {
+    fn may_be_replaced(&self) -> bool {
+        self.overdue && self.is_replaceable
+    }
 }
 
 /// An incarnation and the sequence number of one of its heartbeats.
@@ -76,7 +90,7 @@
             Some(current) if current.newest.server == heartbeat.server => {
                 status_by_sequence(heartbeat, current.newest.sequence)
             }
-            Some(current) => self.status_of_other_incarnation(heartbeat, current.overdue),
+            Some(current) => self.status_of_other_incarnation(heartbeat, current.may_be_replaced()),
             None => self.status_without_current_incarnation(heartbeat),
         };
         match status {
@@ -123,7 +137,7 @@
     fn status_of_other_incarnation(
         &self,
         heartbeat: &Heartbeat,
-        current_overdue: bool,
+        may_replace_current: bool,
     ) -> HeartbeatStatus {
         if self.is_outdated(heartbeat) {
             return HeartbeatStatus::Stale;
@@ -132,7 +146,7 @@
             .unconfirmed
             .as_ref()
             .is_some_and(|first| first.precedes(heartbeat));
-        if current_overdue && second_heartbeat {
+        if may_replace_current && second_heartbeat {
             HeartbeatStatus::Current
         } else {
             HeartbeatStatus::Unconfirmed
--- a/crates/worker-agent/src/lib.rs
+++ b/crates/worker-agent/src/lib.rs
@@ -37,7 +37,7 @@
 pub use desired_state::{MAX_START_BYTES, MAX_WATERMARKED_TASKS};
 pub use heartbeat_json::ParseHeartbeatError;
 pub use heartbeat_response::{HeartbeatResponse, StopOrder};
-pub use incarnation::{HEARTBEAT_GRACE_MS, MAX_LISTED_ENDS};
+pub use incarnation::{HEARTBEAT_GRACE_MS, MAX_HEARTBEAT_DELAY_MS, MAX_LISTED_ENDS};
 pub use lease::MIN_LEASE_MS;
 pub use owner_message_error::OwnerMessageError;
 pub use owner_session::ATTACH_RETRY_MS;
--- a/crates/worker-agent/tests/incarnations.rs
+++ b/crates/worker-agent/tests/incarnations.rs
@@ -6,12 +6,22 @@
 use lupinrack_cluster_api::identity::ServerId;
 use lupinrack_cluster_api::server::RunEnd;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_worker_agent::{Agent, HeartbeatResponse, OwnerMessageError, ServerHeartbeat};
+use lupinrack_worker_agent::{
+    Agent, HeartbeatResponse, OwnerMessageError, ServerHeartbeat, MAX_HEARTBEAT_DELAY_MS,
+};
 use support::{
     assignment, finished, heartbeat_of, message, ordered, reported, running, settings, started,
     task, AnswerAtOnce, CONNECTION, OVERDUE,
 };
 
+/// The current incarnation is overdue, and heartbeats of an earlier one would have arrived by now.
+const OVERDUE_FOR_LONG: Millis = Millis(OVERDUE.0 + MAX_HEARTBEAT_DELAY_MS);
+
+/// The identity of the current incarnation.
+fn current(agent: &Agent) -> Option<&str> {
+    agent.server().map(|facts| facts.id.0.as_str())
+}
+
 /// Lets server "a" report that it drains, and then deregister.
 fn drain_and_deregister(agent: &mut Agent) {
     let mut draining = heartbeat_of("a", 2);
@@ -31,14 +41,14 @@
             HeartbeatResponse::default()
         );
     }
-    agent.heartbeat(heartbeat_of("b", 1), OVERDUE);
-    agent.heartbeat(heartbeat_of("b", 2), OVERDUE);
+    agent.heartbeat(heartbeat_of("b", 1), OVERDUE_FOR_LONG);
+    agent.heartbeat(heartbeat_of("b", 2), OVERDUE_FOR_LONG);
     assert_eq!(
-        agent.heartbeat(heartbeat_of("a", 5), OVERDUE),
+        agent.heartbeat(heartbeat_of("a", 5), OVERDUE_FOR_LONG),
         HeartbeatResponse::default()
     );
     assert!(agent
-        .heartbeat(heartbeat_of("a", 6), OVERDUE)
+        .heartbeat(heartbeat_of("a", 6), OVERDUE_FOR_LONG)
         .starts
         .is_empty());
     assert_eq!(
@@ -51,7 +61,7 @@
 fn a_new_incarnation_starts_with_an_attach_and_no_orders() {
     let mut agent = ordered();
     for sequence in 1..3 {
-        let response = agent.heartbeat(heartbeat_of("b", sequence), OVERDUE);
+        let response = agent.heartbeat(heartbeat_of("b", sequence), OVERDUE_FOR_LONG);
         assert_eq!((started(&response), response.lease_ms), (vec![], 0));
     }
     let late_message = OwnerMessage {
@@ -62,7 +72,7 @@
         agent.receive_owner_message(CONNECTION, late_message),
         Err(OwnerMessageError::OtherIncarnation)
     );
-    let messages = agent.poll(OVERDUE);
+    let messages = agent.poll(OVERDUE_FOR_LONG);
     assert!(
         matches!(messages.as_slice(), [AgentMessage::Attach { facts, .. }] if facts.id.0 == "b")
     );
@@ -103,13 +113,40 @@
             Some(&ServerId("a".into()))
         );
     }
-    agent.heartbeat(heartbeat_of("b", 4), OVERDUE);
+    agent.heartbeat(heartbeat_of("b", 4), OVERDUE_FOR_LONG);
     assert_eq!(
         agent.server().map(|facts| &facts.id),
         Some(&ServerId("b".into()))
     );
 }
 
+/// Guards against tasks that run twice, since late heartbeats of a crashed incarnation were taken for a later one.
+#[test]
+fn late_heartbeats_of_a_dead_incarnation_do_not_replace_one_that_began_lately() {
+    let mut agent = ordered();
+    let response = agent.heartbeat(heartbeat_of("a", 2), Millis(100));
+    let held_until = 100 + response.lease_ms;
+    for (sequence, at) in (1..).zip((OVERDUE.0..held_until).step_by(100)) {
+        agent.heartbeat(heartbeat_of("dead", sequence), Millis(at));
+        assert_eq!(current(&agent), Some("a"), "at {at} ms");
+    }
+    let again = agent.heartbeat(heartbeat_of("a", 3), Millis(held_until - 200));
+    assert_eq!(started(&again), [(1, 1)]);
+}
+
+#[test]
+fn another_incarnation_is_accepted_once_the_lease_of_the_current_one_is_over() {
+    let mut agent = ordered();
+    let response = agent.heartbeat(heartbeat_of("a", 2), Millis(100));
+    let held_until = 100 + response.lease_ms + response.lease_ms / 50;
+    assert!(held_until < MAX_HEARTBEAT_DELAY_MS);
+    agent.heartbeat(heartbeat_of("b", 1), Millis(held_until - 2));
+    agent.heartbeat(heartbeat_of("b", 2), Millis(held_until - 1));
+    assert_eq!(current(&agent), Some("a"));
+    agent.heartbeat(heartbeat_of("b", 3), Millis(held_until));
+    assert_eq!(current(&agent), Some("b"));
+}
+
 #[test]
 fn the_first_heartbeat_of_a_new_incarnation_is_not_accepted_however_overdue_the_current_one_is() {
     let mut agent = ordered();
@@ -134,13 +171,13 @@
 #[test]
 fn a_replaced_incarnation_returns_with_further_heartbeats() {
     let mut agent = ordered();
-    agent.heartbeat(heartbeat_of("b", 1), OVERDUE);
-    agent.heartbeat(heartbeat_of("b", 2), OVERDUE);
+    agent.heartbeat(heartbeat_of("b", 1), OVERDUE_FOR_LONG);
+    agent.heartbeat(heartbeat_of("b", 2), OVERDUE_FOR_LONG);
     assert_eq!(
         agent.server().map(|facts| &facts.id),
         Some(&ServerId("b".into()))
     );
-    let later = OVERDUE.plus(2_000);
+    let later = OVERDUE_FOR_LONG.plus(2_000);
     agent.heartbeat(heartbeat_of("a", 2), later);
     agent.heartbeat(heartbeat_of("a", 3), later);
     assert_eq!(
@@ -175,10 +212,10 @@
         ..message(2, "a", 5)
     };
     assert_eq!(agent.receive_owner_message(CONNECTION, stop), Ok(()));
-    agent.heartbeat(heartbeat_of("b", 1), OVERDUE);
+    agent.heartbeat(heartbeat_of("b", 1), OVERDUE_FOR_LONG);
     let mut listed = heartbeat_of("b", 2);
     listed.heartbeat.running = vec![running(1, 1)];
-    assert!(agent.heartbeat(listed, OVERDUE).stops.is_empty());
+    assert!(agent.heartbeat(listed, OVERDUE_FOR_LONG).stops.is_empty());
     assert_eq!(
         agent.server().map(|facts| &facts.id),
         Some(&ServerId("b".into()))
