--- a/review/standins-3/src/chaos.rs
+++ b/review/standins-3/src/chaos.rs
@@ -127,7 +127,7 @@
         let status = answer.map_or(0, |a| a.status);
         let accepted = status / 100 == 2;
         if accepted && random.below(4) == 0 {
-            to_cancel.push((now + ms(random.below(2500)), path.clone(), id.clone()));
+            to_cancel.push((now + ms(1 + random.below(2500)), path.clone(), id.clone()));
         }
         let due: Vec<(Duration, String, String)> = to_cancel
             .iter()
--- a/review/standins-3/src/cluster.rs
+++ b/review/standins-3/src/cluster.rs
@@ -62,8 +62,11 @@
     pub fn start(root: &Path, record: Record, configuration: &str) -> Result<Cluster, String> {
         let id = std::process::id();
         let net = (20 + (id % 200) as u8, (id / 200 % 250) as u8);
-        let folder = std::env::temp_dir().join(format!("review-3-{id}"));
-        fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |now| now.as_nanos());
+        let folder = std::env::temp_dir().join(format!("review-3-{id}-{nanos}"));
+        fs::create_dir(&folder).map_err(|error| error.to_string())?;
         let mut cluster = Cluster {
             program: root.join("target/release/lupinrack"),
             folder,
