--- a/crates/cluster-api/src/configuration.rs
+++ b/crates/cluster-api/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The operator's configuration, as the system reads it.
 
-use crate::identity::{QueueName, ServiceName};
+use crate::identity::{QueueName, ServiceName, JOB_ID_DIGITS};
+use crate::request::Target;
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// A route. Its jobs form a queue.
@@ -27,7 +28,7 @@
 }
 
 /// Where clients reach a queue: the host and the path prefix of its route. No two routes of a configuration have the same.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, BorshSerialize, BorshDeserialize)]
 pub struct QueueAddress {
     /// The `Host` header of the requests.
     pub host: String,
@@ -40,6 +41,17 @@
     pub fn covers(&self, host: &str, path: &str) -> bool {
         is_below(&self.host, &self.path_prefix, host, path)
     }
+
+    /// The address to which a request for a job was sent: its target without the job's identity and a
+    /// query. None if the path does not end in an identity.
+    pub fn of_job_request(target: &Target) -> Option<QueueAddress> {
+        let path = target.path.split('?').next()?;
+        let prefix_length = path.len().checked_sub(JOB_ID_DIGITS)?;
+        Some(QueueAddress {
+            host: target.host.clone(),
+            path_prefix: path.get(..prefix_length)?.to_owned(),
+        })
+    }
 }
 
 /// Whether a request with this host and path is below the address of a queue.
--- a/crates/cluster-api/src/identity.rs
+++ b/crates/cluster-api/src/identity.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddrV4;
 use std::str::FromStr;
 
-/// Digits of a job's identity.
-const JOB_ID_DIGITS: usize = 16;
+/// Digits of a job's identity as text.
+pub const JOB_ID_DIGITS: usize = 16;
 
 /// The identity of a core machine's disk, drawn at random when the disk is first found empty.
 /// Replicas and voters are identified by their disk rather than their address: a machine that comes
--- a/crates/cluster-api/src/operation.rs
+++ b/crates/cluster-api/src/operation.rs
@@ -9,6 +9,7 @@
     Attempt, DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName, TaskId,
 };
 use crate::job::{JobSpec, JobState};
+use crate::request::Target;
 use crate::server::RunEnd;
 use crate::time::WallMillis;
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -62,7 +63,8 @@
 pub enum Operation {
     /// Changes the configuration.
     ChangeConfiguration(ConfigurationChange),
-    /// Accepts a job; the same job again changes nothing.
+    /// Accepts a job; an identity that is in use already, in whatever queue, changes nothing. Only
+    /// logs of earlier versions hold it: see [`Operation::AcceptJobAt`].
     AcceptJob {
         /// The job.
         job: JobId,
@@ -73,7 +75,8 @@
         /// When the call arrived, by the clock of the head.
         at: WallMillis,
     },
-    /// Cancels a job.
+    /// Cancels the job of this identity, in whatever queue it is. Only logs of earlier versions hold
+    /// it: see [`Operation::CancelJobAt`].
     CancelJob {
         /// The job.
         job: JobId,
@@ -145,6 +148,27 @@
         /// The jobs.
         jobs: Vec<JobId>,
     },
+    /// Accepts a job in the queue that has this address when this is applied; the same job of the
+    /// same queue again changes nothing. Jobs of other queues may have the same identity.
+    AcceptJobAt {
+        /// Where the client submitted it.
+        target: Target,
+        /// The identity that the client chose.
+        job: JobId,
+        /// The job as its client submitted it.
+        spec: JobSpec,
+        /// When the call arrived, by the clock of the head.
+        at: WallMillis,
+    },
+    /// Cancels a job of the queue that has this address when this is applied.
+    CancelJobAt {
+        /// Where the client cancelled it.
+        target: Target,
+        /// The identity that the client chose.
+        job: JobId,
+        /// When the call arrived, by the clock of the head.
+        at: WallMillis,
+    },
 }
 
 /// The result of an operation.
--- a/crates/cluster-api/tests/golden_values/control.rs
+++ b/crates/cluster-api/tests/golden_values/control.rs
@@ -207,6 +207,23 @@
                 jobs: vec![job, JobId(52)],
             },
         ),
+        (
+            "accept at an address",
+            Operation::AcceptJobAt {
+                target: target(),
+                job,
+                spec: job_spec(),
+                at,
+            },
+        ),
+        (
+            "cancel at an address",
+            Operation::CancelJobAt {
+                target: target(),
+                job,
+                at,
+            },
+        ),
     ]
 }
 
--- a/crates/cluster-node/src/core/admission.rs
+++ b/crates/cluster-node/src/core/admission.rs
@@ -58,9 +58,9 @@
     /// may fit later.
     pub fn admit(&mut self, operation: &Operation, now: Millis) -> Result<(), ErrorKind> {
         let bytes = match operation {
-            Operation::AcceptJob { .. } | Operation::ChangeConfiguration(_) => {
-                reserved_bytes(operation)
-            }
+            Operation::AcceptJob { .. }
+            | Operation::AcceptJobAt { .. }
+            | Operation::ChangeConfiguration(_) => reserved_bytes(operation),
             _ => return Ok(()),
         };
         let verdict = self.check(operation, bytes, now);
--- a/crates/cluster-node/src/core/machine/requests.rs
+++ b/crates/cluster-node/src/core/machine/requests.rs
@@ -37,8 +37,7 @@
     }
 
     fn append_for(&mut self, operation: Operation, request: PendingRequest) {
-        if names_a_queue(&operation) && has_uncommitted_change(&self.chain) {
-            // The name may be that of another route once the change is applied.
+        if depends_on_routes(&operation) && has_uncommitted_change(&self.chain) {
             self.requests.defer(request);
             return;
         }
@@ -65,7 +64,7 @@
     fn admit(&mut self, operation: &Operation) -> Result<(), ErrorKind> {
         let state = self.replica.state();
         let is_new = match operation {
-            Operation::AcceptJob { job, .. } => state.job(*job).is_none(),
+            Operation::AcceptJobAt { target, job, .. } => state.called_job(target, *job).is_none(),
             Operation::ChangeConfiguration(change) => {
                 change.if_match == state.configuration().version
             }
@@ -168,9 +167,9 @@
     }
 }
 
-/// Whether applying the operation depends on the route that has this name then.
-fn names_a_queue(operation: &Operation) -> bool {
-    matches!(operation, Operation::AcceptJob { .. })
+/// Whether the result of the operation depends on the routes that are configured when it is applied.
+fn depends_on_routes(operation: &Operation) -> bool {
+    matches!(operation, Operation::AcceptJobAt { .. })
 }
 
 /// Whether a change of the configuration is appended and not committed yet.
@@ -187,10 +186,22 @@
 /// Whether an earlier request appended the same operation and it is not committed yet.
 fn is_uncommitted(chain: &Chain, operation: &Operation) -> bool {
     let is_same = |appended: &Operation| match (appended, operation) {
-        (Operation::AcceptJob { job: one, .. }, Operation::AcceptJob { job: other, .. })
-        | (Operation::CancelJob { job: one, .. }, Operation::CancelJob { job: other, .. }) => {
-            one == other
-        }
+        (
+            Operation::AcceptJobAt { target, job, .. },
+            Operation::AcceptJobAt {
+                target: other_target,
+                job: other_job,
+                ..
+            },
+        )
+        | (
+            Operation::CancelJobAt { target, job, .. },
+            Operation::CancelJobAt {
+                target: other_target,
+                job: other_job,
+                ..
+            },
+        ) => (target, job) == (other_target, other_job),
         (appended, operation) => appended == operation,
     };
     uncommitted_operations(chain).any(is_same)
--- a/crates/cluster-node/src/core/request_steps.rs
+++ b/crates/cluster-node/src/core/request_steps.rs
@@ -5,11 +5,10 @@
 use lupinrack_cluster_api::configuration::Route;
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{JobId, QueueName};
-use lupinrack_cluster_api::job::JobSpec;
 use lupinrack_cluster_api::operation::{Operation, OperationResult};
 use lupinrack_cluster_api::request::{Reply, Request, Target};
 use lupinrack_cluster_api::time::WallMillis;
-use lupinrack_control_state::{ControlState, JobRecord};
+use lupinrack_control_state::ControlState;
 
 /// The head's next action for a request.
 #[derive(Debug)]
@@ -32,11 +31,8 @@
         Request::ChangeConfiguration(change) => {
             RequestStep::Append(Operation::ChangeConfiguration(change.clone()))
         }
-        Request::SubmitJob { target, job, spec } => {
-            append_or_await_barrier(acceptance(state, target, *job, spec, wall))
-        }
-        Request::CancelJob { target, job } => {
-            append_or_await_barrier(cancellation(state, target, *job, wall))
+        Request::SubmitJob { .. } | Request::CancelJob { .. } => {
+            append_or_await_barrier(job_operation(state, request, wall))
         }
         Request::ReadConfiguration
         | Request::ReadJob { .. }
@@ -53,13 +49,13 @@
     wall: WallMillis,
 ) -> RequestStep {
     match request {
-        Request::SubmitJob { target, job, spec } => {
-            let operation = acceptance(state, target, *job, spec, wall);
-            append_or_fail(operation, || job_rejection(state, *job))
+        Request::SubmitJob { target, job, .. } => {
+            let operation = job_operation(state, request, wall);
+            append_or_fail(operation, || job_rejection(state, target, *job))
         }
-        Request::CancelJob { target, job } => {
-            let operation = cancellation(state, target, *job, wall)
-                .or_else(|| cancellation_on_former_route(state, target, *job, wall));
+        Request::CancelJob { .. } => {
+            let operation = job_operation(state, request, wall)
+                .or_else(|| cancellation_on_former_route(state, request, wall));
             append_or_fail(operation, || unknown_queue(state))
         }
         Request::ReadConfiguration => {
@@ -112,15 +108,10 @@
 /// The reply to a read of a job. A job is found in its own queue only, which is not a matter of the route's name: routes
 /// may be renamed while their jobs run.
 fn read_job(state: &ControlState, target: &Target, job: JobId) -> Reply {
-    let Some(route) = route_of(state, target) else {
+    if route_of(state, target).is_none() {
         return Reply::Error(unknown_queue(state));
-    };
-    let is_in_queue = |record: &&JobRecord| {
-        record
-            .queue
-            .is_called(target, Some(route), state.configuration())
-    };
-    match state.job(job).filter(is_in_queue) {
+    }
+    match state.read_job(target, job) {
         Some(record) => Reply::Job(record.state),
         None => Reply::Error(ErrorKind::UnknownJob),
     }
@@ -129,49 +120,40 @@
 /// Cancels a job below an address that no route serves any more: the job still runs, and its client can only call there.
 fn cancellation_on_former_route(
     state: &ControlState,
-    target: &Target,
-    job: JobId,
+    request: &Request,
     wall: WallMillis,
 ) -> Option<Operation> {
-    let record = state.job(job)?;
-    let is_called = record.queue.is_called(target, None, state.configuration());
-    is_called.then(|| Operation::CancelJob {
-        job,
-        queue: record.queue.name.clone(),
-        at: wall,
-    })
+    let Request::CancelJob { target, job } = request else {
+        return None;
+    };
+    state.called_job(target, *job)?;
+    operation_for(request, wall)
 }
 
-/// Accepts a job on the route of its target; none if there is no route.
-fn acceptance(
-    state: &ControlState,
-    target: &Target,
-    job: JobId,
-    spec: &JobSpec,
-    wall: WallMillis,
-) -> Option<Operation> {
-    let queue = queue_of(state, target)?.clone();
-    Some(Operation::AcceptJob {
-        job,
-        queue,
-        spec: spec.clone(),
-        at: wall,
-    })
+/// The operation for a submission or cancellation of a job; none if no route serves its target.
+fn job_operation(state: &ControlState, request: &Request, wall: WallMillis) -> Option<Operation> {
+    let (Request::SubmitJob { target, .. } | Request::CancelJob { target, .. }) = request else {
+        return None;
+    };
+    route_of(state, target)?;
+    operation_for(request, wall)
 }
 
-/// Cancels a job below the address of a route; none if there is no route.
-fn cancellation(
-    state: &ControlState,
-    target: &Target,
-    job: JobId,
-    wall: WallMillis,
-) -> Option<Operation> {
-    let queue = queue_of(state, target)?.clone();
-    Some(Operation::CancelJob {
-        job,
-        queue,
-        at: wall,
-    })
+fn operation_for(request: &Request, at: WallMillis) -> Option<Operation> {
+    match request {
+        Request::SubmitJob { target, job, spec } => Some(Operation::AcceptJobAt {
+            target: target.clone(),
+            job: *job,
+            spec: spec.clone(),
+            at,
+        }),
+        Request::CancelJob { target, job } => Some(Operation::CancelJobAt {
+            target: target.clone(),
+            job: *job,
+            at,
+        }),
+        _ => None,
+    }
 }
 
 fn route_of<'a>(state: &'a ControlState, target: &Target) -> Option<&'a Route> {
@@ -183,11 +165,11 @@
 }
 
 /// The error for a job whose target has no configured queue.
-fn job_rejection(state: &ControlState, job: JobId) -> ErrorKind {
+fn job_rejection(state: &ControlState, target: &Target, job: JobId) -> ErrorKind {
     if state.configuration().version == 0 {
         ErrorKind::NotTaken
     } else {
-        state.refusal_without_queue(job)
+        state.refusal_without_queue(target, job)
     }
 }
 
--- a/crates/cluster-node/src/core/state_size.rs
+++ b/crates/cluster-node/src/core/state_size.rs
@@ -78,6 +78,10 @@
 pub fn reserved_bytes(operation: &Operation) -> u64 {
     match operation {
         Operation::AcceptJob { spec, .. } => job_bytes(spec) + task_bytes(spec),
+        Operation::AcceptJobAt { target, spec, .. } => {
+            let address_bytes = (target.host.len() + target.path.len()) as u64;
+            address_bytes + job_bytes(spec) + task_bytes(spec)
+        }
         Operation::ChangeConfiguration(change) => {
             let (ConfigurationBody::Replacement(body) | ConfigurationBody::Patch(body)) =
                 &change.body;
--- a/crates/cluster-node/tests/request_steps.rs
+++ b/crates/cluster-node/tests/request_steps.rs
@@ -1,7 +1,7 @@
 //! How the head handles calls, depending on the applied state.
 
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::{JobId, QueueName};
+use lupinrack_cluster_api::identity::JobId;
 use lupinrack_cluster_api::job::{JobSpec, JobState, Resources, Step as JobStep};
 use lupinrack_cluster_api::operation::{
     ConfigurationBody, ConfigurationChange, Operation, OperationResult,
@@ -83,9 +83,9 @@
 }
 
 fn acceptance() -> Operation {
-    Operation::AcceptJob {
+    Operation::AcceptJobAt {
+        target: orders(),
         job: JOB,
-        queue: QueueName("orders".to_owned()),
         spec: spec(),
         at: WALL,
     }
@@ -136,7 +136,7 @@
 }
 
 #[test]
-fn a_job_for_a_known_queue_is_submitted_under_the_queues_name() {
+fn a_job_for_a_known_queue_is_submitted_at_its_address() {
     assert_eq!(
         submitted(first(&configured(), &submission(orders()))),
         Some(acceptance())
@@ -145,9 +145,9 @@
         target: orders(),
         job: JOB,
     };
-    let expected = Operation::CancelJob {
+    let expected = Operation::CancelJobAt {
+        target: orders(),
         job: JOB,
-        queue: QueueName("orders".to_owned()),
         at: WALL,
     };
     assert_eq!(submitted(first(&configured(), &cancel)), Some(expected));
--- a/crates/control-state/src/jobs/ends.rs
+++ b/crates/control-state/src/jobs/ends.rs
@@ -25,12 +25,14 @@
     }
 
     fn record_end(&mut self, service: &ServiceName, end: &EndRecord, at: WallMillis) {
+        let job = self.get(end.task.job);
+        if !job.is_some_and(|job| job.has_run_in(service, end)) {
+            return;
+        }
+        self.note_attempts_before(end);
         let Some(job) = self.get_mut(end.task.job) else {
             return;
         };
-        if !job.has_run_in(service, end) {
-            return;
-        }
         let final_state = job.end_run(end);
         self.run_ended(service, end.task.job);
         if let Some(state) = final_state {
--- a/crates/control-state/src/jobs/occurrence.rs
+++ b/crates/control-state/src/jobs/occurrence.rs
@@ -2,6 +2,7 @@
 
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
+use lupinrack_cluster_api::identity::Attempt;
 use lupinrack_cluster_api::job::Step;
 
 /// One occurrence of a job. It is recorded when its first task is started.
@@ -36,6 +37,12 @@
         self.steps.get(step as usize)?.get(index as usize)
     }
 
+    /// The highest number of a start of one of its recorded tasks.
+    pub(crate) fn highest_attempt(&self) -> Attempt {
+        let tasks = self.steps.iter().flatten();
+        tasks.map(|task| task.attempt).max().unwrap_or(0)
+    }
+
     /// Counts tasks that have succeeded, and drops the records once all have.
     pub(crate) fn close_tasks(&mut self, succeeded: u32) {
         self.open_tasks = self.open_tasks.saturating_sub(succeeded);
--- a/crates/control-state/src/jobs/queue.rs
+++ b/crates/control-state/src/jobs/queue.rs
@@ -15,6 +15,22 @@
 /// The first character of a queue's text that is a JSON array; see [`JobQueue::to_text`].
 const ARRAY_START: char = '[';
 
+/// How a call refers to the queue of a job; a later kind is a closer reference.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum QueueReference {
+    /// The call was sent to where the job's route is now, or to another address below that of its
+    /// queue. It finds the job if there is no closer one, but neither repeats its submission nor
+    /// cancels it.
+    Related,
+    /// The name of the job's route was removed by a process of an earlier version, which did not keep
+    /// its address.
+    UnknownAddress,
+    /// The call was sent below the address of the job's queue, and to no other queue.
+    Below,
+    /// The call was sent where the job was submitted.
+    Exact,
+}
+
 /// The queue of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct JobQueue {
@@ -35,20 +51,33 @@
 }
 
 impl JobQueue {
-    /// Whether a call that the configuration directs to `route` refers to the job's queue: it was
-    /// sent to the address at which the job was accepted, or to the job's route where that is now.
-    ///
-    /// The address is unknown if the name of the route was removed by a process of an earlier
-    /// version, which did not keep it. The call is then taken to refer to the queue.
-    pub fn is_called(
+    /// How a call for a job, which the configuration directs to `route`, refers to the job's queue; none
+    /// if it does not. `submitted_to` is where the job was submitted, if that is not the address of
+    /// its queue.
+    pub(crate) fn reference(
         &self,
+        submitted_to: Option<&QueueAddress>,
         target: &Target,
         route: Option<&Route>,
         configuration: &Configuration,
-    ) -> bool {
+    ) -> Option<QueueReference> {
+        let Some(address) = self.address(configuration) else {
+            return Some(QueueReference::UnknownAddress);
+        };
+        let called = QueueAddress::of_job_request(target);
+        if called.as_ref() == Some(submitted_to.unwrap_or(&address)) {
+            return Some(QueueReference::Exact);
+        }
         let is_own_route = route.is_some_and(|route| route.name == self.name);
-        let is_at_address = |address: QueueAddress| address.covers(&target.host, &target.path);
-        is_own_route || self.address(configuration).is_none_or(is_at_address)
+        if !address.covers(&target.host, &target.path) {
+            return is_own_route.then_some(QueueReference::Related);
+        }
+        let is_of_longer =
+            route.is_some_and(|route| route.path_prefix.len() > address.path_prefix.len());
+        Some(match submitted_to {
+            None if !is_of_longer => QueueReference::Below,
+            _ => QueueReference::Related,
+        })
     }
 
     /// The service to which the configuration directs the queue; none while no route has the address
--- a/crates/control-state/src/jobs/record.rs
+++ b/crates/control-state/src/jobs/record.rs
@@ -5,7 +5,7 @@
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::configuration::{Configuration, Route};
-use lupinrack_cluster_api::identity::ServiceName;
+use lupinrack_cluster_api::identity::{Attempt, ServiceName};
 use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::BTreeMap;
@@ -106,6 +106,15 @@
         steps.flatten()
     }
 
+    /// The highest number of a start of one of its recorded tasks.
+    pub(crate) fn highest_attempt(&self) -> Attempt {
+        let occurrences = self.occurrences.values();
+        occurrences
+            .map(Occurrence::highest_attempt)
+            .max()
+            .unwrap_or(0)
+    }
+
     /// Moves the job to another service. Its runs stay where they are.
     pub(crate) fn move_to(&mut self, service: ServiceName) {
         let from = std::mem::replace(&mut self.service, service);
--- a/crates/control-state/src/jobs/starts.rs
+++ b/crates/control-state/src/jobs/starts.rs
@@ -4,7 +4,7 @@
 use crate::jobs::record::JobRecord;
 use crate::jobs::table::JobTable;
 use crate::jobs::task::{TaskRecord, TaskStatus};
-use lupinrack_cluster_api::identity::{JobId, ServiceName, TaskId};
+use lupinrack_cluster_api::identity::{Attempt, JobId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::{JobState, Step};
 use lupinrack_cluster_api::operation::StartRecord;
 use std::collections::{BTreeMap, BTreeSet};
@@ -64,17 +64,28 @@
         let Some(first) = starts.first() else {
             return false;
         };
-        let Some(job) = self.get_mut(first.task.job) else {
+        let is_admitted = self.get(first.task.job).is_some_and(|job| {
+            job.service == *service
+                && job.admits_starts(starts)
+                && starts.iter().all(|start| self.admits_name(job, start))
+        });
+        let Some(job) = self.get_mut(first.task.job).filter(|_| is_admitted) else {
             return false;
         };
-        if job.service != *service || !job.admits_starts(starts) {
-            return false;
-        }
         for start in starts {
             job.assign(start);
         }
         true
     }
+
+    /// Whether the number of a start follows the earlier ones under its task's name, and no other run
+    /// under that name may be on its server.
+    fn admits_name(&self, job: &JobRecord, start: &StartRecord) -> bool {
+        let is_gang = job.step(start.task.step).is_some_and(|step| step.gang);
+        let highest = self.highest_attempt(start.task);
+        attempt_follows(is_gang, highest, start.attempt)
+            && !self.has_namesake_on(start.task, &start.server)
+    }
 }
 
 impl JobRecord {
@@ -110,7 +121,6 @@
         let recorded = self.task(start.task.occurrence, start.task.step, start.task.index);
         let task = recorded.unwrap_or(&never_started);
         task.status == TaskStatus::Waiting
-            && attempt_follows(step, task, start)
             && (step.long_running || task.failed < self.failure_limit())
     }
 
@@ -138,11 +148,11 @@
 /// Whether the number of a start may follow the earlier ones. It increases by one; in a gang it may
 /// increase by more, since the members share the number but may have had different numbers of
 /// starts.
-fn attempt_follows(step: &Step, task: &TaskRecord, start: &StartRecord) -> bool {
-    if step.gang {
-        start.attempt > task.attempt
+fn attempt_follows(is_gang: bool, highest: Attempt, attempt: Attempt) -> bool {
+    if is_gang {
+        attempt > highest
     } else {
-        Some(start.attempt) == task.attempt.checked_add(1)
+        Some(attempt) == highest.checked_add(1)
     }
 }
 
--- a/crates/control-state/src/jobs/table.rs
+++ b/crates/control-state/src/jobs/table.rs
@@ -1,15 +1,17 @@
 //! The table of jobs.
 
-use crate::jobs::queue::RouteMoves;
+use crate::jobs::namesakes::Namesakes;
+use crate::jobs::queue::{QueueReference, RouteMoves};
 use crate::jobs::record::JobRecord;
 use crate::jobs::remaining_runs::RemainingRuns;
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
-use lupinrack_cluster_api::configuration::{Configuration, Route};
+use lupinrack_cluster_api::configuration::{Configuration, QueueAddress, Route};
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::{JobId, QueueName, ServerId, ServiceName};
+use lupinrack_cluster_api::identity::{Attempt, JobId, QueueName, ServerId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::{JobSpec, JobState};
-use lupinrack_cluster_api::operation::OperationResult;
+use lupinrack_cluster_api::operation::{EndRecord, OperationResult};
+use lupinrack_cluster_api::request::Target;
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -18,7 +20,9 @@
 /// start in the occurrence.
 pub const MAX_TASKS_PER_OCCURRENCE: u64 = 100_000;
 
-/// All jobs that have not been removed.
+/// All jobs that have not been removed, each under its key. The key is the identity that the client
+/// chose, unless a job of another queue has it already (see [`Namesakes`]). A [`JobId`] or [`TaskId`]
+/// holds the key, except in calls of clients and in messages to and from servers.
 ///
 /// Invariant: `open` lists exactly the jobs that have not ended, each under its service; a service
 /// without any is not listed. `remaining_runs` follows from `records`.
@@ -28,6 +32,13 @@
     open: BTreeMap<ServiceName, BTreeSet<JobId>>,
     #[borsh(skip)]
     remaining_runs: RemainingRuns,
+    /// Encoded apart, at the end of the state.
+    #[borsh(skip)]
+    namesakes: Namesakes,
+    /// Where jobs were submitted, by key, unless it is the address of their route. Encoded apart, at
+    /// the end of the state.
+    #[borsh(skip)]
+    submitted_to: BTreeMap<JobId, QueueAddress>,
 }
 
 impl BorshDeserialize for JobTable {
@@ -38,6 +49,8 @@
             remaining_runs: RemainingRuns::of(&records),
             records,
             open,
+            namesakes: Namesakes::default(),
+            submitted_to: BTreeMap::new(),
         })
     }
 }
@@ -52,7 +65,112 @@
         self.records.get_mut(&job)
     }
 
-    /// All jobs, by identity.
+    /// The jobs of different queues with the same identity.
+    pub fn namesakes(&self) -> &Namesakes {
+        &self.namesakes
+    }
+
+    pub(crate) fn set_namesakes(&mut self, namesakes: Namesakes) {
+        self.namesakes = namesakes;
+    }
+
+    pub(crate) fn submitted_to(&self) -> &BTreeMap<JobId, QueueAddress> {
+        &self.submitted_to
+    }
+
+    pub(crate) fn set_submitted_to(&mut self, submitted_to: BTreeMap<JobId, QueueAddress>) {
+        self.submitted_to = submitted_to;
+    }
+
+    /// The job of this identity to whose queue a call refers most closely, with its key.
+    pub(crate) fn find(
+        &self,
+        target: &Target,
+        id: JobId,
+        configuration: &Configuration,
+    ) -> Option<(JobId, QueueReference)> {
+        let route = configuration.route(&target.host, &target.path);
+        let reference = |key: JobId| {
+            let queue = &self.records.get(&key)?.queue;
+            let submitted_to = self.submitted_to.get(&key);
+            let reference = queue.reference(submitted_to, target, route, configuration)?;
+            Some((key, reference))
+        };
+        let jobs = self.namesakes.keys(id).filter_map(reference);
+        jobs.max_by_key(|(key, reference)| (*reference, *key))
+    }
+
+    /// The keys of all jobs with the identity of one of these.
+    pub fn with_namesakes(&self, jobs: BTreeSet<JobId>) -> BTreeSet<JobId> {
+        if self.namesakes.is_empty() {
+            return jobs;
+        }
+        let others = jobs.iter().flat_map(|job| self.namesakes.others(*job));
+        let others: Vec<JobId> = others.collect();
+        jobs.into_iter().chain(others).collect()
+    }
+
+    /// The name of a task on servers.
+    pub fn name_on_servers(&self, task: TaskId) -> TaskId {
+        TaskId {
+            job: self.namesakes.identity(task.job),
+            ..task
+        }
+    }
+
+    /// The task whose newest start has this number, of those that have this name on servers. If there
+    /// is none, the run is not one of a recorded task.
+    pub fn task_of_run(&self, name: TaskId, attempt: Attempt) -> TaskId {
+        if !self.namesakes.has_shared_attempts(name.job) {
+            return name;
+        }
+        let tasks = self
+            .namesakes
+            .keys(name.job)
+            .map(|job| TaskId { job, ..name });
+        let mut newest = tasks.filter(|task| self.latest_attempt(*task) == attempt);
+        newest.next().unwrap_or(name)
+    }
+
+    /// Whether a namesake of the task, of another job, is assigned to this server.
+    pub fn has_namesake_on(&self, task: TaskId, server: &ServerId) -> bool {
+        self.namesake_tasks(task)
+            .any(|namesake| self.task(namesake).and_then(TaskRecord::server) == Some(server))
+    }
+
+    /// The tasks of other jobs that have the same name on servers.
+    pub fn namesake_tasks(&self, task: TaskId) -> impl Iterator<Item = TaskId> + '_ {
+        let others = self.namesakes.others(task.job);
+        others.map(move |job| TaskId { job, ..task })
+    }
+
+    /// The number of the next start of a task.
+    pub fn next_attempt(&self, task: TaskId) -> Attempt {
+        self.highest_attempt(task).saturating_add(1)
+    }
+
+    /// The highest number of a start of a task, or of another one with the same name on servers.
+    pub(crate) fn highest_attempt(&self, task: TaskId) -> Attempt {
+        let own = self.latest_attempt(task);
+        if !self.namesakes.has_shared_attempts(task.job) {
+            return own;
+        }
+        let namesakes = self.namesake_tasks(task);
+        let highest = namesakes.map(|task| self.latest_attempt(task)).max();
+        own.max(highest.unwrap_or(0))
+            .max(self.namesakes.attempt_floor(task.job))
+    }
+
+    fn latest_attempt(&self, task: TaskId) -> Attempt {
+        self.task(task).map_or(0, |record| record.attempt)
+    }
+
+    fn task(&self, task: TaskId) -> Option<&TaskRecord> {
+        let job = self.get(task.job)?;
+        job.task(task.occurrence, task.step, task.index)
+    }
+
+    /// All jobs, by key.
     pub fn iter(&self) -> impl Iterator<Item = (JobId, &JobRecord)> {
         self.records.iter().map(|(id, record)| (*id, record))
     }
@@ -114,8 +232,8 @@
         tasks.filter_map(TaskRecord::server).cloned().collect()
     }
 
-    /// Accepts a job that was submitted on a route. The record of a known job is not changed.
-    pub(crate) fn accept(
+    /// Accepts a job that was submitted on a route, unless a job of any queue has its identity.
+    pub(crate) fn accept_unless_known(
         &mut self,
         id: JobId,
         route: &Route,
@@ -125,18 +243,43 @@
         if let Some(known) = self.get(id) {
             return OperationResult::Job(known.state);
         }
+        self.accept(id, route.address(), route, spec, at)
+    }
+
+    /// Accepts a job that was submitted to this address and served by this route. No job of the
+    /// identity was submitted there.
+    pub(crate) fn accept(
+        &mut self,
+        id: JobId,
+        submitted_to: QueueAddress,
+        route: &Route,
+        spec: &JobSpec,
+        at: WallMillis,
+    ) -> OperationResult {
         let tasks = tasks_per_occurrence(spec);
         if tasks > MAX_TASKS_PER_OCCURRENCE {
             return OperationResult::Refused(ErrorKind::TooLarge);
         }
+        if self.namesakes.is_other_key(id) {
+            return OperationResult::Refused(ErrorKind::Overloaded);
+        }
+        let has_namesake = self.records.contains_key(&id) || self.namesakes.has_shared_attempts(id);
+        let key = if has_namesake {
+            self.namesakes.add(id, &self.records)
+        } else {
+            id
+        };
         let record = JobRecord::new(route, spec, at);
         self.open
             .entry(record.service.clone())
             .or_default()
-            .insert(id);
-        self.records.insert(id, record);
+            .insert(key);
+        self.records.insert(key, record);
+        if submitted_to != route.address() {
+            self.submitted_to.insert(key, submitted_to);
+        }
         if tasks == 0 {
-            return self.end(id, JobState::Succeeded, at);
+            return self.end(key, JobState::Succeeded, at);
         }
         OperationResult::Job(JobState::Queued)
     }
@@ -221,9 +364,41 @@
 
     /// Removes jobs that ended before this time.
     pub(crate) fn forget_ended_before(&mut self, moment: WallMillis) {
-        self.records
-            .retain(|_, job| job.ended_at.is_none_or(|ended_at| ended_at >= moment));
+        let is_kept = |job: &JobRecord| job.ended_at.is_none_or(|ended_at| ended_at >= moment);
+        for (id, job) in &self.records {
+            if self.namesakes.has_shared_attempts(*id) && !is_kept(job) {
+                let highest = job.highest_attempt();
+                self.namesakes.raise_attempt_floor(*id, highest);
+            }
+        }
+        self.records.retain(|_, job| is_kept(job));
         self.remaining_runs.retain_recorded(&self.records);
+        self.namesakes.retain_recorded(&self.records);
+        self.submitted_to
+            .retain(|id, _| self.records.contains_key(id));
+    }
+
+    /// Notes the numbers of starts in an occurrence whose last task this end may complete, since its
+    /// tasks are not recorded then.
+    pub(crate) fn note_attempts_before(&mut self, end: &EndRecord) {
+        let id = end.task.job;
+        if !self.namesakes.has_shared_attempts(id) {
+            return;
+        }
+        let occurrence = self
+            .get(id)
+            .and_then(|job| job.occurrences.get(&end.task.occurrence));
+        let Some(occurrence) = occurrence else {
+            return;
+        };
+        let members = occurrence
+            .steps
+            .get(end.task.step as usize)
+            .map_or(0, Vec::len);
+        if occurrence.open_tasks as usize <= members.max(1) {
+            let highest = occurrence.highest_attempt();
+            self.namesakes.raise_attempt_floor(id, highest);
+        }
     }
 }
 
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -2,18 +2,29 @@
 
 use crate::agent_bindings::AgentBindings;
 use crate::configuration::ConfigurationState;
-use crate::jobs::{JobRecord, JobTable};
+use crate::jobs::{JobRecord, JobTable, Namesakes, QueueReference};
 use crate::shards::ShardTable;
 use borsh::{BorshDeserialize, BorshSerialize};
-use lupinrack_cluster_api::configuration::Configuration;
+use lupinrack_cluster_api::configuration::{Configuration, QueueAddress};
 use lupinrack_cluster_api::error::ErrorKind;
-use lupinrack_cluster_api::identity::{FencingToken, JobId, QueueName, ServiceName};
+use lupinrack_cluster_api::identity::{
+    FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName,
+};
+use lupinrack_cluster_api::job::JobSpec;
 use lupinrack_cluster_api::operation::{ConfigurationChange, Operation, OperationResult};
-use std::collections::BTreeSet;
+use lupinrack_cluster_api::request::Target;
+use lupinrack_cluster_api::time::WallMillis;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{self, Read};
+
+/// Precedes the encoded [`Namesakes`]. Earlier versions wrote nothing after the other parts.
+const NAMESAKES_TAG: u8 = 1;
+/// Precedes the encoded addresses to which jobs were submitted.
+const SUBMITTED_TO_TAG: u8 = 2;
 
 /// The replicated state. Its `borsh` form is the snapshot: the parts follow one another in the
-/// order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+/// order of the fields. Parts of the jobs that few states have follow, each after its tag.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ControlState {
     configuration: ConfigurationState,
     jobs: JobTable,
@@ -21,6 +32,53 @@
     bindings: AgentBindings,
 }
 
+impl BorshSerialize for ControlState {
+    fn serialize<W: io::Write>(&self, writer: &mut W) -> io::Result<()> {
+        self.configuration.serialize(writer)?;
+        self.jobs.serialize(writer)?;
+        self.shards.serialize(writer)?;
+        self.bindings.serialize(writer)?;
+        let namesakes = self.jobs.namesakes();
+        if !namesakes.is_empty() {
+            NAMESAKES_TAG.serialize(writer)?;
+            namesakes.serialize(writer)?;
+        }
+        let submitted_to = self.jobs.submitted_to();
+        if !submitted_to.is_empty() {
+            SUBMITTED_TO_TAG.serialize(writer)?;
+            submitted_to.serialize(writer)?;
+        }
+        Ok(())
+    }
+}
+
+impl BorshDeserialize for ControlState {
+    fn deserialize_reader<R: io::Read>(reader: &mut R) -> io::Result<Self> {
+        let mut state = Self {
+            configuration: BorshDeserialize::deserialize_reader(reader)?,
+            jobs: BorshDeserialize::deserialize_reader(reader)?,
+            shards: BorshDeserialize::deserialize_reader(reader)?,
+            bindings: BorshDeserialize::deserialize_reader(reader)?,
+        };
+        while let Some(tag) = next_byte(reader)? {
+            let jobs = &mut state.jobs;
+            match tag {
+                NAMESAKES_TAG => jobs.set_namesakes(Namesakes::deserialize_reader(reader)?),
+                SUBMITTED_TO_TAG => jobs.set_submitted_to(BTreeMap::deserialize_reader(reader)?),
+                _ => return Err(io::ErrorKind::InvalidData.into()),
+            }
+        }
+        Ok(state)
+    }
+}
+
+/// The next byte; none at the end.
+fn next_byte(reader: &mut impl Read) -> io::Result<Option<u8>> {
+    let mut byte = Vec::new();
+    reader.take(1).read_to_end(&mut byte)?;
+    Ok(byte.first().copied())
+}
+
 impl ControlState {
     /// Applies the next committed operation.
     pub fn apply(&mut self, operation: &Operation) -> OperationResult {
@@ -31,11 +89,15 @@
                 queue,
                 spec,
                 at,
-            } => match self.configuration.current().queue(queue) {
-                Some(route) => self.jobs.accept(*job, route, spec, *at),
-                None => OperationResult::Refused(self.refusal_without_queue(*job)),
-            },
+            } => self.accept_unless_known(queue, *job, spec, *at),
             Operation::CancelJob { job, at, .. } => self.jobs.cancel(*job, *at),
+            Operation::AcceptJobAt {
+                target,
+                job,
+                spec,
+                at,
+            } => self.accept_job_at(target, *job, spec, *at),
+            Operation::CancelJobAt { target, job, at } => self.cancel_job_at(target, *job, *at),
             Operation::TakeShard {
                 service,
                 token,
@@ -63,11 +125,7 @@
                 token,
                 server,
                 agent,
-            } => self.unless_fenced(service, *token, |state| {
-                let servers_in_use = || state.jobs.servers_in_use();
-                state.bindings.bind(server, *agent, servers_in_use);
-                OperationResult::Done
-            }),
+            } => self.unless_fenced(service, *token, |state| state.bind(server, *agent)),
             Operation::ForgetJobs { ended_before } => {
                 self.jobs.forget_ended_before(*ended_before);
                 OperationResult::Done
@@ -77,11 +135,7 @@
                 service,
                 token,
                 jobs,
-            } => self.unless_fenced(service, *token, |state| {
-                let configuration = state.configuration.current();
-                state.jobs.hand_over(service, jobs, configuration);
-                OperationResult::Done
-            }),
+            } => self.unless_fenced(service, *token, |state| state.hand_over(service, jobs)),
         }
     }
 
@@ -136,10 +190,64 @@
         &self.bindings
     }
 
-    /// The error for a job whose queue is not configured. If the job was accepted while its queue
-    /// was configured, [`ErrorKind::UnknownQueue`] would be a false answer to a retry of its
-    /// submission, since the job is in the job table.
-    pub fn refusal_without_queue(&self, job: JobId) -> ErrorKind {
+    /// The key of the job that a submission or cancellation at this address refers to: the job of this
+    /// identity in that queue, or one whose address is not known.
+    pub fn called_job(&self, target: &Target, id: JobId) -> Option<JobId> {
+        let (key, reference) = self.jobs.find(target, id, self.configuration())?;
+        (reference > QueueReference::Related).then_some(key)
+    }
+
+    /// The record of the job that a read at this address refers to.
+    pub fn read_job(&self, target: &Target, id: JobId) -> Option<&JobRecord> {
+        let (key, _) = self.jobs.find(target, id, self.configuration())?;
+        self.job(key)
+    }
+
+    /// The error for a submission to an address that no route serves. If the job was accepted while
+    /// its queue was configured, [`ErrorKind::UnknownQueue`] would be a false answer to a retry of
+    /// its submission, since the job is in the job table.
+    pub fn refusal_without_queue(&self, target: &Target, id: JobId) -> ErrorKind {
+        match self.called_job(target, id) {
+            Some(_) => ErrorKind::InDoubt,
+            None => ErrorKind::UnknownQueue,
+        }
+    }
+
+    fn hand_over(&mut self, service: &ServiceName, jobs: &[JobId]) -> OperationResult {
+        let configuration = self.configuration.current();
+        self.jobs.hand_over(service, jobs, configuration);
+        OperationResult::Done
+    }
+
+    fn bind(&mut self, server: &ServerId, agent: PeerAddress) -> OperationResult {
+        let servers_in_use = || self.jobs.servers_in_use();
+        self.bindings.bind(server, agent, servers_in_use);
+        OperationResult::Done
+    }
+
+    fn cancel_job_at(&mut self, target: &Target, id: JobId, at: WallMillis) -> OperationResult {
+        match self.called_job(target, id) {
+            Some(key) => self.jobs.cancel(key, at),
+            None => OperationResult::Refused(ErrorKind::UnknownJob),
+        }
+    }
+
+    /// Accepts a job that an earlier version submitted on the route of this name.
+    fn accept_unless_known(
+        &mut self,
+        queue: &QueueName,
+        job: JobId,
+        spec: &JobSpec,
+        at: WallMillis,
+    ) -> OperationResult {
+        match self.configuration.current().queue(queue) {
+            Some(route) => self.jobs.accept_unless_known(job, route, spec, at),
+            None => OperationResult::Refused(self.refusal_without_route(job)),
+        }
+    }
+
+    /// The error for a submission of an earlier version on a route that is not configured.
+    fn refusal_without_route(&self, job: JobId) -> ErrorKind {
         let has_queue = |job: &JobRecord| job.queue.is_configured(self.configuration());
         match self.job(job) {
             Some(known) if !has_queue(known) => ErrorKind::InDoubt,
@@ -147,6 +255,25 @@
         }
     }
 
+    fn accept_job_at(
+        &mut self,
+        target: &Target,
+        id: JobId,
+        spec: &JobSpec,
+        at: WallMillis,
+    ) -> OperationResult {
+        let route = self.configuration().route(&target.host, &target.path);
+        let Some(route) = route.cloned() else {
+            return OperationResult::Refused(self.refusal_without_queue(target, id));
+        };
+        let submitted_to = QueueAddress::of_job_request(target).unwrap_or_else(|| route.address());
+        let known = self.called_job(target, id).and_then(|key| self.job(key));
+        match known {
+            Some(known) => OperationResult::Job(known.state),
+            None => self.jobs.accept(id, submitted_to, &route, spec, at),
+        }
+    }
+
     /// Changes the configuration. Jobs follow their routes to their new names.
     fn change_configuration(&mut self, change: &ConfigurationChange) -> OperationResult {
         let before = self.configuration().clone();
--- a/crates/control-state/tests/golden.rs
+++ b/crates/control-state/tests/golden.rs
@@ -1,15 +1,19 @@
 //! The stored form of the state, and the reading of configurations, compared with the examples in
 //! `tests/golden`.
 
+mod common;
 mod golden_values;
 mod state_parts;
 
 use golden_values::*;
 use lupinrack_cluster_api::error::ErrorKind;
+use lupinrack_cluster_api::identity::JobId;
 use lupinrack_cluster_api::job::JobState;
 use lupinrack_cluster_api::operation::{
     ConfigurationBody, ConfigurationChange, Operation, OperationResult,
 };
+use lupinrack_cluster_api::request::Target;
+use lupinrack_cluster_api::time::WallMillis;
 use lupinrack_control_state::{
     apply_body, check_body, AcceptedChanges, ChangeDigest, ConfigurationDocument, ControlState,
     Occurrence, TaskRecord,
@@ -76,10 +80,34 @@
         assert_eq!(bytes, kept, "{name}");
         assert_eq!(ControlState::from_bytes(&kept), Ok(state), "{name}");
     }
+    let name = "jobs of one identity";
+    let state = jobs_of_one_identity();
+    file.add_borsh(name, &state);
+    let kept = file.kept_bytes(name);
+    assert!(kept.is_none_or(|kept| ControlState::from_bytes(&kept) == Ok(state)));
     file.check();
     assert_eq!(StateParts::default().state(), ControlState::default());
 }
 
+/// A state with a job of the same identity in each of two queues, and below the address of one.
+fn jobs_of_one_identity() -> ControlState {
+    let mut state = common::state();
+    for prefix in ["/a/", "/b/", "/a/below/"] {
+        let job = JobId(61);
+        let result = state.apply(&Operation::AcceptJobAt {
+            target: Target {
+                host: "h.example".to_owned(),
+                path: format!("{prefix}{job}"),
+            },
+            job,
+            spec: common::spec(vec![common::step(1)]),
+            at: WallMillis(62),
+        });
+        assert_eq!(result, OperationResult::Job(JobState::Queued));
+    }
+    state
+}
+
 /// The accessors of a state that was read return the right parts.
 #[test]
 fn parts_of_a_snapshot() {
--- a/crates/control-state/tests/model/mod.rs
+++ b/crates/control-state/tests/model/mod.rs
@@ -157,6 +157,9 @@
                 OperationResult::Done
             }
             Operation::Noop => OperationResult::Done,
+            Operation::AcceptJobAt { .. } | Operation::CancelJobAt { .. } => {
+                unreachable!("the histories of namesakes.rs have them")
+            }
         }
     }
 
--- a/crates/scheduler/src/heartbeats.rs
+++ b/crates/scheduler/src/heartbeats.rs
@@ -16,6 +16,7 @@
 use lupinrack_cluster_api::server::{FinishedTask, RunEnd, RunningTask};
 use lupinrack_cluster_api::time::Millis;
 use lupinrack_control_state::ControlState;
+use std::borrow::Cow;
 use std::collections::BTreeSet;
 
 /// Servers list at most this many ends in one heartbeat (`MAX_LISTED_ENDS` of
@@ -46,7 +47,7 @@
     }
 
     fn read(&mut self, server: &ServerId, unread: &UnreadHeartbeat) {
-        let heartbeat = &unread.heartbeat;
+        let heartbeat = &self.with_tasks(&unread.heartbeat);
         for finished in &heartbeat.finished {
             self.apply_end(server, finished);
         }
@@ -59,6 +60,22 @@
         }
     }
 
+    /// A heartbeat with the tasks of this system in place of their names on servers.
+    fn with_tasks<'h>(&self, heartbeat: &'h Heartbeat) -> Cow<'h, Heartbeat> {
+        let jobs = self.state.jobs();
+        if jobs.namesakes().is_empty() {
+            return Cow::Borrowed(heartbeat);
+        }
+        let mut heartbeat = heartbeat.clone();
+        for run in &mut heartbeat.running {
+            run.task = jobs.task_of_run(run.task, run.attempt);
+        }
+        for end in &mut heartbeat.finished {
+            end.task = jobs.task_of_run(end.task, end.attempt);
+        }
+        Cow::Owned(heartbeat)
+    }
+
     /// Applies a listed end: frees the capacity of the run, and submits the end if the replicated
     /// state does not have it yet.
     fn apply_end(&mut self, server: &ServerId, finished: &FinishedTask) {
--- a/crates/scheduler/src/jobs/open_jobs.rs
+++ b/crates/scheduler/src/jobs/open_jobs.rs
@@ -42,7 +42,8 @@
 }
 
 impl OpenJobs {
-    /// Marks a job as changed, so that the next refresh updates its plan.
+    /// Marks a job as changed, so that the next refresh updates its plan, and those of all jobs with
+    /// the same identity.
     pub(crate) fn set_changed(&mut self, job: JobId) {
         self.changed.insert(job);
     }
@@ -70,7 +71,8 @@
             self.changed.extend(update.redirected_jobs());
         }
         let mut without_plan = WithoutPlan::default();
-        for job in std::mem::take(&mut self.changed) {
+        let changed = std::mem::take(&mut self.changed);
+        for job in update.state.jobs().with_namesakes(changed) {
             match update.state.job(job).filter(|record| record.is_open()) {
                 Some(record) if update.is_scheduled_here(record) => {
                     self.refresh_plan(job, record, update);
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -85,7 +85,7 @@
             return None;
         }
         let stop = changes.stop.iter().map(|run| (run.task, run.attempt));
-        let order = AgentOrder {
+        let mut order = AgentOrder {
             agent: server.agent,
             connection: session.connection,
             message: OwnerMessage {
@@ -102,12 +102,24 @@
             },
         };
         self.record_sent(id, &session, &order.message);
+        self.name_tasks(&mut order.message);
         if !is_truncated {
             self.servers.set_orders_written(id);
         }
         Some(order)
     }
 
+    /// Gives the tasks of a message their names on servers.
+    fn name_tasks(&self, message: &mut OwnerMessage) {
+        let jobs = self.state.jobs();
+        for assignment in &mut message.assign {
+            assignment.task = jobs.name_on_servers(assignment.task);
+        }
+        for (task, _) in &mut message.stop {
+            *task = jobs.name_on_servers(*task);
+        }
+    }
+
     /// The starts and stops that have not been sent in this session.
     fn changes(&self, id: &ServerId, server: &Server, session: &Session) -> PendingOrders {
         let mut changes = PendingOrders::default();
--- a/crates/scheduler/src/placement/gang.rs
+++ b/crates/scheduler/src/placement/gang.rs
@@ -241,7 +241,7 @@
         planner.starts.push(starts);
     }
 
-    /// The next attempt number, which is above those of all members, and a checkpoint of any
+    /// The next attempt number, which fits all members, and a checkpoint of any
     /// member. The checkpoint of one member is valid for the whole gang.
     fn next_start(&self) -> GangStart {
         let records = || {
@@ -249,12 +249,13 @@
                 .iter()
                 .filter_map(|task| task_record(self.demand.job, *task))
         };
-        let latest_attempt = records().map(|record| record.attempt).max().unwrap_or(0);
+        let jobs = self.planner.state.jobs();
+        let next_attempts = self.tasks.iter().map(|task| jobs.next_attempt(*task));
         let checkpoint = records()
             .map(|record| &record.checkpoint)
             .find(|checkpoint| !checkpoint.is_empty());
         GangStart {
-            attempt: latest_attempt + 1,
+            attempt: next_attempts.max().unwrap_or(1),
             checkpoint: checkpoint.cloned().unwrap_or_default(),
         }
     }
--- a/crates/scheduler/src/placement/planner.rs
+++ b/crates/scheduler/src/placement/planner.rs
@@ -21,6 +21,7 @@
 use crate::runs::run::{Run, RunPhase};
 use crate::runs::table::RunTable;
 use crate::settings::SchedulerSettings;
+use lupinrack_cluster_api::identity::TaskId;
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::operation::StartRecord;
 use lupinrack_cluster_api::time::Millis;
@@ -254,8 +255,12 @@
     }
 
     /// How many more tasks of a step a candidate may run or queue under the step's anti-affinity
-    /// limit.
+    /// limit; none of a gang where a namesake of a member is.
     pub(crate) fn max_tasks_on(&self, demand: &Demand<'_>, candidate: usize) -> u64 {
+        let is_kept_apart = |task| self.holds_namesake(task, candidate);
+        if demand.step.gang && self.has_namesakes(demand) && demand.tasks().any(is_kept_apart) {
+            return 0;
+        }
         if demand.step.anti_affinity == 0 {
             return u64::from(demand.step.count.max(1));
         }
@@ -270,6 +275,28 @@
         u64::from(demand.step.anti_affinity).saturating_sub((running + queued) as u64)
     }
 
+    /// Whether a task of another job with the same name runs on a candidate, is queued there or is
+    /// about to start there. The server could not tell the two apart.
+    pub(crate) fn holds_namesake(&self, task: TaskId, candidate: usize) -> bool {
+        let jobs = self.state.jobs();
+        if jobs.namesakes().is_empty() {
+            return false;
+        }
+        let server = &self.candidates[candidate].server;
+        let is_proposed_or_queued = jobs.namesake_tasks(task).any(|namesake| {
+            let run = self.runs.get(namesake);
+            run.is_some_and(|run| run.server == *server)
+                || self.queues.is_queued_on(namesake, server)
+        });
+        is_proposed_or_queued || jobs.has_namesake_on(task, server)
+    }
+
+    /// Whether jobs of other queues have the identity of the demand's job.
+    pub(crate) fn has_namesakes(&self, demand: &Demand<'_>) -> bool {
+        let task = demand.task(0);
+        self.state.jobs().namesake_tasks(task).next().is_some()
+    }
+
     /// Whether a candidate is neither suspected nor slow, and no waiting task of the demand has failed
     /// or stalled on it.
     pub(crate) fn is_reliable_for(&self, demand: &Demand<'_>, index: usize) -> bool {
--- a/crates/scheduler/src/placement/release.rs
+++ b/crates/scheduler/src/placement/release.rs
@@ -77,7 +77,7 @@
         .and_then(|job| task_record(job, task));
     let start = StartRecord {
         task,
-        attempt: record.map_or(0, |record| record.attempt) + 1,
+        attempt: planner.state.jobs().next_attempt(task),
         server: planner.candidates[candidate].server.clone(),
         checkpoint: record.map_or_else(String::new, |record| record.checkpoint.clone()),
     };
--- a/crates/scheduler/src/placement/single.rs
+++ b/crates/scheduler/src/placement/single.rs
@@ -77,13 +77,18 @@
         }
     }
 
-    /// Places the waiting tasks. Returns `false` if a task stays unplaced for lack of capacity.
+    /// Places the waiting tasks. Returns `false` if a task stays unplaced for lack of capacity. A task
+    /// that is kept apart from another one of the same name does not hold up the others.
     pub(crate) fn run(&mut self) -> bool {
+        let has_namesakes = self.planner.has_namesakes(self.demand);
         for task in self.demand.tasks() {
             if self.planner.runs.contains(task) || self.planner.queues.contains(task) {
                 continue;
             }
             let Some(candidate) = self.choose(task) else {
+                if has_namesakes {
+                    continue;
+                }
                 self.reserve_if_large();
                 return false;
             };
@@ -151,6 +156,7 @@
         self.eligible
             .iter()
             .filter(|choice| planner.max_tasks_on(self.demand, choice.candidate) > 0)
+            .filter(|choice| !planner.holds_namesake(task, choice.candidate))
             .map(|choice| Choice {
                 candidate: choice.candidate,
                 duration_factor: choice.duration_factor * fault_factor(choice.candidate),
@@ -280,6 +286,7 @@
                 && candidate.queued.is_empty()
                 && candidate.has_label(&demand.step.requires)
                 && planner.max_tasks_on(demand, *index) > 0
+                && !planner.holds_namesake(task, *index)
                 && fits(&demand.step.needs, &candidate.free)
                 && planner.faults.is_probation_due(
                     &candidate.server,
--- a/crates/scheduler/src/queues/task_queues.rs
+++ b/crates/scheduler/src/queues/task_queues.rs
@@ -50,6 +50,12 @@
         self.tasks.contains_key(&task)
     }
 
+    /// Whether a task is in the queue of this server.
+    pub(crate) fn is_queued_on(&self, task: TaskId, server: &ServerId) -> bool {
+        let queued = self.tasks.get(&task);
+        queued.is_some_and(|queued| queued.server == *server)
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.tasks.is_empty()
     }
--- a/crates/scheduler/src/scheduler/applied.rs
+++ b/crates/scheduler/src/scheduler/applied.rs
@@ -11,7 +11,10 @@
     /// service.
     pub fn applied(&mut self, operation: &Operation, result: &OperationResult, now: Millis) {
         match operation {
-            Operation::AcceptJob { job, .. } | Operation::CancelJob { job, .. } => {
+            Operation::AcceptJob { job, .. }
+            | Operation::CancelJob { job, .. }
+            | Operation::AcceptJobAt { job, .. }
+            | Operation::CancelJobAt { job, .. } => {
                 self.jobs.set_changed(*job);
             }
             Operation::RecordStarts {
