The record of an occurrence follows what was started, not what its job declares

Cause: the first start in an occurrence recorded all its tasks, and kept them until the last was done; admission reserves one occurrence, the scheduler begins 64.

Change: an occurrence holds the tasks that were started and have not succeeded. Tasks that have succeeded and occurrences that are done are ranges.

--- a/crates/cluster-node/src/core/state_size.rs
+++ b/crates/cluster-node/src/core/state_size.rs
@@ -102,11 +102,8 @@
     tasks.saturating_mul(TASK_BYTES)
 }
 
-/// Upper bound on what an open job will still record, in bytes.
+/// What the tasks of an open job will still record, in bytes, if as many run at once as one occurrence has.
 fn unrecorded_bytes(job: &JobRecord) -> u64 {
-    if job.occurrences.is_empty() {
-        task_bytes(&job.spec)
-    } else {
-        0
-    }
+    let recorded = job.started_tasks() * TASK_BYTES;
+    task_bytes(&job.spec).saturating_sub(recorded)
 }
--- a/crates/control-state/src/jobs/ends.rs
+++ b/crates/control-state/src/jobs/ends.rs
@@ -3,12 +3,13 @@
 
 use crate::jobs::record::JobRecord;
 use crate::jobs::table::JobTable;
-use crate::jobs::task::{TaskRecord, TaskStatus};
+use crate::jobs::task::TaskRecord;
 use lupinrack_cluster_api::identity::{Attempt, ServiceName};
 use lupinrack_cluster_api::job::JobState;
 use lupinrack_cluster_api::operation::EndRecord;
 use lupinrack_cluster_api::server::RunEnd;
 use lupinrack_cluster_api::time::WallMillis;
+use std::collections::BTreeMap;
 
 impl JobTable {
     /// Records ends. The end of a run that is not the newest of its task, or that has ended
@@ -29,7 +30,10 @@
         if !job.is_some_and(|job| job.has_run_in(service, end)) {
             return;
         }
-        self.note_attempts_before(end);
+        if end.end == RunEnd::Done {
+            self.namesakes
+                .raise_attempt_floor(end.task.job, end.attempt);
+        }
         let Some(job) = self.get_mut(end.task.job) else {
             return;
         };
@@ -57,65 +61,49 @@
         let failure_limit = self.failure_limit();
         let step = self.spec.steps.get(end.task.step as usize)?;
         let (is_gang, is_long_running) = (step.gang, step.long_running);
-        let tasks = self.tasks_mut(end)?;
-        let index = end.task.index as usize;
-        tasks.get_mut(index)?.release(&end.checkpoint);
-        let members = if is_gang {
-            &mut tasks[..]
-        } else {
-            &mut tasks[index..=index]
-        };
+        let number = end.task.occurrence;
+        let occurrence = self.occurrences.open_mut().get_mut(&number)?;
+        let tasks = occurrence.step_mut(end.task.step).tasks_mut();
+        tasks.get_mut(&end.task.index)?.release(&end.checkpoint);
+        let members = run_members(tasks, end, is_gang);
         match end.end {
             RunEnd::Done if !is_long_running => {
-                let succeeded = set_done(members, end.attempt);
-                self.count_succeeded(end.task.occurrence, succeeded)
+                occurrence.set_done(end.task.step, &members);
+                let is_done = self.occurrences.close_if_done(number);
+                (is_done && self.is_complete()).then_some(JobState::Succeeded)
             }
             RunEnd::Failed => {
-                let failures = count_failure(members, end.attempt);
+                let failures = count_failure(tasks, &members, end.attempt);
                 (!is_long_running && failures >= failure_limit).then_some(JobState::Failed)
             }
             _ => None,
         }
     }
 
-    /// The tasks of the step that an end belongs to.
-    fn tasks_mut(&mut self, end: &EndRecord) -> Option<&mut Vec<TaskRecord>> {
-        let occurrence = self.occurrences.get_mut(&end.task.occurrence)?;
-        occurrence.steps.get_mut(end.task.step as usize)
-    }
-
-    /// Counts tasks of an occurrence that have succeeded, and counts the occurrence as done if no
-    /// task of it is left.
-    fn count_succeeded(&mut self, occurrence: u32, succeeded: u32) -> Option<JobState> {
-        let occurrence = self.occurrences.get_mut(&occurrence)?;
-        occurrence.close_tasks(succeeded);
-        if !occurrence.is_done() {
-            return None;
-        }
-        self.occurrences_done = self.occurrences_done.saturating_add(1);
-        (self.occurrences_done >= self.occurrence_count()).then_some(JobState::Succeeded)
+    /// Whether all occurrences are done.
+    fn is_complete(&self) -> bool {
+        self.occurrences.done().len() >= self.occurrence_count()
     }
 }
 
-/// Sets the members of a run to done, and returns how many of them were not done before. Members
-/// that have since been started under another number do not belong to the run.
-fn set_done(members: &mut [TaskRecord], attempt: Attempt) -> u32 {
-    let mut newly_done = 0;
-    for task in members
-        .iter_mut()
-        .filter(|task| task.attempt == attempt && !task.is_done())
-    {
-        task.status = TaskStatus::Done;
-        newly_done += 1;
+/// The indices of the tasks of a run. Members of the gang that have since been started under another
+/// number do not belong to the run.
+fn run_members(tasks: &BTreeMap<u32, TaskRecord>, end: &EndRecord, is_gang: bool) -> Vec<u32> {
+    if !is_gang {
+        return vec![end.task.index];
     }
-    newly_done
+    let of_run = tasks.iter().filter(|(_, task)| task.attempt == end.attempt);
+    of_run.map(|(index, _)| *index).collect()
 }
 
 /// Counts the failure of a run for each of its members, and returns the highest number of failures.
-/// The failure is ignored for a member that has since been started again.
-fn count_failure(members: &mut [TaskRecord], attempt: Attempt) -> u32 {
-    for task in members.iter_mut() {
-        task.count_failure(attempt);
+fn count_failure(tasks: &mut BTreeMap<u32, TaskRecord>, members: &[u32], attempt: Attempt) -> u32 {
+    let mut highest = 0;
+    for member in members {
+        if let Some(task) = tasks.get_mut(member) {
+            task.count_failure(attempt);
+            highest = highest.max(task.failed);
+        }
     }
-    members.iter().map(|task| task.failed).max().unwrap_or(0)
+    highest
 }
--- a/crates/control-state/src/jobs/namesakes.rs
+++ b/crates/control-state/src/jobs/namesakes.rs
@@ -9,13 +9,14 @@
 //! Their runs are told apart by the number of the start, which increases over all jobs of the
 //! identity, and two tasks of the same name are never assigned to one server at a time.
 
+use crate::jobs::occurrence::Occurrence;
 use crate::jobs::record::JobRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::identity::{Attempt, JobId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
-/// Above the number of any start in an occurrence that was done before its job had namesakes. The
+/// Above the number of any start of a task that had succeeded before its job had namesakes. The
 /// numbers of such starts are not recorded.
 const UNRECORDED_ATTEMPTS: Attempt = 1 << 20;
 
@@ -137,8 +138,8 @@
 
 /// A bound on the numbers of the starts of a job that are not recorded any more.
 fn unrecorded_attempts(job: &JobRecord) -> Attempt {
-    let has_done_occurrence = job.occurrences_done > 0;
-    if has_done_occurrence {
+    let mut open = job.occurrences.open().values();
+    if !job.occurrences.done().is_empty() || open.any(Occurrence::has_done_task) {
         UNRECORDED_ATTEMPTS
     } else {
         0
--- a/crates/control-state/src/jobs/record.rs
+++ b/crates/control-state/src/jobs/record.rs
@@ -1,6 +1,7 @@
 //! What is recorded of a job.
 
 use crate::jobs::occurrence::Occurrence;
+use crate::jobs::occurrences::Occurrences;
 use crate::jobs::queue::JobQueue;
 use crate::jobs::task::TaskRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
@@ -8,7 +9,6 @@
 use lupinrack_cluster_api::identity::{Attempt, ServiceName};
 use lupinrack_cluster_api::job::{JobSpec, JobState, Step};
 use lupinrack_cluster_api::time::WallMillis;
-use std::collections::BTreeMap;
 
 /// A job. Its values from the route are those of the configuration at the time when the job was
 /// accepted; only its queue and its service follow later changes.
@@ -36,10 +36,8 @@
     pub state: JobState,
     /// When it reached its final state, by the clock of the process that ordered the operation.
     pub ended_at: Option<WallMillis>,
-    /// The occurrences with at least one started task, by number.
-    pub occurrences: BTreeMap<u32, Occurrence>,
-    /// How many occurrences are done.
-    pub occurrences_done: u32,
+    /// The occurrences with at least one started task.
+    pub occurrences: Occurrences,
 }
 
 impl JobRecord {
@@ -56,8 +54,7 @@
             accepted_at,
             state: JobState::Queued,
             ended_at: None,
-            occurrences: BTreeMap::new(),
-            occurrences_done: 0,
+            occurrences: Occurrences::default(),
         }
     }
 
@@ -75,9 +72,12 @@
         self.spec.start_at_ms.saturating_add(offset)
     }
 
-    /// A task's record; none if its occurrence was not started yet or is done.
+    /// A task's record; none if there is no such task, or its occurrence was not started yet or is
+    /// done.
     pub fn task(&self, occurrence: u32, step: u32, index: u32) -> Option<&TaskRecord> {
-        self.occurrences.get(&occurrence)?.task(step, index)
+        let occurrence = self.occurrences.open().get(&occurrence)?;
+        let specified = self.step(step)?;
+        (index < specified.count).then(|| occurrence.task(step, index))
     }
 
     /// The service that the job has to be handed over to, if the configuration directs its queue to
@@ -97,18 +97,20 @@
         self.tasks().filter_map(|task| self.run_service(task))
     }
 
-    /// All recorded tasks.
-    fn tasks(&self) -> impl Iterator<Item = &TaskRecord> {
-        let steps = self
-            .occurrences
-            .values()
-            .flat_map(|occurrence| &occurrence.steps);
-        steps.flatten()
+    /// How many tasks were started and have not succeeded.
+    pub fn started_tasks(&self) -> u64 {
+        self.tasks().count() as u64
+    }
+
+    /// All tasks that were started and have not succeeded.
+    pub(crate) fn tasks(&self) -> impl Iterator<Item = &TaskRecord> {
+        let occurrences = self.occurrences.open().values();
+        occurrences.flat_map(Occurrence::tasks)
     }
 
     /// The highest number of a start of one of its recorded tasks.
     pub(crate) fn highest_attempt(&self) -> Attempt {
-        let occurrences = self.occurrences.values();
+        let occurrences = self.occurrences.open().values();
         occurrences
             .map(Occurrence::highest_attempt)
             .max()
@@ -118,11 +120,8 @@
     /// Moves the job to another service. Its runs stay where they are.
     pub(crate) fn move_to(&mut self, service: ServiceName) {
         let from = std::mem::replace(&mut self.service, service);
-        let occurrences = self.occurrences.values_mut();
-        for task in occurrences
-            .flat_map(|occurrence| &mut occurrence.steps)
-            .flatten()
-        {
+        let occurrences = self.occurrences.open_mut().values_mut();
+        for task in occurrences.flat_map(Occurrence::tasks_mut) {
             task.job_moved(&from, &self.service);
         }
     }
@@ -144,9 +143,7 @@
 
     /// Whether all tasks of an occurrence have succeeded.
     pub fn occurrence_is_done(&self, occurrence: u32) -> bool {
-        self.occurrences
-            .get(&occurrence)
-            .is_some_and(Occurrence::is_done)
+        self.occurrences.done().contains(occurrence)
     }
 
     /// Whether all tasks of a step have succeeded in an occurrence; false if there is no such step.
@@ -157,8 +154,8 @@
         if specified.count == 0 || self.occurrence_is_done(occurrence) {
             return true;
         }
-        let started = self.occurrences.get(&occurrence);
-        let tasks = started.and_then(|started| started.steps.get(step as usize));
-        tasks.is_some_and(|tasks| tasks.iter().all(TaskRecord::is_done))
+        let started = self.occurrences.open().get(&occurrence);
+        let record = started.and_then(|started| started.step(step));
+        record.is_some_and(|record| record.done().len() >= specified.count)
     }
 }
--- a/crates/control-state/src/jobs/starts.rs
+++ b/crates/control-state/src/jobs/starts.rs
@@ -1,9 +1,8 @@
 //! Recording of starts, before any server is ordered to run them.
 
-use crate::jobs::occurrence::Occurrence;
 use crate::jobs::record::JobRecord;
 use crate::jobs::table::JobTable;
-use crate::jobs::task::{TaskRecord, TaskStatus};
+use crate::jobs::task::{TaskStatus, NEVER_STARTED};
 use lupinrack_cluster_api::identity::{Attempt, JobId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::{JobState, Step};
 use lupinrack_cluster_api::operation::StartRecord;
@@ -117,9 +116,8 @@
         if start.task.index >= step.count {
             return false;
         }
-        let never_started = TaskRecord::default();
         let recorded = self.task(start.task.occurrence, start.task.step, start.task.index);
-        let task = recorded.unwrap_or(&never_started);
+        let task = recorded.unwrap_or(&NEVER_STARTED);
         task.status == TaskStatus::Waiting
             && (step.long_running || task.failed < self.failure_limit())
     }
@@ -127,14 +125,9 @@
     /// Assigns a task to the server of a start that is admissible.
     fn assign(&mut self, start: &StartRecord) {
         let steps = &self.spec.steps;
-        let occurrence = self
-            .occurrences
-            .entry(start.task.occurrence)
-            .or_insert_with(|| Occurrence::new(steps));
-        let tasks = occurrence.steps.get_mut(start.task.step as usize);
-        let Some(task) = tasks.and_then(|tasks| tasks.get_mut(start.task.index as usize)) else {
-            return;
-        };
+        let occurrence = self.occurrences.start(start.task.occurrence, steps);
+        let tasks = occurrence.step_mut(start.task.step).tasks_mut();
+        let task = tasks.entry(start.task.index).or_default();
         task.status = TaskStatus::Assigned {
             server: start.server.clone(),
         };
--- a/crates/control-state/src/jobs/table.rs
+++ b/crates/control-state/src/jobs/table.rs
@@ -10,7 +10,7 @@
 use lupinrack_cluster_api::error::ErrorKind;
 use lupinrack_cluster_api::identity::{Attempt, JobId, QueueName, ServerId, ServiceName, TaskId};
 use lupinrack_cluster_api::job::{JobSpec, JobState};
-use lupinrack_cluster_api::operation::{EndRecord, OperationResult};
+use lupinrack_cluster_api::operation::OperationResult;
 use lupinrack_cluster_api::request::Target;
 use lupinrack_cluster_api::time::WallMillis;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,7 +34,7 @@
     remaining_runs: RemainingRuns,
     /// Encoded apart, at the end of the state.
     #[borsh(skip)]
-    namesakes: Namesakes,
+    pub(crate) namesakes: Namesakes,
     /// Where jobs were submitted, by key, unless it is the address of their route. Encoded apart, at
     /// the end of the state.
     #[borsh(skip)]
@@ -224,11 +224,7 @@
 
     /// The servers to which a task is assigned.
     pub(crate) fn servers_in_use(&self) -> BTreeSet<ServerId> {
-        let occurrences = self
-            .records
-            .values()
-            .flat_map(|job| job.occurrences.values());
-        let tasks = occurrences.flat_map(|occurrence| occurrence.steps.iter().flatten());
+        let tasks = self.records.values().flat_map(JobRecord::tasks);
         tasks.filter_map(TaskRecord::server).cloned().collect()
     }
 
@@ -377,29 +373,6 @@
         self.submitted_to
             .retain(|id, _| self.records.contains_key(id));
     }
-
-    /// Notes the numbers of starts in an occurrence whose last task this end may complete, since its
-    /// tasks are not recorded then.
-    pub(crate) fn note_attempts_before(&mut self, end: &EndRecord) {
-        let id = end.task.job;
-        if !self.namesakes.has_shared_attempts(id) {
-            return;
-        }
-        let occurrence = self
-            .get(id)
-            .and_then(|job| job.occurrences.get(&end.task.occurrence));
-        let Some(occurrence) = occurrence else {
-            return;
-        };
-        let members = occurrence
-            .steps
-            .get(end.task.step as usize)
-            .map_or(0, Vec::len);
-        if occurrence.open_tasks as usize <= members.max(1) {
-            let highest = occurrence.highest_attempt();
-            self.namesakes.raise_attempt_floor(id, highest);
-        }
-    }
 }
 
 fn tasks_per_occurrence(spec: &JobSpec) -> u64 {
--- a/crates/control-state/src/jobs/task.rs
+++ b/crates/control-state/src/jobs/task.rs
@@ -42,6 +42,22 @@
     pub checkpoint: String,
 }
 
+/// The record of a task that was never started.
+pub(crate) static NEVER_STARTED: TaskRecord = with_status(TaskStatus::Waiting);
+
+/// The record of a task that has succeeded. The numbers of its starts are not kept.
+pub(crate) static DONE: TaskRecord = with_status(TaskStatus::Done);
+
+const fn with_status(status: TaskStatus) -> TaskRecord {
+    TaskRecord {
+        status,
+        attempt: 0,
+        failed: 0,
+        failed_attempt: 0,
+        checkpoint: String::new(),
+    }
+}
+
 impl TaskRecord {
     /// Whether it has succeeded.
     pub fn is_done(&self) -> bool {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -27,8 +27,8 @@
     DIGEST_BYTES, MAX_ACCEPTED_CHANGES,
 };
 pub use jobs::{
-    JobQueue, JobRecord, JobTable, Namesakes, Occurrence, QueueReference, TaskRecord, TaskStatus,
-    MAX_TASKS_PER_OCCURRENCE,
+    IndexSet, JobQueue, JobRecord, JobTable, Namesakes, Occurrence, Occurrences, QueueReference,
+    StepRecord, TaskRecord, TaskStatus, MAX_TASKS_PER_OCCURRENCE,
 };
 pub use shards::{Shard, ShardTable};
 pub use snapshot::SnapshotError;
--- a/crates/scheduler/src/adoption.rs
+++ b/crates/scheduler/src/adoption.rs
@@ -38,9 +38,9 @@
 /// The starts of a job in this service whose ends are not recorded.
 fn assigned_starts(job: JobId, record: &JobRecord, service: &ServiceName) -> Vec<StartRecord> {
     let mut starts = Vec::new();
-    for (number, occurrence) in &record.occurrences {
-        for (step, tasks) in (0..).zip(&occurrence.steps) {
-            for (index, task) in (0..).zip(tasks) {
+    for (number, occurrence) in record.occurrences.open() {
+        for (step, step_record) in occurrence.steps() {
+            for (index, task) in step_record.tasks() {
                 let Some(server) = task.server() else {
                     continue;
                 };
@@ -52,7 +52,7 @@
                         job,
                         occurrence: *number,
                         step,
-                        index,
+                        index: *index,
                     },
                     attempt: task.attempt,
                     server: server.clone(),
--- a/crates/scheduler/src/jobs/plan.rs
+++ b/crates/scheduler/src/jobs/plan.rs
@@ -29,8 +29,6 @@
     /// When the job was accepted, in milliseconds since 1970.
     accepted_ms: u64,
     ready: Vec<ReadyStep>,
-    /// The first occurrence that may not be done; all earlier ones are.
-    first_open_occurrence: u32,
     /// When the next occurrence becomes due, in milliseconds since 1970; `None` if all considered
     /// occurrences are due.
     next_due_ms: Option<u64>,
@@ -52,7 +50,6 @@
             priority: job.priority,
             accepted_ms: job.accepted_at.0,
             ready: Vec::new(),
-            first_open_occurrence: 0,
             next_due_ms: None,
         }
     }
@@ -97,25 +94,22 @@
     pub(crate) fn refresh(&mut self, job: &JobRecord, now: Millis, wall: WallMillis) {
         let previous = std::mem::take(&mut self.ready);
         self.next_due_ms = None;
-        self.skip_done_occurrences(job);
-        let end = self
-            .first_open_occurrence
+        let first_open = job.occurrences.done().first_missing_from(0);
+        let end = first_open
             .saturating_add(MAX_OCCURRENCES)
             .min(job.occurrence_count());
-        for occurrence in self.first_open_occurrence..end {
+        for occurrence in first_open..end {
             let due_ms = job.due_ms(occurrence);
             if wall.0 < due_ms {
                 self.next_due_ms = Some(due_ms);
                 break;
             }
-            self.ready
-                .extend(ready_steps(job, occurrence, &previous, now));
-        }
-    }
-
-    fn skip_done_occurrences(&mut self, job: &JobRecord) {
-        while job.occurrence_is_done(self.first_open_occurrence) {
-            self.first_open_occurrence += 1;
+            for mut step in ready_steps(job, occurrence, now, |_| true) {
+                let is_same =
+                    |old: &&ReadyStep| (old.occurrence, old.step) == (step.occurrence, step.step);
+                step.since = previous.iter().find(is_same).map_or(now, |old| old.since);
+                self.ready.push(step);
+            }
         }
     }
 }
--- a/crates/scheduler/src/jobs/ready_step.rs
+++ b/crates/scheduler/src/jobs/ready_step.rs
@@ -2,7 +2,8 @@
 
 use lupinrack_cluster_api::job::Step;
 use lupinrack_cluster_api::time::Millis;
-use lupinrack_control_state::{JobRecord, Occurrence, TaskRecord, TaskStatus};
+use lupinrack_control_state::{JobRecord, Occurrence, StepRecord, TaskStatus};
+use std::ops::Range;
 
 /// The tasks of one step that are ready to start and not assigned.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,39 +18,35 @@
     pub(crate) since: Millis,
 }
 
-/// The steps of one occurrence whose dependencies are done and that have waiting tasks. A step that
-/// is also in `previous` keeps the time at which it began to wait.
+/// The steps of one occurrence whose dependencies are done and that have waiting tasks, of those that
+/// `is_wanted` accepts.
 pub(crate) fn ready_steps(
     job: &JobRecord,
     occurrence: u32,
-    previous: &[ReadyStep],
     now: Millis,
+    is_wanted: impl Fn(u32) -> bool,
 ) -> Vec<ReadyStep> {
     if job.occurrence_is_done(occurrence) {
         return Vec::new();
     }
-    let waiting_since = |step: u32| {
-        previous
-            .iter()
-            .find(|old| old.occurrence == occurrence && old.step == step)
-            .map_or(now, |old| old.since)
-    };
     let done: Vec<bool> = (0..)
         .zip(&job.spec.steps)
         .map(|(number, _)| job.step_is_done(occurrence, number))
         .collect();
+    let started = job.occurrences.open().get(&occurrence);
     (0..)
         .zip(&job.spec.steps)
+        .filter(|(number, _)| is_wanted(*number))
         .filter(|(number, step)| !done[*number as usize] && dependencies_are_done(step, &done))
         .filter_map(|(number, step)| {
-            let indices = waiting_tasks(step, number, job.occurrences.get(&occurrence));
+            let indices = waiting_tasks(step, number, started);
             let is_startable =
                 !indices.is_empty() && (!step.gang || indices.len() >= step.count as usize);
-            is_startable.then(|| ReadyStep {
+            is_startable.then_some(ReadyStep {
                 occurrence,
                 step: number,
                 indices,
-                since: waiting_since(number),
+                since: now,
             })
         })
         .collect()
@@ -62,16 +59,32 @@
         .all(|dependency| done.get(*dependency as usize).copied().unwrap_or(true))
 }
 
-/// The indices of a step's waiting tasks. Before the occurrence has a record, all tasks wait.
+/// The indices of a step's waiting tasks. Before any of its tasks has a record, all of them wait.
 fn waiting_tasks(step: &Step, number: u32, occurrence: Option<&Occurrence>) -> Vec<u32> {
-    let Some(tasks) = occurrence.and_then(|occurrence| occurrence.steps.get(number as usize))
-    else {
+    let Some(record) = occurrence.and_then(|occurrence| occurrence.step(number)) else {
         return (0..step.count).collect();
     };
-    let is_waiting = |task: &TaskRecord| task.status == TaskStatus::Waiting;
-    (0..)
-        .zip(tasks)
-        .filter(|(_, task)| is_waiting(task))
-        .map(|(index, _)| index)
-        .collect()
+    let mut waiting = Vec::new();
+    let mut next = 0;
+    for done in record.done().ranges() {
+        extend_with_waiting(&mut waiting, record, next..done.start);
+        next = done.end;
+    }
+    extend_with_waiting(&mut waiting, record, next..step.count);
+    waiting
+}
+
+/// Adds the waiting tasks of a range in which none has succeeded.
+fn extend_with_waiting(waiting: &mut Vec<u32>, record: &StepRecord, range: Range<u32>) {
+    if range.is_empty() {
+        return;
+    }
+    let mut next = range.start;
+    for (index, task) in record.tasks().range(range.clone()) {
+        if task.status != TaskStatus::Waiting {
+            waiting.extend(next..*index);
+            next = index + 1;
+        }
+    }
+    waiting.extend(next..range.end);
 }
--- a/crates/scheduler/tests/decisions/main.rs
+++ b/crates/scheduler/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod last_attempts;
 mod late_messages;
 mod leases;
+mod many_occurrences;
 mod namesakes;
 mod orders;
 mod placement;
--- /dev/null
+++ b/crates/scheduler/tests/decisions/many_occurrences.rs
@@ -0,0 +1,92 @@
+//! Jobs with very many occurrences that are due at the same time.
+
+use crate::bench::{step, Bench, WALL_START_MS};
+use allocation_counter::measure;
+use lupinrack_cluster_api::identity::{Attempt, JobId, TaskId};
+use lupinrack_cluster_api::job::{JobSpec, Step};
+use lupinrack_cluster_api::server::RunEnd;
+
+const JOB: u64 = 7;
+const PRIORITY: u32 = 1;
+/// An eighth of the memory of a core machine with 256 MB, which is the share of the state.
+const STATE_BYTES: u64 = 32_000_000;
+
+/// A job of so many occurrences, all of which are due.
+fn repeated(repeat: u32, steps: Vec<Step>) -> JobSpec {
+    JobSpec {
+        spec: "work".to_owned(),
+        steps,
+        repeat,
+        start_at_ms: WALL_START_MS,
+        interval_ms: 0,
+    }
+}
+
+/// A bench on which the bound of the takeover is over, with machines of these numbers.
+fn bench(machines: u16) -> Bench {
+    let mut bench = Bench::new();
+    for machine in 1..=machines {
+        bench.attach(machine, 1, &[]);
+    }
+    bench.run_for(bench.settings.takeover_bound_ms() + 100);
+    bench
+}
+
+/// Ends all runs as done.
+fn end_all(bench: &mut Bench) {
+    for server in bench.servers.values_mut() {
+        let runs: Vec<(TaskId, Attempt)> = server
+            .running
+            .iter()
+            .map(|run| (run.task, run.attempt))
+            .collect();
+        for (task, attempt) in runs {
+            server.end(task, attempt, RunEnd::Done);
+        }
+    }
+}
+
+/// Guards against memory that follows what jobs declare: the state and the tables of the scheduler went over 256 MB with one
+/// job of 64 occurrences of 60,001 tasks, all begun.
+#[test]
+fn occurrences_that_have_begun_take_memory_for_what_was_started() {
+    let after_the_first = Step {
+        depends_on: vec![0],
+        ..step(10_000, 100, 500)
+    };
+    let mut steps = vec![step(1, 100, 500)];
+    steps.extend(vec![after_the_first; 6]);
+    let mut begun = 0;
+    let mut encoded = 0;
+    let allocations = measure(|| {
+        let mut bench = bench(3);
+        bench.accept_job(JOB, PRIORITY, repeated(64, steps.clone()));
+        bench.run_for(500);
+        end_all(&mut bench);
+        bench.run_for(500);
+        let job = bench.state.job(JobId(JOB)).expect("it is kept");
+        begun = job.occurrences.open().len();
+        encoded = bench.state.to_bytes().expect("it can be encoded").len();
+    });
+    assert_eq!(begun, 64);
+    assert!(encoded < 200_000, "{encoded} bytes encoded");
+    assert!(allocations.bytes_max < STATE_BYTES, "{allocations:?}");
+}
+
+/// Guards against the records of occurrences that are done: there may be a million of them.
+#[test]
+fn occurrences_that_are_done_take_no_memory_each() {
+    let mut bench = bench(1);
+    let steps = vec![step(1, 100, 100)];
+    bench.accept_job(JOB, PRIORITY, repeated(1_000_000, steps));
+    bench.run_for(200);
+    let before = bench.state.to_bytes().expect("it can be encoded").len();
+    for _ in 0..40 {
+        end_all(&mut bench);
+        bench.run_for(100);
+    }
+    let job = bench.state.job(JobId(JOB)).expect("it is kept");
+    assert!(job.occurrences.done().len() > 1_000);
+    let after = bench.state.to_bytes().expect("it can be encoded").len();
+    assert!(after < before + 2_000, "{before} bytes, then {after}");
+}
