No window of occurrences: each due one begins, and lists share one allowance

Cause: JobPlan::refresh looked at the 64 occurrences from the first that was not done; one with a lasting task is never done.

Change: for each step the list has the earliest occurrence with waiting tasks, and later ones within an allowance that all repeating jobs of a service share. Anti-affinity is a limit of each occurrence: one that has reached it takes no part of the allowance. Lists of jobs without repeats are as before.

--- a/crates/scheduler/src/jobs.rs
+++ b/crates/scheduler/src/jobs.rs
@@ -4,4 +4,5 @@
 pub(crate) mod open_jobs;
 pub(crate) mod plan;
 pub(crate) mod rank;
+pub(crate) mod ready_listing;
 pub(crate) mod ready_step;
--- a/crates/scheduler/src/jobs/open_jobs.rs
+++ b/crates/scheduler/src/jobs/open_jobs.rs
@@ -2,10 +2,12 @@
 
 use crate::history::durations::DurationModel;
 use crate::jobs::plan::JobPlan;
+use crate::jobs::ready_listing::{ListingInputs, LookaheadAllowance};
 use lupinrack_cluster_api::identity::{JobId, ServiceName};
 use lupinrack_cluster_api::job::Resources;
 use lupinrack_cluster_api::time::{Millis, WallMillis};
 use lupinrack_control_state::{ControlState, JobRecord};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The plans of a service's open jobs, and the jobs that have changed since the last refresh.
@@ -15,6 +17,10 @@
     changed: BTreeSet<JobId>,
     /// Whether the queues of all open jobs may have been directed to other services.
     queues_changed: bool,
+    /// The number of repeating jobs with a plan.
+    repeating: usize,
+    /// The number of servers at the last refresh.
+    servers: usize,
 }
 
 /// The changed jobs that have no plan any more.
@@ -33,6 +39,8 @@
     pub(crate) service: &'a ServiceName,
     /// The total capacity of the service's servers.
     pub(crate) capacity: Resources,
+    /// The number of the service's servers.
+    pub(crate) servers: usize,
     /// The expected durations of work.
     pub(crate) durations: &'a DurationModel,
     /// The time of the round.
@@ -70,6 +78,11 @@
         if std::mem::take(&mut self.queues_changed) {
             self.changed.extend(update.redirected_jobs());
         }
+        if self.servers != update.servers {
+            self.servers = update.servers;
+            let repeating = self.plans.iter().filter(|(_, plan)| plan.is_repeating());
+            self.changed.extend(repeating.map(|(job, _)| *job));
+        }
         let mut without_plan = WithoutPlan::default();
         let changed = std::mem::take(&mut self.changed);
         for job in update.state.jobs().with_namesakes(changed) {
@@ -78,28 +91,35 @@
                     self.refresh_plan(job, record, update);
                 }
                 open => {
-                    self.plans.remove(&job);
+                    let plan = self.plans.remove(&job);
+                    self.repeating -= usize::from(plan.is_some_and(|plan| plan.is_repeating()));
                     without_plan.add(job, open.is_some());
                 }
             }
         }
+        let inputs = update.listing_inputs(self.repeating);
         let due = self
             .plans
             .iter_mut()
             .filter(|(_, plan)| plan.has_newly_due_occurrence(update.wall));
         for (job, plan) in due {
             if let Some(record) = update.state.job(*job) {
-                plan.refresh(record, update.now, update.wall);
+                plan.refresh(record, inputs);
             }
         }
         without_plan
     }
 
     fn refresh_plan(&mut self, job: JobId, record: &JobRecord, update: &JobsRefresh<'_>) {
-        self.plans
-            .entry(job)
-            .or_insert_with(|| JobPlan::new(record, &update.capacity, update.durations))
-            .refresh(record, update.now, update.wall);
+        let plan = match self.plans.entry(job) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                let plan = JobPlan::new(record, &update.capacity, update.durations);
+                self.repeating += usize::from(plan.is_repeating());
+                new.insert(plan)
+            }
+        };
+        plan.refresh(record, update.listing_inputs(self.repeating));
     }
 }
 
@@ -114,6 +134,15 @@
 }
 
 impl JobsRefresh<'_> {
+    fn listing_inputs(&self, repeating_jobs: usize) -> ListingInputs {
+        ListingInputs {
+            allowance: LookaheadAllowance::shared_by(repeating_jobs),
+            servers: self.servers,
+            now: self.now,
+            wall: self.wall,
+        }
+    }
+
     /// Whether the owner of the service starts tasks of an open job: the job belongs to the service
     /// and is not about to be handed over.
     fn is_scheduled_here(&self, job: &JobRecord) -> bool {
--- a/crates/scheduler/src/jobs/plan.rs
+++ b/crates/scheduler/src/jobs/plan.rs
@@ -2,16 +2,15 @@
 
 use crate::history::durations::DurationModel;
 use crate::jobs::rank::Rank;
-use crate::jobs::ready_step::{ready_steps, ReadyStep};
+use crate::jobs::ready_listing::{list_ready_steps, ListingInputs};
+use crate::jobs::ready_step::ReadyStep;
 use crate::resources::{dominant_share, scaled};
 use lupinrack_cluster_api::job::{Resources, Step};
-use lupinrack_cluster_api::time::{Millis, WallMillis};
+use lupinrack_cluster_api::time::WallMillis;
 use lupinrack_control_state::JobRecord;
 
 /// A step is expected to run in waves. Each wave uses this share of the service's capacity.
 const WAVE_SHARE: f64 = 0.25;
-/// The maximum number of occurrences of one job that are considered at once.
-const MAX_OCCURRENCES: u32 = 64;
 /// An occurrence expires, and has no value any more, after this multiple of the time allowed for
 /// it.
 const EXPIRY_FACTOR: u64 = 3;
@@ -28,6 +27,7 @@
     priority: u32,
     /// When the job was accepted, in milliseconds since 1970.
     accepted_ms: u64,
+    is_repeating: bool,
     ready: Vec<ReadyStep>,
     /// When the next occurrence becomes due, in milliseconds since 1970; `None` if all considered
     /// occurrences are due.
@@ -49,6 +49,7 @@
             time_allowed_ms: allowed_work_ms.saturating_add(job.target_latency_ms),
             priority: job.priority,
             accepted_ms: job.accepted_at.0,
+            is_repeating: job.occurrence_count() > 1,
             ready: Vec::new(),
             next_due_ms: None,
         }
@@ -90,27 +91,16 @@
         self.next_due_ms.is_some_and(|due| wall.0 >= due)
     }
 
+    /// Whether the job has several occurrences.
+    pub(crate) fn is_repeating(&self) -> bool {
+        self.is_repeating
+    }
+
     /// Updates the ready steps from the job's record.
-    pub(crate) fn refresh(&mut self, job: &JobRecord, now: Millis, wall: WallMillis) {
-        let previous = std::mem::take(&mut self.ready);
-        self.next_due_ms = None;
-        let first_open = job.occurrences.done().first_missing_from(0);
-        let end = first_open
-            .saturating_add(MAX_OCCURRENCES)
-            .min(job.occurrence_count());
-        for occurrence in first_open..end {
-            let due_ms = job.due_ms(occurrence);
-            if wall.0 < due_ms {
-                self.next_due_ms = Some(due_ms);
-                break;
-            }
-            for mut step in ready_steps(job, occurrence, now, |_| true) {
-                let is_same =
-                    |old: &&ReadyStep| (old.occurrence, old.step) == (step.occurrence, step.step);
-                step.since = previous.iter().find(is_same).map_or(now, |old| old.since);
-                self.ready.push(step);
-            }
-        }
+    pub(crate) fn refresh(&mut self, job: &JobRecord, inputs: ListingInputs) {
+        let listing = list_ready_steps(job, &self.ready, inputs);
+        self.ready = listing.ready;
+        self.next_due_ms = listing.next_due_ms;
     }
 }
 
--- a/crates/scheduler/src/scheduler/jobs.rs
+++ b/crates/scheduler/src/scheduler/jobs.rs
@@ -14,6 +14,7 @@
             state,
             service: &self.service,
             capacity: self.servers.total_capacity(),
+            servers: self.servers.len(),
             durations: &self.history.durations,
             now: time.now,
             wall: time.wall,
--- a/crates/scheduler/src/servers/table.rs
+++ b/crates/scheduler/src/servers/table.rs
@@ -207,7 +207,12 @@
         }
     }
 
-    /// The total capacity of all servers.
+    /// The number of servers.
+    pub(crate) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// The capacity of all servers together.
     pub(crate) fn total_capacity(&self) -> Resources {
         self.servers
             .values()
--- a/crates/scheduler/tests/decisions/many_occurrences.rs
+++ b/crates/scheduler/tests/decisions/many_occurrences.rs
@@ -5,9 +5,11 @@
 use lupinrack_cluster_api::identity::{Attempt, JobId, TaskId};
 use lupinrack_cluster_api::job::{JobSpec, Step};
 use lupinrack_cluster_api::server::RunEnd;
+use std::collections::BTreeSet;
 
 const JOB: u64 = 7;
 const PRIORITY: u32 = 1;
+const CPU_OF_A_SERVER: u64 = 16_000;
 /// An eighth of the memory of a core machine with 256 MB, which is the share of the state.
 const STATE_BYTES: u64 = 32_000_000;
 
@@ -22,6 +24,13 @@
     }
 }
 
+fn lasting(count: u32, cpu: u64) -> Step {
+    Step {
+        long_running: true,
+        ..step(count, cpu, 400)
+    }
+}
+
 /// A bench on which the bound of the takeover is over, with machines of these numbers.
 fn bench(machines: u16) -> Bench {
     let mut bench = Bench::new();
@@ -32,6 +41,13 @@
     bench
 }
 
+/// The tasks of a job that run.
+fn running(bench: &Bench, job: u64) -> BTreeSet<TaskId> {
+    let runs = bench.servers.values().flat_map(|server| &server.running);
+    let tasks = runs.map(|run| run.task);
+    tasks.filter(|task| task.job == JobId(job)).collect()
+}
+
 /// Ends all runs as done.
 fn end_all(bench: &mut Bench) {
     for server in bench.servers.values_mut() {
@@ -46,6 +62,47 @@
     }
 }
 
+/// Guards against occurrences that never begin, because earlier ones have lasting tasks and are never done.
+#[test]
+fn each_due_occurrence_of_a_lasting_job_begins_while_there_is_room() {
+    for (repeat, expected) in [(80, 80), (1_000_000, 160)] {
+        let mut bench = bench(1);
+        bench.accept_job(JOB, PRIORITY, repeated(repeat, vec![lasting(1, 100)]));
+        bench.run_for(5_000);
+        assert_eq!(running(&bench, JOB).len(), expected, "{repeat} occurrences");
+    }
+}
+
+/// Guards against later occurrences that wait for tasks of earlier ones, which anti-affinity keeps from starting.
+#[test]
+fn an_occurrence_at_the_limit_of_its_anti_affinity_holds_up_no_later_one() {
+    let apart = Step {
+        anti_affinity: 1,
+        ..lasting(10_000, 100)
+    };
+    let mut bench = bench(2);
+    bench.accept_job(JOB, PRIORITY, repeated(1_000, vec![apart]));
+    bench.run_for(5_000);
+    let running = running(&bench, JOB);
+    assert_eq!(running.len() as u64, 2 * CPU_OF_A_SERVER / 100);
+    let occurrences: BTreeSet<u32> = running.iter().map(|task| task.occurrence).collect();
+    assert_eq!(occurrences.len() as u64, CPU_OF_A_SERVER / 100);
+}
+
+/// Guards against steps of later occurrences that wait for a step of earlier ones that no server can run.
+#[test]
+fn a_step_that_no_server_can_run_holds_up_no_other_step() {
+    let impossible = Step {
+        requires: "missing".to_owned(),
+        ..step(10_000, 100, 400)
+    };
+    let mut bench = bench(1);
+    let steps = vec![impossible, lasting(1, 100)];
+    bench.accept_job(JOB, PRIORITY, repeated(1_000, steps));
+    bench.run_for(5_000);
+    assert_eq!(running(&bench, JOB).len(), 160);
+}
+
 /// Guards against memory that follows what jobs declare: the state and the tables of the scheduler went over 256 MB with one
 /// job of 64 occurrences of 60,001 tasks, all begun.
 #[test]
@@ -73,6 +130,21 @@
     assert!(allocations.bytes_max < STATE_BYTES, "{allocations:?}");
 }
 
+/// Guards against tables of the scheduler that grow with the product of jobs, steps and occurrences.
+#[test]
+fn many_jobs_of_a_million_occurrences_share_one_allowance() {
+    let steps = vec![step(1, 8_000, 500); 64];
+    let allocations = measure(|| {
+        let mut bench = bench(1);
+        for job in 1..=100 {
+            bench.accept_job(job, PRIORITY, repeated(1_000_000, steps.clone()));
+        }
+        bench.run_for(200);
+        assert_eq!(bench.servers[&1].running.len(), 2);
+    });
+    assert!(allocations.bytes_max < STATE_BYTES, "{allocations:?}");
+}
+
 /// Guards against the records of occurrences that are done: there may be a million of them.
 #[test]
 fn occurrences_that_are_done_take_no_memory_each() {
