Namesakes: starts continue right above the earlier ones, not from 1,048,576

Cause: the first form assumed that starts of tasks that were done before a namesake came had numbers up to 2^20, and continued above. Once both jobs were forgotten, a later job of the same ID began at 1 again, and servers that remember the higher numbers would not have started it. Found by reading.

Test: a_job_that_comes_after_its_namesake_was_done_continues_above_it now expects the number 2; it was 1,048,577.

--- a/crates/control-state/src/jobs/ends.rs
+++ b/crates/control-state/src/jobs/ends.rs
@@ -62,6 +62,9 @@
         let step = self.spec.steps.get(end.task.step as usize)?;
         let (is_gang, is_long_running) = (step.gang, step.long_running);
         let number = end.task.occurrence;
+        if end.end == RunEnd::Done {
+            self.occurrences.note_done_attempt(end.attempt);
+        }
         let occurrence = self.occurrences.open_mut().get_mut(&number)?;
         let tasks = occurrence.step_mut(end.task.step).tasks_mut();
         tasks.get_mut(&end.task.index)?.release(&end.checkpoint);
--- a/crates/control-state/src/jobs/namesakes.rs
+++ b/crates/control-state/src/jobs/namesakes.rs
@@ -9,17 +9,12 @@
 //! Their runs are told apart by the number of the start, which increases over all jobs of the
 //! identity, and two tasks of the same name are never assigned to one server at a time.
 
-use crate::jobs::occurrence::Occurrence;
 use crate::jobs::record::JobRecord;
 use borsh::{BorshDeserialize, BorshSerialize};
 use lupinrack_cluster_api::identity::{Attempt, JobId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
-/// Above the number of any start of a task that had succeeded before its job had namesakes. The
-/// numbers of such starts are not recorded.
-const UNRECORDED_ATTEMPTS: Attempt = 1 << 20;
-
 /// Increment and multipliers of `SplitMix64`, a permutation of the 64-bit numbers.
 const MIX_INCREMENT: u64 = 0x9e37_79b9_7f4a_7c15;
 const MIX_MULTIPLIERS: [u64; 2] = [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb];
@@ -113,7 +108,7 @@
         let first = records.get(&identity);
         let group = self.groups.entry(identity).or_insert_with(|| Group {
             keys: first.map(|_| identity).into_iter().collect(),
-            attempt_floor: first.map_or(0, unrecorded_attempts),
+            attempt_floor: first.map_or(0, JobRecord::highest_attempt),
         });
         let mut key = identity;
         while records.contains_key(&key) {
@@ -136,16 +131,6 @@
     }
 }
 
-/// A bound on the numbers of the starts of a job that are not recorded any more.
-fn unrecorded_attempts(job: &JobRecord) -> Attempt {
-    let mut open = job.occurrences.open().values();
-    if !job.occurrences.done().is_empty() || open.any(Occurrence::has_done_task) {
-        UNRECORDED_ATTEMPTS
-    } else {
-        0
-    }
-}
-
 /// Another key, by `SplitMix64`. It is not secret: a client that asks for it is refused.
 fn mixed(key: JobId) -> JobId {
     let mut bits = key.0.wrapping_add(MIX_INCREMENT);
--- a/crates/control-state/src/jobs/occurrence.rs
+++ b/crates/control-state/src/jobs/occurrence.rs
@@ -131,11 +131,6 @@
         attempts.max().unwrap_or(0)
     }
 
-    /// Whether a task has succeeded, so that the numbers of its starts are not recorded any more.
-    pub(crate) fn has_done_task(&self) -> bool {
-        self.steps.values().any(|step| !step.done.is_empty())
-    }
-
     /// Sets tasks of a step to done.
     pub(crate) fn set_done(&mut self, step: u32, indices: &[u32]) {
         let record = self.step_mut(step);
--- a/crates/control-state/src/jobs/record.rs
+++ b/crates/control-state/src/jobs/record.rs
@@ -108,13 +108,9 @@
         occurrences.flat_map(Occurrence::tasks)
     }
 
-    /// The highest number of a start of one of its recorded tasks.
+    /// The highest number of a start of one of its tasks.
     pub(crate) fn highest_attempt(&self) -> Attempt {
-        let occurrences = self.occurrences.open().values();
-        occurrences
-            .map(Occurrence::highest_attempt)
-            .max()
-            .unwrap_or(0)
+        self.occurrences.highest_attempt()
     }
 
     /// Moves the job to another service. Its runs stay where they are.
--- a/crates/control-state/tests/golden_values/state.rs
+++ b/crates/control-state/tests/golden_values/state.rs
@@ -3,7 +3,7 @@
 use crate::state_parts::StateParts;
 use lupinrack_cluster_api::configuration::{Configuration, Limits, QueueAddress, Route, Service};
 use lupinrack_cluster_api::identity::{
-    DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName,
+    Attempt, DiskId, FencingToken, JobId, PeerAddress, QueueName, ServerId, ServiceName,
 };
 use lupinrack_cluster_api::job::{JobSpec, JobState, Resources, Step};
 use lupinrack_cluster_api::operation::{ConfigurationBody, ConfigurationChange, Operation};
@@ -84,6 +84,9 @@
     }
 }
 
+/// What is assumed of the starts in an occurrence that was done under an earlier version.
+const ASSUMED_DONE_ATTEMPT: Attempt = 100;
+
 pub(crate) fn job_record(state: JobState, ended_at: Option<u64>) -> JobRecord {
     JobRecord {
         queue: QueueName("render".to_owned()).into(),
@@ -102,7 +105,11 @@
         accepted_at: WallMillis(18),
         state,
         ended_at: ended_at.map(WallMillis),
-        occurrences: Occurrences::new([0], BTreeMap::from([(1, occurrence())])),
+        occurrences: Occurrences::new(
+            [0],
+            BTreeMap::from([(1, occurrence())]),
+            ASSUMED_DONE_ATTEMPT,
+        ),
     }
 }
 
--- a/crates/control-state/tests/namesakes.rs
+++ b/crates/control-state/tests/namesakes.rs
@@ -194,7 +194,8 @@
     }
 }
 
-/// Guards against a number that is used again for a job that came once its namesake was done.
+/// Guards against a number that is used again for a job that came once its namesake was done, and against one so high that a
+/// later job of the identity, which begins at 1, would never get above it on a server.
 #[test]
 fn a_job_that_comes_after_its_namesake_was_done_continues_above_it() {
     let mut state = state();
@@ -205,7 +206,7 @@
     state.apply(&accept_at("b", ID, spec(vec![step(1)])));
     let second = first_task(&state, "b");
     let next = state.jobs().next_attempt(second);
-    assert!(next > 1, "{next}");
+    assert_eq!(next, 2);
     assert!(try_start(&mut state, "b", second, next, "s"));
     assert_eq!(state.jobs().task_of_run(first, 1), first);
 }
