Admission reserves nothing for tasks of a single occurrence that have succeeded

Cause: since the record of an occurrence holds only what was started and has not succeeded, a job with one occurrence went on reserving room for all of its tasks until its last one was done, so new jobs would have been refused without need. Found by reading.

Change: for a job with one occurrence, what is reserved follows the tasks that have not succeeded.

Test: tasks_that_have_succeeded_need_no_room failed before the change.

--- a/crates/cluster-node/src/core/state_size.rs
+++ b/crates/cluster-node/src/core/state_size.rs
@@ -102,8 +102,14 @@
     tasks.saturating_mul(TASK_BYTES)
 }
 
-/// What the tasks of an open job will still record, in bytes, if as many run at once as one occurrence has.
+/// What the tasks of an open job will still record, in bytes, if as many run at once as one occurrence has. Tasks of the
+/// only occurrence that have succeeded are never started again.
 fn unrecorded_bytes(job: &JobRecord) -> u64 {
+    let only = job.occurrences.open().get(&0);
+    let remaining = match only.filter(|_| job.occurrence_count() == 1) {
+        Some(occurrence) => u64::from(occurrence.open_tasks()) * TASK_BYTES,
+        None => task_bytes(&job.spec),
+    };
     let recorded = job.started_tasks() * TASK_BYTES;
-    task_bytes(&job.spec).saturating_sub(recorded)
+    remaining.saturating_sub(recorded)
 }
--- a/crates/cluster-node/tests/admission.rs
+++ b/crates/cluster-node/tests/admission.rs
@@ -182,6 +182,38 @@
     assert!(sized.size.bytes() < grown + OTHER_BYTES);
 }
 
+/// Guards against room that stays reserved for tasks that have succeeded, so that new jobs are refused without need.
+#[test]
+fn tasks_that_have_succeeded_need_no_room() {
+    let mut sized = Sized::new();
+    sized.apply(&accept(1, 100, &[200]));
+    sized.snapshot();
+    let before = sized.size.bytes();
+    for index in 0..100 {
+        sized.apply(&start(task(1, 0, index), 1));
+        let Operation::RecordEnds {
+            service,
+            token,
+            mut ends,
+            at,
+        } = end(task(1, 0, index), 1)
+        else {
+            unreachable!("it records an end");
+        };
+        ends[0].end = RunEnd::Done;
+        sized.apply(&Operation::RecordEnds {
+            service,
+            token,
+            ends,
+            at,
+        });
+    }
+    sized.snapshot();
+    assert!(sized.size.bytes() < before / 2 + OTHER_BYTES);
+    (100..200).for_each(|index| sized.apply(&start(task(1, 0, index), 1)));
+    assert!(sized.size.bytes() >= sized.encoded());
+}
+
 #[test]
 fn one_configuration_replaces_the_other() {
     let mut sized = Sized::new();
