Test of the fleet's report: a member may be suspect for a moment on a busy machine

Traced: the first report with all three members in view had n1 "suspect" since 316 ms (n0 and n2 alive for 5 s): its answer to a ping was late, which SWIM allows, and the test judged that one report. It now waits for a report and a table that show a majority and all three members in view and alive, within the same 60 s.

--- a/crates/lupinrack/tests/fleet.rs
+++ b/crates/lupinrack/tests/fleet.rs
@@ -154,30 +154,21 @@
         command.output().unwrap()
     };
     let deadline = std::time::Instant::now() + std::time::Duration::from_secs(60);
-    let report: serde_json::Value = loop {
+    // A member whose answer to a ping is late counts as suspect until it is heard of again.
+    let is_alive = |m: &serde_json::Value| m["in_view"] == true && m["state"] == "alive";
+    loop {
         let report: serde_json::Value =
             serde_json::from_slice(&fleet_ls(true).stdout).unwrap_or_default();
         let members = report["members"].as_array().cloned().unwrap_or_default();
-        let complete = members.len() == 3 && members.iter().all(|m| m["in_view"] == true);
-        if report["stance"] == "majority" && complete {
-            break report;
+        let complete = members.len() == 3 && members.iter().all(is_alive);
+        let table = String::from_utf8(fleet_ls(false).stdout).unwrap();
+        let is_in_table = table.contains("majority") && table.matches("alive").count() >= 3;
+        if report["stance"] == "majority" && complete && is_in_table {
+            break;
         }
-        assert!(std::time::Instant::now() < deadline, "{report}");
+        assert!(std::time::Instant::now() < deadline, "{report}\n{table}");
         tokio::time::sleep(std::time::Duration::from_millis(200)).await;
-    };
-    assert!(
-        report["members"]
-            .as_array()
-            .unwrap()
-            .iter()
-            .all(|m| m["state"] == "alive"),
-        "{report}"
-    );
-    let table = String::from_utf8(fleet_ls(false).stdout).unwrap();
-    assert!(
-        table.contains("majority") && table.matches("alive").count() >= 3,
-        "{table}"
-    );
+    }
     for front in fronts {
         local_fleet.end(front).await.unwrap();
     }
