Known red: occurrences that wait for one of their steps take unbounded memory

What callers would see: a job of a million times with a step that no server can run, or that is slower than the others, begins ever more times, until the core processes go over their memory.

Cause: removed the window of 64 occurrences, which was also the only bound on how many of a job are open at once.

--- a/crates/scheduler/tests/decisions/many_occurrences.rs
+++ b/crates/scheduler/tests/decisions/many_occurrences.rs
@@ -162,3 +162,24 @@
     let after = bench.state.to_bytes().expect("it can be encoded").len();
     assert!(after < before + 2_000, "{before} bytes, then {after}");
 }
+
+/// Guards against occurrences that have begun and cannot be done, since one of their steps waits, and take memory without
+/// bound while their other steps go on.
+#[test]
+fn occurrences_that_wait_for_one_step_take_bounded_memory() {
+    let impossible = Step {
+        requires: "missing".to_owned(),
+        ..step(1, 10, 100)
+    };
+    let allocations = measure(|| {
+        let mut bench = bench(3);
+        let steps = vec![impossible.clone(), step(1, 10, 100)];
+        bench.accept_job(JOB, PRIORITY, repeated(1_000_000, steps));
+        bench.run_for(500);
+        for _ in 0..60 {
+            end_all(&mut bench);
+            bench.run_for(200);
+        }
+    });
+    assert!(allocations.bytes_max < STATE_BYTES, "{allocations:?}");
+}
